--- a/crates/whinhill-simhost/src/host.rs
+++ b/crates/whinhill-simhost/src/host.rs
@@ -150,3 +150,75 @@
     parts.word("gen")?;
     Ok((kind, parts.maybe("records")?.unwrap_or(0)))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const POWER_ON: &str = "power_on assigner-1 5 discovery=subscribe caps.mayProbe=0 classes.count=1 \
+        classes.0.name=look classes.0.objective=1000.0 classes.0.points=1.0 familyInfo.mutating=true \
+        familyInfo.retryDefault=0 familyInfo.period=1000.0 familyInfo.writeLease=4000.0 new.thing=x \
+        familyInfo.inFlightMax=1200.0 rules.stopSendingWithin=2000.0 familyInfo.transitMax=800.0 \
+        rules.warmAfter=10000.0 rules.coldFrom=0.2 rules.fallMultiple=3 familyInfo.overhead=8 \
+        familyInfo.linesPerS=4000 familyInfo.backlog=6000 familyInfo.messagesMost=0 \
+        familyInfo.reloadSpan=10000.0 familyInfo.shards=2 zones=a report.fields=queue,unheard_of";
+
+    fn play(input: &str) -> (String, Result<(), Failure>) {
+        let mut output = Vec::new();
+        let result = run(input.as_bytes(), &mut output);
+        (String::from_utf8(output).unwrap(), result)
+    }
+
+    fn batch(lines: &str) -> String {
+        format!("sync 1000.5 1\n{POWER_ON}\nmembers assigner-1 Persisted 1 1\nm 10.0.0.1:7 a k 0 U 1 -\n{lines}commit\n")
+    }
+
+    #[test]
+    fn every_event_is_read_and_orders_are_written() {
+        let events = "custody assigner-1 1 1\non_record assigner-1 1 10.0.0.1:7 1\ndialled_in assigner-1 4 a 1 6.5\n\
+            roundup assigner-1 48.25 14 a 10.0.0.1:7 1000.0 1 3,-\nroundup assigner-1 0 1 a 10.0.0.1:7 1000.0 1 -\n\
+            range_load assigner-1 1 23 2 look 1000.0\nacked assigner-1 4 412.5 12\nelapsed assigner-1 wake\n\
+            memo assigner-1 2 68\noffered_load assigner-1 look 0 9 2000.0 4\ndropped_off assigner-1 4\n\
+            check_result assigner-1 10.0.0.1:7 T 4.0 -\nmembers assigner-1 Partial 2 1\nm 10.0.0.1:7 a k 0 L 1 6.0\n";
+        let (output, result) = play(&batch(events));
+        result.unwrap();
+        assert!(output.contains("track assigner-1 1\n") && output.ends_with("finished 1\n"), "{output}");
+        assert!(output.contains("set_level assigner-1 0.000 1 0 1\n"), "{output}");
+    }
+
+    #[test]
+    fn an_instance_killed_and_started_in_one_batch_starts_afresh() {
+        let (output, result) = play(&batch(&format!("killed assigner-1\n{POWER_ON}\n")));
+        result.unwrap();
+        assert_eq!(output, "finished 1\n");
+    }
+
+    #[test]
+    fn an_empty_batch_gets_an_empty_reply() {
+        let (output, result) = play("sync 8412.25 1\ncommit\n\nsync 8413.25 2\ncommit\n");
+        result.unwrap();
+        assert_eq!(output, "finished 1\nfinished 2\n");
+    }
+
+    #[test]
+    fn a_malformed_line_is_named_with_its_number() {
+        for (line, what) in [
+            ("nonsense assigner-1", "unknown verb"),
+            ("custody assigner-1 9 1", "there is no slice 9"),
+            ("range_load assigner-1 1 2 0 other 1000.0", "unknown class"),
+            ("acked assigner-1 4 x 12", "cannot read waitTime"),
+            ("elapsed assigner-9 wake", "assigner-9 is not running"),
+        ] {
+            let message = play(&batch(&format!("{line}\n"))).1.unwrap_err().to_string();
+            assert!(message.starts_with("line 5: ") && message.contains(what), "{message}");
+            assert!(message.ends_with(line), "{message}");
+        }
+    }
+
+    #[test]
+    fn an_unreadable_setting_is_named_with_its_path() {
+        let input = batch("").replace("linesPerS=4000", "linesPerS=many");
+        let message = play(&input).1.unwrap_err().to_string();
+        assert!(message.contains("setting familyInfo.linesPerS: cannot read \"many\""), "{message}");
+    }
+}
--- a/crates/whinhill-simhost/src/wire.rs
+++ b/crates/whinhill-simhost/src/wire.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use whinhill::interface::{
-    Entry, Ep, Event, ListKind, Listed, LoadReport, MethodId, Order, Probe, Settings, SettingsError, ZoneId,
+    Entry, Ep, Event, ListKind, Listed, LoadReport, MethodId, Order, Probe, Settings, SettingsError, SliceId,
+    ZoneId,
 };
 
 /// What is wrong with a line, in plain words.
@@ -90,6 +91,7 @@
     eps: HashMap<String, usize>,
     zones: Vec<String>,
     methods: Vec<String>,
+    slices: usize,
     report: Vec<String>,
 }
 
@@ -107,6 +109,7 @@
             eps: HashMap::new(),
             zones: list("zones"),
             methods,
+            slices: settings.get("familyInfo.shards").unwrap_or(0),
             report: list("report.fields"),
         }
     }
@@ -135,6 +138,12 @@
         place.ok_or_else(|| Malformed(format!("unknown class {name:?}")))
     }
 
+    fn slice(&self, parts: &mut Parts) -> Result<SliceId, Malformed> {
+        let slice = parts.value("table")?;
+        let known = Some(slice).filter(|s| *s < self.slices);
+        known.ok_or_else(|| Malformed(format!("there is no slice {slice}")))
+    }
+
     /// Values stand in the order of `report.fields`; names that we do not know are skipped.
     fn load(&self, row: &str) -> Result<LoadReport, Malformed> {
         let mut load = LoadReport::default();
@@ -193,7 +202,7 @@
                 Event::Met { ep, zone, tries, lost, wait, span, load }
             }
             "range_load" => {
-                let slice = parts.value("table")?;
+                let slice = self.slice(&mut parts)?;
                 let rpcs = parts.value("total")?;
                 let lost = parts.value("lost")?;
                 let method = self.method(parts.word("qos")?)?;
@@ -221,7 +230,7 @@
                 Event::Acked { proxy, mark: parts.value("gen")?, way }
             }
             "custody" => {
-                let slice = parts.value("table")?;
+                let slice = self.slice(&mut parts)?;
                 match parts.flag("flag")? {
                     true => Event::Given { slice },
                     false => Event::Taken { slice },
@@ -230,7 +239,7 @@
             "on_record" => {
                 let weight: f64 = parts.value("size")?;
                 let ep = self.ep(parts.word("task")?);
-                let slice = parts.value("table")?;
+                let slice = self.slice(&mut parts)?;
                 if weight <= 0.0 {
                     return Ok(None);
                 }
--- a/crates/whinhill/src/assigner.rs
+++ b/crates/whinhill/src/assigner.rs
@@ -1,29 +1,813 @@
 //! Every decision of the control plane. [`Assigner::handle`] is the one entry point: it takes all that
 //! happened at one time and returns what is to be done, in order; one call's orders become one message
-//! for each proxy. The types stand in `interface.rs`.
+//! for each proxy. The types stand in `interface.rs`, the reasons and the sources in `docs/design.md`.
+//!
+//! In reading order: settings, list and health, estimates, plan, handover, levels, channel.
 
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-use crate::interface::{Event, ListKind, Order, Settings, SettingsError};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::interface::*;
+use crate::settings::Config;
+use crate::state::{Channel, Following, Handover, Move, Plan, Server, Slice, Sum, View};
+
+// Tuned values: unit, reason, and what goes wrong with another.
+
+/// Share of capacity above which a server is hot (design page). Higher: waiting starts before we act.
+const THRESHOLD: f64 = 0.8;
+/// Leveling starts this far above or below the average (design page). Lower: moves that don't pay.
+const SKEW: f64 = 0.5;
+/// Rounds in a row that skew must last (design page). Fewer: moves after noise; more: hot slices stay.
+const SKEW_ROUNDS: u32 = 3;
+/// Leveling's targets, times the average load (design page).
+const TARGETS: [f64; 3] = [1.1, 1.3, 1.5];
+/// Hashed candidates beside the owner (design page). More: better fits, but caches go cold farther afield.
+const CANDIDATES: usize = 2;
+/// How long a moved slice stays (design page). Shorter: slices swing; longer: errors stay.
+const STAY: Duration = Duration::from_secs(20);
+/// Part of its room that a cold server offers (design page). More: it is pushed over.
+const NEW_OFFERS: f64 = 0.5;
+/// Times the free time of an answer from which answers wait. Lower: moves after noise.
+const WAITING: f64 = 1.5;
+/// How often handovers under way are looked at. Longer: slices stay without an owner.
+const TICK: Duration = Duration::from_millis(50);
+/// Load that the average server is taken to have where servers don't report how busy they are.
+const USUAL: f64 = 0.5;
+/// Measures halve in this many report periods. Fewer: noise; more: late.
+const HALF: f64 = 1.5;
+/// Share of tries lost, and times the others' share, that make a server sick. Lower: healthy ones go.
+const SICK: (f64, f64) = (0.3, 3.0);
+/// Tries (or RPCs expected) below which nothing is said about a server.
+const ENOUGH: f64 = 6.0;
+/// Most of the ready servers that may be held sick at a time. Higher: the rest fall over.
+const SICK_MOST: f64 = 0.5;
+/// Part of a cold server's budget that we fill; the rest is for cold caches and uneven arrivals.
+const COLD_PART: f64 = 0.4;
+/// The channel may run this many times slower than stated. Lower: the queue's rule is at risk.
+const SLOW_CHANNEL: f64 = 4.0;
+/// Mean wait, as a part of the soft deadline, at which a server counts as overloaded.
+const LATE: f64 = 0.5;
+/// How far the line of criticality moves up, and down, a period.
+const LINE_STEP: (f64, f64) = (0.2, 0.1);
 
 pub struct Assigner {
-    watch: bool,
+    cfg: Config,
+    rng: ChaCha8Rng,
+    /// Measures halve in this time.
+    half: Duration,
+    now: Duration,
+    servers: Vec<Server>,
+    /// Each proxy met, with the time it left unless it is joined.
+    proxies: BTreeMap<ProxyId, Option<Duration>>,
+    slices: Vec<Slice>,
+    next_period: Duration,
+    list: Following,
+    plan: Plan,
+    channel: Channel,
+    out: Vec<Order>,
 }
 
 impl Assigner {
-    pub fn new(settings: &Settings, _seed: u64) -> Result<Self, SettingsError> {
-        Ok(Assigner { watch: settings.get::<String>("discovery")? == "subscribe" })
+    pub fn new(settings: &Settings, seed: u64) -> Result<Self, SettingsError> {
+        let cfg = Config::read(settings)?;
+        Ok(Assigner {
+            half: cfg.period.mul_f64(HALF),
+            slices: vec![Slice::default(); settings.get("familyInfo.shards")?],
+            cfg,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            now: Duration::ZERO,
+            servers: Vec::new(),
+            proxies: BTreeMap::new(),
+            next_period: Duration::ZERO,
+            list: Following::default(),
+            plan: Plan::default(),
+            channel: Channel::default(),
+            out: Vec::new(),
+        })
     }
 
-    pub fn handle(&mut self, _now: Duration, events: &[Event]) -> Vec<Order> {
-        let mut orders = Vec::new();
+    /// Takes all that happened at `now` and returns the orders, safety first.
+    pub fn handle(&mut self, now: Duration, events: &[Event]) -> Vec<Order> {
+        self.now = now;
         for event in events {
-            if let Event::List { kind: ListKind::Stored | ListKind::Failed, .. } = event {
-                if self.watch {
-                    orders.push(Order::Watch);
+            self.take(event);
+        }
+        self.follow_list();
+        let period = now >= self.next_period;
+        if period {
+            self.next_period = now + self.cfg.period;
+            self.judge();
+        }
+        self.evacuate();
+        self.advance();
+        if period {
+            self.move_lines();
+            self.make_plan();
+            self.probe();
+        }
+        self.run_batches();
+        self.order_levels();
+        self.close()
+    }
+
+    fn take(&mut self, event: &Event) {
+        match event {
+            Event::List { kind, entries } => self.take_list(*kind, entries),
+            Event::Met { ep, tries, lost, wait, load, .. } => {
+                let (now, half) = (self.now, self.half);
+                let server = self.server(*ep);
+                let oks = tries.saturating_sub(*lost) as f64;
+                server.tries.add(now, half, *tries as f64);
+                server.lost.add(now, half, *lost as f64);
+                server.oks.add(now, half, oks);
+                server.waits.add(now, half, oks * wait.as_secs_f64());
+                if oks > 0.0 {
+                    server.last_ok = now;
+                }
+                self.take_load(*ep, load);
+            }
+            Event::Demand { slice, method, rpcs, .. } => {
+                let weight = self.cfg.methods[*method].soft.as_secs_f64();
+                self.slices[*slice].demand.add(self.now, self.half, weight * *rpcs as f64);
+            }
+            Event::Probed { ep, result, load } => {
+                let server = self.server(*ep);
+                match result {
+                    Probe::Ok | Probe::Aborted => server.unanswered = 0,
+                    Probe::Unanswered => server.unanswered += 1,
+                    Probe::PushedBack => {}
+                }
+                self.take_load(*ep, load);
+            }
+            Event::Joined { proxy, .. } => self.join(*proxy),
+            Event::Left { proxy } => {
+                let until = self.now + self.cfg.lease;
+                self.proxies.insert(*proxy, Some(self.now));
+                for handover in self.slices.iter_mut().filter_map(|s| s.handover.as_mut()) {
+                    handover.awaits.retain(|(p, _)| p != proxy);
+                    handover.quiet = handover.quiet.max(until);
+                }
+            }
+            Event::Acked { proxy, mark, way } => self.acked(*proxy, *mark, *way),
+            Event::Given { slice } => {
+                let (now, lease) = (self.now, self.cfg.lease);
+                let unowned = Handover { quiet: now + lease, cut: true, ..Handover::default() };
+                self.slices[*slice] = Slice {
+                    ours: true,
+                    given: now,
+                    handover: Some(unowned),
+                    stays: now + lease + self.cfg.settle,
+                    told: vec![1.0; self.cfg.methods.len()],
+                    ..Slice::default()
+                };
+            }
+            Event::Taken { slice } => self.slices[*slice] = Slice::default(),
+            Event::Stored { slice, ep } => {
+                let owner = self.server(*ep).ep.index;
+                self.slices[*slice].owner = Some(owner);
+                self.slices[*slice].handover = None;
+            }
+            Event::Timer => {}
+        }
+    }
+
+    // 1. List and health.
+
+    fn server(&mut self, ep: Ep) -> &mut Server {
+        while self.servers.len() <= ep.index {
+            self.servers.push(Server::default());
+        }
+        let server = &mut self.servers[ep.index];
+        server.ep = ep;
+        server
+    }
+
+    fn take_list(&mut self, kind: ListKind, entries: &[Entry]) {
+        let now = self.now;
+        if kind == ListKind::Failed {
+            let back_off =
+                0.5 * 2f64.powi(self.list.failures.min(3) as i32) * self.rng.random_range(0.7..1.3);
+            self.list.failures += 1;
+            self.list.ask_at = Some(now + Duration::from_secs_f64(back_off).min(self.cfg.must_ask / 2));
+            return;
+        }
+        self.list.failures = 0;
+        self.list.ask_at =
+            if kind == ListKind::Stored { Some(now) } else { Some(now + self.cfg.must_ask * 2) };
+        if kind != ListKind::Changes {
+            let kept: Vec<usize> = entries.iter().map(|e| e.ep.index).collect();
+            for server in &mut self.servers {
+                if server.listed != Listed::Gone && !kept.contains(&server.ep.index) {
+                    server.listed = Listed::Gone;
+                    server.told = now;
+                }
+            }
+        }
+        for entry in entries {
+            let server = self.server(entry.ep);
+            if entry.listed == Listed::Ready && entry.started > server.started {
+                *server = Server { ep: entry.ep, started: entry.started, last_ok: now, ..Server::default() };
+            }
+            if entry.listed != Listed::Ready && server.listed == Listed::Ready {
+                server.told = now;
+            }
+            server.listed = entry.listed;
+            server.size = entry.size.max(1e-3);
+        }
+    }
+
+    /// Asks for changes at the start, after a failure, and when nothing has come for long.
+    fn follow_list(&mut self) {
+        if self.cfg.watch && self.list.ask_at.is_some_and(|at| self.now >= at) {
+            self.out.push(Order::Watch);
+            self.list.ask_at = Some(self.now + self.cfg.must_ask / 2);
+        }
+    }
+
+    fn take_load(&mut self, ep: Ep, load: &LoadReport) {
+        let now = self.now;
+        let server = self.server(ep);
+        if let Some(cpu) = load.cpu {
+            let old = server.cpu.map_or(cpu, |(old, _)| old);
+            server.cpu = Some((0.5 * old + 0.5 * cpu, now));
+        }
+        if let Some(in_hand) = load.in_hand {
+            server.in_hand = 0.5 * server.in_hand + 0.5 * in_hand;
+        }
+        if let Some(service) = load.service {
+            server.service = Some(service.as_secs_f64());
+        }
+    }
+
+    /// Mean wait of an ok answer in seconds.
+    fn wait(&self, server: &Server) -> Option<f64> {
+        let oks = server.oks.read(self.now, self.half);
+        (oks >= 1.0).then(|| server.waits.read(self.now, self.half) / oks)
+    }
+
+    /// What tells how fast a server works: its time of service where reported, else the wait.
+    fn pace(&self, server: &Server) -> Option<f64> {
+        let wait = self.wait(server);
+        server.service.filter(|_| wait.is_some()).or(wait)
+    }
+
+    /// Judges each server by several symptoms against its peers, and lets recovered ones back by steps.
+    fn judge(&mut self) {
+        let (now, half) = (self.now, self.half);
+        let sum = |f: fn(&Server) -> &Sum| -> f64 { self.servers.iter().map(|s| f(s).read(now, half)).sum() };
+        let (all_tries, all_lost) = (sum(|s| &s.tries), sum(|s| &s.lost));
+        let heard = self.servers.iter().filter(|s| now < s.last_ok + self.cfg.period * 2).count();
+        let ready = self.servers.iter().filter(|s| s.listed == Listed::Ready).count();
+        let mut sick = self.servers.iter().filter(|s| s.listed == Listed::Ready && s.sick.is_some()).count();
+        let soft = self.mean_soft();
+        for (i, expected) in
+            self.demand_by(|slice| slice.owner.filter(|_| slice.handover.is_none())).iter().enumerate()
+        {
+            let (pace, wait) = (self.pace(&self.servers[i]), self.wait(&self.servers[i]));
+            let server = &mut self.servers[i];
+            if let Some(pace) = pace {
+                server.base = Some(server.base.map_or(pace, |base| (base * 1.01).min(pace)));
+            }
+            let (tries, lost) = (server.tries.read(now, half), server.lost.read(now, half));
+            let others = (all_lost - lost) / (all_tries - tries).max(1.0);
+            let share = lost / tries.max(1.0);
+            let silence = now.saturating_sub(server.last_ok);
+            // Lost tries while the ok ones wait long tell of too much load, which moves and levels answer.
+            let waits = wait.is_some_and(|wait| wait > LATE * soft) && silence < self.cfg.period * 2;
+            let aborts = tries >= ENOUGH && share > SICK.0 && share > SICK.1 * others && !waits;
+            let quiet = silence > self.cfg.period * 2 && heard * 2 > ready;
+            let silent = quiet && expected / soft * silence.as_secs_f64() > 2.0 * ENOUGH;
+            let dead = server.unanswered >= 2 && silence > self.cfg.period;
+            let well = server.listed == Listed::Ready && server.sick.is_none();
+            if well && (aborts || silent || dead) && (sick + 1) as f64 <= SICK_MOST * ready as f64 {
+                sick += 1;
+                server.sick = Some(now + Duration::from_secs(8) * 2u32.pow(server.strikes.min(3)));
+                server.strikes += 1;
+                let text = format!(
+                    "server {i} sick: lost {share:.2} of {tries:.0}, others {others:.2}, no ok for {:.1} s, \
+                     probes unanswered {}",
+                    silence.as_secs_f64(),
+                    server.unanswered
+                );
+                self.out.push(Order::Log { text });
+            } else if server.sick.is_some_and(|until| now >= until && server.unanswered == 0) {
+                server.sick = None;
+                server.doubt = 0.75;
+                server.last_ok = now;
+                self.out.push(Order::Log { text: format!("server {i} back at a quarter of its room") });
+            } else if server.sick.is_none() {
+                server.doubt = (server.doubt - 0.1).max(0.0);
+            }
+        }
+    }
+
+    // 2. Estimates.
+
+    fn mean_soft(&self) -> f64 {
+        let sum: f64 = self.cfg.methods.iter().map(|m| m.soft.as_secs_f64()).sum();
+        sum / self.cfg.methods.len().max(1) as f64
+    }
+
+    /// Seconds of soft deadline that come in a second; for a slice not heard of yet, the others' mean.
+    fn demand(&self) -> Vec<f64> {
+        let per_sum = std::f64::consts::LN_2 / self.half.as_secs_f64();
+        let rate = |slice: &Slice| {
+            let age = self.now.saturating_sub(slice.given);
+            let seen = 1.0 - 0.5f64.powf(age.as_secs_f64() / self.half.as_secs_f64());
+            (slice.ours && age > self.cfg.period * 2)
+                .then(|| slice.demand.read(self.now, self.half) * per_sum / seen)
+        };
+        let rates: Vec<Option<f64>> = self.slices.iter().map(rate).collect();
+        let known = rates.iter().flatten().count().max(1) as f64;
+        let mean = rates.iter().flatten().sum::<f64>() / known;
+        rates
+            .into_iter()
+            .zip(&self.slices)
+            .map(|(r, s)| r.unwrap_or(if s.ours { mean } else { 0.0 }))
+            .collect()
+    }
+
+    fn demand_by(&self, place: impl Fn(&Slice) -> Option<usize>) -> Vec<f64> {
+        let mut sums = vec![0.0; self.servers.len()];
+        for (slice, demand) in self.slices.iter().zip(self.demand()) {
+            if let Some(place) = place(slice) {
+                sums[place] += demand;
+            }
+        }
+        sums
+    }
+
+    /// Our share of all slices.
+    fn our_share(&self) -> f64 {
+        let ours = self.slices.iter().filter(|s| s.ours).count();
+        ours as f64 / self.slices.len().max(1) as f64
+    }
+
+    /// Present capacity as a part of the full one, at the slowest ramp that the rules allow.
+    fn ramp(&self, server: &Server) -> f64 {
+        let Some(started) = server.started else { return 1.0 };
+        let age = self.now.saturating_sub(started).as_secs_f64() / self.cfg.warm_after.as_secs_f64();
+        (self.cfg.cold_from + (1.0 - self.cfg.cold_from) * age).min(1.0)
+    }
+
+    /// Whether answers wait at a server: without that it isn't hot, however its load compares.
+    fn waits(&self, server: &Server) -> bool {
+        let free = server.service.or(server.base);
+        self.wait(server).zip(free).is_some_and(|(wait, free)| wait > WAITING * free)
+    }
+
+    /// Splits each server's load over its slices. Where servers don't report how busy they are, it is
+    /// the demand by size, times how much slower the server has become, at `USUAL` on average.
+    fn view(&self) -> View {
+        let (now, share, fresh) = (self.now, self.our_share(), self.cfg.period * 3);
+        // Each slice counts where it is going, so that moves show before the reports do.
+        let owned = self.demand_by(|s| s.handover.as_ref().and_then(|h| h.to).or(s.owner));
+        let ready: Vec<&Server> = self.servers.iter().filter(|s| s.listed == Listed::Ready).collect();
+        let count = ready.len().max(1) as f64;
+        // A stale report is unknown, not idle. The part of it that is ours goes by the RPCs in hand.
+        let told = |s: &Server| {
+            let cpu = s.cpu.filter(|(_, at)| now < *at + fresh)?.0;
+            let in_hand = s.waits.read(now, self.half) * std::f64::consts::LN_2 / self.half.as_secs_f64();
+            let part = ((in_hand + share) / (s.in_hand + 1.0)).clamp(share / 3.0, 1.0);
+            Some((cpu * if share > 0.99 { 1.0 } else { part }, cpu))
+        };
+        let busy = ready.iter().any(|s| told(s).is_some());
+        let slower = |s: &Server| self.pace(s).zip(s.base).map_or(1.0, |(pace, base)| (pace / base).max(1.0));
+        let (mut loads, mut owns) = (0.0, 0.0);
+        for server in &ready {
+            let own = owned[server.ep.index];
+            match told(server) {
+                Some((ours, _)) => (loads, owns) = (loads + ours, owns + own),
+                None if !busy => (loads, owns) = (loads + USUAL * share, owns + own / server.size),
+                None => {}
+            }
+        }
+        let usual = if owns > 0.0 { loads / owns } else { 0.0 };
+        let pad = 0.3 * owned.iter().sum::<f64>() / count;
+        let mut view = View { demand: self.demand(), ..View::default() };
+        for (server, owned) in self.servers.iter().zip(&owned) {
+            let ramp = self.ramp(server);
+            let unit = match told(server) {
+                _ if !busy => usual * slower(server) / server.size.max(1e-3),
+                Some((ours, _)) if ramp >= 1.0 => (ours + usual * pad) / (owned + pad).max(1e-9),
+                _ => usual,
+            };
+            let others = told(server).map_or(USUAL * (1.0 - share), |(ours, all)| all - ours);
+            let own = owned * unit / ramp;
+            let mut load = own + others / ramp;
+            if !busy && !self.waits(server) {
+                load = load.min(THRESHOLD);
+            }
+            let offer = if ramp < 1.0 { NEW_OFFERS } else { 1.0 - server.doubt } * share;
+            let room = if usable(server) { (THRESHOLD - load).max(0.0) * offer } else { 0.0 };
+            view.own.push(own);
+            view.loads.push(load);
+            view.units.push(unit / ramp);
+            view.rooms.push(room);
+        }
+        view.average = ready.iter().map(|s| view.loads[s.ep.index]).sum::<f64>() / count;
+        view
+    }
+
+    // 3. Plan.
+
+    /// The ready servers beside the owner, in the slice's hash order, alike at every assigner.
+    fn others(&self, id: SliceId) -> Vec<usize> {
+        let others = self.servers.iter().filter(|s| Some(s.ep.index) != self.slices[id].owner);
+        let ready = others.filter(|s| s.listed == Listed::Ready);
+        let mut order: Vec<(u64, usize)> = ready.map(|s| (mix(s.ep.stable, id as u64), s.ep.index)).collect();
+        order.sort_unstable_by(|a, b| b.cmp(a));
+        order.into_iter().map(|(_, i)| i).collect()
+    }
+
+    fn movable(&self, slice: &Slice) -> bool {
+        slice.ours && slice.handover.is_none() && slice.owner.is_some() && self.now >= slice.stays
+    }
+
+    /// The greedy pass: moves that bring every server of ours under `limit`, with little demand moved.
+    /// With `partly`, it keeps what it found even if some servers stay above.
+    fn pass(&self, view: &View, limit: f64, partly: bool) -> Option<Vec<Move>> {
+        let mut loads = view.loads.clone();
+        let mut rooms = view.rooms.clone();
+        let mut moves: Vec<Move> = Vec::new();
+        let mut stuck = vec![false; loads.len()];
+        loop {
+            let owns = |i: usize| self.slices.iter().any(|s| s.ours && s.owner == Some(i));
+            let over = (0..loads.len())
+                .filter(|i| !stuck[*i] && self.servers[*i].listed == Listed::Ready)
+                .filter(|i| loads[*i] > limit && owns(*i))
+                .max_by(|a, b| loads[*a].total_cmp(&loads[*b]));
+            let Some(from) = over else { return Some(moves) };
+            let excess = loads[from] - limit;
+            let mut best: Option<((u8, f64), Move)> = None;
+            for (id, slice) in self.slices.iter().enumerate() {
+                let moved = moves.iter().any(|(s, _)| *s == id);
+                if !self.movable(slice) || slice.owner != Some(from) || moved || view.demand[id] <= 0.0 {
+                    continue;
+                }
+                // The least demand that does it; where none does, the most.
+                let off = view.demand[id] * view.units[from];
+                let cost = if off >= excess { (0, off) } else { (1, -off) };
+                for to in self.others(id).into_iter().take(CANDIDATES) {
+                    let add = view.demand[id] * view.units[to];
+                    let fits = usable(&self.servers[to]) && add <= rooms[to] && loads[to] + add <= limit;
+                    if fits && best.is_none_or(|(least, _)| cost < least) {
+                        best = Some((cost, (id, to)));
+                    }
+                }
+            }
+            match best {
+                Some((_, (id, to))) => {
+                    loads[from] -= view.demand[id] * view.units[from];
+                    loads[to] += view.demand[id] * view.units[to];
+                    rooms[to] -= view.demand[id] * view.units[to];
+                    moves.push((id, to));
                 }
+                None if partly => stuck[from] = true,
+                None => return None,
             }
         }
-        orders
+    }
+
+    /// SWAT's three stages in order; the first that finds moves fills the batches.
+    fn make_plan(&mut self) {
+        if !self.plan.batch.is_empty() || !self.plan.batches.is_empty() || self.someone_absent() {
+            return;
+        }
+        let view = self.view();
+        let (mut hot, mut skewed) = (false, false);
+        for (load, _) in view.loads.iter().zip(&self.servers).filter(|(_, s)| usable(s)) {
+            hot |= *load > THRESHOLD;
+            skewed |= *load > (1.0 + SKEW) * view.average || *load < (1.0 - SKEW) * view.average;
+        }
+        self.plan.skewed = if skewed { self.plan.skewed + 1 } else { 0 };
+        let find = |limit: f64, partly| self.pass(&view, limit, partly).filter(|moves| !moves.is_empty());
+        let level = || TARGETS.iter().find_map(|t| find((t * view.average).min(THRESHOLD), false));
+        let leveling = if self.plan.skewed >= SKEW_ROUNDS { level() } else { None };
+        let (stage, found) = match (leveling, hot.then(|| find(THRESHOLD, false)).flatten()) {
+            (Some(moves), _) => ("leveling", moves),
+            (None, Some(moves)) => ("elimination", moves),
+            (None, None) if hot => ("mitigation", find(THRESHOLD, true).unwrap_or_default()),
+            (None, None) => return,
+        };
+        if found.is_empty() {
+            return;
+        }
+        let most = view.loads.iter().cloned().fold(0.0, f64::max);
+        let text = format!("{stage}: {} moves, average {:.2}, most {most:.2}", found.len(), view.average);
+        self.out.push(Order::Log { text });
+        self.plan.skewed = 0;
+        self.plan.batches = self.sequence(found, &view);
+    }
+
+    /// Sinks first; a cycle breaks at the server least loaded after its incoming moves.
+    fn sequence(&self, mut moves: Vec<Move>, view: &View) -> VecDeque<Vec<Move>> {
+        let mut batches = VecDeque::new();
+        while !moves.is_empty() {
+            let leaves = |i: usize| moves.iter().any(|(s, _)| self.slices[*s].owner == Some(i));
+            let mut sinks: Vec<usize> = moves.iter().map(|m| m.1).filter(|to| !leaves(*to)).collect();
+            if sinks.is_empty() {
+                let after = |i: usize| -> f64 {
+                    let incoming = moves.iter().filter(|m| m.1 == i);
+                    view.loads[i] + incoming.map(|m| view.demand[m.0] * view.units[i]).sum::<f64>()
+                };
+                let least = moves.iter().map(|m| m.1).min_by(|a, b| after(*a).total_cmp(&after(*b)));
+                sinks.extend(least);
+            }
+            let (now, later) = moves.into_iter().partition(|m| sinks.contains(&m.1));
+            batches.push_back(now);
+            moves = later;
+        }
+        batches
+    }
+
+    /// Starts a batch once the one before is done.
+    fn run_batches(&mut self) {
+        let slices = &self.slices;
+        self.plan.batch.retain(|(s, to)| slices[*s].handover.as_ref().is_some_and(|h| h.to == Some(*to)));
+        if !self.plan.batch.is_empty() || !self.has_room(0.25) {
+            return;
+        }
+        let Some(moves) = self.plan.batches.pop_front() else { return };
+        for (slice, to) in moves {
+            if self.movable(&self.slices[slice]) && usable(&self.servers[to]) {
+                self.stop(slice, Some(to), false);
+                self.plan.batch.push((slice, to));
+            }
+        }
+    }
+
+    /// Slices whose owner is gone, draining, sick, or cold and over its budget leave at once.
+    fn evacuate(&mut self) {
+        let lead = self.drain_lead();
+        for id in 0..self.slices.len() {
+            let Slice { handover: Some(handover), owner: Some(owner), .. } = &self.slices[id] else {
+                continue;
+            };
+            let server = &self.servers[*owner];
+            let drained = server.listed == Listed::Draining && self.now >= server.told + lead;
+            let bad = server.sick.is_some() || server.listed == Listed::Gone;
+            if !handover.cut && (bad || drained) {
+                self.cut(id);
+            }
+        }
+        let leaves = |s: &Slice| {
+            let unfit = |o: usize| !usable(&self.servers[o]) || self.ramp(&self.servers[o]) < 1.0;
+            s.ours && s.handover.is_none() && s.owner.is_some_and(unfit)
+        };
+        let leaving: Vec<SliceId> = (0..self.slices.len()).filter(|id| leaves(&self.slices[*id])).collect();
+        if leaving.is_empty() {
+            return;
+        }
+        let mut view = self.view();
+        let budget = self.cfg.fall_multiple * COLD_PART * self.our_share();
+        for id in leaving {
+            let Some(owner) = self.slices[id].owner else { continue };
+            let within = usable(&self.servers[owner]) && view.own[owner] <= budget;
+            if within || !self.has_room(0.9) {
+                continue;
+            }
+            if let Some(to) = self.destination(id, &view) {
+                let add = view.demand[id] * view.units[to];
+                view.own[owner] -= view.demand[id] * view.units[owner];
+                view.loads[to] += add;
+                view.rooms[to] = (view.rooms[to] - add).max(0.0);
+                self.stop(id, Some(to), self.servers[owner].listed != Listed::Draining);
+            }
+        }
+    }
+
+    /// How long after a drain is told the line may stay, so that its end arrives within the grace.
+    fn drain_lead(&self) -> Duration {
+        self.cfg.grace.saturating_sub(self.cfg.way_most.mul_f64(1.5))
+    }
+
+    /// Where a slice that must leave goes: the less loaded of its first usable candidates, walking on in
+    /// its hash order past those without room; failing that the least loaded ready server, warm ones first.
+    fn destination(&self, id: SliceId, view: &View) -> Option<usize> {
+        let order = self.others(id);
+        let after = |i: &usize| view.loads[*i] + view.demand[id] * view.units[*i];
+        let fits =
+            |i: &usize| view.rooms[*i] >= view.demand[id] * view.units[*i] && usable(&self.servers[*i]);
+        let least = |a: &usize, b: &usize| after(a).total_cmp(&after(b));
+        let first = order.iter().copied().filter(fits).take(CANDIDATES).min_by(least);
+        let warm = |i: &usize| self.ramp(&self.servers[*i]) >= 1.0;
+        let rest = || order.iter().copied().filter(|i| usable(&self.servers[*i]) && warm(i)).min_by(least);
+        let any = || order.iter().copied().filter(warm).min_by(least).or(order.iter().copied().min_by(least));
+        first.or_else(rest).or_else(any)
+    }
+
+    // 4. Handover: stop, every proxy's answer or lease end, settle, grant.
+
+    fn someone_absent(&self) -> bool {
+        self.proxies.values().flatten().any(|left| self.now < *left + self.cfg.lease)
+    }
+
+    /// Stops a slice's writes at its owner, or with `cut` everything, and awaits every proxy.
+    fn stop(&mut self, id: SliceId, to: Option<usize>, cut: bool) {
+        let mark = self.channel.marks + 1;
+        self.channel.mark_wanted = true;
+        let lease = self.cfg.lease;
+        let absent = self.proxies.values().flatten().map(|left| *left + lease).max();
+        let awaits =
+            self.proxies.iter().filter(|(_, left)| left.is_none()).map(|(id, _)| (*id, mark)).collect();
+        let slice = &mut self.slices[id];
+        let quiet = absent.unwrap_or_default().max(slice.given + lease);
+        slice.handover = Some(Handover { awaits, ordered: self.now, quiet, cut: false, to });
+        if cut {
+            self.cut(id);
+        }
+    }
+
+    fn cut(&mut self, id: SliceId) {
+        let slice = &mut self.slices[id];
+        if let (Some(handover), Some(owner)) = (&mut slice.handover, slice.owner) {
+            handover.cut = true;
+            self.out.push(Order::Revoke { slice: id, ep: self.servers[owner].ep });
+        }
+    }
+
+    /// A proxy that joins holds what it held; it must hear of every handover under way before the grant.
+    fn join(&mut self, proxy: ProxyId) {
+        self.proxies.insert(proxy, None);
+        let mark = self.channel.marks + 1;
+        for slice in self.slices.iter_mut().filter(|s| s.owner.is_some()) {
+            let Some(handover) = &mut slice.handover else { continue };
+            handover.awaits.retain(|(p, _)| *p != proxy);
+            handover.awaits.push((proxy, mark));
+            handover.ordered = self.now;
+            slice.told.fill(f64::NAN);
+            self.channel.mark_wanted = true;
+        }
+    }
+
+    fn acked(&mut self, proxy: ProxyId, mark: u16, way: Duration) {
+        // The wire's mark is the low half of ours; it was set lately.
+        let mark =
+            self.channel.marks.saturating_sub(self.channel.marks.wrapping_sub(u64::from(mark)) & 0xffff);
+        for handover in self.slices.iter_mut().filter_map(|s| s.handover.as_mut()) {
+            let before = handover.awaits.len();
+            handover.awaits.retain(|(p, m)| *p != proxy || *m > mark);
+            if handover.awaits.len() < before {
+                handover.quiet = handover.quiet.max(self.now.min(handover.ordered + way));
+            }
+        }
+    }
+
+    /// Grants what has settled: nobody writes to the old owner, and what it had in hand has ended.
+    fn advance(&mut self) {
+        let mut view = None;
+        for id in 0..self.slices.len() {
+            let slice = &self.slices[id];
+            let Some(handover) = slice.handover.as_ref().filter(|_| slice.ours) else { continue };
+            if !handover.awaits.is_empty() || self.now < handover.quiet + self.cfg.settle {
+                continue;
+            }
+            let wanted = handover.to.filter(|to| usable(&self.servers[*to]));
+            let stays = slice.owner.filter(|o| usable(&self.servers[*o]) && !handover.cut);
+            let mut elsewhere = || self.destination(id, view.get_or_insert_with(|| self.view()));
+            let to = wanted.or(stays).or_else(&mut elsewhere);
+            let Some(to) = to else { continue };
+            if let Some(v) = view.as_mut() {
+                v.loads[to] += v.demand[id] * v.units[to];
+            }
+            let same = slice.owner == Some(to) && !handover.cut;
+            let slice = &mut self.slices[id];
+            slice.owner = Some(to);
+            slice.handover = None;
+            slice.stays = self.now + STAY;
+            self.servers[to].last_ok = self.servers[to].last_ok.max(self.now);
+            if !same {
+                self.out.push(Order::Grant { slice: id, ep: self.servers[to].ep });
+            }
+        }
+    }
+
+    // 5. Levels and tries.
+
+    /// Moves each server's line of criticality: up while its answers come late or are lost, then down.
+    fn move_lines(&mut self) {
+        let (now, half) = (self.now, self.half);
+        let most = self.cfg.methods.len() as f64 - 0.5;
+        let mean_soft = self.mean_soft();
+        for i in 0..self.servers.len() {
+            let server = &self.servers[i];
+            let oks = server.oks.read(now, half);
+            let wait = server.waits.read(now, half) / oks.max(1.0);
+            let tries = server.tries.read(now, half);
+            let lost = server.lost.read(now, half) / tries.max(1.0);
+            let busy = tries >= ENOUGH && usable(server);
+            let late = wait / (LATE * mean_soft);
+            let server = &mut self.servers[i];
+            let old = server.line;
+            if busy && (late > 1.0 || lost > SICK.0 / 2.0) {
+                server.line = (server.line + LINE_STEP.0).min(most);
+            } else if late < 0.7 {
+                server.line = (server.line - LINE_STEP.1).max(0.0);
+            }
+            if (old == 0.0) != (server.line == 0.0) {
+                let text = format!("server {i} line {:.1}: wait {wait:.2} s, lost {lost:.2}", server.line);
+                self.out.push(Order::Log { text });
+            }
+        }
+    }
+
+    /// Orders the shares that differ from what proxies were told: none of the writes during a handover.
+    fn order_levels(&mut self) {
+        let mut ranks: Vec<usize> = (0..self.cfg.methods.len()).collect();
+        ranks.sort_by(|a, b| self.cfg.methods[*a].criticality.total_cmp(&self.cfg.methods[*b].criticality));
+        for id in 0..self.slices.len() {
+            let slice = &self.slices[id];
+            let Some(owner) = slice.owner.filter(|_| slice.ours) else { continue };
+            let line = self.servers[owner].line;
+            let stopped = slice.handover.as_ref().is_some_and(|h| !h.cut);
+            let mut wanted = vec![1.0; ranks.len()];
+            for (rank, method) in ranks.iter().enumerate() {
+                let share = (1.0 - (line - rank as f64)).clamp(0.0, 1.0);
+                wanted[*method] = (share * 20.0).round() / 20.0;
+                if stopped && self.cfg.methods[*method].writes {
+                    wanted[*method] = 0.0;
+                }
+            }
+            for share in wanted.clone() {
+                let differs = |m: &usize| wanted[*m] == share && slice.told[*m] != share;
+                let methods = (0..wanted.len()).filter(differs).fold(0, |mask, m| mask | 1 << m);
+                if methods != 0 {
+                    let level = Order::Level { slice: id, share, methods, tries: self.cfg.tries };
+                    if !self.out.contains(&level) {
+                        self.out.push(level);
+                    }
+                }
+            }
+            self.slices[id].told = wanted;
+        }
+    }
+
+    // 6. Channel.
+
+    /// Whether the channel holds less than a part of what may wait in it.
+    fn has_room(&self, part: f64) -> bool {
+        let pending = self.out.len() * self.proxies.len();
+        let sent = self.cfg.messages_most == 0
+            || (self.channel.messages.len() as f64) < part * self.cfg.messages_most as f64 - 1.0;
+        self.channel.lines + (pending as f64) < part * self.cfg.backlog && sent
+    }
+
+    fn probe(&mut self) {
+        if self.cfg.probes {
+            for server in self.servers.iter().filter(|s| s.listed == Listed::Ready) {
+                self.out.push(Order::Probe { ep: server.ep });
+            }
+        }
+    }
+
+    /// Counts what goes out, and asks to be woken at the next time that matters.
+    fn close(&mut self) -> Vec<Order> {
+        let now = self.now;
+        if std::mem::take(&mut self.channel.mark_wanted) {
+            self.channel.marks += 1;
+            self.out.push(Order::Mark { mark: (self.channel.marks & 0xffff) as u16 });
+        }
+        let joined = self.proxies.values().filter(|left| left.is_none()).count() as f64;
+        let lines = self.out.iter().filter(|o| {
+            matches!(o, Order::Grant { .. } | Order::Revoke { .. } | Order::Level { .. } | Order::Mark { .. })
+        });
+        let count = lines.count() as f64;
+        let sent = now.saturating_sub(self.channel.at).as_secs_f64() * self.cfg.lines_per_s / SLOW_CHANNEL;
+        self.channel.lines = (self.channel.lines - sent).max(0.0);
+        self.channel.at = now;
+        while self.channel.messages.front().is_some_and(|at| now > *at + self.cfg.messages_span) {
+            self.channel.messages.pop_front();
+        }
+        if count > 0.0 {
+            self.channel.lines += joined * (count + self.cfg.head);
+            self.channel.messages.push_back(now);
+        }
+        let moving = self.slices.iter().any(|s| s.ours && s.handover.is_some());
+        let tick = if moving { now + TICK } else { self.next_period };
+        let next = self.list.ask_at.map_or(tick, |at| at.clamp(now + TICK, tick.max(now + TICK)));
+        if self.channel.wake.is_none_or(|wake| wake <= now || wake > next) {
+            self.channel.wake = Some(next);
+            self.out.push(Order::Wake { after: next - now });
+        }
+        std::mem::take(&mut self.out)
     }
 }
+
+fn usable(server: &Server) -> bool {
+    server.listed == Listed::Ready && server.sick.is_none()
+}
+
+/// A 64-bit finalizer (splitmix64) over a server's stable id and a slice.
+fn mix(stable: u64, slice: u64) -> u64 {
+    let mut x = stable ^ slice.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/whinhill/src/assigner/tests.rs
@@ -0,0 +1,312 @@
+//! Each test builds the state that it needs and calls one function.
+
+use super::*;
+
+const SETTINGS: &str = "discovery=subscribe rules.mustAskIn=10000 caps.mayProbe=0 classes.count=2 \
+    classes.0.objective=1000 classes.0.points=1 classes.1.objective=1000 classes.1.points=5 \
+    familyInfo.mutating=false,true familyInfo.retryDefault=0 familyInfo.period=1000 familyInfo.writeLease=4000 \
+    familyInfo.inFlightMax=1200 rules.stopSendingWithin=2000 familyInfo.transitMax=800 rules.warmAfter=10000 \
+    rules.coldFrom=0.2 rules.fallMultiple=3 familyInfo.overhead=8 familyInfo.linesPerS=4000 \
+    familyInfo.backlog=6000 familyInfo.messagesMost=0 familyInfo.reloadSpan=10000 familyInfo.shards=";
+
+fn s(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds)
+}
+
+fn ep(index: usize) -> Ep {
+    Ep { index, stable: (index as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15) }
+}
+
+/// An assigner at 100 s: ready servers, two joined proxies, and a slice for each owner named, with a demand.
+fn fleet(servers: usize, slices: &[(usize, f64)]) -> Assigner {
+    let text = format!("{SETTINGS}{}", slices.len());
+    let pairs = text.split_whitespace().map(|p| p.split_once('=').unwrap());
+    let settings = Settings(pairs.map(|(k, v)| (k.to_string(), v.to_string())).collect());
+    let mut a = Assigner::new(&settings, 7).unwrap();
+    a.now = s(100.0);
+    a.next_period = s(101.0);
+    a.list.ask_at = Some(s(200.0));
+    for index in 0..servers {
+        *a.server(ep(index)) =
+            Server { ep: ep(index), listed: Listed::Ready, size: 1.0, last_ok: a.now, ..Server::default() };
+    }
+    a.proxies = [(0, None), (1, None)].into();
+    for (slice, (owner, demand)) in a.slices.iter_mut().zip(slices) {
+        let sum = demand * a.half.as_secs_f64() / std::f64::consts::LN_2;
+        *slice = Slice {
+            ours: true,
+            owner: Some(*owner),
+            demand: Sum { value: sum, at: a.now },
+            told: vec![1.0, 1.0],
+            ..Slice::default()
+        };
+    }
+    a
+}
+
+fn grants(orders: &[Order]) -> Vec<(SliceId, usize)> {
+    let grant = |o: &Order| match o {
+        Order::Grant { slice, ep } => Some((*slice, ep.index)),
+        _ => None,
+    };
+    orders.iter().filter_map(grant).collect()
+}
+
+fn ack(proxy: ProxyId, mark: u16) -> Event {
+    Event::Acked { proxy, mark, way: s(0.3) }
+}
+
+fn entry(index: usize, listed: Listed) -> Entry {
+    Entry { ep: ep(index), zone: 0, listed, size: 1.0, started: None }
+}
+
+fn list(entries: Vec<Entry>) -> Event {
+    Event::List { kind: ListKind::Changes, entries }
+}
+
+/// Starts moving slice 0 from server 0 to server 1.
+fn moving() -> Assigner {
+    let mut a = fleet(3, &[(0, 1.0)]);
+    a.stop(0, Some(1), false);
+    let orders = a.handle(s(100.0), &[Event::Timer]);
+    let stop = Order::Level { slice: 0, share: 0.0, methods: 2, tries: 0 };
+    assert!(orders.contains(&stop) && orders.contains(&Order::Mark { mark: 1 }));
+    a
+}
+
+#[test]
+fn a_move_waits_for_every_ack_and_for_writes_to_settle() {
+    let mut a = moving();
+    a.handle(s(100.4), &[ack(0, 1)]);
+    assert_eq!(grants(&a.handle(s(102.0), &[Event::Timer])), []);
+    a.handle(s(102.5), &[Event::Acked { proxy: 1, mark: 1, way: s(2.2) }]);
+    assert_eq!(grants(&a.handle(s(103.3), &[Event::Timer])), []);
+    let orders = a.handle(s(103.5), &[Event::Timer]);
+    assert_eq!(grants(&orders), [(0, 1)]);
+    assert!(orders.contains(&Order::Level { slice: 0, share: 1.0, methods: 2, tries: 0 }));
+}
+
+#[test]
+fn a_lost_proxy_holds_the_grant_until_its_lease_ends() {
+    let mut a = moving();
+    a.handle(s(100.5), &[ack(0, 1), Event::Left { proxy: 1 }]);
+    assert_eq!(grants(&a.handle(s(105.6), &[Event::Timer])), []);
+    assert_eq!(grants(&a.handle(s(105.8), &[Event::Timer])), [(0, 1)]);
+}
+
+#[test]
+fn a_proxy_that_joins_mid_move_must_hear_of_it_first() {
+    let mut a = moving();
+    let orders = a.handle(s(100.5), &[ack(0, 1), ack(1, 1), Event::Joined { proxy: 2, zone: 0 }]);
+    assert!(orders.contains(&Order::Mark { mark: 2 }));
+    assert!(orders.contains(&Order::Level { slice: 0, share: 0.0, methods: 2, tries: 0 }));
+    assert_eq!(grants(&a.handle(s(103.0), &[Event::Timer])), []);
+    assert_eq!(grants(&a.handle(s(104.5), &[Event::Acked { proxy: 2, mark: 2, way: s(0.4) }])), [(0, 1)]);
+}
+
+#[test]
+fn an_owner_dead_mid_move_loses_its_line_at_once() {
+    let mut a = moving();
+    let orders = a.handle(s(100.1), &[list(vec![entry(0, Listed::Gone)])]);
+    assert!(orders.contains(&Order::Revoke { slice: 0, ep: ep(0) }));
+}
+
+#[test]
+fn a_destination_dead_mid_move_is_replaced_or_the_owner_keeps_the_slice() {
+    let mut a = moving();
+    a.handle(s(100.1), &[list(vec![entry(1, Listed::Gone)]), ack(0, 1), ack(1, 1)]);
+    let orders = a.handle(s(102.0), &[Event::Timer]);
+    assert_eq!(grants(&orders), []);
+    assert!(orders.contains(&Order::Level { slice: 0, share: 1.0, methods: 2, tries: 0 }));
+    assert_eq!(a.slices[0].owner, Some(0));
+}
+
+#[test]
+fn a_slice_taken_away_mid_move_is_not_granted() {
+    let mut a = moving();
+    a.handle(s(100.1), &[Event::Taken { slice: 0 }, ack(0, 1), ack(1, 1)]);
+    assert_eq!(grants(&a.handle(s(110.0), &[Event::Timer])), []);
+}
+
+#[test]
+fn a_slice_given_without_an_owner_waits_a_lease() {
+    let mut a = fleet(2, &[(0, 1.0)]);
+    a.handle(s(100.0), &[Event::Given { slice: 0 }]);
+    assert_eq!(grants(&a.handle(s(105.1), &[Event::Timer])), []);
+    assert_eq!(grants(&a.handle(s(105.3), &[Event::Timer])).len(), 1);
+}
+
+#[test]
+fn after_a_restart_a_stored_owner_stays_and_its_move_waits_a_lease() {
+    let mut a = fleet(2, &[(0, 1.0)]);
+    a.handle(s(100.0), &[Event::Given { slice: 0 }, Event::Stored { slice: 0, ep: ep(0) }]);
+    a.handle(s(100.1), &[list(vec![entry(0, Listed::Gone)])]);
+    assert_eq!(grants(&a.handle(s(101.0), &[ack(0, 1), ack(1, 1)])), []);
+    assert_eq!(grants(&a.handle(s(105.1), &[Event::Timer])), []);
+    assert_eq!(grants(&a.handle(s(105.3), &[Event::Timer])), [(0, 1)]);
+}
+
+#[test]
+fn a_drain_stops_writes_first_and_reads_within_the_grace() {
+    let mut a = fleet(2, &[(0, 1.0)]);
+    let orders = a.handle(s(100.0), &[list(vec![entry(0, Listed::Draining)])]);
+    assert!(orders.contains(&Order::Level { slice: 0, share: 0.0, methods: 2, tries: 0 }));
+    assert!(!orders.contains(&Order::Revoke { slice: 0, ep: ep(0) }));
+    let orders = a.handle(s(100.9), &[Event::Timer]);
+    assert!(orders.contains(&Order::Revoke { slice: 0, ep: ep(0) }));
+}
+
+/// A view in which a unit of demand is a unit of load, and every server offers all its room.
+fn plain_view(a: &Assigner) -> View {
+    let demand = a.demand();
+    let loads = a.demand_by(|s| s.owner);
+    let rooms = loads.iter().map(|l| (THRESHOLD - l).max(0.0)).collect();
+    let average = loads.iter().sum::<f64>() / loads.len() as f64;
+    View { own: loads.clone(), units: vec![1.0; loads.len()], loads, rooms, demand, average }
+}
+
+#[test]
+fn elimination_moves_the_least_demand_that_cools_the_hot_server() {
+    let a = fleet(3, &[(0, 0.5), (0, 0.3), (0, 0.2), (1, 0.3), (2, 0.3)]);
+    let moves = a.pass(&plain_view(&a), THRESHOLD, false).unwrap();
+    assert_eq!(moves.iter().map(|m| m.0).collect::<Vec<_>>(), [2]);
+}
+
+#[test]
+fn leveling_finds_nothing_to_do_in_a_level_fleet() {
+    let a = fleet(3, &[(0, 0.3), (1, 0.3), (2, 0.3)]);
+    assert_eq!(a.pass(&plain_view(&a), 0.33, false), Some(vec![]));
+}
+
+#[test]
+fn mitigation_cuts_overload_where_elimination_cannot() {
+    let a = fleet(2, &[(0, 0.55), (0, 0.55), (0, 0.5), (1, 0.2)]);
+    let view = plain_view(&a);
+    assert_eq!(a.pass(&view, THRESHOLD, false), None);
+    let moves = a.pass(&view, THRESHOLD, true).unwrap();
+    assert_eq!(moves.len(), 1);
+    assert_eq!(moves[0].1, 1);
+}
+
+#[test]
+fn a_destination_gets_no_more_than_its_room() {
+    let a = fleet(2, &[(0, 0.5), (0, 0.4), (1, 0.1)]);
+    let mut view = plain_view(&a);
+    view.rooms[1] = 0.35;
+    assert_eq!(a.pass(&view, THRESHOLD, false), None);
+}
+
+#[test]
+fn batches_run_sinks_first_and_cycles_break_at_the_least_loaded() {
+    let a = fleet(3, &[(0, 0.5), (1, 0.3), (2, 0.1)]);
+    let view = plain_view(&a);
+    let batches = a.sequence(vec![(0, 1), (1, 2)], &view);
+    assert_eq!(batches, [vec![(1, 2)], vec![(0, 1)]]);
+    let batches = a.sequence(vec![(0, 1), (1, 2), (2, 0)], &view);
+    assert_eq!(batches[0], [(1, 2)]);
+}
+
+#[test]
+fn a_batch_waits_for_the_one_before() {
+    let mut a = fleet(3, &[(0, 0.5), (1, 0.3)]);
+    a.plan.batches = [vec![(1, 2)], vec![(0, 1)]].into();
+    a.run_batches();
+    a.run_batches();
+    assert!(a.slices[1].handover.is_some() && a.slices[0].handover.is_none());
+    a.slices[1].handover = None;
+    a.run_batches();
+    assert!(a.slices[0].handover.is_some());
+}
+
+#[test]
+fn a_stale_report_of_an_idle_server_attracts_nothing() {
+    let mut a = fleet(2, &[(0, 0.5), (1, 0.5)]);
+    a.servers[0].cpu = Some((0.5, a.now));
+    a.servers[1].cpu = Some((0.05, a.now));
+    assert!(a.view().rooms[1] > 0.5);
+    a.servers[1].cpu = Some((0.05, s(90.0)));
+    assert!(a.view().rooms[1] < 0.4);
+}
+
+#[test]
+fn a_restarted_owner_keeps_no_more_than_its_cold_budget() {
+    let mut a = fleet(4, &[(0, 0.3), (0, 0.3), (0, 0.3), (1, 0.3), (2, 0.3), (3, 0.3)]);
+    let cold = Entry { started: Some(s(99.9)), ..entry(0, Listed::Ready) };
+    a.handle(s(100.0), &[list(vec![cold])]);
+    assert!(a.view().own[0] <= 3.0 * COLD_PART);
+    assert!(a.slices.iter().any(|s| s.handover.is_some()));
+}
+
+#[test]
+fn no_batch_starts_while_the_channel_is_filled() {
+    let mut a = fleet(3, &[(0, 0.5), (1, 0.3)]);
+    a.plan.batches = [vec![(1, 2)]].into();
+    a.channel.lines = 3000.0;
+    a.run_batches();
+    assert!(a.slices[1].handover.is_none());
+}
+
+/// Gives a server `tries` of which `lost` failed, and waits of `wait` seconds for the others.
+fn met(a: &mut Assigner, server: usize, tries: u64, lost: u64, wait: f64) {
+    let load = LoadReport::default();
+    a.take(&Event::Met { ep: ep(server), zone: 0, tries, lost, wait: s(wait), span: s(1.0), load });
+}
+
+#[test]
+fn a_server_that_aborts_is_sick_but_an_overloaded_one_is_not() {
+    let mut a = fleet(5, &[]);
+    (0..3).for_each(|i| met(&mut a, i, 40, 0, 0.1));
+    met(&mut a, 3, 40, 20, 0.1);
+    met(&mut a, 4, 40, 20, 0.9);
+    a.judge();
+    assert!(a.servers[3].sick.is_some());
+    assert!(a.servers[4].sick.is_none());
+}
+
+#[test]
+fn no_more_than_half_of_the_servers_are_held_sick() {
+    let mut a = fleet(6, &[]);
+    (0..5).for_each(|i| met(&mut a, i, 40, 40, 0.1));
+    met(&mut a, 5, 4000, 0, 0.1);
+    a.judge();
+    assert_eq!(a.servers.iter().filter(|s| s.sick.is_some()).count(), 3);
+}
+
+#[test]
+fn a_silent_owner_is_sick_only_if_its_peers_answer() {
+    let mut a = fleet(4, &[(0, 20.0), (1, 20.0), (2, 20.0), (3, 20.0)]);
+    a.now = s(103.0);
+    a.judge();
+    assert!(a.servers.iter().all(|s| s.sick.is_none()));
+    (1..4).for_each(|i| met(&mut a, i, 20, 0, 0.1));
+    a.judge();
+    assert!(a.servers[0].sick.is_some());
+}
+
+#[test]
+fn the_line_rises_over_the_least_critical_method_first() {
+    let mut a = fleet(1, &[(0, 1.0)]);
+    met(&mut a, 0, 40, 0, 0.9);
+    a.move_lines();
+    a.order_levels();
+    assert_eq!(a.out.pop(), Some(Order::Level { slice: 0, share: 0.8, methods: 1, tries: 0 }));
+}
+
+#[test]
+fn a_failed_call_is_asked_again_later() {
+    let mut a = fleet(1, &[]);
+    let failed = Event::List { kind: ListKind::Failed, entries: vec![] };
+    assert!(!a.handle(s(100.0), &[failed]).contains(&Order::Watch));
+    assert!(a.handle(s(101.0), &[Event::Timer]).contains(&Order::Watch));
+}
+
+#[test]
+fn the_same_events_give_the_same_orders() {
+    let run = || {
+        let mut a = moving();
+        let mut orders = a.handle(s(100.4), &[ack(0, 1), ack(1, 1), list(vec![entry(2, Listed::Gone)])]);
+        orders.extend(a.handle(s(102.0), &[Event::Timer]));
+        orders
+    };
+    assert_eq!(run(), run());
+}
--- a/crates/whinhill/src/interface.rs
+++ b/crates/whinhill/src/interface.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 /// An endpoint: one server. `index` is small and local; `stable` is the same at every assigner.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Ep {
     pub index: usize,
     pub stable: u64,
@@ -20,10 +20,11 @@
 pub type MethodId = usize;
 pub type ZoneId = usize;
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Listed {
     Ready,
     Draining,
+    #[default]
     Gone,
 }
 
--- a/crates/whinhill/src/lib.rs
+++ b/crates/whinhill/src/lib.rs
@@ -4,5 +4,7 @@
 
 mod assigner;
 pub mod interface;
+mod settings;
+mod state;
 
 pub use assigner::Assigner;
--- /dev/null
+++ b/crates/whinhill/src/settings.rs
@@ -0,0 +1,66 @@
+//! The settings that the module works by, read once. No decisions.
+
+use std::time::Duration;
+
+use crate::interface::{Settings, SettingsError};
+
+pub struct Method {
+    pub soft: Duration,
+    pub criticality: f64,
+    pub writes: bool,
+}
+
+pub struct Config {
+    pub watch: bool,
+    pub must_ask: Duration,
+    pub probes: bool,
+    pub methods: Vec<Method>,
+    pub tries: u8,
+    pub period: Duration,
+    pub lease: Duration,
+    pub settle: Duration,
+    pub grace: Duration,
+    pub way_most: Duration,
+    pub warm_after: Duration,
+    pub cold_from: f64,
+    pub fall_multiple: f64,
+    pub head: f64,
+    pub lines_per_s: f64,
+    pub backlog: f64,
+    pub messages_most: usize,
+    pub messages_span: Duration,
+}
+
+impl Config {
+    pub fn read(settings: &Settings) -> Result<Self, SettingsError> {
+        let writes = settings.flags("familyInfo.mutating")?;
+        let method = |k: usize| {
+            Ok(Method {
+                soft: settings.span(&format!("classes.{k}.objective"))?,
+                criticality: settings.get(&format!("classes.{k}.points"))?,
+                writes: writes.get(k).copied().unwrap_or(true),
+            })
+        };
+        let watch = settings.get::<String>("discovery")? == "subscribe";
+        Ok(Config {
+            watch,
+            must_ask: settings.span("rules.mustAskIn").unwrap_or(Duration::MAX),
+            probes: settings.flag("caps.mayProbe")?,
+            methods: (0..settings.get("classes.count")?).map(method).collect::<Result<_, _>>()?,
+            tries: settings.get("familyInfo.retryDefault")?,
+            period: settings.span("familyInfo.period")?.max(Duration::from_millis(1)),
+            lease: settings.span("familyInfo.writeLease")?,
+            settle: settings.span("familyInfo.inFlightMax")?,
+            grace: settings.span("rules.stopSendingWithin")?,
+            way_most: settings.span("familyInfo.transitMax")?,
+            warm_after: settings.span("rules.warmAfter")?.max(Duration::from_millis(1)),
+            cold_from: settings.get("rules.coldFrom")?,
+            fall_multiple: settings.get("rules.fallMultiple")?,
+            head: settings.get("familyInfo.overhead")?,
+            lines_per_s: settings.get("familyInfo.linesPerS")?,
+            backlog: settings.get("familyInfo.backlog")?,
+            messages_most: settings.get("familyInfo.messagesMost")?,
+            messages_span: settings.span("familyInfo.reloadSpan")?,
+        })
+    }
+}
--- /dev/null
+++ b/crates/whinhill/src/state.rs
@@ -0,0 +1,126 @@
+//! What the module remembers. Types only: no decisions.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::interface::{Ep, Listed, ProxyId, SliceId};
+
+/// A sum that halves every `half`, brought up to date when it is read.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Sum {
+    pub value: f64,
+    pub at: Duration,
+}
+
+impl Sum {
+    pub fn read(&self, now: Duration, half: Duration) -> f64 {
+        self.value * 0.5f64.powf(now.saturating_sub(self.at).as_secs_f64() / half.as_secs_f64())
+    }
+
+    pub fn add(&mut self, now: Duration, half: Duration, x: f64) {
+        *self = Sum { value: self.read(now, half) + x, at: now };
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Server {
+    pub ep: Ep,
+    pub listed: Listed,
+    pub size: f64,
+    pub started: Option<Duration>,
+    /// When we were told that it drains or is gone.
+    pub told: Duration,
+    pub tries: Sum,
+    pub lost: Sum,
+    /// Of the answers that were ok: their number, and their waits in seconds.
+    pub oks: Sum,
+    pub waits: Sum,
+    pub last_ok: Duration,
+    /// The least mean wait seen: what it takes when little else is there.
+    pub base: Option<f64>,
+    /// Time of service as reported, in seconds.
+    pub service: Option<f64>,
+    pub cpu: Option<(f64, Duration)>,
+    pub in_hand: f64,
+    pub unanswered: u32,
+    pub sick: Option<Duration>,
+    pub strikes: u32,
+    /// Part of its room that a server newly back from sickness does not offer yet.
+    pub doubt: f64,
+    /// How many methods, from the least critical up, are shut out; the fraction is the next one's share.
+    pub line: f64,
+}
+
+/// A handover under way: the owner's writes are stopped, and every proxy must be known to have stopped.
+#[derive(Clone, Debug, Default)]
+pub struct Handover {
+    /// Proxies that have yet to answer, each with the mark that it must answer.
+    pub awaits: Vec<(ProxyId, u64)>,
+    pub ordered: Duration,
+    /// No proxy sends writes to the old owner after this.
+    pub quiet: Duration,
+    /// The owner's line is taken away, so reads have stopped too.
+    pub cut: bool,
+    pub to: Option<usize>,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Slice {
+    pub ours: bool,
+    pub given: Duration,
+    pub owner: Option<usize>,
+    pub handover: Option<Handover>,
+    pub stays: Duration,
+    /// Work that came, by method's soft deadline.
+    pub demand: Sum,
+    /// The shares that proxies were told, by method.
+    pub told: Vec<f64>,
+}
+
+/// What the plan works on: every server's load, room and cost, and each slice's demand.
+#[derive(Debug, Default)]
+pub struct View {
+    pub loads: Vec<f64>,
+    /// The part of the loads that our slices make.
+    pub own: Vec<f64>,
+    pub rooms: Vec<f64>,
+    /// Load that a unit of demand adds.
+    pub units: Vec<f64>,
+    pub demand: Vec<f64>,
+    pub average: f64,
+}
+
+/// A slice and the server it goes to.
+pub type Move = (SliceId, usize);
+
+/// Following the list of servers.
+#[derive(Debug, Default)]
+pub struct Following {
+    /// When to ask for it again.
+    pub ask_at: Option<Duration>,
+    /// How often that has failed in a row.
+    pub failures: u32,
+}
+
+/// A plan under way: batches to come, and the one that runs.
+#[derive(Debug, Default)]
+pub struct Plan {
+    /// Rounds in a row that have seen skew.
+    pub skewed: u32,
+    pub batches: VecDeque<Vec<Move>>,
+    pub batch: Vec<Move>,
+}
+
+/// What the channel is thought to hold.
+#[derive(Debug, Default)]
+pub struct Channel {
+    /// Marks set so far, and whether this reply needs one.
+    pub marks: u64,
+    pub mark_wanted: bool,
+    /// Lines that wait, as reckoned at a time.
+    pub lines: f64,
+    pub at: Duration,
+    /// When messages were sent lately.
+    pub messages: VecDeque<Duration>,
+    pub wake: Option<Duration>,
+}
