--- a/crates/whinhill/src/assigner.rs
+++ b/crates/whinhill/src/assigner.rs
@@ -474,7 +474,9 @@
 
     /// SWAT's three stages in order; the first that finds moves fills the batches.
     fn make_plan(&mut self) {
-        if !self.plan.batch.is_empty() || !self.plan.batches.is_empty() || self.someone_absent() {
+        // A proxy that left lately would stall a batch to its lease's end.
+        let absent = self.proxies.values().flatten().any(|left| self.now < *left + self.cfg.lease);
+        if absent || !self.plan.batch.is_empty() || !self.plan.batches.is_empty() {
             return;
         }
         let view = self.view();
@@ -602,10 +604,6 @@
 
     // 4. Handover: stop, every proxy's answer or lease end, settle, grant.
 
-    fn someone_absent(&self) -> bool {
-        self.proxies.values().flatten().any(|left| self.now < *left + self.cfg.lease)
-    }
-
     /// Stops a slice's writes at its owner, or with `cut` everything, and awaits every proxy.
     fn stop(&mut self, id: SliceId, to: Option<usize>, cut: bool) {
         let mark = self.channel.marks + 1;
--- a/crates/whinhill/src/settings.rs
+++ b/crates/whinhill/src/settings.rs
@@ -44,7 +44,8 @@
         let watch = settings.get::<String>("discovery")? == "subscribe";
         Ok(Config {
             watch,
-            must_ask: settings.span("rules.mustAskIn").unwrap_or(Duration::MAX),
+            // Absent where nothing need be asked: then never.
+            must_ask: settings.span("rules.mustAskIn").unwrap_or(Duration::from_secs(u64::from(u32::MAX))),
             probes: settings.flag("caps.mayProbe")?,
             methods: (0..settings.get("classes.count")?).map(method).collect::<Result<_, _>>()?,
             tries: settings.get("familyInfo.retryDefault")?,
