--- a/crates/whinhill-simhost/src/host.rs
+++ b/crates/whinhill-simhost/src/host.rs
@@ -170,7 +170,7 @@
     }
 
     fn batch(lines: &str) -> String {
-        format!("sync 1000.5 1\n{POWER_ON}\nmembers assigner-1 Persisted 1 1\nm 10.0.0.1:7 a k 0 U 1 -\n{lines}commit\n")
+        format!("sync 1000.5 1\n{POWER_ON}\nmembers assigner-1 Persisted 1 2\nm 10.0.0.1:7 a k 0 U 1 -\nm 10.0.0.2:7 a k 0 U 1 -\n{lines}commit\n")
     }
 
     #[test]
@@ -210,7 +210,7 @@
             ("elapsed assigner-9 wake", "assigner-9 is not running"),
         ] {
             let message = play(&batch(&format!("{line}\n"))).1.unwrap_err().to_string();
-            assert!(message.starts_with("line 5: ") && message.contains(what), "{message}");
+            assert!(message.starts_with("line 6: ") && message.contains(what), "{message}");
             assert!(message.ends_with(line), "{message}");
         }
     }
