Limit an overloaded server to what it was seen to do, cutting the least critical method

Now a late server is let nine tenths of the work it was seen to do, not cut again within three periods, and the limit grows by 6% a period.

It should also guard against slow servers and bursts; it does harm where answers wait for another reason than load, since reads are then refused for nothing.

--- a/crates/whinhill/src/assigner.rs
+++ b/crates/whinhill/src/assigner.rs
@@ -50,8 +50,8 @@
 const SLOW_CHANNEL: f64 = 4.0;
 /// Mean wait, as a part of the soft deadline, at which a server counts as overloaded.
 const LATE: f64 = 0.5;
-/// How far the line of criticality moves up, and down, a period.
-const LINE_STEP: (f64, f64) = (0.2, 0.1);
+/// What an overloaded server is let, times what it did; and how that grows in a period without lateness.
+const LIMIT_STEP: (f64, f64) = (0.9, 1.06);
 
 pub struct Assigner {
     cfg: Config,
@@ -63,6 +63,8 @@
     /// Each proxy met, with the time it left unless it is joined.
     proxies: BTreeMap<ProxyId, Option<Duration>>,
     slices: Vec<Slice>,
+    /// RPCs that came for our slices, by method.
+    came: Vec<Sum>,
     next_period: Duration,
     list: Following,
     plan: Plan,
@@ -76,6 +78,7 @@
         Ok(Assigner {
             half: cfg.period.mul_f64(HALF),
             slices: vec![Slice::default(); settings.get("familyInfo.shards")?],
+            came: vec![Sum::default(); cfg.methods.len()],
             cfg,
             rng: ChaCha8Rng::seed_from_u64(seed),
             now: Duration::ZERO,
@@ -95,7 +98,9 @@
         for event in events {
             self.take(event);
         }
-        self.follow_list();
+        if self.list.ask_at.is_some_and(|at| now >= at) {
+            self.ask();
+        }
         let period = now >= self.next_period;
         if period {
             self.next_period = now + self.cfg.period;
@@ -106,7 +111,10 @@
         if period {
             self.move_lines();
             self.make_plan();
-            self.probe();
+            if self.cfg.probes {
+                let ready = self.servers.iter().filter(|s| s.listed == Listed::Ready);
+                self.out.extend(ready.map(|s| Order::Probe { ep: s.ep }));
+            }
         }
         self.run_batches();
         self.order_levels();
@@ -130,7 +138,8 @@
                 self.take_load(*ep, load);
             }
             Event::Demand { slice, method, rpcs, .. } => {
-                let weight = self.cfg.methods[*method].soft.as_secs_f64();
+                let weight = self.work(*method);
+                self.came[*method].add(self.now, self.half, *rpcs as f64);
                 self.slices[*slice].demand.add(self.now, self.half, weight * *rpcs as f64);
             }
             Event::Probed { ep, result, load } => {
@@ -195,8 +204,10 @@
             return;
         }
         self.list.failures = 0;
-        self.list.ask_at =
-            if kind == ListKind::Stored { Some(now) } else { Some(now + self.cfg.must_ask * 2) };
+        self.list.ask_at = Some(now + self.cfg.must_ask * 2);
+        if kind == ListKind::Stored {
+            self.ask();
+        }
         if kind != ListKind::Changes {
             let kept: Vec<usize> = entries.iter().map(|e| e.ep.index).collect();
             for server in &mut self.servers {
@@ -219,27 +230,21 @@
         }
     }
 
-    /// Asks for changes at the start, after a failure, and when nothing has come for long.
-    fn follow_list(&mut self) {
-        if self.cfg.watch && self.list.ask_at.is_some_and(|at| self.now >= at) {
+    /// Asks for changes: at the start, after a failure, and when nothing has come for long.
+    fn ask(&mut self) {
+        if self.cfg.watch {
             self.out.push(Order::Watch);
-            self.list.ask_at = Some(self.now + self.cfg.must_ask / 2);
         }
+        self.list.ask_at = Some(self.now + self.cfg.must_ask / 2);
     }
 
     fn take_load(&mut self, ep: Ep, load: &LoadReport) {
         let now = self.now;
         let server = self.server(ep);
-        if let Some(cpu) = load.cpu {
-            let old = server.cpu.map_or(cpu, |(old, _)| old);
-            server.cpu = Some((0.5 * old + 0.5 * cpu, now));
-        }
-        if let Some(in_hand) = load.in_hand {
-            server.in_hand = 0.5 * server.in_hand + 0.5 * in_hand;
-        }
-        if let Some(service) = load.service {
-            server.service = Some(service.as_secs_f64());
-        }
+        let cpu = load.cpu.map(|cpu| (0.5 * cpu + 0.5 * server.cpu.map_or(cpu, |old| old.0), now));
+        server.cpu = cpu.or(server.cpu);
+        server.in_hand += 0.5 * load.in_hand.map_or(0.0, |in_hand| in_hand - server.in_hand);
+        server.service = load.service.map(|service| service.as_secs_f64()).or(server.service);
     }
 
     /// Mean wait of an ok answer in seconds.
@@ -262,10 +267,9 @@
         let heard = self.servers.iter().filter(|s| now < s.last_ok + self.cfg.period * 2).count();
         let ready = self.servers.iter().filter(|s| s.listed == Listed::Ready).count();
         let mut sick = self.servers.iter().filter(|s| s.listed == Listed::Ready && s.sick.is_some()).count();
-        let soft = self.mean_soft();
-        for (i, expected) in
-            self.demand_by(|slice| slice.owner.filter(|_| slice.handover.is_none())).iter().enumerate()
-        {
+        let soft = self.cfg.mean_soft.as_secs_f64();
+        let expected = self.demand_by(|slice| slice.owner.filter(|_| slice.handover.is_none()));
+        for (i, expected) in expected.into_iter().enumerate() {
             let (pace, wait) = (self.pace(&self.servers[i]), self.wait(&self.servers[i]));
             let server = &mut self.servers[i];
             if let Some(pace) = pace {
@@ -279,19 +283,17 @@
             let waits = wait.is_some_and(|wait| wait > LATE * soft) && silence < self.cfg.period * 2;
             let aborts = tries >= ENOUGH && share > SICK.0 && share > SICK.1 * others && !waits;
             let quiet = silence > self.cfg.period * 2 && heard * 2 > ready;
-            let silent = quiet && expected / soft * silence.as_secs_f64() > 2.0 * ENOUGH;
+            let silent = quiet && expected * silence.as_secs_f64() > 2.0 * ENOUGH;
             let dead = server.unanswered >= 2 && silence > self.cfg.period;
             let well = server.listed == Listed::Ready && server.sick.is_none();
             if well && (aborts || silent || dead) && (sick + 1) as f64 <= SICK_MOST * ready as f64 {
                 sick += 1;
                 server.sick = Some(now + Duration::from_secs(8) * 2u32.pow(server.strikes.min(3)));
                 server.strikes += 1;
-                let text = format!(
-                    "server {i} sick: lost {share:.2} of {tries:.0}, others {others:.2}, no ok for {:.1} s, \
-                     probes unanswered {}",
-                    silence.as_secs_f64(),
-                    server.unanswered
-                );
+                let (silence, probes) = (silence.as_secs_f64(), server.unanswered);
+                let figures = format!("lost {share:.2} of {tries:.0}, others {others:.2}");
+                let text =
+                    format!("server {i} sick: {figures}, no ok for {silence:.1} s, {probes} probes lost");
                 self.out.push(Order::Log { text });
             } else if server.sick.is_some_and(|until| now >= until && server.unanswered == 0) {
                 server.sick = None;
@@ -306,19 +308,18 @@
 
     // 2. Estimates.
 
-    fn mean_soft(&self) -> f64 {
-        let sum: f64 = self.cfg.methods.iter().map(|m| m.soft.as_secs_f64()).sum();
-        sum / self.cfg.methods.len().max(1) as f64
+    /// Work of a method's RPC against the average: soft deadlines are the one hint at it.
+    fn work(&self, method: MethodId) -> f64 {
+        self.cfg.methods[method].soft.as_secs_f64() / self.cfg.mean_soft.as_secs_f64().max(1e-6)
     }
 
-    /// Seconds of soft deadline that come in a second; for a slice not heard of yet, the others' mean.
+    /// Work that comes in a second, in average RPCs; for a slice not heard of yet, the others' mean.
     fn demand(&self) -> Vec<f64> {
-        let per_sum = std::f64::consts::LN_2 / self.half.as_secs_f64();
         let rate = |slice: &Slice| {
             let age = self.now.saturating_sub(slice.given);
             let seen = 1.0 - 0.5f64.powf(age.as_secs_f64() / self.half.as_secs_f64());
-            (slice.ours && age > self.cfg.period * 2)
-                .then(|| slice.demand.read(self.now, self.half) * per_sum / seen)
+            let known = slice.ours && age > self.cfg.period * 2;
+            known.then(|| slice.demand.rate(self.now, self.half) / seen)
         };
         let rates: Vec<Option<f64>> = self.slices.iter().map(rate).collect();
         let known = rates.iter().flatten().count().max(1) as f64;
@@ -370,7 +371,7 @@
         // A stale report is unknown, not idle. The part of it that is ours goes by the RPCs in hand.
         let told = |s: &Server| {
             let cpu = s.cpu.filter(|(_, at)| now < *at + fresh)?.0;
-            let in_hand = s.waits.read(now, self.half) * std::f64::consts::LN_2 / self.half.as_secs_f64();
+            let in_hand = s.waits.rate(now, self.half);
             let part = ((in_hand + share) / (s.in_hand + 1.0)).clamp(share / 3.0, 1.0);
             Some((cpu * if share > 0.99 { 1.0 } else { part }, cpu))
         };
@@ -435,11 +436,10 @@
         let mut moves: Vec<Move> = Vec::new();
         let mut stuck = vec![false; loads.len()];
         loop {
-            let owns = |i: usize| self.slices.iter().any(|s| s.ours && s.owner == Some(i));
-            let over = (0..loads.len())
-                .filter(|i| !stuck[*i] && self.servers[*i].listed == Listed::Ready)
-                .filter(|i| loads[*i] > limit && owns(*i))
-                .max_by(|a, b| loads[*a].total_cmp(&loads[*b]));
+            let owns = |i: usize| self.slices.iter().any(|s| s.owner == Some(i));
+            let over = (0..loads.len()).filter(|i| !stuck[*i] && loads[*i] > limit && owns(*i));
+            let over = over.filter(|i| self.servers[*i].listed == Listed::Ready);
+            let over = over.max_by(|a, b| loads[*a].total_cmp(&loads[*b]));
             let Some(from) = over else { return Some(moves) };
             let excess = loads[from] - limit;
             let mut best: Option<((u8, f64), Move)> = None;
@@ -544,49 +544,38 @@
 
     /// Slices whose owner is gone, draining, sick, or cold and over its budget leave at once.
     fn evacuate(&mut self) {
-        let lead = self.drain_lead();
+        // After a drain is told, reads may stay as long as their end still arrives within the grace.
+        let lead = self.cfg.grace.saturating_sub(self.cfg.way_most.mul_f64(1.5));
+        let budget = self.cfg.fall_multiple * COLD_PART * self.our_share();
+        let mut view = None;
         for id in 0..self.slices.len() {
-            let Slice { handover: Some(handover), owner: Some(owner), .. } = &self.slices[id] else {
+            let Some(owner) = self.slices[id].owner else { continue };
+            let server = &self.servers[owner];
+            let (listed, well) = (server.listed, usable(server));
+            let drained = listed == Listed::Draining && self.now >= server.told + lead;
+            let bad = server.sick.is_some() || listed == Listed::Gone;
+            if let Some(handover) = &self.slices[id].handover {
+                if !handover.cut && (bad || drained) {
+                    self.cut(id);
+                }
                 continue;
-            };
-            let server = &self.servers[*owner];
-            let drained = server.listed == Listed::Draining && self.now >= server.told + lead;
-            let bad = server.sick.is_some() || server.listed == Listed::Gone;
-            if !handover.cut && (bad || drained) {
-                self.cut(id);
             }
-        }
-        let leaves = |s: &Slice| {
-            let unfit = |o: usize| !usable(&self.servers[o]) || self.ramp(&self.servers[o]) < 1.0;
-            s.ours && s.handover.is_none() && s.owner.is_some_and(unfit)
-        };
-        let leaving: Vec<SliceId> = (0..self.slices.len()).filter(|id| leaves(&self.slices[*id])).collect();
-        if leaving.is_empty() {
-            return;
-        }
-        let mut view = self.view();
-        let budget = self.cfg.fall_multiple * COLD_PART * self.our_share();
-        for id in leaving {
-            let Some(owner) = self.slices[id].owner else { continue };
-            let within = usable(&self.servers[owner]) && view.own[owner] <= budget;
-            if within || !self.has_room(0.9) {
+            if (well && self.ramp(server) >= 1.0) || !self.has_room(0.9) {
                 continue;
             }
-            if let Some(to) = self.destination(id, &view) {
-                let add = view.demand[id] * view.units[to];
-                view.own[owner] -= view.demand[id] * view.units[owner];
-                view.loads[to] += add;
-                view.rooms[to] = (view.rooms[to] - add).max(0.0);
-                self.stop(id, Some(to), self.servers[owner].listed != Listed::Draining);
+            let mut v: View = view.take().unwrap_or_else(|| self.view());
+            let to = self.destination(id, &v).filter(|_| !well || v.own[owner] > budget);
+            if let Some(to) = to {
+                let add = v.demand[id] * v.units[to];
+                v.own[owner] -= v.demand[id] * v.units[owner];
+                v.loads[to] += add;
+                v.rooms[to] = (v.rooms[to] - add).max(0.0);
+                self.stop(id, Some(to), listed != Listed::Draining);
             }
+            view = Some(v);
         }
     }
 
-    /// How long after a drain is told the line may stay, so that its end arrives within the grace.
-    fn drain_lead(&self) -> Duration {
-        self.cfg.grace.saturating_sub(self.cfg.way_most.mul_f64(1.5))
-    }
-
     /// Where a slice that must leave goes: the less loaded of its first usable candidates, walking on in
     /// its hash order past those without room; failing that the least loaded ready server, warm ones first.
     fn destination(&self, id: SliceId, view: &View) -> Option<usize> {
@@ -686,26 +675,41 @@
 
     // 5. Levels and tries.
 
-    /// Moves each server's line of criticality: up while its answers come late or are lost, then down.
+    /// Sets each server's line of criticality: where answers come late or are lost, the server gets a
+    /// little less work than it was seen to do; the limit grows while they don't, until it binds no more.
     fn move_lines(&mut self) {
-        let (now, half) = (self.now, self.half);
-        let most = self.cfg.methods.len() as f64 - 0.5;
-        let mean_soft = self.mean_soft();
-        for i in 0..self.servers.len() {
-            let server = &self.servers[i];
+        let (now, half, soft) = (self.now, self.half, self.cfg.mean_soft.as_secs_f64());
+        let offered = self.demand_by(|s| s.owner);
+        let ranks = &self.cfg.ranks;
+        let came: Vec<f64> = self.came.iter().map(|sum| sum.read(now, half)).collect();
+        let works: Vec<f64> = came.iter().enumerate().map(|(m, n)| n * self.work(m)).collect();
+        let all: f64 = works.iter().sum::<f64>().max(1e-9);
+        for (i, server) in self.servers.iter_mut().enumerate() {
+            let let_in = |of: &[f64]| -> f64 {
+                ranks.iter().enumerate().map(|(rank, m)| share(server.line, rank) * of[*m]).sum()
+            };
             let oks = server.oks.read(now, half);
+            let served = server.oks.rate(now, half) * let_in(&works) / let_in(&came).max(1e-9);
             let wait = server.waits.read(now, half) / oks.max(1.0);
             let tries = server.tries.read(now, half);
             let lost = server.lost.read(now, half) / tries.max(1.0);
-            let busy = tries >= ENOUGH && usable(server);
-            let late = wait / (LATE * mean_soft);
-            let server = &mut self.servers[i];
+            let late = wait > LATE * soft || lost > SICK.0 / 2.0;
+            if late && tries >= ENOUGH && usable(server) && now >= server.limited + self.cfg.period * 3 {
+                server.limit = Some(served * LIMIT_STEP.0);
+                server.limited = now;
+            } else if !late {
+                let grown = server.limit.map(|limit| limit * LIMIT_STEP.1);
+                server.limit = grown.filter(|limit| *limit < offered[i] * 1.5);
+            }
+            let mut over = server.limit.map_or(0.0, |limit| 1.0 - limit / offered[i].max(1e-9));
             let old = server.line;
-            if busy && (late > 1.0 || lost > SICK.0 / 2.0) {
-                server.line = (server.line + LINE_STEP.0).min(most);
-            } else if late < 0.7 {
-                server.line = (server.line - LINE_STEP.1).max(0.0);
+            server.line = 0.0;
+            for method in ranks {
+                let part = works[*method] / all;
+                server.line += (over / part.max(1e-9)).clamp(0.0, 1.0);
+                over -= part;
             }
+            server.line = server.line.min(ranks.len() as f64 - 0.5);
             if (old == 0.0) != (server.line == 0.0) {
                 let text = format!("server {i} line {:.1}: wait {wait:.2} s, lost {lost:.2}", server.line);
                 self.out.push(Order::Log { text });
@@ -715,8 +719,7 @@
 
     /// Orders the shares that differ from what proxies were told: none of the writes during a handover.
     fn order_levels(&mut self) {
-        let mut ranks: Vec<usize> = (0..self.cfg.methods.len()).collect();
-        ranks.sort_by(|a, b| self.cfg.methods[*a].criticality.total_cmp(&self.cfg.methods[*b].criticality));
+        let ranks = &self.cfg.ranks;
         for id in 0..self.slices.len() {
             let slice = &self.slices[id];
             let Some(owner) = slice.owner.filter(|_| slice.ours) else { continue };
@@ -724,8 +727,7 @@
             let stopped = slice.handover.as_ref().is_some_and(|h| !h.cut);
             let mut wanted = vec![1.0; ranks.len()];
             for (rank, method) in ranks.iter().enumerate() {
-                let share = (1.0 - (line - rank as f64)).clamp(0.0, 1.0);
-                wanted[*method] = (share * 20.0).round() / 20.0;
+                wanted[*method] = (share(line, rank) * 20.0).round() / 20.0;
                 if stopped && self.cfg.methods[*method].writes {
                     wanted[*method] = 0.0;
                 }
@@ -754,14 +756,6 @@
         self.channel.lines + (pending as f64) < part * self.cfg.backlog && sent
     }
 
-    fn probe(&mut self) {
-        if self.cfg.probes {
-            for server in self.servers.iter().filter(|s| s.listed == Listed::Ready) {
-                self.out.push(Order::Probe { ep: server.ep });
-            }
-        }
-    }
-
     /// Counts what goes out, and asks to be woken at the next time that matters.
     fn close(&mut self) -> Vec<Order> {
         let now = self.now;
@@ -795,6 +789,11 @@
     }
 }
 
+/// The share let in of the method at a rank, given the line.
+fn share(line: f64, rank: usize) -> f64 {
+    (1.0 - (line - rank as f64)).clamp(0.0, 1.0)
+}
+
 fn usable(server: &Server) -> bool {
     server.listed == Listed::Ready && server.sick.is_none()
 }
--- a/crates/whinhill/src/settings.rs
+++ b/crates/whinhill/src/settings.rs
@@ -15,6 +15,9 @@
     pub must_ask: Duration,
     pub probes: bool,
     pub methods: Vec<Method>,
+    /// The methods, least critical first.
+    pub ranks: Vec<usize>,
+    pub mean_soft: Duration,
     pub tries: u8,
     pub period: Duration,
     pub lease: Duration,
@@ -42,12 +45,19 @@
             })
         };
         let watch = settings.get::<String>("discovery")? == "subscribe";
+        let methods: Vec<Method> =
+            (0..settings.get("classes.count")?).map(method).collect::<Result<_, _>>()?;
+        let mean_soft = methods.iter().map(|m| m.soft).sum::<Duration>() / methods.len().max(1) as u32;
+        let mut ranks: Vec<usize> = (0..methods.len()).collect();
+        ranks.sort_by(|a, b| methods[*a].criticality.total_cmp(&methods[*b].criticality));
         Ok(Config {
             watch,
             // Absent where nothing need be asked: then never.
             must_ask: settings.span("rules.mustAskIn").unwrap_or(Duration::from_secs(u64::from(u32::MAX))),
             probes: settings.flag("caps.mayProbe")?,
-            methods: (0..settings.get("classes.count")?).map(method).collect::<Result<_, _>>()?,
+            methods,
+            ranks,
+            mean_soft,
             tries: settings.get("familyInfo.retryDefault")?,
             period: settings.span("familyInfo.period")?.max(Duration::from_millis(1)),
             lease: settings.span("familyInfo.writeLease")?,
--- a/crates/whinhill/src/state.rs
+++ b/crates/whinhill/src/state.rs
@@ -17,6 +17,11 @@
         self.value * 0.5f64.powf(now.saturating_sub(self.at).as_secs_f64() / half.as_secs_f64())
     }
 
+    /// What came in a second.
+    pub fn rate(&self, now: Duration, half: Duration) -> f64 {
+        self.read(now, half) * std::f64::consts::LN_2 / half.as_secs_f64()
+    }
+
     pub fn add(&mut self, now: Duration, half: Duration, x: f64) {
         *self = Sum { value: self.read(now, half) + x, at: now };
     }
@@ -47,6 +52,9 @@
     pub strikes: u32,
     /// Part of its room that a server newly back from sickness does not offer yet.
     pub doubt: f64,
+    /// Work a second that it may get while it is overloaded, and when that was set.
+    pub limit: Option<f64>,
+    pub limited: Duration,
     /// How many methods, from the least critical up, are shut out; the fraction is the next one's share.
     pub line: f64,
 }
