Cap cold servers by level, tell full servers from sick ones, move only where answers wait

A cold server's budget now also caps, by level and in the grant's own message, what it is let; COLD_PART 0.4 -> 0.25, since a cold cache doubles the work and the unit may be a third too low.

Harm: a cold server that is truly fast is held back for warmAfter.

--- a/crates/whinhill/src/assigner.rs
+++ b/crates/whinhill/src/assigner.rs
@@ -31,7 +31,7 @@
 /// Part of its room that a cold server offers (design page). More: it is pushed over.
 const NEW_OFFERS: f64 = 0.5;
 /// Times the free time of an answer from which answers wait. Lower: moves after noise.
-const WAITING: f64 = 1.5;
+const WAITING: f64 = 2.0;
 /// How often handovers under way are looked at. Longer: slices stay without an owner.
 const TICK: Duration = Duration::from_millis(50);
 /// Load that the average server is taken to have where servers don't report how busy they are.
@@ -45,7 +45,7 @@
 /// Most of the ready servers that may be held sick at a time. Higher: the rest fall over.
 const SICK_MOST: f64 = 0.5;
 /// Part of a cold server's budget that we fill; the rest is for cold caches and uneven arrivals.
-const COLD_PART: f64 = 0.4;
+const COLD_PART: f64 = 0.25;
 /// The channel may run this many times slower than stated. Lower: the queue's rule is at risk.
 const SLOW_CHANNEL: f64 = 4.0;
 /// Mean wait, as a part of the soft deadline, at which a server counts as overloaded.
@@ -109,7 +109,7 @@
         self.evacuate();
         self.advance();
         if period {
-            self.move_lines();
+            self.limit();
             self.make_plan();
             if self.cfg.probes {
                 let ready = self.servers.iter().filter(|s| s.listed == Listed::Ready);
@@ -117,6 +117,9 @@
             }
         }
         self.run_batches();
+        if period || self.out.iter().any(|order| matches!(order, Order::Grant { .. })) {
+            self.draw_lines();
+        }
         self.order_levels();
         self.close()
     }
@@ -126,15 +129,7 @@
             Event::List { kind, entries } => self.take_list(*kind, entries),
             Event::Met { ep, tries, lost, wait, load, .. } => {
                 let (now, half) = (self.now, self.half);
-                let server = self.server(*ep);
-                let oks = tries.saturating_sub(*lost) as f64;
-                server.tries.add(now, half, *tries as f64);
-                server.lost.add(now, half, *lost as f64);
-                server.oks.add(now, half, oks);
-                server.waits.add(now, half, oks * wait.as_secs_f64());
-                if oks > 0.0 {
-                    server.last_ok = now;
-                }
+                self.server(*ep).meet(now, half, *tries, *lost, *wait);
                 self.take_load(*ep, load);
             }
             Event::Demand { slice, method, rpcs, .. } => {
@@ -247,15 +242,9 @@
         server.service = load.service.map(|service| service.as_secs_f64()).or(server.service);
     }
 
-    /// Mean wait of an ok answer in seconds.
-    fn wait(&self, server: &Server) -> Option<f64> {
-        let oks = server.oks.read(self.now, self.half);
-        (oks >= 1.0).then(|| server.waits.read(self.now, self.half) / oks)
-    }
-
     /// What tells how fast a server works: its time of service where reported, else the wait.
     fn pace(&self, server: &Server) -> Option<f64> {
-        let wait = self.wait(server);
+        let wait = server.wait(self.now, self.half);
         server.service.filter(|_| wait.is_some()).or(wait)
     }
 
@@ -267,11 +256,14 @@
         let heard = self.servers.iter().filter(|s| now < s.last_ok + self.cfg.period * 2).count();
         let ready = self.servers.iter().filter(|s| s.listed == Listed::Ready).count();
         let mut sick = self.servers.iter().filter(|s| s.listed == Listed::Ready && s.sick.is_some()).count();
-        let soft = self.cfg.mean_soft.as_secs_f64();
         let expected = self.demand_by(|slice| slice.owner.filter(|_| slice.handover.is_none()));
         for (i, expected) in expected.into_iter().enumerate() {
-            let (pace, wait) = (self.pace(&self.servers[i]), self.wait(&self.servers[i]));
+            let pace = self.pace(&self.servers[i]);
             let server = &mut self.servers[i];
+            // Where ok answers wait, lost tries tell of too much load, which moves and levels answer.
+            let slow =
+                (LATE * self.cfg.mean_soft.as_secs_f64()).min(WAITING * server.base.unwrap_or(f64::MAX));
+            let loaded = server.wait(now, half).is_some_and(|wait| wait > slow);
             if let Some(pace) = pace {
                 server.base = Some(server.base.map_or(pace, |base| (base * 1.01).min(pace)));
             }
@@ -279,9 +271,8 @@
             let others = (all_lost - lost) / (all_tries - tries).max(1.0);
             let share = lost / tries.max(1.0);
             let silence = now.saturating_sub(server.last_ok);
-            // Lost tries while the ok ones wait long tell of too much load, which moves and levels answer.
-            let waits = wait.is_some_and(|wait| wait > LATE * soft) && silence < self.cfg.period * 2;
-            let aborts = tries >= ENOUGH && share > SICK.0 && share > SICK.1 * others && !waits;
+            let aborts = tries >= ENOUGH && share > SICK.0 && share > SICK.1 * others;
+            let aborts = aborts && !(loaded && silence < self.cfg.period * 2);
             let quiet = silence > self.cfg.period * 2 && heard * 2 > ready;
             let silent = quiet && expected * silence.as_secs_f64() > 2.0 * ENOUGH;
             let dead = server.unanswered >= 2 && silence > self.cfg.period;
@@ -357,7 +348,7 @@
     /// Whether answers wait at a server: without that it isn't hot, however its load compares.
     fn waits(&self, server: &Server) -> bool {
         let free = server.service.or(server.base);
-        self.wait(server).zip(free).is_some_and(|(wait, free)| wait > WAITING * free)
+        server.wait(self.now, self.half).zip(free).is_some_and(|(wait, free)| wait > WAITING * free)
     }
 
     /// Splits each server's load over its slices. Where servers don't report how busy they are, it is
@@ -546,7 +537,7 @@
     fn evacuate(&mut self) {
         // After a drain is told, reads may stay as long as their end still arrives within the grace.
         let lead = self.cfg.grace.saturating_sub(self.cfg.way_most.mul_f64(1.5));
-        let budget = self.cfg.fall_multiple * COLD_PART * self.our_share();
+        let budget = self.cold_budget();
         let mut view = None;
         for id in 0..self.slices.len() {
             let Some(owner) = self.slices[id].owner else { continue };
@@ -666,7 +657,9 @@
             slice.owner = Some(to);
             slice.handover = None;
             slice.stays = self.now + STAY;
-            self.servers[to].last_ok = self.servers[to].last_ok.max(self.now);
+            // The first answers show only after the grant's way and a report.
+            let heard = self.now + self.cfg.way_most + self.cfg.period;
+            self.servers[to].last_ok = self.servers[to].last_ok.max(heard);
             if !same {
                 self.out.push(Order::Grant { slice: id, ep: self.servers[to].ep });
             }
@@ -675,48 +668,57 @@
 
     // 5. Levels and tries.
 
-    /// Sets each server's line of criticality: where answers come late or are lost, the server gets a
-    /// little less work than it was seen to do; the limit grows while they don't, until it binds no more.
-    fn move_lines(&mut self) {
+    /// Where answers come late or are lost, a server gets a little less work than it was seen to do; the
+    /// limit grows while they don't, until it binds no more.
+    fn limit(&mut self) {
         let (now, half, soft) = (self.now, self.half, self.cfg.mean_soft.as_secs_f64());
         let offered = self.demand_by(|s| s.owner);
-        let ranks = &self.cfg.ranks;
-        let came: Vec<f64> = self.came.iter().map(|sum| sum.read(now, half)).collect();
-        let works: Vec<f64> = came.iter().enumerate().map(|(m, n)| n * self.work(m)).collect();
-        let all: f64 = works.iter().sum::<f64>().max(1e-9);
-        for (i, server) in self.servers.iter_mut().enumerate() {
-            let let_in = |of: &[f64]| -> f64 {
-                ranks.iter().enumerate().map(|(rank, m)| share(server.line, rank) * of[*m]).sum()
-            };
-            let oks = server.oks.read(now, half);
-            let served = server.oks.rate(now, half) * let_in(&works) / let_in(&came).max(1e-9);
-            let wait = server.waits.read(now, half) / oks.max(1.0);
+        for (i, (server, offered)) in self.servers.iter_mut().zip(offered).enumerate() {
+            let served = server.oks.rate(now, half);
+            let wait = server.wait(now, half).unwrap_or(0.0);
             let tries = server.tries.read(now, half);
             let lost = server.lost.read(now, half) / tries.max(1.0);
             let late = wait > LATE * soft || lost > SICK.0 / 2.0;
             if late && tries >= ENOUGH && usable(server) && now >= server.limited + self.cfg.period * 3 {
+                if server.limit.is_none() {
+                    let text = format!("server {i} limited to {served:.1}: wait {wait:.2} s, lost {lost:.2}");
+                    self.out.push(Order::Log { text });
+                }
                 server.limit = Some(served * LIMIT_STEP.0);
                 server.limited = now;
             } else if !late {
                 let grown = server.limit.map(|limit| limit * LIMIT_STEP.1);
-                server.limit = grown.filter(|limit| *limit < offered[i] * 1.5);
+                server.limit = grown.filter(|limit| *limit < offered * 1.5);
             }
-            let mut over = server.limit.map_or(0.0, |limit| 1.0 - limit / offered[i].max(1e-9));
-            let old = server.line;
-            server.line = 0.0;
-            for method in ranks {
-                let part = works[*method] / all;
-                server.line += (over / part.max(1e-9)).clamp(0.0, 1.0);
+        }
+    }
+
+    /// Draws each server's line of criticality by its limit, and by its budget while it is cold.
+    fn draw_lines(&mut self) {
+        let view = self.view();
+        let offered = self.demand_by(|s| s.owner);
+        let works = self.came.iter().enumerate().map(|(m, sum)| sum.read(self.now, self.half) * self.work(m));
+        let works: Vec<f64> = works.collect();
+        let all: f64 = works.iter().sum::<f64>().max(1e-9);
+        for (i, offered) in offered.into_iter().enumerate() {
+            let cold = self.ramp(&self.servers[i]) < 1.0;
+            let budget = if cold { self.cold_budget() / view.units[i].max(1e-9) } else { f64::INFINITY };
+            let limit = self.servers[i].limit.unwrap_or(f64::INFINITY).min(budget);
+            let mut over = (1.0 - limit / offered.max(1e-9)).max(0.0);
+            let mut line = 0.0;
+            for part in self.cfg.ranks.iter().map(|m| (works[*m] / all).max(1e-9)) {
+                line += (over / part).clamp(0.0, 1.0);
                 over -= part;
             }
-            server.line = server.line.min(ranks.len() as f64 - 0.5);
-            if (old == 0.0) != (server.line == 0.0) {
-                let text = format!("server {i} line {:.1}: wait {wait:.2} s, lost {lost:.2}", server.line);
-                self.out.push(Order::Log { text });
-            }
+            self.servers[i].line = line.min(works.len() as f64 - 0.5);
         }
     }
 
+    /// Load that our slices may bring a cold server, against what it can do at present.
+    fn cold_budget(&self) -> f64 {
+        self.cfg.fall_multiple * COLD_PART * self.our_share()
+    }
+
     /// Orders the shares that differ from what proxies were told: none of the writes during a handover.
     fn order_levels(&mut self) {
         let ranks = &self.cfg.ranks;
@@ -764,10 +766,9 @@
             self.out.push(Order::Mark { mark: (self.channel.marks & 0xffff) as u16 });
         }
         let joined = self.proxies.values().filter(|left| left.is_none()).count() as f64;
-        let lines = self.out.iter().filter(|o| {
-            matches!(o, Order::Grant { .. } | Order::Revoke { .. } | Order::Level { .. } | Order::Mark { .. })
-        });
-        let count = lines.count() as f64;
+        use Order::{Grant, Level, Mark, Revoke};
+        let to_proxies = |o: &&Order| matches!(o, Grant { .. } | Revoke { .. } | Level { .. } | Mark { .. });
+        let count = self.out.iter().filter(to_proxies).count() as f64;
         let sent = now.saturating_sub(self.channel.at).as_secs_f64() * self.cfg.lines_per_s / SLOW_CHANNEL;
         self.channel.lines = (self.channel.lines - sent).max(0.0);
         self.channel.at = now;
--- a/crates/whinhill/src/assigner/tests.rs
+++ b/crates/whinhill/src/assigner/tests.rs
@@ -257,7 +257,8 @@
     let mut a = fleet(5, &[]);
     (0..3).for_each(|i| met(&mut a, i, 40, 0, 0.1));
     met(&mut a, 3, 40, 20, 0.1);
-    met(&mut a, 4, 40, 20, 0.9);
+    met(&mut a, 4, 40, 20, 0.3);
+    a.servers[4].base = Some(0.1);
     a.judge();
     assert!(a.servers[3].sick.is_some());
     assert!(a.servers[4].sick.is_none());
@@ -283,12 +284,24 @@
     assert!(a.servers[0].sick.is_some());
 }
 
+#[test]
+fn a_cold_server_that_must_take_slices_is_let_no_more_than_its_budget() {
+    let mut a = fleet(2, &[(0, 20.0), (1, 20.0)]);
+    a.came.iter_mut().for_each(|sum| sum.add(a.now, a.half, 30.0));
+    a.servers[0].started = Some(a.now);
+    a.draw_lines();
+    // It counts as at half its load, in a fifth of its capacity: 2.5 against a budget of 0.75.
+    assert!((a.servers[0].line - 1.4).abs() < 0.01, "{}", a.servers[0].line);
+    assert_eq!(a.servers[1].line, 0.0);
+}
+
 #[test]
 fn an_overloaded_server_is_let_less_of_the_least_critical_method_first() {
     let mut a = fleet(1, &[(0, 40.0)]);
     a.came.iter_mut().for_each(|sum| sum.add(a.now, a.half, 30.0));
     met(&mut a, 0, 60, 0, 0.9);
-    a.move_lines();
+    a.limit();
+    a.draw_lines();
     a.order_levels();
     // It did 60 of work in 1.5 s of half-life: ln 2 / 1.5 * 60 = 27.7 a second; nine tenths are 25 of 40.
     assert_eq!(a.out.pop(), Some(Order::Level { slice: 0, share: 0.25, methods: 1, tries: 0 }));
--- a/crates/whinhill/src/state.rs
+++ b/crates/whinhill/src/state.rs
@@ -59,6 +59,26 @@
     pub line: f64,
 }
 
+impl Server {
+    /// Counts what proxies met here.
+    pub fn meet(&mut self, now: Duration, half: Duration, tries: u64, lost: u64, wait: Duration) {
+        let oks = tries.saturating_sub(lost) as f64;
+        self.tries.add(now, half, tries as f64);
+        self.lost.add(now, half, lost as f64);
+        self.oks.add(now, half, oks);
+        self.waits.add(now, half, oks * wait.as_secs_f64());
+        if oks > 0.0 {
+            self.last_ok = self.last_ok.max(now);
+        }
+    }
+
+    /// Mean wait of an ok answer in seconds.
+    pub fn wait(&self, now: Duration, half: Duration) -> Option<f64> {
+        let oks = self.oks.read(now, half);
+        (oks >= 1.0).then(|| self.waits.read(now, half) / oks)
+    }
+}
+
 /// A handover under way: the owner's writes are stopped, and every proxy must be known to have stopped.
 #[derive(Clone, Debug, Default)]
 pub struct Handover {
