--- a/crates/whinhill/src/assigner.rs
+++ b/crates/whinhill/src/assigner.rs
@@ -45,7 +45,7 @@
 /// Most of the ready servers that may be held sick at a time. Higher: the rest fall over.
 const SICK_MOST: f64 = 0.5;
 /// Part of a cold server's budget that we fill; the rest is for cold caches and uneven arrivals.
-const COLD_PART: f64 = 0.25;
+const COLD_PART: f64 = 0.33;
 /// The channel may run this many times slower than stated. Lower: the queue's rule is at risk.
 const SLOW_CHANNEL: f64 = 4.0;
 /// Mean wait, as a part of the soft deadline, at which a server counts as overloaded.
@@ -109,7 +109,7 @@
         self.evacuate();
         self.advance();
         if period {
-            self.limit();
+            self.judge_limits();
             self.make_plan();
             if self.cfg.probes {
                 let ready = self.servers.iter().filter(|s| s.listed == Listed::Ready);
@@ -217,7 +217,9 @@
             if entry.listed == Listed::Ready && entry.started > server.started {
                 *server = Server { ep: entry.ep, started: entry.started, last_ok: now, ..Server::default() };
             }
-            if entry.listed != Listed::Ready && server.listed == Listed::Ready {
+            if entry.listed == Listed::Ready && server.listed == Listed::Gone {
+                server.last_ok = now;
+            } else if entry.listed != Listed::Ready && server.listed == Listed::Ready {
                 server.told = now;
             }
             server.listed = entry.listed;
@@ -242,12 +244,6 @@
         server.service = load.service.map(|service| service.as_secs_f64()).or(server.service);
     }
 
-    /// What tells how fast a server works: its time of service where reported, else the wait.
-    fn pace(&self, server: &Server) -> Option<f64> {
-        let wait = server.wait(self.now, self.half);
-        server.service.filter(|_| wait.is_some()).or(wait)
-    }
-
     /// Judges each server by several symptoms against its peers, and lets recovered ones back by steps.
     fn judge(&mut self) {
         let (now, half) = (self.now, self.half);
@@ -258,15 +254,12 @@
         let mut sick = self.servers.iter().filter(|s| s.listed == Listed::Ready && s.sick.is_some()).count();
         let expected = self.demand_by(|slice| slice.owner.filter(|_| slice.handover.is_none()));
         for (i, expected) in expected.into_iter().enumerate() {
-            let pace = self.pace(&self.servers[i]);
             let server = &mut self.servers[i];
             // Where ok answers wait, lost tries tell of too much load, which moves and levels answer.
-            let slow =
-                (LATE * self.cfg.mean_soft.as_secs_f64()).min(WAITING * server.base.unwrap_or(f64::MAX));
-            let loaded = server.wait(now, half).is_some_and(|wait| wait > slow);
-            if let Some(pace) = pace {
-                server.base = Some(server.base.map_or(pace, |base| (base * 1.01).min(pace)));
-            }
+            let slow = (LATE * self.cfg.mean_soft).min(WAITING * server.base.unwrap_or(f64::MAX));
+            let wait = server.wait(now, half);
+            let loaded = wait.is_some_and(|wait| wait > slow);
+            server.base = wait.map(|w| server.base.map_or(w, |base| (base * 1.01).min(w))).or(server.base);
             let (tries, lost) = (server.tries.read(now, half), server.lost.read(now, half));
             let others = (all_lost - lost) / (all_tries - tries).max(1.0);
             let share = lost / tries.max(1.0);
@@ -276,15 +269,13 @@
             let quiet = silence > self.cfg.period * 2 && heard * 2 > ready;
             let silent = quiet && expected * silence.as_secs_f64() > 2.0 * ENOUGH;
             let dead = server.unanswered >= 2 && silence > self.cfg.period;
-            let well = server.listed == Listed::Ready && server.sick.is_none();
-            if well && (aborts || silent || dead) && (sick + 1) as f64 <= SICK_MOST * ready as f64 {
+            if usable(server) && (aborts || silent || dead) && (sick + 1) as f64 <= SICK_MOST * ready as f64 {
                 sick += 1;
                 server.sick = Some(now + Duration::from_secs(8) * 2u32.pow(server.strikes.min(3)));
                 server.strikes += 1;
-                let (silence, probes) = (silence.as_secs_f64(), server.unanswered);
-                let figures = format!("lost {share:.2} of {tries:.0}, others {others:.2}");
-                let text =
-                    format!("server {i} sick: {figures}, no ok for {silence:.1} s, {probes} probes lost");
+                let (ms, probes) = (silence.as_millis(), server.unanswered);
+                let text = format!("lost {share:.2} of {tries:.0}, others {others:.2}, no ok for {ms} ms");
+                let text = format!("server {i} sick: {text}, {probes} probes unanswered");
                 self.out.push(Order::Log { text });
             } else if server.sick.is_some_and(|until| now >= until && server.unanswered == 0) {
                 server.sick = None;
@@ -301,7 +292,7 @@
 
     /// Work of a method's RPC against the average: soft deadlines are the one hint at it.
     fn work(&self, method: MethodId) -> f64 {
-        self.cfg.methods[method].soft.as_secs_f64() / self.cfg.mean_soft.as_secs_f64().max(1e-6)
+        self.cfg.methods[method].soft.as_secs_f64() / self.cfg.mean_soft.max(1e-6)
     }
 
     /// Work that comes in a second, in average RPCs; for a slice not heard of yet, the others' mean.
@@ -367,10 +358,10 @@
             Some((cpu * if share > 0.99 { 1.0 } else { part }, cpu))
         };
         let busy = ready.iter().any(|s| told(s).is_some());
-        let slower = |s: &Server| self.pace(s).zip(s.base).map_or(1.0, |(pace, base)| (pace / base).max(1.0));
+        let limits = self.limits();
         let (mut loads, mut owns) = (0.0, 0.0);
         for server in &ready {
-            let own = owned[server.ep.index];
+            let own = owned[server.ep.index] * (1.0 - server.shut_out);
             match told(server) {
                 Some((ours, _)) => (loads, owns) = (loads + ours, owns + own),
                 None if !busy => (loads, owns) = (loads + USUAL * share, owns + own / server.size),
@@ -382,15 +373,17 @@
         let mut view = View { demand: self.demand(), ..View::default() };
         for (server, owned) in self.servers.iter().zip(&owned) {
             let ramp = self.ramp(server);
+            let let_in = owned * (1.0 - server.shut_out);
             let unit = match told(server) {
-                _ if !busy => usual * slower(server) / server.size.max(1e-3),
-                Some((ours, _)) if ramp >= 1.0 => (ours + usual * pad) / (owned + pad).max(1e-9),
+                _ if !busy && limits[server.ep.index].is_finite() => 1.0 / limits[server.ep.index].max(1e-9),
+                _ if !busy => usual / server.size.max(1e-3),
+                Some((ours, _)) if ramp >= 1.0 => (ours + usual * pad) / (let_in + pad).max(1e-9),
                 _ => usual,
             };
             let others = told(server).map_or(USUAL * (1.0 - share), |(ours, all)| all - ours);
             let own = owned * unit / ramp;
             let mut load = own + others / ramp;
-            if !busy && !self.waits(server) {
+            if !self.waits(server) {
                 load = load.min(THRESHOLD);
             }
             let offer = if ramp < 1.0 { NEW_OFFERS } else { 1.0 - server.doubt } * share;
@@ -668,45 +661,56 @@
 
     // 5. Levels and tries.
 
-    /// Where answers come late or are lost, a server gets a little less work than it was seen to do; the
-    /// limit grows while they don't, until it binds no more.
-    fn limit(&mut self) {
-        let (now, half, soft) = (self.now, self.half, self.cfg.mean_soft.as_secs_f64());
-        let offered = self.demand_by(|s| s.owner);
-        for (i, (server, offered)) in self.servers.iter_mut().zip(offered).enumerate() {
+    /// Where answers come late or are lost, a server can do a little less than it was seen to do. That
+    /// grows while it binds without lateness.
+    fn judge_limits(&mut self) {
+        let (now, half, soft) = (self.now, self.half, self.cfg.mean_soft);
+        for (i, server) in self.servers.iter_mut().enumerate() {
             let served = server.oks.rate(now, half);
             let wait = server.wait(now, half).unwrap_or(0.0);
             let tries = server.tries.read(now, half);
             let lost = server.lost.read(now, half) / tries.max(1.0);
-            let late = wait > LATE * soft || lost > SICK.0 / 2.0;
-            if late && tries >= ENOUGH && usable(server) && now >= server.limited + self.cfg.period * 3 {
-                if server.limit.is_none() {
+            server.late = wait > LATE * soft || lost > SICK.0 / 2.0;
+            if server.late && tries >= ENOUGH && usable(server) {
+                if now >= server.limited + self.cfg.period * 3 {
                     let text = format!("server {i} limited to {served:.1}: wait {wait:.2} s, lost {lost:.2}");
-                    self.out.push(Order::Log { text });
+                    self.out.extend(server.limit.is_none().then_some(Order::Log { text }));
+                    server.limit = Some(served * LIMIT_STEP.0);
+                    server.limited = now;
                 }
-                server.limit = Some(served * LIMIT_STEP.0);
-                server.limited = now;
-            } else if !late {
-                let grown = server.limit.map(|limit| limit * LIMIT_STEP.1);
-                server.limit = grown.filter(|limit| *limit < offered * 1.5);
+            } else if !server.late && server.line > 0.0 {
+                server.limit = server.limit.map(|limit| limit * LIMIT_STEP.1);
             }
         }
     }
 
+    /// The work a second that each server can do: as learned there, else as learned at the others.
+    fn limits(&self) -> Vec<f64> {
+        let ready = || self.servers.iter().filter(|s| usable(s));
+        let mut learned: Vec<f64> = ready().filter_map(|s| s.limit.map(|limit| limit / s.size)).collect();
+        learned.sort_by(f64::total_cmp);
+        let median = learned.get(learned.len() / 2).filter(|_| learned.len() * 4 > ready().count());
+        let shown = ready().filter(|s| !s.late).map(|s| s.oks.rate(self.now, self.half) / s.size);
+        let usual = median.map_or(f64::INFINITY, |median| shown.fold(*median, f64::max));
+        self.servers.iter().map(|s| s.limit.unwrap_or(usual * s.size)).collect()
+    }
+
     /// Draws each server's line of criticality by its limit, and by its budget while it is cold.
     fn draw_lines(&mut self) {
         let view = self.view();
         let offered = self.demand_by(|s| s.owner);
-        let works = self.came.iter().enumerate().map(|(m, sum)| sum.read(self.now, self.half) * self.work(m));
-        let works: Vec<f64> = works.collect();
-        let all: f64 = works.iter().sum::<f64>().max(1e-9);
+        let work = |m: &usize| self.came[*m].read(self.now, self.half) * self.work(*m);
+        let works: Vec<f64> = self.cfg.ranks.iter().map(work).collect();
+        let all = works.iter().sum::<f64>().max(1e-9);
+        let limits = self.limits();
         for (i, offered) in offered.into_iter().enumerate() {
             let cold = self.ramp(&self.servers[i]) < 1.0;
             let budget = if cold { self.cold_budget() / view.units[i].max(1e-9) } else { f64::INFINITY };
-            let limit = self.servers[i].limit.unwrap_or(f64::INFINITY).min(budget);
-            let mut over = (1.0 - limit / offered.max(1e-9)).max(0.0);
+            let limit = limits[i].min(budget);
+            let mut over = (1.0 - limit / offered.max(1e-9)).clamp(0.0, 0.9);
+            self.servers[i].shut_out = over;
             let mut line = 0.0;
-            for part in self.cfg.ranks.iter().map(|m| (works[*m] / all).max(1e-9)) {
+            for part in works.iter().map(|work| (work / all).max(1e-9)) {
                 line += (over / part).clamp(0.0, 1.0);
                 over -= part;
             }
@@ -714,9 +718,9 @@
         }
     }
 
-    /// Load that our slices may bring a cold server, against what it can do at present.
+    /// Load that our slices may bring a cold server: what it can do at present, well short of what topples it.
     fn cold_budget(&self) -> f64 {
-        self.cfg.fall_multiple * COLD_PART * self.our_share()
+        (self.cfg.fall_multiple * COLD_PART).min(1.0) * self.our_share()
     }
 
     /// Orders the shares that differ from what proxies were told: none of the writes during a handover.
@@ -729,7 +733,7 @@
             let stopped = slice.handover.as_ref().is_some_and(|h| !h.cut);
             let mut wanted = vec![1.0; ranks.len()];
             for (rank, method) in ranks.iter().enumerate() {
-                wanted[*method] = (share(line, rank) * 20.0).round() / 20.0;
+                wanted[*method] = ((1.0 - (line - rank as f64)).clamp(0.0, 1.0) * 20.0).round() / 20.0;
                 if stopped && self.cfg.methods[*method].writes {
                     wanted[*method] = 0.0;
                 }
@@ -790,11 +794,6 @@
     }
 }
 
-/// The share let in of the method at a rank, given the line.
-fn share(line: f64, rank: usize) -> f64 {
-    (1.0 - (line - rank as f64)).clamp(0.0, 1.0)
-}
-
 fn usable(server: &Server) -> bool {
     server.listed == Listed::Ready && server.sick.is_none()
 }
--- a/crates/whinhill/src/settings.rs
+++ b/crates/whinhill/src/settings.rs
@@ -17,7 +17,8 @@
     pub methods: Vec<Method>,
     /// The methods, least critical first.
     pub ranks: Vec<usize>,
-    pub mean_soft: Duration,
+    /// In seconds.
+    pub mean_soft: f64,
     pub tries: u8,
     pub period: Duration,
     pub lease: Duration,
@@ -47,7 +48,8 @@
         let watch = settings.get::<String>("discovery")? == "subscribe";
         let methods: Vec<Method> =
             (0..settings.get("classes.count")?).map(method).collect::<Result<_, _>>()?;
-        let mean_soft = methods.iter().map(|m| m.soft).sum::<Duration>() / methods.len().max(1) as u32;
+        let mean_soft =
+            methods.iter().map(|m| m.soft.as_secs_f64()).sum::<f64>() / methods.len().max(1) as f64;
         let mut ranks: Vec<usize> = (0..methods.len()).collect();
         ranks.sort_by(|a, b| methods[*a].criticality.total_cmp(&methods[*b].criticality));
         Ok(Config {
--- a/crates/whinhill/src/state.rs
+++ b/crates/whinhill/src/state.rs
@@ -52,9 +52,13 @@
     pub strikes: u32,
     /// Part of its room that a server newly back from sickness does not offer yet.
     pub doubt: f64,
-    /// Work a second that it may get while it is overloaded, and when that was set.
+    /// Whether its answers come late or are lost.
+    pub late: bool,
+    /// Work a second that it was learned to do, and when that was last cut.
     pub limit: Option<f64>,
     pub limited: Duration,
+    /// The part of the work offered that is shut out.
+    pub shut_out: f64,
     /// How many methods, from the least critical up, are shut out; the fraction is the next one's share.
     pub line: f64,
 }
