--- a/crates/whinhill/src/assigner.rs
+++ b/crates/whinhill/src/assigner.rs
@@ -548,7 +548,8 @@
                 continue;
             }
             let mut v: View = view.take().unwrap_or_else(|| self.view());
-            let to = self.destination(id, &v).filter(|_| !well || v.own[owner] > budget);
+            let over = |to: &usize| v.own[owner] > budget && v.rooms[*to] >= v.demand[id] * v.units[*to];
+            let to = self.destination(id, &v).filter(|to| !well || over(to));
             if let Some(to) = to {
                 let add = v.demand[id] * v.units[to];
                 v.own[owner] -= v.demand[id] * v.units[owner];
@@ -569,10 +570,8 @@
             |i: &usize| view.rooms[*i] >= view.demand[id] * view.units[*i] && usable(&self.servers[*i]);
         let least = |a: &usize, b: &usize| after(a).total_cmp(&after(b));
         let first = order.iter().copied().filter(fits).take(CANDIDATES).min_by(least);
-        let warm = |i: &usize| self.ramp(&self.servers[*i]) >= 1.0;
-        let rest = || order.iter().copied().filter(|i| usable(&self.servers[*i]) && warm(i)).min_by(least);
-        let any = || order.iter().copied().filter(warm).min_by(least).or(order.iter().copied().min_by(least));
-        first.or_else(rest).or_else(any)
+        let unfit = |i: &usize| (self.ramp(&self.servers[*i]) < 1.0, !usable(&self.servers[*i]));
+        first.or_else(|| order.into_iter().min_by(|a, b| unfit(a).cmp(&unfit(b)).then(least(a, b))))
     }
 
     // 4. Handover: stop, every proxy's answer or lease end, settle, grant.
@@ -583,8 +582,8 @@
         self.channel.mark_wanted = true;
         let lease = self.cfg.lease;
         let absent = self.proxies.values().flatten().map(|left| *left + lease).max();
-        let awaits =
-            self.proxies.iter().filter(|(_, left)| left.is_none()).map(|(id, _)| (*id, mark)).collect();
+        let awaits = self.proxies.iter().filter_map(|(p, left)| left.is_none().then_some((*p, mark)));
+        let awaits = awaits.collect();
         let slice = &mut self.slices[id];
         let quiet = absent.unwrap_or_default().max(slice.given + lease);
         slice.handover = Some(Handover { awaits, ordered: self.now, quiet, cut: false, to });
@@ -731,11 +730,14 @@
             let Some(owner) = slice.owner.filter(|_| slice.ours) else { continue };
             let line = self.servers[owner].line;
             let stopped = slice.handover.as_ref().is_some_and(|h| !h.cut);
-            let mut wanted = vec![1.0; ranks.len()];
+            let tune = self.has_room(0.25);
+            let mut wanted = slice.told.clone();
             for (rank, method) in ranks.iter().enumerate() {
-                wanted[*method] = ((1.0 - (line - rank as f64)).clamp(0.0, 1.0) * 20.0).round() / 20.0;
+                let told = &mut wanted[*method];
                 if stopped && self.cfg.methods[*method].writes {
-                    wanted[*method] = 0.0;
+                    *told = 0.0;
+                } else if tune || *told == 0.0 || told.is_nan() {
+                    *told = ((1.0 - (line - rank as f64)).clamp(0.0, 1.0) * 20.0).round() / 20.0;
                 }
             }
             for share in wanted.clone() {
@@ -770,9 +772,8 @@
             self.out.push(Order::Mark { mark: (self.channel.marks & 0xffff) as u16 });
         }
         let joined = self.proxies.values().filter(|left| left.is_none()).count() as f64;
-        use Order::{Grant, Level, Mark, Revoke};
-        let to_proxies = |o: &&Order| matches!(o, Grant { .. } | Revoke { .. } | Level { .. } | Mark { .. });
-        let count = self.out.iter().filter(to_proxies).count() as f64;
+        let local = |o: &&Order| matches!(o, Order::Log { .. } | Order::Probe { .. } | Order::Watch);
+        let count = self.out.iter().filter(|o| !local(o)).count() as f64;
         let sent = now.saturating_sub(self.channel.at).as_secs_f64() * self.cfg.lines_per_s / SLOW_CHANNEL;
         self.channel.lines = (self.channel.lines - sent).max(0.0);
         self.channel.at = now;
--- a/crates/whinhill/src/assigner/tests.rs
+++ b/crates/whinhill/src/assigner/tests.rs
@@ -246,6 +246,16 @@
     assert!(a.slices[1].handover.is_none());
 }
 
+#[test]
+fn levels_wait_while_the_channel_is_filled_but_a_stop_does_not() {
+    let mut a = fleet(3, &[(0, 0.5), (1, 0.3)]);
+    a.channel.lines = 3000.0;
+    a.servers[0].line = 0.5;
+    a.stop(1, Some(2), false);
+    a.order_levels();
+    assert_eq!(a.out, [Order::Level { slice: 1, share: 0.0, methods: 2, tries: 0 }]);
+}
+
 /// Gives a server `tries` of which `lost` failed, and waits of `wait` seconds for the others.
 fn met(a: &mut Assigner, server: usize, tries: u64, lost: u64, wait: f64) {
     let load = LoadReport::default();
