--- a/crates/whinhill/src/assigner.rs
+++ b/crates/whinhill/src/assigner.rs
@@ -258,14 +258,13 @@
             // Where ok answers wait, lost tries tell of too much load, which moves and levels answer.
             let slow = (LATE * self.cfg.mean_soft).min(WAITING * server.base.unwrap_or(f64::MAX));
             let wait = server.wait(now, half);
-            let loaded = wait.is_some_and(|wait| wait > slow);
             server.base = wait.map(|w| server.base.map_or(w, |base| (base * 1.01).min(w))).or(server.base);
             let (tries, lost) = (server.tries.read(now, half), server.lost.read(now, half));
             let others = (all_lost - lost) / (all_tries - tries).max(1.0);
             let share = lost / tries.max(1.0);
             let silence = now.saturating_sub(server.last_ok);
-            let aborts = tries >= ENOUGH && share > SICK.0 && share > SICK.1 * others;
-            let aborts = aborts && !(loaded && silence < self.cfg.period * 2);
+            let loaded = wait.is_some_and(|wait| wait > slow) && silence < self.cfg.period * 2;
+            let aborts = tries >= ENOUGH && share > SICK.0.max(SICK.1 * others) && !loaded;
             let quiet = silence > self.cfg.period * 2 && heard * 2 > ready;
             let silent = quiet && expected * silence.as_secs_f64() > 2.0 * ENOUGH;
             let dead = server.unanswered >= 2 && silence > self.cfg.period;
