--- a/crates/whinhill/src/assigner.rs
+++ b/crates/whinhill/src/assigner.rs
@@ -277,9 +277,8 @@
                 let text = format!("server {i} sick: {text}, {probes} probes unanswered");
                 self.out.push(Order::Log { text });
             } else if server.sick.is_some_and(|until| now >= until && server.unanswered == 0) {
-                server.sick = None;
-                server.doubt = 0.75;
-                server.last_ok = now;
+                (server.sick, server.doubt, server.last_ok) = (None, 0.75, now);
+                (server.tries, server.lost) = (Sum::default(), Sum::default());
                 self.out.push(Order::Log { text: format!("server {i} back at a quarter of its room") });
             } else if server.sick.is_none() {
                 server.doubt = (server.doubt - 0.1).max(0.0);
@@ -668,7 +667,8 @@
             let wait = server.wait(now, half).unwrap_or(0.0);
             let tries = server.tries.read(now, half);
             let lost = server.lost.read(now, half) / tries.max(1.0);
-            server.late = wait > LATE * soft || lost > SICK.0 / 2.0;
+            server.late =
+                wait > LATE * soft || (lost > SICK.0 / 2.0 && wait > WAITING * server.base.unwrap_or(wait));
             if server.late && tries >= ENOUGH && usable(server) {
                 if now >= server.limited + self.cfg.period * 3 {
                     let text = format!("server {i} limited to {served:.1}: wait {wait:.2} s, lost {lost:.2}");
