--- a/crates/whinhill/src/assigner.rs
+++ b/crates/whinhill/src/assigner.rs
@@ -12,7 +12,7 @@
 
 use crate::interface::*;
 use crate::settings::Config;
-use crate::state::{Channel, Following, Handover, Move, Plan, Server, Slice, Sum, View};
+use crate::state::{Channel, Following, Handover, Move, Plan, Proxy, Server, Slice, Sum, View};
 
 // Tuned values: unit, reason, and what goes wrong with another.
 
@@ -28,11 +28,13 @@
 const CANDIDATES: usize = 2;
 /// How long a moved slice stays (design page). Shorter: slices swing; longer: errors stay.
 const STAY: Duration = Duration::from_secs(20);
+/// The first wait after a failed call for the list; it doubles. Shorter: the list's service stays jammed.
+const ASK_AGAIN: Duration = Duration::from_millis(500);
 /// Part of its room that a cold server offers (design page). More: it is pushed over.
 const NEW_OFFERS: f64 = 0.5;
 /// Times the free time of an answer from which answers wait. Lower: moves after noise.
 const WAITING: f64 = 2.0;
-/// How often handovers under way are looked at. Longer: slices stay without an owner.
+/// How often handovers, drains and calls under way are looked at. Longer: slices stay without an owner.
 const TICK: Duration = Duration::from_millis(50);
 /// Load that the average server is taken to have where servers don't report how busy they are.
 const USUAL: f64 = 0.5;
@@ -42,6 +44,8 @@
 const SICK: (f64, f64) = (0.3, 3.0);
 /// Tries (or RPCs expected) below which nothing is said about a server.
 const ENOUGH: f64 = 6.0;
+/// How long a sick server is left alone. Shorter: slices go back to a server still sick.
+const SICK_FOR: Duration = Duration::from_secs(8);
 /// Most of the ready servers that may be held sick at a time. Higher: the rest fall over.
 const SICK_MOST: f64 = 0.5;
 /// Part of a cold server's budget that we fill; the rest is for cold caches and uneven arrivals.
@@ -60,8 +64,7 @@
     half: Duration,
     now: Duration,
     servers: Vec<Server>,
-    /// Each proxy met, with the time it left unless it is joined.
-    proxies: BTreeMap<ProxyId, Option<Duration>>,
+    proxies: BTreeMap<ProxyId, Proxy>,
     slices: Vec<Slice>,
     /// RPCs that came for our slices, by method.
     came: Vec<Sum>,
@@ -105,10 +108,6 @@
         if period {
             self.next_period = now + self.cfg.period;
             self.judge();
-        }
-        self.evacuate();
-        self.advance();
-        if period {
             self.judge_limits();
             self.make_plan();
             if self.cfg.probes {
@@ -116,6 +115,8 @@
                 self.out.extend(ready.map(|s| Order::Probe { ep: s.ep }));
             }
         }
+        self.evacuate();
+        self.advance();
         self.run_batches();
         if period || self.out.iter().any(|order| matches!(order, Order::Grant { .. })) {
             self.draw_lines();
@@ -146,10 +147,11 @@
                 }
                 self.take_load(*ep, load);
             }
-            Event::Joined { proxy, .. } => self.join(*proxy),
+            Event::Joined { proxy, zone } => self.join(*proxy, *zone),
             Event::Left { proxy } => {
                 let until = self.now + self.cfg.lease;
-                self.proxies.insert(*proxy, Some(self.now));
+                let zone = self.proxies.get(proxy).map_or(usize::MAX, |p| p.zone);
+                self.proxies.insert(*proxy, Proxy { zone, joined: false, since: self.now });
                 for handover in self.slices.iter_mut().filter_map(|s| s.handover.as_mut()) {
                     handover.awaits.retain(|(p, _)| p != proxy);
                     handover.quiet = handover.quiet.max(until);
@@ -171,8 +173,7 @@
             Event::Taken { slice } => self.slices[*slice] = Slice::default(),
             Event::Stored { slice, ep } => {
                 let owner = self.server(*ep).ep.index;
-                self.slices[*slice].owner = Some(owner);
-                self.slices[*slice].handover = None;
+                (self.slices[*slice].owner, self.slices[*slice].handover) = (Some(owner), None);
             }
             Event::Timer => {}
         }
@@ -192,10 +193,10 @@
     fn take_list(&mut self, kind: ListKind, entries: &[Entry]) {
         let now = self.now;
         if kind == ListKind::Failed {
-            let back_off =
-                0.5 * 2f64.powi(self.list.failures.min(3) as i32) * self.rng.random_range(0.7..1.3);
+            let back_off = ASK_AGAIN * 2u32.pow(self.list.failures.min(3));
+            let back_off = back_off.mul_f64(self.rng.random_range(0.7..1.3)).min(self.cfg.must_ask / 2);
             self.list.failures += 1;
-            self.list.ask_at = Some(now + Duration::from_secs_f64(back_off).min(self.cfg.must_ask / 2));
+            self.list.ask_at = Some(now + back_off);
             return;
         }
         self.list.failures = 0;
@@ -205,24 +206,22 @@
         }
         if kind != ListKind::Changes {
             let kept: Vec<usize> = entries.iter().map(|e| e.ep.index).collect();
-            for server in &mut self.servers {
-                if server.listed != Listed::Gone && !kept.contains(&server.ep.index) {
-                    server.listed = Listed::Gone;
-                    server.told = now;
-                }
+            let held = self.servers.iter_mut().filter(|s| s.listed != Listed::Gone);
+            for server in held.filter(|s| !kept.contains(&s.ep.index)) {
+                (server.listed, server.told) = (Listed::Gone, now);
             }
         }
         for entry in entries {
             let server = self.server(entry.ep);
             if entry.listed == Listed::Ready && entry.started > server.started {
-                *server = Server { ep: entry.ep, started: entry.started, last_ok: now, ..Server::default() };
+                *server = Server { ep: entry.ep, started: entry.started, ..Server::default() };
             }
             if entry.listed == Listed::Ready && server.listed == Listed::Gone {
                 server.last_ok = now;
             } else if entry.listed != Listed::Ready && server.listed == Listed::Ready {
                 server.told = now;
             }
-            server.listed = entry.listed;
+            (server.listed, server.zone) = (entry.listed, entry.zone);
             server.size = entry.size.max(1e-3);
         }
     }
@@ -244,6 +243,15 @@
         server.service = load.service.map(|service| service.as_secs_f64()).or(server.service);
     }
 
+    /// Whether a zone's proxies have all left lately, or have just come back: then the path to it is broken
+    /// rather than its servers, and its slices stay for as long as their move would take. Harm: if the
+    /// servers died too, their slices leave that much later.
+    fn cut_off(&self, zone: ZoneId) -> bool {
+        let (gone, back) = (self.cfg.lease + self.cfg.settle, self.cfg.period * 2);
+        let mut there = self.proxies.values().filter(|p| p.zone == zone).peekable();
+        there.peek().is_some() && there.all(|p| self.now < p.since + if p.joined { back } else { gone })
+    }
+
     /// Judges each server by several symptoms against its peers, and lets recovered ones back by steps.
     fn judge(&mut self) {
         let (now, half) = (self.now, self.half);
@@ -254,6 +262,7 @@
         let mut sick = self.servers.iter().filter(|s| s.listed == Listed::Ready && s.sick.is_some()).count();
         let expected = self.demand_by(|slice| slice.owner.filter(|_| slice.handover.is_none()));
         for (i, expected) in expected.into_iter().enumerate() {
+            let cut_off = self.cut_off(self.servers[i].zone);
             let server = &mut self.servers[i];
             // Where ok answers wait, lost tries tell of too much load, which moves and levels answer.
             let slow = (LATE * self.cfg.mean_soft).min(WAITING * server.base.unwrap_or(f64::MAX));
@@ -268,10 +277,13 @@
             let quiet = silence > self.cfg.period * 2 && heard * 2 > ready;
             let silent = quiet && expected * silence.as_secs_f64() > 2.0 * ENOUGH;
             let dead = server.unanswered >= 2 && silence > self.cfg.period;
-            if usable(server) && (aborts || silent || dead) && (sick + 1) as f64 <= SICK_MOST * ready as f64 {
+            if usable(server)
+                && !cut_off
+                && (aborts || silent || dead)
+                && (sick + 1) as f64 <= SICK_MOST * ready as f64
+            {
                 sick += 1;
-                server.sick = Some(now + Duration::from_secs(8) * 2u32.pow(server.strikes.min(3)));
-                server.strikes += 1;
+                server.sick = Some(now + SICK_FOR);
                 let (ms, probes) = (silence.as_millis(), server.unanswered);
                 let text = format!("lost {share:.2} of {tries:.0}, others {others:.2}, no ok for {ms} ms");
                 let text = format!("server {i} sick: {text}, {probes} probes unanswered");
@@ -457,7 +469,7 @@
     /// SWAT's three stages in order; the first that finds moves fills the batches.
     fn make_plan(&mut self) {
         // A proxy that left lately would stall a batch to its lease's end.
-        let absent = self.proxies.values().flatten().any(|left| self.now < *left + self.cfg.lease);
+        let absent = self.proxies.values().any(|p| !p.joined && self.now < p.since + self.cfg.lease);
         if absent || !self.plan.batch.is_empty() || !self.plan.batches.is_empty() {
             return;
         }
@@ -510,8 +522,7 @@
 
     /// Starts a batch once the one before is done.
     fn run_batches(&mut self) {
-        let slices = &self.slices;
-        self.plan.batch.retain(|(s, to)| slices[*s].handover.as_ref().is_some_and(|h| h.to == Some(*to)));
+        self.plan.batch.retain(|id| self.slices[*id].handover.is_some());
         if !self.plan.batch.is_empty() || !self.has_room(0.25) {
             return;
         }
@@ -519,7 +530,7 @@
         for (slice, to) in moves {
             if self.movable(&self.slices[slice]) && usable(&self.servers[to]) {
                 self.stop(slice, Some(to), false);
-                self.plan.batch.push((slice, to));
+                self.plan.batch.push(slice);
             }
         }
     }
@@ -579,9 +590,8 @@
         let mark = self.channel.marks + 1;
         self.channel.mark_wanted = true;
         let lease = self.cfg.lease;
-        let absent = self.proxies.values().flatten().map(|left| *left + lease).max();
-        let awaits = self.proxies.iter().filter_map(|(p, left)| left.is_none().then_some((*p, mark)));
-        let awaits = awaits.collect();
+        let absent = self.proxies.values().filter(|p| !p.joined).map(|p| p.since + lease).max();
+        let awaits = self.proxies.iter().filter(|(_, p)| p.joined).map(|(id, _)| (*id, mark)).collect();
         let slice = &mut self.slices[id];
         let quiet = absent.unwrap_or_default().max(slice.given + lease);
         slice.handover = Some(Handover { awaits, ordered: self.now, quiet, cut: false, to });
@@ -599,8 +609,8 @@
     }
 
     /// A proxy that joins holds what it held; it must hear of every handover under way before the grant.
-    fn join(&mut self, proxy: ProxyId) {
-        self.proxies.insert(proxy, None);
+    fn join(&mut self, proxy: ProxyId, zone: ZoneId) {
+        self.proxies.insert(proxy, Proxy { zone, joined: true, since: self.now });
         let mark = self.channel.marks + 1;
         for slice in self.slices.iter_mut().filter(|s| s.owner.is_some()) {
             let Some(handover) = &mut slice.handover else { continue };
@@ -617,9 +627,9 @@
         let mark =
             self.channel.marks.saturating_sub(self.channel.marks.wrapping_sub(u64::from(mark)) & 0xffff);
         for handover in self.slices.iter_mut().filter_map(|s| s.handover.as_mut()) {
-            let before = handover.awaits.len();
-            handover.awaits.retain(|(p, m)| *p != proxy || *m > mark);
-            if handover.awaits.len() < before {
+            let told = handover.awaits.iter().position(|(p, m)| *p == proxy && *m <= mark);
+            if let Some(at) = told {
+                handover.awaits.swap_remove(at);
                 handover.quiet = handover.quiet.max(self.now.min(handover.ordered + way));
             }
         }
@@ -636,17 +646,14 @@
             }
             let wanted = handover.to.filter(|to| usable(&self.servers[*to]));
             let stays = slice.owner.filter(|o| usable(&self.servers[*o]) && !handover.cut);
-            let mut elsewhere = || self.destination(id, view.get_or_insert_with(|| self.view()));
-            let to = wanted.or(stays).or_else(&mut elsewhere);
-            let Some(to) = to else { continue };
+            let elsewhere = || self.destination(id, view.get_or_insert_with(|| self.view()));
+            let Some(to) = wanted.or(stays).or_else(elsewhere) else { continue };
             if let Some(v) = view.as_mut() {
                 v.loads[to] += v.demand[id] * v.units[to];
             }
             let same = slice.owner == Some(to) && !handover.cut;
             let slice = &mut self.slices[id];
-            slice.owner = Some(to);
-            slice.handover = None;
-            slice.stays = self.now + STAY;
+            (slice.owner, slice.handover, slice.stays) = (Some(to), None, self.now + STAY);
             // The first answers show only after the grant's way and a report.
             let heard = self.now + self.cfg.way_most + self.cfg.period;
             self.servers[to].last_ok = self.servers[to].last_ok.max(heard);
@@ -667,15 +674,13 @@
             let wait = server.wait(now, half).unwrap_or(0.0);
             let tries = server.tries.read(now, half);
             let lost = server.lost.read(now, half) / tries.max(1.0);
-            server.late =
-                wait > LATE * soft || (lost > SICK.0 / 2.0 && wait > WAITING * server.base.unwrap_or(wait));
-            if server.late && tries >= ENOUGH && usable(server) {
-                if now >= server.limited + self.cfg.period * 3 {
-                    let text = format!("server {i} limited to {served:.1}: wait {wait:.2} s, lost {lost:.2}");
-                    self.out.extend(server.limit.is_none().then_some(Order::Log { text }));
-                    server.limit = Some(served * LIMIT_STEP.0);
-                    server.limited = now;
-                }
+            let loses = lost > SICK.0 / 2.0 && wait > WAITING * server.base.unwrap_or(wait);
+            server.late = wait > LATE * soft || loses;
+            let again = now >= server.limited + self.cfg.period * 3;
+            if server.late && tries >= ENOUGH && usable(server) && again {
+                let text = format!("server {i} limited to {served:.1}: wait {wait:.2} s, lost {lost:.2}");
+                self.out.extend(server.limit.is_none().then_some(Order::Log { text }));
+                (server.limit, server.limited) = (Some(served * LIMIT_STEP.0), now);
             } else if !server.late && server.line > 0.0 {
                 server.limit = server.limit.map(|limit| limit * LIMIT_STEP.1);
             }
@@ -770,25 +775,20 @@
             self.channel.marks += 1;
             self.out.push(Order::Mark { mark: (self.channel.marks & 0xffff) as u16 });
         }
-        let joined = self.proxies.values().filter(|left| left.is_none()).count() as f64;
+        let joined = self.proxies.values().filter(|p| p.joined).count() as f64;
         let local = |o: &&Order| matches!(o, Order::Log { .. } | Order::Probe { .. } | Order::Watch);
         let count = self.out.iter().filter(|o| !local(o)).count() as f64;
         let sent = now.saturating_sub(self.channel.at).as_secs_f64() * self.cfg.lines_per_s / SLOW_CHANNEL;
         self.channel.lines = (self.channel.lines - sent).max(0.0);
         self.channel.at = now;
-        while self.channel.messages.front().is_some_and(|at| now > *at + self.cfg.messages_span) {
-            self.channel.messages.pop_front();
-        }
+        self.channel.messages.retain(|at| now <= *at + self.cfg.messages_span);
         if count > 0.0 {
             self.channel.lines += joined * (count + self.cfg.head);
-            self.channel.messages.push_back(now);
-        }
-        let moving = self.slices.iter().any(|s| s.ours && s.handover.is_some());
-        let tick = if moving { now + TICK } else { self.next_period };
-        let next = self.list.ask_at.map_or(tick, |at| at.clamp(now + TICK, tick.max(now + TICK)));
-        if self.channel.wake.is_none_or(|wake| wake <= now || wake > next) {
-            self.channel.wake = Some(next);
-            self.out.push(Order::Wake { after: next - now });
+            self.channel.messages.push(now);
+        }
+        if now >= self.channel.wake {
+            self.channel.wake = now + TICK;
+            self.out.push(Order::Wake { after: TICK });
         }
         std::mem::take(&mut self.out)
     }
--- a/crates/whinhill/src/assigner/tests.rs
+++ b/crates/whinhill/src/assigner/tests.rs
@@ -30,7 +30,7 @@
         *a.server(ep(index)) =
             Server { ep: ep(index), listed: Listed::Ready, size: 1.0, last_ok: a.now, ..Server::default() };
     }
-    a.proxies = [(0, None), (1, None)].into();
+    a.proxies = [0, 1].map(|id| (id, Proxy { zone: 0, joined: true, since: s(0.0) })).into();
     for (slice, (owner, demand)) in a.slices.iter_mut().zip(slices) {
         let sum = demand * a.half.as_secs_f64() / std::f64::consts::LN_2;
         *slice = Slice {
@@ -306,6 +306,19 @@
     assert_eq!(a.servers[1].line, 0.0);
 }
 
+#[test]
+fn servers_of_a_zone_whose_proxies_all_left_are_cut_off_not_sick() {
+    let mut a = fleet(3, &[(0, 60.0), (1, 60.0), (2, 60.0)]);
+    a.servers[0].zone = 1;
+    a.proxies.insert(2, Proxy { zone: 1, joined: false, since: s(100.0) });
+    for (at, sick) in [(104.0, false), (106.0, true)] {
+        a.now = s(at);
+        (1..3).for_each(|i| met(&mut a, i, 20, 0, 0.1));
+        a.judge();
+        assert_eq!(a.servers[0].sick.is_some(), sick);
+    }
+}
+
 #[test]
 fn an_overloaded_server_is_let_less_of_the_least_critical_method_first() {
     let mut a = fleet(1, &[(0, 40.0)]);
--- a/crates/whinhill/src/state.rs
+++ b/crates/whinhill/src/state.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use crate::interface::{Ep, Listed, ProxyId, SliceId};
+use crate::interface::{Ep, Listed, ProxyId, SliceId, ZoneId};
 
 /// A sum that halves every `half`, brought up to date when it is read.
 #[derive(Clone, Copy, Debug, Default)]
@@ -30,6 +30,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Server {
     pub ep: Ep,
+    pub zone: ZoneId,
     pub listed: Listed,
     pub size: f64,
     pub started: Option<Duration>,
@@ -49,7 +50,6 @@
     pub in_hand: f64,
     pub unanswered: u32,
     pub sick: Option<Duration>,
-    pub strikes: u32,
     /// Part of its room that a server newly back from sickness does not offer yet.
     pub doubt: f64,
     /// Whether its answers come late or are lost.
@@ -83,6 +83,14 @@
     }
 }
 
+#[derive(Clone, Copy, Debug)]
+pub struct Proxy {
+    pub zone: ZoneId,
+    pub joined: bool,
+    /// When it joined or left.
+    pub since: Duration,
+}
+
 /// A handover under way: the owner's writes are stopped, and every proxy must be known to have stopped.
 #[derive(Clone, Debug, Default)]
 pub struct Handover {
@@ -140,7 +148,7 @@
     /// Rounds in a row that have seen skew.
     pub skewed: u32,
     pub batches: VecDeque<Vec<Move>>,
-    pub batch: Vec<Move>,
+    pub batch: Vec<SliceId>,
 }
 
 /// What the channel is thought to hold.
@@ -153,6 +161,6 @@
     pub lines: f64,
     pub at: Duration,
     /// When messages were sent lately.
-    pub messages: VecDeque<Duration>,
-    pub wake: Option<Duration>,
+    pub messages: Vec<Duration>,
+    pub wake: Duration,
 }
