--- a/crates/whinhill/src/assigner.rs
+++ b/crates/whinhill/src/assigner.rs
@@ -36,6 +36,8 @@
 const WAITING: f64 = 2.0;
 /// How often handovers, drains and calls under way are looked at. Longer: slices stay without an owner.
 const TICK: Duration = Duration::from_millis(50);
+/// Demand, against a server's average, that counts at the fleet's usual cost. Less: costs follow noise.
+const PAD: f64 = 0.3;
 /// Load that the average server is taken to have where servers don't report how busy they are.
 const USUAL: f64 = 0.5;
 /// Measures halve in this many report periods. Fewer: noise; more: late.
@@ -46,10 +48,13 @@
 const ENOUGH: f64 = 6.0;
 /// How long a sick server is left alone. Shorter: slices go back to a server still sick.
 const SICK_FOR: Duration = Duration::from_secs(8);
+/// Part of its room that a server back from sickness holds back, and how that falls each period.
+const DOUBT: (f64, f64) = (0.75, 0.1);
 /// Most of the ready servers that may be held sick at a time. Higher: the rest fall over.
 const SICK_MOST: f64 = 0.5;
-/// Part of a cold server's budget that we fill; the rest is for cold caches and uneven arrivals.
-const COLD_PART: f64 = 0.33;
+/// What a cold server is brought: this part of what topples it, and of its present capacity at most. More:
+/// a cold cache and uneven arrivals push it over; less: warm servers take all that a release displaces.
+const COLD: (f64, f64) = (0.38, 1.3);
 /// The channel may run this many times slower than stated. Lower: the queue's rule is at risk.
 const SLOW_CHANNEL: f64 = 4.0;
 /// Mean wait, as a part of the soft deadline, at which a server counts as overloaded.
@@ -289,11 +294,11 @@
                 let text = format!("server {i} sick: {text}, {probes} probes unanswered");
                 self.out.push(Order::Log { text });
             } else if server.sick.is_some_and(|until| now >= until && server.unanswered == 0) {
-                (server.sick, server.doubt, server.last_ok) = (None, 0.75, now);
+                (server.sick, server.doubt, server.last_ok) = (None, DOUBT.0, now);
                 (server.tries, server.lost) = (Sum::default(), Sum::default());
                 self.out.push(Order::Log { text: format!("server {i} back at a quarter of its room") });
             } else if server.sick.is_none() {
-                server.doubt = (server.doubt - 0.1).max(0.0);
+                server.doubt = (server.doubt - DOUBT.1).max(0.0);
             }
         }
     }
@@ -352,8 +357,8 @@
         server.wait(self.now, self.half).zip(free).is_some_and(|(wait, free)| wait > WAITING * free)
     }
 
-    /// Splits each server's load over its slices. Where servers don't report how busy they are, it is
-    /// the demand by size, times how much slower the server has become, at `USUAL` on average.
+    /// Splits each server's load over its slices. Where servers don't report how busy they are, load is demand
+    /// over the capacity learned; until any is learned, demand by size, at `USUAL` on average.
     fn view(&self) -> View {
         let (now, share, fresh) = (self.now, self.our_share(), self.cfg.period * 3);
         // Each slice counts where it is going, so that moves show before the reports do.
@@ -371,24 +376,21 @@
         let limits = self.limits();
         let (mut loads, mut owns) = (0.0, 0.0);
         for server in &ready {
-            let own = owned[server.ep.index] * (1.0 - server.shut_out);
-            match told(server) {
-                Some((ours, _)) => (loads, owns) = (loads + ours, owns + own),
-                None if !busy => (loads, owns) = (loads + USUAL * share, owns + own / server.size),
-                None => {}
+            if let Some(ours) = told(server).map(|t| t.0).or((!busy).then_some(USUAL * share)) {
+                loads += ours;
+                owns += owned[server.ep.index] * (1.0 - server.shut_out) / server.size;
             }
         }
         let usual = if owns > 0.0 { loads / owns } else { 0.0 };
-        let pad = 0.3 * owned.iter().sum::<f64>() / count;
+        let pad = PAD * owned.iter().sum::<f64>() / count;
         let mut view = View { demand: self.demand(), ..View::default() };
         for (server, owned) in self.servers.iter().zip(&owned) {
             let ramp = self.ramp(server);
             let let_in = owned * (1.0 - server.shut_out);
-            let unit = match told(server) {
-                _ if !busy && limits[server.ep.index].is_finite() => 1.0 / limits[server.ep.index].max(1e-9),
-                _ if !busy => usual / server.size.max(1e-3),
-                Some((ours, _)) if ramp >= 1.0 => (ours + usual * pad) / (let_in + pad).max(1e-9),
-                _ => usual,
+            let unit = match (told(server), limits[server.ep.index]) {
+                (Some((ours, _)), _) if ramp >= 1.0 => (ours + usual * pad) / (let_in + pad).max(1e-9),
+                (None, limit) if !busy && limit.is_finite() => 1.0 / limit.max(1e-9),
+                _ => usual / server.size.max(1e-3),
             };
             let others = told(server).map_or(USUAL * (1.0 - share), |(ours, all)| all - ours);
             let own = owned * unit / ramp;
@@ -396,12 +398,17 @@
             if !self.waits(server) {
                 load = load.min(THRESHOLD);
             }
-            let offer = if ramp < 1.0 { NEW_OFFERS } else { 1.0 - server.doubt } * share;
-            let room = if usable(server) { (THRESHOLD - load).max(0.0) * offer } else { 0.0 };
+            let room = match usable(server) {
+                true if ramp < 1.0 => {
+                    ((THRESHOLD / ramp - load) * NEW_OFFERS * share).min(self.cold_budget() - own)
+                }
+                true => (THRESHOLD - load) * (1.0 - server.doubt) * share,
+                false => 0.0,
+            };
             view.own.push(own);
             view.loads.push(load);
             view.units.push(unit / ramp);
-            view.rooms.push(room);
+            view.rooms.push(room.max(0.0));
         }
         view.average = ready.iter().map(|s| view.loads[s.ep.index]).sum::<f64>() / count;
         view
@@ -564,22 +571,22 @@
                 v.own[owner] -= v.demand[id] * v.units[owner];
                 v.loads[to] += add;
                 v.rooms[to] = (v.rooms[to] - add).max(0.0);
-                self.stop(id, Some(to), listed != Listed::Draining);
+                self.stop(id, Some(to), bad);
             }
             view = Some(v);
         }
     }
 
     /// Where a slice that must leave goes: the less loaded of its first usable candidates, walking on in
-    /// its hash order past those without room; failing that the least loaded ready server, warm ones first.
+    /// its hash order past those without room; failing that the least loaded one that is not cold and full.
     fn destination(&self, id: SliceId, view: &View) -> Option<usize> {
         let order = self.others(id);
-        let after = |i: &usize| view.loads[*i] + view.demand[id] * view.units[*i];
-        let fits =
-            |i: &usize| view.rooms[*i] >= view.demand[id] * view.units[*i] && usable(&self.servers[*i]);
-        let least = |a: &usize, b: &usize| after(a).total_cmp(&after(b));
+        let add = |i: &usize| view.demand[id] * view.units[*i];
+        let fits = |i: &usize| usable(&self.servers[*i]) && view.rooms[*i] >= add(i);
+        let least = |a: &usize, b: &usize| (view.loads[*a] + add(a)).total_cmp(&(view.loads[*b] + add(b)));
         let first = order.iter().copied().filter(fits).take(CANDIDATES).min_by(least);
-        let unfit = |i: &usize| (self.ramp(&self.servers[*i]) < 1.0, !usable(&self.servers[*i]));
+        let full = |i: &usize| self.ramp(&self.servers[*i]) < 1.0 && !fits(i);
+        let unfit = |i: &usize| (!usable(&self.servers[*i]), full(i));
         first.or_else(|| order.into_iter().min_by(|a, b| unfit(a).cmp(&unfit(b)).then(least(a, b))))
     }
 
@@ -723,7 +730,7 @@
 
     /// Load that our slices may bring a cold server: what it can do at present, well short of what topples it.
     fn cold_budget(&self) -> f64 {
-        (self.cfg.fall_multiple * COLD_PART).min(1.0) * self.our_share()
+        (self.cfg.fall_multiple * COLD.0).min(COLD.1) * self.our_share()
     }
 
     /// Orders the shares that differ from what proxies were told: none of the writes during a handover.
@@ -744,15 +751,9 @@
                     *told = ((1.0 - (line - rank as f64)).clamp(0.0, 1.0) * 20.0).round() / 20.0;
                 }
             }
-            for share in wanted.clone() {
-                let differs = |m: &usize| wanted[*m] == share && slice.told[*m] != share;
-                let methods = (0..wanted.len()).filter(differs).fold(0, |mask, m| mask | 1 << m);
-                if methods != 0 {
-                    let level = Order::Level { slice: id, share, methods, tries: self.cfg.tries };
-                    if !self.out.contains(&level) {
-                        self.out.push(level);
-                    }
-                }
+            for (method, share) in wanted.iter().enumerate().filter(|(m, share)| slice.told[*m] != **share) {
+                let (share, methods, tries) = (*share, 1 << method, self.cfg.tries);
+                self.out.push(Order::Level { slice: id, share, methods, tries });
             }
             self.slices[id].told = wanted;
         }
