Measures halve in one period; every ordinary move needs answers that wait threefold

A half-life of one period (1.5 before), waiting from three times the free time (2), and leveling too only while answers wait somewhere.

Harm: a server that is slow but not three times slower keeps its slices.

--- a/crates/whinhill/src/assigner.rs
+++ b/crates/whinhill/src/assigner.rs
@@ -1,8 +1,7 @@
 //! Every decision of the control plane. [`Assigner::handle`] is the one entry point: it takes all that
 //! happened at one time and returns what is to be done, in order; one call's orders become one message
 //! for each proxy. The types stand in `interface.rs`, the reasons and the sources in `docs/design.md`.
-//!
-//! In reading order: settings, list and health, estimates, plan, handover, levels, channel.
+//! In reading order: tuned values, list and health, estimates, plan, handover, levels, channel.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -33,7 +32,7 @@
 /// Part of its room that a cold server offers (design page). More: it is pushed over.
 const NEW_OFFERS: f64 = 0.5;
 /// Times the free time of an answer from which answers wait. Lower: moves after noise.
-const WAITING: f64 = 2.0;
+const WAITING: f64 = 3.0;
 /// How often handovers, drains and calls under way are looked at. Longer: slices stay without an owner.
 const TICK: Duration = Duration::from_millis(50);
 /// Demand, against a server's average, that counts at the fleet's usual cost. Less: costs follow noise.
@@ -41,7 +40,7 @@
 /// Load that the average server is taken to have where servers don't report how busy they are.
 const USUAL: f64 = 0.5;
 /// Measures halve in this many report periods. Fewer: noise; more: late.
-const HALF: f64 = 1.5;
+const HALF: f64 = 1.0;
 /// Share of tries lost, and times the others' share, that make a server sick. Lower: healthy ones go.
 const SICK: (f64, f64) = (0.3, 3.0);
 /// Tries (or RPCs expected) below which nothing is said about a server.
@@ -481,12 +480,13 @@
             return;
         }
         let view = self.view();
-        let (mut hot, mut skewed) = (false, false);
-        for (load, _) in view.loads.iter().zip(&self.servers).filter(|(_, s)| usable(s)) {
+        let (mut hot, mut skewed, mut waits) = (false, false, false);
+        for (load, server) in view.loads.iter().zip(&self.servers).filter(|(_, s)| usable(s)) {
             hot |= *load > THRESHOLD;
+            waits |= self.waits(server);
             skewed |= *load > (1.0 + SKEW) * view.average || *load < (1.0 - SKEW) * view.average;
         }
-        self.plan.skewed = if skewed { self.plan.skewed + 1 } else { 0 };
+        self.plan.skewed = if skewed && waits { self.plan.skewed + 1 } else { 0 };
         let find = |limit: f64, partly| self.pass(&view, limit, partly).filter(|moves| !moves.is_empty());
         let level = || TARGETS.iter().find_map(|t| find((t * view.average).min(THRESHOLD), false));
         let leveling = if self.plan.skewed >= SKEW_ROUNDS { level() } else { None };
--- a/crates/whinhill/src/assigner/tests.rs
+++ b/crates/whinhill/src/assigner/tests.rs
@@ -172,6 +172,17 @@
     assert_eq!(moves.iter().map(|m| m.0).collect::<Vec<_>>(), [2]);
 }
 
+#[test]
+fn skew_alone_moves_nothing_while_no_answers_wait() {
+    let mut a = fleet(3, &[(0, 0.9), (0, 0.9), (1, 0.3), (2, 0.3)]);
+    (0..2 * SKEW_ROUNDS).for_each(|_| a.make_plan());
+    assert!(a.plan.batches.is_empty());
+    met(&mut a, 0, 40, 0, 0.4);
+    a.servers[0].base = Some(0.1);
+    (0..SKEW_ROUNDS).for_each(|_| a.make_plan());
+    assert!(!a.plan.batches.is_empty());
+}
+
 #[test]
 fn leveling_finds_nothing_to_do_in_a_level_fleet() {
     let a = fleet(3, &[(0, 0.3), (1, 0.3), (2, 0.3)]);
@@ -267,7 +278,7 @@
     let mut a = fleet(5, &[]);
     (0..3).for_each(|i| met(&mut a, i, 40, 0, 0.1));
     met(&mut a, 3, 40, 20, 0.1);
-    met(&mut a, 4, 40, 20, 0.3);
+    met(&mut a, 4, 40, 20, 0.45);
     a.servers[4].base = Some(0.1);
     a.judge();
     assert!(a.servers[3].sick.is_some());
@@ -285,7 +296,7 @@
 
 #[test]
 fn a_silent_owner_is_sick_only_if_its_peers_answer() {
-    let mut a = fleet(4, &[(0, 20.0), (1, 20.0), (2, 20.0), (3, 20.0)]);
+    let mut a = fleet(4, &[(0, 60.0), (1, 60.0), (2, 60.0), (3, 60.0)]);
     a.now = s(103.0);
     a.judge();
     assert!(a.servers.iter().all(|s| s.sick.is_none()));
@@ -308,7 +319,7 @@
 
 #[test]
 fn servers_of_a_zone_whose_proxies_all_left_are_cut_off_not_sick() {
-    let mut a = fleet(3, &[(0, 60.0), (1, 60.0), (2, 60.0)]);
+    let mut a = fleet(3, &[(0, 300.0), (1, 300.0), (2, 300.0)]);
     a.servers[0].zone = 1;
     a.proxies.insert(2, Proxy { zone: 1, joined: false, since: s(100.0) });
     for (at, sick) in [(104.0, false), (106.0, true)] {
@@ -323,11 +334,11 @@
 fn an_overloaded_server_is_let_less_of_the_least_critical_method_first() {
     let mut a = fleet(1, &[(0, 40.0)]);
     a.came.iter_mut().for_each(|sum| sum.add(a.now, a.half, 30.0));
-    met(&mut a, 0, 60, 0, 0.9);
+    met(&mut a, 0, 40, 0, 0.9);
     a.judge_limits();
     a.draw_lines();
     a.order_levels();
-    // It did 60 of work in 1.5 s of half-life: ln 2 / 1.5 * 60 = 27.7 a second; nine tenths are 25 of 40.
+    // It did 40 in a half-life of 1 s: ln 2 * 40 = 27.7 a second; nine tenths are 25 of the 40 that come.
     assert_eq!(a.out.pop(), Some(Order::Level { slice: 0, share: 0.25, methods: 1, tries: 0 }));
 }
 
