--- a/crates/whinhill/src/assigner.rs
+++ b/crates/whinhill/src/assigner.rs
@@ -144,10 +144,8 @@
             }
             Event::Probed { ep, result, load } => {
                 let server = self.server(*ep);
-                match result {
-                    Probe::Ok | Probe::Aborted => server.unanswered = 0,
-                    Probe::Unanswered => server.unanswered += 1,
-                    Probe::PushedBack => {}
+                if *result != Probe::PushedBack {
+                    server.unanswered = if *result == Probe::Unanswered { server.unanswered + 1 } else { 0 };
                 }
                 self.take_load(*ep, load);
             }
@@ -157,8 +155,11 @@
                 let zone = self.proxies.get(proxy).map_or(usize::MAX, |p| p.zone);
                 self.proxies.insert(*proxy, Proxy { zone, joined: false, since: self.now });
                 for handover in self.slices.iter_mut().filter_map(|s| s.handover.as_mut()) {
-                    handover.awaits.retain(|(p, _)| p != proxy);
-                    handover.quiet = handover.quiet.max(until);
+                    // One that has answered holds the stop; its leaving, or a restart, delays nothing.
+                    if handover.awaits.get(proxy).is_some_and(Option::is_some) {
+                        handover.awaits.remove(proxy);
+                        handover.quiet = handover.quiet.max(until);
+                    }
                 }
             }
             Event::Acked { proxy, mark, way } => self.acked(*proxy, *mark, *way),
@@ -598,21 +599,20 @@
         self.channel.mark_wanted = true;
         let lease = self.cfg.lease;
         let absent = self.proxies.values().filter(|p| !p.joined).map(|p| p.since + lease).max();
-        let awaits = self.proxies.iter().filter(|(_, p)| p.joined).map(|(id, _)| (*id, mark)).collect();
+        let awaits = self.proxies.iter().filter(|(_, p)| p.joined).map(|(id, _)| (*id, Some(mark)));
         let slice = &mut self.slices[id];
         let quiet = absent.unwrap_or_default().max(slice.given + lease);
-        slice.handover = Some(Handover { awaits, ordered: self.now, quiet, cut: false, to });
+        slice.handover =
+            Some(Handover { awaits: awaits.collect(), ordered: self.now, quiet, cut: false, to });
         if cut {
             self.cut(id);
         }
     }
 
     fn cut(&mut self, id: SliceId) {
-        let slice = &mut self.slices[id];
-        if let (Some(handover), Some(owner)) = (&mut slice.handover, slice.owner) {
-            handover.cut = true;
-            self.out.push(Order::Revoke { slice: id, ep: self.servers[owner].ep });
-        }
+        let Slice { handover: Some(handover), owner: Some(owner), .. } = &mut self.slices[id] else { return };
+        handover.cut = true;
+        self.out.push(Order::Revoke { slice: id, ep: self.servers[*owner].ep });
     }
 
     /// A proxy that joins holds what it held; it must hear of every handover under way before the grant.
@@ -620,9 +620,9 @@
         self.proxies.insert(proxy, Proxy { zone, joined: true, since: self.now });
         let mark = self.channel.marks + 1;
         for slice in self.slices.iter_mut().filter(|s| s.owner.is_some()) {
-            let Some(handover) = &mut slice.handover else { continue };
-            handover.awaits.retain(|(p, _)| *p != proxy);
-            handover.awaits.push((proxy, mark));
+            let holds = |h: &Handover| h.cut && h.awaits.get(&proxy) == Some(&None);
+            let Some(handover) = slice.handover.as_mut().filter(|h| !holds(h)) else { continue };
+            handover.awaits.insert(proxy, Some(mark));
             handover.ordered = self.now;
             slice.told.fill(f64::NAN);
             self.channel.mark_wanted = true;
@@ -634,9 +634,9 @@
         let mark =
             self.channel.marks.saturating_sub(self.channel.marks.wrapping_sub(u64::from(mark)) & 0xffff);
         for handover in self.slices.iter_mut().filter_map(|s| s.handover.as_mut()) {
-            let told = handover.awaits.iter().position(|(p, m)| *p == proxy && *m <= mark);
-            if let Some(at) = told {
-                handover.awaits.swap_remove(at);
+            let awaited = handover.awaits.get_mut(&proxy).filter(|m| m.is_some_and(|m| m <= mark));
+            if let Some(awaited) = awaited {
+                *awaited = None;
                 handover.quiet = handover.quiet.max(self.now.min(handover.ordered + way));
             }
         }
@@ -648,7 +648,7 @@
         for id in 0..self.slices.len() {
             let slice = &self.slices[id];
             let Some(handover) = slice.handover.as_ref().filter(|_| slice.ours) else { continue };
-            if !handover.awaits.is_empty() || self.now < handover.quiet + self.cfg.settle {
+            if handover.awaits.values().any(Option::is_some) || self.now < handover.quiet + self.cfg.settle {
                 continue;
             }
             let wanted = handover.to.filter(|to| usable(&self.servers[*to]));
@@ -735,7 +735,6 @@
 
     /// Orders the shares that differ from what proxies were told: none of the writes during a handover.
     fn order_levels(&mut self) {
-        let ranks = &self.cfg.ranks;
         for id in 0..self.slices.len() {
             let slice = &self.slices[id];
             let Some(owner) = slice.owner.filter(|_| slice.ours) else { continue };
@@ -743,7 +742,7 @@
             let stopped = slice.handover.as_ref().is_some_and(|h| !h.cut);
             let tune = self.has_room(0.25);
             let mut wanted = slice.told.clone();
-            for (rank, method) in ranks.iter().enumerate() {
+            for (rank, method) in self.cfg.ranks.iter().enumerate() {
                 let told = &mut wanted[*method];
                 if stopped && self.cfg.methods[*method].writes {
                     *told = 0.0;
--- a/crates/whinhill/src/assigner/tests.rs
+++ b/crates/whinhill/src/assigner/tests.rs
@@ -104,6 +104,16 @@
     assert_eq!(grants(&a.handle(s(104.5), &[Event::Acked { proxy: 2, mark: 2, way: s(0.4) }])), [(0, 1)]);
 }
 
+#[test]
+fn proxies_that_restart_one_after_the_other_do_not_hold_a_line_away() {
+    let mut a = moving();
+    a.handle(s(100.1), &[list(vec![entry(0, Listed::Gone)]), ack(0, 1), ack(1, 1)]);
+    for (at, proxy) in [(100.5, 0), (101.0, 1)] {
+        a.handle(s(at), &[Event::Left { proxy }, Event::Joined { proxy, zone: 0 }]);
+    }
+    assert_eq!(grants(&a.handle(s(101.4), &[Event::Timer])), [(0, 1)]);
+}
+
 #[test]
 fn an_owner_dead_mid_move_loses_its_line_at_once() {
     let mut a = moving();
--- a/crates/whinhill/src/state.rs
+++ b/crates/whinhill/src/state.rs
@@ -1,6 +1,6 @@
 //! What the module remembers. Types only: no decisions.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 use crate::interface::{Ep, Listed, ProxyId, SliceId, ZoneId};
@@ -94,8 +94,8 @@
 /// A handover under way: the owner's writes are stopped, and every proxy must be known to have stopped.
 #[derive(Clone, Debug, Default)]
 pub struct Handover {
-    /// Proxies that have yet to answer, each with the mark that it must answer.
-    pub awaits: Vec<(ProxyId, u64)>,
+    /// The mark that each proxy must answer; `None` once it has.
+    pub awaits: BTreeMap<ProxyId, Option<u64>>,
     pub ordered: Duration,
     /// No proxy sends writes to the old owner after this.
     pub quiet: Duration,
