--- a/crates/whinhill/src/assigner.rs
+++ b/crates/whinhill/src/assigner.rs
@@ -39,8 +39,6 @@
 const PAD: f64 = 0.3;
 /// Load that the average server is taken to have where servers don't report how busy they are.
 const USUAL: f64 = 0.5;
-/// Measures halve in this many report periods. Fewer: noise; more: late.
-const HALF: f64 = 1.0;
 /// Share of tries lost, and times the others' share, that make a server sick. Lower: healthy ones go.
 const SICK: (f64, f64) = (0.3, 3.0);
 /// Tries (or RPCs expected) below which nothing is said about a server.
@@ -64,8 +62,6 @@
 pub struct Assigner {
     cfg: Config,
     rng: ChaCha8Rng,
-    /// Measures halve in this time.
-    half: Duration,
     now: Duration,
     servers: Vec<Server>,
     proxies: BTreeMap<ProxyId, Proxy>,
@@ -83,7 +79,6 @@
     pub fn new(settings: &Settings, seed: u64) -> Result<Self, SettingsError> {
         let cfg = Config::read(settings)?;
         Ok(Assigner {
-            half: cfg.period.mul_f64(HALF),
             slices: vec![Slice::default(); settings.get("familyInfo.shards")?],
             came: vec![Sum::default(); cfg.methods.len()],
             cfg,
@@ -119,13 +114,16 @@
                 self.out.extend(ready.map(|s| Order::Probe { ep: s.ep }));
             }
         }
+        if now >= self.channel.wake && self.has_room(0.5) {
+            self.tell_joined();
+        }
         self.evacuate();
         self.advance();
         self.run_batches();
         if period || self.out.iter().any(|order| matches!(order, Order::Grant { .. })) {
             self.draw_lines();
         }
-        self.order_levels();
+        self.order_levels(period);
         self.close()
     }
 
@@ -133,14 +131,14 @@
         match event {
             Event::List { kind, entries } => self.take_list(*kind, entries),
             Event::Met { ep, tries, lost, wait, load, .. } => {
-                let (now, half) = (self.now, self.half);
+                let (now, half) = (self.now, self.cfg.period);
                 self.server(*ep).meet(now, half, *tries, *lost, *wait);
                 self.take_load(*ep, load);
             }
             Event::Demand { slice, method, rpcs, .. } => {
                 let weight = self.work(*method);
-                self.came[*method].add(self.now, self.half, *rpcs as f64);
-                self.slices[*slice].demand.add(self.now, self.half, weight * *rpcs as f64);
+                self.came[*method].add(self.now, self.cfg.period, *rpcs as f64);
+                self.slices[*slice].demand.add(self.now, self.cfg.period, weight * *rpcs as f64);
             }
             Event::Probed { ep, result, load } => {
                 let server = self.server(*ep);
@@ -216,10 +214,12 @@
                 (server.listed, server.told) = (Listed::Gone, now);
             }
         }
+        let mut restarted = false;
         for entry in entries {
             let server = self.server(entry.ep);
             if entry.listed == Listed::Ready && entry.started > server.started {
                 *server = Server { ep: entry.ep, started: entry.started, ..Server::default() };
+                restarted = true;
             }
             if entry.listed == Listed::Ready && server.listed == Listed::Gone {
                 server.last_ok = now;
@@ -229,6 +229,10 @@
             (server.listed, server.zone) = (entry.listed, entry.zone);
             server.size = entry.size.max(1e-3);
         }
+        if restarted {
+            // What a cold server owns must be cut to its budget at once.
+            self.next_period = now;
+        }
     }
 
     /// Asks for changes: at the start, after a failure, and when nothing has come for long.
@@ -244,7 +248,6 @@
         let server = self.server(ep);
         let cpu = load.cpu.map(|cpu| (0.5 * cpu + 0.5 * server.cpu.map_or(cpu, |old| old.0), now));
         server.cpu = cpu.or(server.cpu);
-        server.in_hand += 0.5 * load.in_hand.map_or(0.0, |in_hand| in_hand - server.in_hand);
         server.service = load.service.map(|service| service.as_secs_f64()).or(server.service);
     }
 
@@ -259,7 +262,7 @@
 
     /// Judges each server by several symptoms against its peers, and lets recovered ones back by steps.
     fn judge(&mut self) {
-        let (now, half) = (self.now, self.half);
+        let (now, half) = (self.now, self.cfg.period);
         let sum = |f: fn(&Server) -> &Sum| -> f64 { self.servers.iter().map(|s| f(s).read(now, half)).sum() };
         let (all_tries, all_lost) = (sum(|s| &s.tries), sum(|s| &s.lost));
         let heard = self.servers.iter().filter(|s| now < s.last_ok + self.cfg.period * 2).count();
@@ -303,7 +306,7 @@
         }
     }
 
-    // 2. Estimates.
+    // 2. Estimates. Measures halve in one report period: longer finds trouble late, shorter follows noise.
 
     /// Work of a method's RPC against the average: soft deadlines are the one hint at it.
     fn work(&self, method: MethodId) -> f64 {
@@ -314,9 +317,9 @@
     fn demand(&self) -> Vec<f64> {
         let rate = |slice: &Slice| {
             let age = self.now.saturating_sub(slice.given);
-            let seen = 1.0 - 0.5f64.powf(age.as_secs_f64() / self.half.as_secs_f64());
+            let seen = 1.0 - 0.5f64.powf(age.as_secs_f64() / self.cfg.period.as_secs_f64());
             let known = slice.ours && age > self.cfg.period * 2;
-            known.then(|| slice.demand.rate(self.now, self.half) / seen)
+            known.then(|| slice.demand.rate(self.now, self.cfg.period) / seen)
         };
         let rates: Vec<Option<f64>> = self.slices.iter().map(rate).collect();
         let known = rates.iter().flatten().count().max(1) as f64;
@@ -354,7 +357,7 @@
     /// Whether answers wait at a server: without that it isn't hot, however its load compares.
     fn waits(&self, server: &Server) -> bool {
         let free = server.service.or(server.base);
-        server.wait(self.now, self.half).zip(free).is_some_and(|(wait, free)| wait > WAITING * free)
+        server.wait(self.now, self.cfg.period).zip(free).is_some_and(|(wait, free)| wait > WAITING * free)
     }
 
     /// Splits each server's load over its slices. Where servers don't report how busy they are, load is demand
@@ -365,22 +368,15 @@
         let owned = self.demand_by(|s| s.handover.as_ref().and_then(|h| h.to).or(s.owner));
         let ready: Vec<&Server> = self.servers.iter().filter(|s| s.listed == Listed::Ready).collect();
         let count = ready.len().max(1) as f64;
-        // A stale report is unknown, not idle. The part of it that is ours goes by the RPCs in hand.
-        let told = |s: &Server| {
-            let cpu = s.cpu.filter(|(_, at)| now < *at + fresh)?.0;
-            let in_hand = s.waits.rate(now, self.half);
-            let part = ((in_hand + share) / (s.in_hand + 1.0)).clamp(share / 3.0, 1.0);
-            Some((cpu * if share > 0.99 { 1.0 } else { part }, cpu))
-        };
+        // A stale report is unknown, not idle. Of a server's load, our share of slices is taken to be ours.
+        let told = |s: &Server| s.cpu.filter(|(_, at)| now < *at + fresh).map(|(cpu, _)| cpu);
         let busy = ready.iter().any(|s| told(s).is_some());
         let limits = self.limits();
-        let (mut loads, mut owns) = (0.0, 0.0);
-        for server in &ready {
-            if let Some(ours) = told(server).map(|t| t.0).or((!busy).then_some(USUAL * share)) {
-                loads += ours;
-                owns += owned[server.ep.index] * (1.0 - server.shut_out) / server.size;
-            }
-        }
+        let known = ready.iter().filter_map(|s| {
+            let own = owned[s.ep.index] * (1.0 - s.shut_out) / s.size;
+            told(s).or((!busy).then_some(USUAL)).map(|load| (load * share, own))
+        });
+        let (loads, owns) = known.fold((0.0, 0.0), |sum, one| (sum.0 + one.0, sum.1 + one.1));
         let usual = if owns > 0.0 { loads / owns } else { 0.0 };
         let pad = PAD * owned.iter().sum::<f64>() / count;
         let mut view = View { demand: self.demand(), ..View::default() };
@@ -388,11 +384,11 @@
             let ramp = self.ramp(server);
             let let_in = owned * (1.0 - server.shut_out);
             let unit = match (told(server), limits[server.ep.index]) {
-                (Some((ours, _)), _) if ramp >= 1.0 => (ours + usual * pad) / (let_in + pad).max(1e-9),
+                (Some(cpu), _) if ramp >= 1.0 => (cpu * share + usual * pad) / (let_in + pad).max(1e-9),
                 (None, limit) if !busy && limit.is_finite() => 1.0 / limit.max(1e-9),
                 _ => usual / server.size.max(1e-3),
             };
-            let others = told(server).map_or(USUAL * (1.0 - share), |(ours, all)| all - ours);
+            let others = told(server).unwrap_or(USUAL) * (1.0 - share);
             let own = owned * unit / ramp;
             let mut load = own + others / ramp;
             if !self.waits(server) {
@@ -405,7 +401,6 @@
                 true => (THRESHOLD - load) * (1.0 - server.doubt) * share,
                 false => 0.0,
             };
-            view.own.push(own);
             view.loads.push(load);
             view.units.push(unit / ramp);
             view.rooms.push(room.max(0.0));
@@ -481,13 +476,11 @@
             return;
         }
         let view = self.view();
-        let (mut hot, mut skewed, mut waits) = (false, false, false);
-        for (load, server) in view.loads.iter().zip(&self.servers).filter(|(_, s)| usable(s)) {
-            hot |= *load > THRESHOLD;
-            waits |= self.waits(server);
-            skewed |= *load > (1.0 + SKEW) * view.average || *load < (1.0 - SKEW) * view.average;
-        }
-        self.plan.skewed = if skewed && waits { self.plan.skewed + 1 } else { 0 };
+        let fit = || view.loads.iter().zip(&self.servers).filter(|(_, s)| usable(s));
+        let hot = fit().any(|(load, _)| *load > THRESHOLD);
+        let skew = |load: f64| load > (1.0 + SKEW) * view.average || load < (1.0 - SKEW) * view.average;
+        let skewed = fit().any(|(load, _)| skew(*load)) && fit().any(|(_, server)| self.waits(server));
+        self.plan.skewed = if skewed { self.plan.skewed + 1 } else { 0 };
         let find = |limit: f64, partly| self.pass(&view, limit, partly).filter(|moves| !moves.is_empty());
         let level = || TARGETS.iter().find_map(|t| find((t * view.average).min(THRESHOLD), false));
         let leveling = if self.plan.skewed >= SKEW_ROUNDS { level() } else { None };
@@ -543,38 +536,30 @@
         }
     }
 
-    /// Slices whose owner is gone, draining, sick, or cold and over its budget leave at once.
+    /// Slices whose owner is gone, draining or sick leave at once; a cold one is guarded by levels.
     fn evacuate(&mut self) {
         // After a drain is told, reads may stay as long as their end still arrives within the grace.
         let lead = self.cfg.grace.saturating_sub(self.cfg.way_most.mul_f64(1.5));
-        let budget = self.cold_budget();
         let mut view = None;
         for id in 0..self.slices.len() {
-            let Some(owner) = self.slices[id].owner else { continue };
+            let Some(owner) = self.slices[id].owner.filter(|o| !usable(&self.servers[*o])) else { continue };
             let server = &self.servers[owner];
-            let (listed, well) = (server.listed, usable(server));
-            let drained = listed == Listed::Draining && self.now >= server.told + lead;
-            let bad = server.sick.is_some() || listed == Listed::Gone;
-            if let Some(handover) = &self.slices[id].handover {
-                if !handover.cut && (bad || drained) {
-                    self.cut(id);
+            let cut = server.listed != Listed::Draining || server.sick.is_some();
+            let drained = self.now >= server.told + lead;
+            match &self.slices[id].handover {
+                Some(handover) if !handover.cut && (cut || drained) => self.cut(id),
+                None if self.has_room(0.9) => {
+                    let v: &mut View = view.get_or_insert_with(|| self.view());
+                    let to = self.destination(id, v);
+                    if let Some(to) = to {
+                        let add = v.demand[id] * v.units[to];
+                        v.loads[to] += add;
+                        v.rooms[to] = (v.rooms[to] - add).max(0.0);
+                    }
+                    self.stop(id, to, cut);
                 }
-                continue;
-            }
-            if (well && self.ramp(server) >= 1.0) || !self.has_room(0.9) {
-                continue;
-            }
-            let mut v: View = view.take().unwrap_or_else(|| self.view());
-            let over = |to: &usize| v.own[owner] > budget && v.rooms[*to] >= v.demand[id] * v.units[*to];
-            let to = self.destination(id, &v).filter(|to| !well || over(to));
-            if let Some(to) = to {
-                let add = v.demand[id] * v.units[to];
-                v.own[owner] -= v.demand[id] * v.units[owner];
-                v.loads[to] += add;
-                v.rooms[to] = (v.rooms[to] - add).max(0.0);
-                self.stop(id, Some(to), bad);
+                _ => {}
             }
-            view = Some(v);
         }
     }
 
@@ -618,21 +603,32 @@
     /// A proxy that joins holds what it held; it must hear of every handover under way before the grant.
     fn join(&mut self, proxy: ProxyId, zone: ZoneId) {
         self.proxies.insert(proxy, Proxy { zone, joined: true, since: self.now });
-        let mark = self.channel.marks + 1;
-        for slice in self.slices.iter_mut().filter(|s| s.owner.is_some()) {
-            let holds = |h: &Handover| h.cut && h.awaits.get(&proxy) == Some(&None);
-            let Some(handover) = slice.handover.as_mut().filter(|h| !holds(h)) else { continue };
-            handover.awaits.insert(proxy, Some(mark));
-            handover.ordered = self.now;
-            slice.told.fill(f64::NAN);
-            self.channel.mark_wanted = true;
+        self.channel.tuned = None;
+        let owned = self.slices.iter_mut().filter(|s| s.owner.is_some());
+        for handover in owned.filter_map(|s| s.handover.as_mut()) {
+            if !handover.cut || handover.awaits.get(&proxy) != Some(&None) {
+                handover.awaits.insert(proxy, Some(u64::MAX));
+            }
+        }
+    }
+
+    /// Tells proxies that joined of the handovers under way, those of one tick together.
+    fn tell_joined(&mut self) {
+        for slice in &mut self.slices {
+            let Some(handover) = &mut slice.handover else { continue };
+            for untold in handover.awaits.values_mut().filter(|mark| **mark == Some(u64::MAX)) {
+                *untold = Some(self.channel.marks + 1);
+                (handover.ordered, self.channel.mark_wanted) = (self.now, true);
+                slice.told.fill(if handover.cut { 1.0 } else { f64::NAN });
+            }
         }
     }
 
     fn acked(&mut self, proxy: ProxyId, mark: u16, way: Duration) {
         // The wire's mark is the low half of ours; it was set lately.
-        let mark =
-            self.channel.marks.saturating_sub(self.channel.marks.wrapping_sub(u64::from(mark)) & 0xffff);
+        let marks = self.channel.marks;
+        let mark = marks.saturating_sub(marks.wrapping_sub(u64::from(mark)) & 0xffff);
+        self.channel.tuned = self.channel.tuned.filter(|tuned| *tuned > mark);
         for handover in self.slices.iter_mut().filter_map(|s| s.handover.as_mut()) {
             let awaited = handover.awaits.get_mut(&proxy).filter(|m| m.is_some_and(|m| m <= mark));
             if let Some(awaited) = awaited {
@@ -675,7 +671,7 @@
     /// Where answers come late or are lost, a server can do a little less than it was seen to do. That
     /// grows while it binds without lateness.
     fn judge_limits(&mut self) {
-        let (now, half, soft) = (self.now, self.half, self.cfg.mean_soft);
+        let (now, half, soft) = (self.now, self.cfg.period, self.cfg.mean_soft);
         for (i, server) in self.servers.iter_mut().enumerate() {
             let served = server.oks.rate(now, half);
             let wait = server.wait(now, half).unwrap_or(0.0);
@@ -700,7 +696,7 @@
         let mut learned: Vec<f64> = ready().filter_map(|s| s.limit.map(|limit| limit / s.size)).collect();
         learned.sort_by(f64::total_cmp);
         let median = learned.get(learned.len() / 2).filter(|_| learned.len() * 4 > ready().count());
-        let shown = ready().filter(|s| !s.late).map(|s| s.oks.rate(self.now, self.half) / s.size);
+        let shown = ready().filter(|s| !s.late).map(|s| s.oks.rate(self.now, self.cfg.period) / s.size);
         let usual = median.map_or(f64::INFINITY, |median| shown.fold(*median, f64::max));
         self.servers.iter().map(|s| s.limit.unwrap_or(usual * s.size)).collect()
     }
@@ -709,7 +705,7 @@
     fn draw_lines(&mut self) {
         let view = self.view();
         let offered = self.demand_by(|s| s.owner);
-        let work = |m: &usize| self.came[*m].read(self.now, self.half) * self.work(*m);
+        let work = |m: &usize| self.came[*m].read(self.now, self.cfg.period) * self.work(*m);
         let works: Vec<f64> = self.cfg.ranks.iter().map(work).collect();
         let all = works.iter().sum::<f64>().max(1e-9);
         let limits = self.limits();
@@ -733,14 +729,17 @@
         (self.cfg.fall_multiple * COLD.0).min(COLD.1) * self.our_share()
     }
 
-    /// Orders the shares that differ from what proxies were told: none of the writes during a handover.
-    fn order_levels(&mut self) {
+    /// Orders the shares that differ from what proxies were told: none of the writes during a handover. What only
+    /// tunes goes out once a period, after an ack of the last: a channel slower than any guess must not fill.
+    fn order_levels(&mut self, period: bool) {
+        let open = period && self.channel.tuned.is_none();
         for id in 0..self.slices.len() {
             let slice = &self.slices[id];
             let Some(owner) = slice.owner.filter(|_| slice.ours) else { continue };
             let line = self.servers[owner].line;
             let stopped = slice.handover.as_ref().is_some_and(|h| !h.cut);
-            let tune = self.has_room(0.25);
+            let cold = period && self.ramp(&self.servers[owner]) < 1.0 && self.has_room(0.5);
+            let tune = slice.stays == self.now + STAY || cold || open && self.has_room(0.25);
             let mut wanted = slice.told.clone();
             for (rank, method) in self.cfg.ranks.iter().enumerate() {
                 let told = &mut wanted[*method];
@@ -753,6 +752,9 @@
             for (method, share) in wanted.iter().enumerate().filter(|(m, share)| slice.told[*m] != **share) {
                 let (share, methods, tries) = (*share, 1 << method, self.cfg.tries);
                 self.out.push(Order::Level { slice: id, share, methods, tries });
+                if open {
+                    (self.channel.mark_wanted, self.channel.tuned) = (true, Some(self.channel.marks + 1));
+                }
             }
             self.slices[id].told = wanted;
         }
--- a/crates/whinhill/src/state.rs
+++ b/crates/whinhill/src/state.rs
@@ -47,7 +47,6 @@
     /// Time of service as reported, in seconds.
     pub service: Option<f64>,
     pub cpu: Option<(f64, Duration)>,
-    pub in_hand: f64,
     pub unanswered: u32,
     pub sick: Option<Duration>,
     /// Part of its room that a server newly back from sickness does not offer yet.
@@ -94,7 +93,7 @@
 /// A handover under way: the owner's writes are stopped, and every proxy must be known to have stopped.
 #[derive(Clone, Debug, Default)]
 pub struct Handover {
-    /// The mark that each proxy must answer; `None` once it has.
+    /// The mark that each proxy must answer, `u64::MAX` until it is told; `None` once it has.
     pub awaits: BTreeMap<ProxyId, Option<u64>>,
     pub ordered: Duration,
     /// No proxy sends writes to the old owner after this.
@@ -121,8 +120,6 @@
 #[derive(Debug, Default)]
 pub struct View {
     pub loads: Vec<f64>,
-    /// The part of the loads that our slices make.
-    pub own: Vec<f64>,
     pub rooms: Vec<f64>,
     /// Load that a unit of demand adds.
     pub units: Vec<f64>,
@@ -157,6 +154,8 @@
     /// Marks set so far, and whether this reply needs one.
     pub marks: u64,
     pub mark_wanted: bool,
+    /// The mark of the last levels that only tune, until it is answered.
+    pub tuned: Option<u64>,
     /// Lines that wait, as reckoned at a time.
     pub lines: f64,
     pub at: Duration,
