--- a/crates/whinhill/src/assigner.rs
+++ b/crates/whinhill/src/assigner.rs
@@ -545,9 +545,8 @@
             let Some(owner) = self.slices[id].owner.filter(|o| !usable(&self.servers[*o])) else { continue };
             let server = &self.servers[owner];
             let cut = server.listed != Listed::Draining || server.sick.is_some();
-            let drained = self.now >= server.told + lead;
             match &self.slices[id].handover {
-                Some(handover) if !handover.cut && (cut || drained) => self.cut(id),
+                Some(moving) if !moving.cut && (cut || self.now >= server.told + lead) => self.cut(id),
                 None if self.has_room(0.9) => {
                     let v: &mut View = view.get_or_insert_with(|| self.view());
                     let to = self.destination(id, v);
@@ -649,8 +648,10 @@
             }
             let wanted = handover.to.filter(|to| usable(&self.servers[*to]));
             let stays = slice.owner.filter(|o| usable(&self.servers[*o]) && !handover.cut);
+            // With no other server ready, a sick owner is better than none.
+            let last = slice.owner.filter(|o| self.servers[*o].listed == Listed::Ready);
             let elsewhere = || self.destination(id, view.get_or_insert_with(|| self.view()));
-            let Some(to) = wanted.or(stays).or_else(elsewhere) else { continue };
+            let Some(to) = wanted.or(stays).or_else(elsewhere).or(last) else { continue };
             if let Some(v) = view.as_mut() {
                 v.loads[to] += v.demand[id] * v.units[to];
             }
@@ -781,8 +782,7 @@
         let local = |o: &&Order| matches!(o, Order::Log { .. } | Order::Probe { .. } | Order::Watch);
         let count = self.out.iter().filter(|o| !local(o)).count() as f64;
         let sent = now.saturating_sub(self.channel.at).as_secs_f64() * self.cfg.lines_per_s / SLOW_CHANNEL;
-        self.channel.lines = (self.channel.lines - sent).max(0.0);
-        self.channel.at = now;
+        (self.channel.lines, self.channel.at) = ((self.channel.lines - sent).max(0.0), now);
         self.channel.messages.retain(|at| now <= *at + self.cfg.messages_span);
         if count > 0.0 {
             self.channel.lines += joined * (count + self.cfg.head);
--- a/crates/whinhill/src/assigner/tests.rs
+++ b/crates/whinhill/src/assigner/tests.rs
@@ -131,6 +131,16 @@
     assert_eq!(a.slices[0].owner, Some(0));
 }
 
+#[test]
+fn a_sick_owner_gets_its_slice_back_when_no_other_server_is_ready() {
+    let mut a = moving();
+    a.servers[0].sick = Some(s(200.0));
+    a.handle(s(100.1), &[Event::Timer]);
+    let alone = list(vec![entry(1, Listed::Gone), entry(2, Listed::Gone)]);
+    a.handle(s(100.5), &[alone, ack(0, 1), ack(1, 1)]);
+    assert_eq!(grants(&a.handle(s(102.5), &[Event::Timer])), [(0, 0)]);
+}
+
 #[test]
 fn a_slice_taken_away_mid_move_is_not_granted() {
     let mut a = moving();
