--- a/crates/whinhill/src/assigner.rs
+++ b/crates/whinhill/src/assigner.rs
@@ -29,6 +29,8 @@
 const STAY: Duration = Duration::from_secs(20);
 /// The first wait after a failed call for the list; it doubles. Shorter: the list's service stays jammed.
 const ASK_AGAIN: Duration = Duration::from_millis(500);
+/// Longest ways of a message kept for taking a drained line away. Fewer: a filled channel breaks the grace.
+const DRAIN_WAYS: f64 = 1.75;
 /// Part of its room that a cold server offers (design page). More: it is pushed over.
 const NEW_OFFERS: f64 = 0.5;
 /// Times the free time of an answer from which answers wait. Lower: moves after noise.
@@ -153,7 +155,6 @@
                 let zone = self.proxies.get(proxy).map_or(usize::MAX, |p| p.zone);
                 self.proxies.insert(*proxy, Proxy { zone, joined: false, since: self.now });
                 for handover in self.slices.iter_mut().filter_map(|s| s.handover.as_mut()) {
-                    // One that has answered holds the stop; its leaving, or a restart, delays nothing.
                     if handover.awaits.get(proxy).is_some_and(Option::is_some) {
                         handover.awaits.remove(proxy);
                         handover.quiet = handover.quiet.max(until);
@@ -229,10 +230,8 @@
             (server.listed, server.zone) = (entry.listed, entry.zone);
             server.size = entry.size.max(1e-3);
         }
-        if restarted {
-            // What a cold server owns must be cut to its budget at once.
-            self.next_period = now;
-        }
+        // What a cold server owns must be cut to its budget at once.
+        self.next_period = if restarted { now } else { self.next_period };
     }
 
     /// Asks for changes: at the start, after a failure, and when nothing has come for long.
@@ -251,9 +250,8 @@
         server.service = load.service.map(|service| service.as_secs_f64()).or(server.service);
     }
 
-    /// Whether a zone's proxies have all left lately, or have just come back: then the path to it is broken
-    /// rather than its servers, and its slices stay for as long as their move would take. Harm: if the
-    /// servers died too, their slices leave that much later.
+    /// Whether a zone's proxies have all left lately, or are just back: then the path is broken, and slices
+    /// stay for as long as their move would take. Harm: if the servers died too, they leave so much later.
     fn cut_off(&self, zone: ZoneId) -> bool {
         let (gone, back) = (self.cfg.lease + self.cfg.settle, self.cfg.period * 2);
         let mut there = self.proxies.values().filter(|p| p.zone == zone).peekable();
@@ -285,16 +283,12 @@
             let quiet = silence > self.cfg.period * 2 && heard * 2 > ready;
             let silent = quiet && expected * silence.as_secs_f64() > 2.0 * ENOUGH;
             let dead = server.unanswered >= 2 && silence > self.cfg.period;
-            if usable(server)
-                && !cut_off
-                && (aborts || silent || dead)
-                && (sick + 1) as f64 <= SICK_MOST * ready as f64
-            {
+            let bad = !cut_off && (aborts || silent || dead);
+            if usable(server) && bad && (sick + 1) as f64 <= SICK_MOST * ready as f64 {
                 sick += 1;
                 server.sick = Some(now + SICK_FOR);
-                let (ms, probes) = (silence.as_millis(), server.unanswered);
-                let text = format!("lost {share:.2} of {tries:.0}, others {others:.2}, no ok for {ms} ms");
-                let text = format!("server {i} sick: {text}, {probes} probes unanswered");
+                let losses = format!("lost {share:.2} of {tries:.0}, others {others:.2}");
+                let text = format!("server {i} sick: {losses}, no ok for {silence:.1?}");
                 self.out.push(Order::Log { text });
             } else if server.sick.is_some_and(|until| now >= until && server.unanswered == 0) {
                 (server.sick, server.doubt, server.last_ok) = (None, DOUBT.0, now);
@@ -360,11 +354,11 @@
         server.wait(self.now, self.cfg.period).zip(free).is_some_and(|(wait, free)| wait > WAITING * free)
     }
 
-    /// Splits each server's load over its slices. Where servers don't report how busy they are, load is demand
-    /// over the capacity learned; until any is learned, demand by size, at `USUAL` on average.
+    /// Splits each server's load over the slices it serves. Where servers don't report how busy they are, it
+    /// is demand over the capacity learned; until any is learned, demand by size, at `USUAL` on average.
     fn view(&self) -> View {
         let (now, share, fresh) = (self.now, self.our_share(), self.cfg.period * 3);
-        // Each slice counts where it is going, so that moves show before the reports do.
+        // Loads count a slice where it is going, since reports lag; costs count it where it is served.
         let owned = self.demand_by(|s| s.handover.as_ref().and_then(|h| h.to).or(s.owner));
         let ready: Vec<&Server> = self.servers.iter().filter(|s| s.listed == Listed::Ready).collect();
         let count = ready.len().max(1) as f64;
@@ -372,8 +366,9 @@
         let told = |s: &Server| s.cpu.filter(|(_, at)| now < *at + fresh).map(|(cpu, _)| cpu);
         let busy = ready.iter().any(|s| told(s).is_some());
         let limits = self.limits();
+        let served = self.demand_by(|s| s.owner.filter(|_| s.handover.is_none()));
         let known = ready.iter().filter_map(|s| {
-            let own = owned[s.ep.index] * (1.0 - s.shut_out) / s.size;
+            let own = served[s.ep.index] * (1.0 - s.shut_out) / s.size;
             told(s).or((!busy).then_some(USUAL)).map(|load| (load * share, own))
         });
         let (loads, owns) = known.fold((0.0, 0.0), |sum, one| (sum.0 + one.0, sum.1 + one.1));
@@ -401,6 +396,7 @@
                 true => (THRESHOLD - load) * (1.0 - server.doubt) * share,
                 false => 0.0,
             };
+            view.own.push(own);
             view.loads.push(load);
             view.units.push(unit / ramp);
             view.rooms.push(room.max(0.0));
@@ -478,8 +474,8 @@
         let view = self.view();
         let fit = || view.loads.iter().zip(&self.servers).filter(|(_, s)| usable(s));
         let hot = fit().any(|(load, _)| *load > THRESHOLD);
-        let skew = |load: f64| load > (1.0 + SKEW) * view.average || load < (1.0 - SKEW) * view.average;
-        let skewed = fit().any(|(load, _)| skew(*load)) && fit().any(|(_, server)| self.waits(server));
+        let (low, high) = ((1.0 - SKEW) * view.average, (1.0 + SKEW) * view.average);
+        let skewed = fit().any(|(load, _)| !(low..=high).contains(load)) && fit().any(|(_, s)| self.waits(s));
         self.plan.skewed = if skewed { self.plan.skewed + 1 } else { 0 };
         let find = |limit: f64, partly| self.pass(&view, limit, partly).filter(|moves| !moves.is_empty());
         let level = || TARGETS.iter().find_map(|t| find((t * view.average).min(THRESHOLD), false));
@@ -536,26 +532,32 @@
         }
     }
 
-    /// Slices whose owner is gone, draining or sick leave at once; a cold one is guarded by levels.
+    /// Slices whose owner is gone, draining or sick leave at once, and, where there is room for them, those
+    /// that bring a cold one over its budget: they may come into demand sooner than levels tell.
     fn evacuate(&mut self) {
         // After a drain is told, reads may stay as long as their end still arrives within the grace.
-        let lead = self.cfg.grace.saturating_sub(self.cfg.way_most.mul_f64(1.5));
+        let lead = self.cfg.grace.saturating_sub(self.cfg.way_most.mul_f64(DRAIN_WAYS));
         let mut view = None;
         for id in 0..self.slices.len() {
-            let Some(owner) = self.slices[id].owner.filter(|o| !usable(&self.servers[*o])) else { continue };
+            let Some(owner) = self.slices[id].owner else { continue };
             let server = &self.servers[owner];
-            let cut = server.listed != Listed::Draining || server.sick.is_some();
+            let (well, listed) = (usable(server), server.listed);
+            let cut = listed != Listed::Draining || server.sick.is_some();
             match &self.slices[id].handover {
-                Some(moving) if !moving.cut && (cut || self.now >= server.told + lead) => self.cut(id),
-                None if self.has_room(0.9) => {
+                Some(moving) if well || moving.cut => {}
+                Some(_) if cut || self.now >= server.told + lead => self.cut(id),
+                None if self.has_room(0.9) && (!well || self.ramp(server) < 1.0) => {
                     let v: &mut View = view.get_or_insert_with(|| self.view());
                     let to = self.destination(id, v);
-                    if let Some(to) = to {
-                        let add = v.demand[id] * v.units[to];
-                        v.loads[to] += add;
-                        v.rooms[to] = (v.rooms[to] - add).max(0.0);
+                    let add = to.map_or(0.0, |to| v.demand[id] * v.units[to]);
+                    let over = v.own[owner] > self.cold_budget() && to.is_some_and(|to| v.rooms[to] >= add);
+                    if !well || over {
+                        v.own[owner] -= v.demand[id] * v.units[owner];
+                        to.into_iter().for_each(|to| {
+                            (v.loads[to], v.rooms[to]) = (v.loads[to] + add, v.rooms[to] - add)
+                        });
+                        self.stop(id, to, cut);
                     }
-                    self.stop(id, to, cut);
                 }
                 _ => {}
             }
@@ -624,7 +626,6 @@
     }
 
     fn acked(&mut self, proxy: ProxyId, mark: u16, way: Duration) {
-        // The wire's mark is the low half of ours; it was set lately.
         let marks = self.channel.marks;
         let mark = marks.saturating_sub(marks.wrapping_sub(u64::from(mark)) & 0xffff);
         self.channel.tuned = self.channel.tuned.filter(|tuned| *tuned > mark);
@@ -648,7 +649,6 @@
             }
             let wanted = handover.to.filter(|to| usable(&self.servers[*to]));
             let stays = slice.owner.filter(|o| usable(&self.servers[*o]) && !handover.cut);
-            // With no other server ready, a sick owner is better than none.
             let last = slice.owner.filter(|o| self.servers[*o].listed == Listed::Ready);
             let elsewhere = || self.destination(id, view.get_or_insert_with(|| self.view()));
             let Some(to) = wanted.or(stays).or_else(elsewhere).or(last) else { continue };
@@ -659,8 +659,7 @@
             let slice = &mut self.slices[id];
             (slice.owner, slice.handover, slice.stays) = (Some(to), None, self.now + STAY);
             // The first answers show only after the grant's way and a report.
-            let heard = self.now + self.cfg.way_most + self.cfg.period;
-            self.servers[to].last_ok = self.servers[to].last_ok.max(heard);
+            self.servers[to].last_ok = self.now + self.cfg.way_most + self.cfg.period;
             if !same {
                 self.out.push(Order::Grant { slice: id, ep: self.servers[to].ep });
             }
@@ -725,13 +724,13 @@
         }
     }
 
-    /// Load that our slices may bring a cold server: what it can do at present, well short of what topples it.
+    /// Load that our slices may bring a cold server.
     fn cold_budget(&self) -> f64 {
         (self.cfg.fall_multiple * COLD.0).min(COLD.1) * self.our_share()
     }
 
-    /// Orders the shares that differ from what proxies were told: none of the writes during a handover. What only
-    /// tunes goes out once a period, after an ack of the last: a channel slower than any guess must not fill.
+    /// Orders the shares that differ from what proxies were told: none of the writes during a handover. What
+    /// only tunes waits for a period and an ack of the last: the slowest of channels must not fill.
     fn order_levels(&mut self, period: bool) {
         let open = period && self.channel.tuned.is_none();
         for id in 0..self.slices.len() {
--- a/crates/whinhill/src/assigner/tests.rs
+++ b/crates/whinhill/src/assigner/tests.rs
@@ -182,7 +182,7 @@
     let loads = a.demand_by(|s| s.owner);
     let rooms = loads.iter().map(|l| (THRESHOLD - l).max(0.0)).collect();
     let average = loads.iter().sum::<f64>() / loads.len() as f64;
-    View { units: vec![1.0; loads.len()], loads, rooms, demand, average }
+    View { own: loads.clone(), units: vec![1.0; loads.len()], loads, rooms, demand, average }
 }
 
 #[test]
@@ -268,6 +268,15 @@
     assert!(orders.iter().any(shut));
 }
 
+#[test]
+fn a_cold_owner_over_its_budget_hands_slices_on_at_once() {
+    let mut a = fleet(4, &[(0, 3.0), (0, 3.0), (1, 3.0), (2, 3.0), (3, 1.0)]);
+    a.servers[0].started = Some(s(99.9));
+    a.evacuate();
+    let moved = a.slices.iter().filter(|s| s.handover.as_ref().is_some_and(|h| h.cut)).count();
+    assert!(moved > 0 && a.slices[2].handover.is_none());
+}
+
 #[test]
 fn no_batch_starts_while_the_channel_is_filled() {
     let mut a = fleet(3, &[(0, 0.5), (1, 0.3)]);
--- a/crates/whinhill/src/state.rs
+++ b/crates/whinhill/src/state.rs
@@ -120,6 +120,8 @@
 #[derive(Debug, Default)]
 pub struct View {
     pub loads: Vec<f64>,
+    /// The part of the loads that our slices make.
+    pub own: Vec<f64>,
     pub rooms: Vec<f64>,
     /// Load that a unit of demand adds.
     pub units: Vec<f64>,
