--- a/crates/whinhill/src/assigner.rs
+++ b/crates/whinhill/src/assigner.rs
@@ -1,7 +1,6 @@
 //! Every decision of the control plane. [`Assigner::handle`] is the one entry point: it takes all that
 //! happened at one time and returns what is to be done, in order; one call's orders become one message
 //! for each proxy. The types stand in `interface.rs`, the reasons and the sources in `docs/design.md`.
-//! In reading order: tuned values, list and health, estimates, plan, handover, levels, channel.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -29,6 +28,8 @@
 const STAY: Duration = Duration::from_secs(20);
 /// The first wait after a failed call for the list; it doubles. Shorter: the list's service stays jammed.
 const ASK_AGAIN: Duration = Duration::from_millis(500);
+/// Part of an average slice that an idle one counts for on a cold server. Less: idle slices crowd there.
+const CROWD: f64 = 0.6;
 /// Longest ways of a message kept for taking a drained line away. Fewer: a filled channel breaks the grace.
 const DRAIN_WAYS: f64 = 1.75;
 /// Part of its room that a cold server offers (design page). More: it is pushed over.
@@ -51,8 +52,7 @@
 const DOUBT: (f64, f64) = (0.75, 0.1);
 /// Most of the ready servers that may be held sick at a time. Higher: the rest fall over.
 const SICK_MOST: f64 = 0.5;
-/// What a cold server is brought: this part of what topples it, and of its present capacity at most. More:
-/// a cold cache and uneven arrivals push it over; less: warm servers take all that a release displaces.
+/// A cold server's budget: part of what topples it, and of its capacity. More: it topples; less: it idles.
 const COLD: (f64, f64) = (0.38, 1.3);
 /// The channel may run this many times slower than stated. Lower: the queue's rule is at risk.
 const SLOW_CHANNEL: f64 = 4.0;
@@ -151,13 +151,12 @@
             }
             Event::Joined { proxy, zone } => self.join(*proxy, *zone),
             Event::Left { proxy } => {
-                let until = self.now + self.cfg.lease;
                 let zone = self.proxies.get(proxy).map_or(usize::MAX, |p| p.zone);
                 self.proxies.insert(*proxy, Proxy { zone, joined: false, since: self.now });
                 for handover in self.slices.iter_mut().filter_map(|s| s.handover.as_mut()) {
                     if handover.awaits.get(proxy).is_some_and(Option::is_some) {
                         handover.awaits.remove(proxy);
-                        handover.quiet = handover.quiet.max(until);
+                        handover.quiet = handover.quiet.max(self.now + self.cfg.lease);
                     }
                 }
             }
@@ -243,8 +242,7 @@
     }
 
     fn take_load(&mut self, ep: Ep, load: &LoadReport) {
-        let now = self.now;
-        let server = self.server(ep);
+        let (now, server) = (self.now, self.server(ep));
         let cpu = load.cpu.map(|cpu| (0.5 * cpu + 0.5 * server.cpu.map_or(cpu, |old| old.0), now));
         server.cpu = cpu.or(server.cpu);
         server.service = load.service.map(|service| service.as_secs_f64()).or(server.service);
@@ -312,8 +310,8 @@
         let rate = |slice: &Slice| {
             let age = self.now.saturating_sub(slice.given);
             let seen = 1.0 - 0.5f64.powf(age.as_secs_f64() / self.cfg.period.as_secs_f64());
-            let known = slice.ours && age > self.cfg.period * 2;
-            known.then(|| slice.demand.rate(self.now, self.cfg.period) / seen)
+            (slice.ours && age > self.cfg.period * 2)
+                .then(|| slice.demand.rate(self.now, self.cfg.period) / seen)
         };
         let rates: Vec<Option<f64>> = self.slices.iter().map(rate).collect();
         let known = rates.iter().flatten().count().max(1) as f64;
@@ -359,7 +357,8 @@
     fn view(&self) -> View {
         let (now, share, fresh) = (self.now, self.our_share(), self.cfg.period * 3);
         // Loads count a slice where it is going, since reports lag; costs count it where it is served.
-        let owned = self.demand_by(|s| s.handover.as_ref().and_then(|h| h.to).or(s.owner));
+        let place = |s: &Slice| s.handover.as_ref().and_then(|h| h.to).or(s.owner);
+        let owned = self.demand_by(place);
         let ready: Vec<&Server> = self.servers.iter().filter(|s| s.listed == Listed::Ready).collect();
         let count = ready.len().max(1) as f64;
         // A stale report is unknown, not idle. Of a server's load, our share of slices is taken to be ours.
@@ -375,6 +374,8 @@
         let usual = if owns > 0.0 { loads / owns } else { 0.0 };
         let pad = PAD * owned.iter().sum::<f64>() / count;
         let mut view = View { demand: self.demand(), ..View::default() };
+        view.mean =
+            CROWD * owned.iter().sum::<f64>() / self.slices.iter().filter(|s| s.ours).count().max(1) as f64;
         for (server, owned) in self.servers.iter().zip(&owned) {
             let ramp = self.ramp(server);
             let let_in = owned * (1.0 - server.shut_out);
@@ -383,15 +384,14 @@
                 (None, limit) if !busy && limit.is_finite() => 1.0 / limit.max(1e-9),
                 _ => usual / server.size.max(1e-3),
             };
-            let others = told(server).unwrap_or(USUAL) * (1.0 - share);
+            let held = self.slices.iter().filter(|s| ramp < 1.0 && place(s) == Some(server.ep.index)).count();
             let own = owned * unit / ramp;
-            let mut load = own + others / ramp;
-            if !self.waits(server) {
-                load = load.min(THRESHOLD);
-            }
+            let crowd = own.max(view.mean * held as f64 * unit / ramp);
+            let load = own + told(server).unwrap_or(USUAL) * (1.0 - share) / ramp;
+            let load = if self.waits(server) { load } else { load.min(THRESHOLD) };
             let room = match usable(server) {
                 true if ramp < 1.0 => {
-                    ((THRESHOLD / ramp - load) * NEW_OFFERS * share).min(self.cold_budget() - own)
+                    ((THRESHOLD / ramp - load) * NEW_OFFERS * share).min(self.cold_budget() - crowd)
                 }
                 true => (THRESHOLD - load) * (1.0 - server.doubt) * share,
                 false => 0.0,
@@ -405,6 +405,12 @@
         view
     }
 
+    /// Load that a slice brings a server. To a cold one even an idle slice counts: it may come into demand.
+    fn add(&self, view: &View, id: SliceId, to: usize) -> f64 {
+        let least = if self.ramp(&self.servers[to]) < 1.0 { view.mean } else { 0.0 };
+        view.demand[id].max(least) * view.units[to]
+    }
+
     // 3. Plan.
 
     /// The ready servers beside the owner, in the slice's hash order, alike at every assigner.
@@ -444,7 +450,7 @@
                 let off = view.demand[id] * view.units[from];
                 let cost = if off >= excess { (0, off) } else { (1, -off) };
                 for to in self.others(id).into_iter().take(CANDIDATES) {
-                    let add = view.demand[id] * view.units[to];
+                    let add = self.add(view, id, to);
                     let fits = usable(&self.servers[to]) && add <= rooms[to] && loads[to] + add <= limit;
                     if fits && best.is_none_or(|(least, _)| cost < least) {
                         best = Some((cost, (id, to)));
@@ -455,7 +461,7 @@
                 Some((_, (id, to))) => {
                     loads[from] -= view.demand[id] * view.units[from];
                     loads[to] += view.demand[id] * view.units[to];
-                    rooms[to] -= view.demand[id] * view.units[to];
+                    rooms[to] -= self.add(view, id, to);
                     moves.push((id, to));
                 }
                 None if partly => stuck[from] = true,
@@ -489,8 +495,7 @@
         if found.is_empty() {
             return;
         }
-        let most = view.loads.iter().cloned().fold(0.0, f64::max);
-        let text = format!("{stage}: {} moves, average {:.2}, most {most:.2}", found.len(), view.average);
+        let text = format!("{stage}: {} moves, average {:.2}", found.len(), view.average);
         self.out.push(Order::Log { text });
         self.plan.skewed = 0;
         self.plan.batches = self.sequence(found, &view);
@@ -507,8 +512,7 @@
                     let incoming = moves.iter().filter(|m| m.1 == i);
                     view.loads[i] + incoming.map(|m| view.demand[m.0] * view.units[i]).sum::<f64>()
                 };
-                let least = moves.iter().map(|m| m.1).min_by(|a, b| after(*a).total_cmp(&after(*b)));
-                sinks.extend(least);
+                sinks.extend(moves.iter().map(|m| m.1).min_by(|a, b| after(*a).total_cmp(&after(*b))));
             }
             let (now, later) = moves.into_iter().partition(|m| sinks.contains(&m.1));
             batches.push_back(now);
@@ -549,7 +553,7 @@
                 None if self.has_room(0.9) && (!well || self.ramp(server) < 1.0) => {
                     let v: &mut View = view.get_or_insert_with(|| self.view());
                     let to = self.destination(id, v);
-                    let add = to.map_or(0.0, |to| v.demand[id] * v.units[to]);
+                    let add = to.map_or(0.0, |to| self.add(v, id, to));
                     let over = v.own[owner] > self.cold_budget() && to.is_some_and(|to| v.rooms[to] >= add);
                     if !well || over {
                         v.own[owner] -= v.demand[id] * v.units[owner];
@@ -568,7 +572,7 @@
     /// its hash order past those without room; failing that the least loaded one that is not cold and full.
     fn destination(&self, id: SliceId, view: &View) -> Option<usize> {
         let order = self.others(id);
-        let add = |i: &usize| view.demand[id] * view.units[*i];
+        let add = |i: &usize| self.add(view, id, *i);
         let fits = |i: &usize| usable(&self.servers[*i]) && view.rooms[*i] >= add(i);
         let least = |a: &usize, b: &usize| (view.loads[*a] + add(a)).total_cmp(&(view.loads[*b] + add(b)));
         let first = order.iter().copied().filter(fits).take(CANDIDATES).min_by(least);
@@ -581,9 +585,8 @@
 
     /// Stops a slice's writes at its owner, or with `cut` everything, and awaits every proxy.
     fn stop(&mut self, id: SliceId, to: Option<usize>, cut: bool) {
-        let mark = self.channel.marks + 1;
+        let (mark, lease) = (self.channel.marks + 1, self.cfg.lease);
         self.channel.mark_wanted = true;
-        let lease = self.cfg.lease;
         let absent = self.proxies.values().filter(|p| !p.joined).map(|p| p.since + lease).max();
         let awaits = self.proxies.iter().filter(|(_, p)| p.joined).map(|(id, _)| (*id, Some(mark)));
         let slice = &mut self.slices[id];
@@ -626,8 +629,7 @@
     }
 
     fn acked(&mut self, proxy: ProxyId, mark: u16, way: Duration) {
-        let marks = self.channel.marks;
-        let mark = marks.saturating_sub(marks.wrapping_sub(u64::from(mark)) & 0xffff);
+        let mark = self.channel.marks.saturating_sub((self.channel.marks as u16).wrapping_sub(mark).into());
         self.channel.tuned = self.channel.tuned.filter(|tuned| *tuned > mark);
         for handover in self.slices.iter_mut().filter_map(|s| s.handover.as_mut()) {
             let awaited = handover.awaits.get_mut(&proxy).filter(|m| m.is_some_and(|m| m <= mark));
--- a/crates/whinhill/src/assigner/tests.rs
+++ b/crates/whinhill/src/assigner/tests.rs
@@ -182,7 +182,15 @@
     let loads = a.demand_by(|s| s.owner);
     let rooms = loads.iter().map(|l| (THRESHOLD - l).max(0.0)).collect();
     let average = loads.iter().sum::<f64>() / loads.len() as f64;
-    View { own: loads.clone(), units: vec![1.0; loads.len()], loads, rooms, demand, average }
+    View {
+        own: loads.clone(),
+        units: vec![1.0; loads.len()],
+        loads,
+        rooms,
+        demand,
+        average,
+        ..View::default()
+    }
 }
 
 #[test]
@@ -277,6 +285,13 @@
     assert!(moved > 0 && a.slices[2].handover.is_none());
 }
 
+#[test]
+fn idle_slices_do_not_crowd_onto_a_cold_server() {
+    let mut a = fleet(2, &[(0, 0.0), (0, 0.0), (0, 0.0), (0, 0.0), (1, 4.0), (1, 4.0)]);
+    a.servers[0].started = Some(s(99.0));
+    assert_eq!(a.view().rooms[0], 0.0);
+}
+
 #[test]
 fn no_batch_starts_while_the_channel_is_filled() {
     let mut a = fleet(3, &[(0, 0.5), (1, 0.3)]);
--- a/crates/whinhill/src/state.rs
+++ b/crates/whinhill/src/state.rs
@@ -126,6 +126,8 @@
     /// Load that a unit of demand adds.
     pub units: Vec<f64>,
     pub demand: Vec<f64>,
+    /// The demand of an average slice of ours.
+    pub mean: f64,
     pub average: f64,
 }
 
