--- a/crates/whinhill/src/assigner.rs
+++ b/crates/whinhill/src/assigner.rs
@@ -52,8 +52,9 @@
 const DOUBT: (f64, f64) = (0.75, 0.1);
 /// Most of the ready servers that may be held sick at a time. Higher: the rest fall over.
 const SICK_MOST: f64 = 0.5;
-/// A cold server's budget: part of what topples it, and of its capacity. More: it topples; less: it idles.
-const COLD: (f64, f64) = (0.38, 1.3);
+/// A cold server's budget: part of what topples it, most of its capacity, and a power of our share of the
+/// slices (others give it slices unseen). More: it topples; less: it idles while warm ones are full.
+const COLD: (f64, f64, f64) = (0.38, 1.3, 1.5);
 /// The channel may run this many times slower than stated. Lower: the queue's rule is at risk.
 const SLOW_CHANNEL: f64 = 4.0;
 /// Mean wait, as a part of the soft deadline, at which a server counts as overloaded.
@@ -198,8 +199,7 @@
         if kind == ListKind::Failed {
             let back_off = ASK_AGAIN * 2u32.pow(self.list.failures.min(3));
             let back_off = back_off.mul_f64(self.rng.random_range(0.7..1.3)).min(self.cfg.must_ask / 2);
-            self.list.failures += 1;
-            self.list.ask_at = Some(now + back_off);
+            (self.list.failures, self.list.ask_at) = (self.list.failures + 1, Some(now + back_off));
             return;
         }
         self.list.failures = 0;
@@ -728,7 +728,7 @@
 
     /// Load that our slices may bring a cold server.
     fn cold_budget(&self) -> f64 {
-        (self.cfg.fall_multiple * COLD.0).min(COLD.1) * self.our_share()
+        (self.cfg.fall_multiple * COLD.0).min(COLD.1) * self.our_share().powf(COLD.2)
     }
 
     /// Orders the shares that differ from what proxies were told: none of the writes during a handover. What
