--- a/crates/whinhill/src/assigner/tests.rs
+++ b/crates/whinhill/src/assigner/tests.rs
@@ -388,6 +388,29 @@
     }
 }
 
+#[test]
+fn a_gap_in_which_we_stood_still_makes_nobody_sick() {
+    let mut a = fleet(4, &[(0, 60.0), (1, 60.0), (2, 60.0), (3, 60.0)]);
+    a.handle(s(100.0), &[Event::Timer]);
+    a.handle(s(108.0), &[Event::Timer]);
+    assert!(a.servers.iter().all(|s| s.sick.is_none()));
+}
+
+#[test]
+fn a_silent_owner_listed_ready_leaves_though_a_proxy_is_away_and_another_acks_late() {
+    let mut a = fleet(4, &[(0, 300.0), (1, 300.0), (2, 300.0), (3, 300.0)]);
+    a.handle(s(102.0), &[Event::Left { proxy: 1 }]);
+    a.now = s(103.0);
+    (1..4).for_each(|i| met(&mut a, i, 20, 0, 0.1));
+    let orders = a.handle(s(103.0), &[Event::Timer]);
+    assert!(orders.contains(&Order::Revoke { slice: 0, ep: ep(0) }));
+    // The absent proxy's lease ends at 106, the other's answer tells of 106.5, and writes settle in 1.2 s.
+    (1..4).for_each(|i| met(&mut a, i, 20, 0, 0.1));
+    a.handle(s(107.0), &[Event::Acked { proxy: 0, mark: 1, way: s(3.5) }]);
+    assert_eq!(grants(&a.handle(s(107.6), &[Event::Timer])), []);
+    assert_eq!(grants(&a.handle(s(107.8), &[Event::Timer])).len(), 1);
+}
+
 #[test]
 fn an_overloaded_server_is_let_less_of_the_least_critical_method_first() {
     let mut a = fleet(1, &[(0, 40.0)]);
