Reckon demand and limits once a view; name what is cold, ready and ours in one place

A view worked out every slice's demand three times and the learned limits twice more for the lines; both now stand in the view. 'Ready servers' and 'cold' were written out six and five times; a slice that is not ours has neither owner nor handover, so the second check is gone. The stages are one chain, and elimination is no longer worked out where leveling has found moves. View's mean was misnamed: it is the demand an idle slice counts for.

--- a/crates/whinhill/src/assigner.rs
+++ b/crates/whinhill/src/assigner.rs
@@ -113,8 +113,8 @@
             self.judge_limits();
             self.make_plan();
             if self.cfg.probes {
-                let ready = self.servers.iter().filter(|s| s.listed == Listed::Ready);
-                self.out.extend(ready.map(|s| Order::Probe { ep: s.ep }));
+                let probes: Vec<Order> = self.ready().map(|s| Order::Probe { ep: s.ep }).collect();
+                self.out.extend(probes);
             }
         }
         if now >= self.channel.wake && self.has_room(0.5) {
@@ -194,6 +194,10 @@
         server
     }
 
+    fn ready(&self) -> impl Iterator<Item = &Server> {
+        self.servers.iter().filter(|s| s.listed == Listed::Ready)
+    }
+
     fn take_list(&mut self, kind: ListKind, entries: &[Entry]) {
         let now = self.now;
         if kind == ListKind::Failed {
@@ -262,9 +266,9 @@
         let sum = |f: fn(&Server) -> &Sum| -> f64 { self.servers.iter().map(|s| f(s).read(now, half)).sum() };
         let (all_tries, all_lost) = (sum(|s| &s.tries), sum(|s| &s.lost));
         let heard = self.servers.iter().filter(|s| now < s.last_ok + self.cfg.period * 2).count();
-        let ready = self.servers.iter().filter(|s| s.listed == Listed::Ready).count();
-        let mut sick = self.servers.iter().filter(|s| s.listed == Listed::Ready && s.sick.is_some()).count();
-        let expected = self.demand_by(|slice| slice.owner.filter(|_| slice.handover.is_none()));
+        let ready = self.ready().count();
+        let mut sick = self.ready().filter(|s| s.sick.is_some()).count();
+        let expected = self.demand_by(&self.demand(), |s| s.owner.filter(|_| s.handover.is_none()));
         for (i, expected) in expected.into_iter().enumerate() {
             let cut_off = self.cut_off(self.servers[i].zone);
             let server = &mut self.servers[i];
@@ -316,16 +320,14 @@
         let rates: Vec<Option<f64>> = self.slices.iter().map(rate).collect();
         let known = rates.iter().flatten().count().max(1) as f64;
         let mean = rates.iter().flatten().sum::<f64>() / known;
-        rates
-            .into_iter()
-            .zip(&self.slices)
-            .map(|(r, s)| r.unwrap_or(if s.ours { mean } else { 0.0 }))
-            .collect()
+        let or_mean =
+            |(rate, slice): (Option<f64>, &Slice)| rate.unwrap_or(if slice.ours { mean } else { 0.0 });
+        rates.into_iter().zip(&self.slices).map(or_mean).collect()
     }
 
-    fn demand_by(&self, place: impl Fn(&Slice) -> Option<usize>) -> Vec<f64> {
+    fn demand_by(&self, demand: &[f64], place: impl Fn(&Slice) -> Option<usize>) -> Vec<f64> {
         let mut sums = vec![0.0; self.servers.len()];
-        for (slice, demand) in self.slices.iter().zip(self.demand()) {
+        for (slice, demand) in self.slices.iter().zip(demand) {
             if let Some(place) = place(slice) {
                 sums[place] += demand;
             }
@@ -333,10 +335,13 @@
         sums
     }
 
+    fn ours(&self) -> usize {
+        self.slices.iter().filter(|s| s.ours).count()
+    }
+
     /// Our share of all slices.
     fn our_share(&self) -> f64 {
-        let ours = self.slices.iter().filter(|s| s.ours).count();
-        ours as f64 / self.slices.len().max(1) as f64
+        self.ours() as f64 / self.slices.len().max(1) as f64
     }
 
     /// Present capacity as a part of the full one, at the slowest ramp that the rules allow.
@@ -346,6 +351,10 @@
         (self.cfg.cold_from + (1.0 - self.cfg.cold_from) * age).min(1.0)
     }
 
+    fn cold(&self, server: usize) -> bool {
+        self.ramp(&self.servers[server]) < 1.0
+    }
+
     /// Whether answers wait at a server: without that it isn't hot, however its load compares.
     fn waits(&self, server: &Server) -> bool {
         let free = server.service.or(server.base);
@@ -358,14 +367,14 @@
         let (now, share, fresh) = (self.now, self.our_share(), self.cfg.period * 3);
         // Loads count a slice where it is going, since reports lag; costs count it where it is served.
         let place = |s: &Slice| s.handover.as_ref().and_then(|h| h.to).or(s.owner);
-        let owned = self.demand_by(place);
-        let ready: Vec<&Server> = self.servers.iter().filter(|s| s.listed == Listed::Ready).collect();
+        let demand = self.demand();
+        let owned = self.demand_by(&demand, place);
+        let ready: Vec<&Server> = self.ready().collect();
         let count = ready.len().max(1) as f64;
         // A stale report is unknown, not idle. Of a server's load, our share of slices is taken to be ours.
         let told = |s: &Server| s.cpu.filter(|(_, at)| now < *at + fresh).map(|(cpu, _)| cpu);
         let busy = ready.iter().any(|s| told(s).is_some());
-        let limits = self.limits();
-        let served = self.demand_by(|s| s.owner.filter(|_| s.handover.is_none()));
+        let served = self.demand_by(&demand, |s| s.owner.filter(|_| s.handover.is_none()));
         let known = ready.iter().filter_map(|s| {
             let own = served[s.ep.index] * (1.0 - s.shut_out) / s.size;
             told(s).or((!busy).then_some(USUAL)).map(|load| (load * share, own))
@@ -373,20 +382,19 @@
         let (loads, owns) = known.fold((0.0, 0.0), |sum, one| (sum.0 + one.0, sum.1 + one.1));
         let usual = if owns > 0.0 { loads / owns } else { 0.0 };
         let pad = PAD * owned.iter().sum::<f64>() / count;
-        let mut view = View { demand: self.demand(), ..View::default() };
-        view.mean =
-            CROWD * owned.iter().sum::<f64>() / self.slices.iter().filter(|s| s.ours).count().max(1) as f64;
+        let idle = CROWD * owned.iter().sum::<f64>() / self.ours().max(1) as f64;
+        let mut view = View { demand, limits: self.limits(), idle, ..View::default() };
         for (server, owned) in self.servers.iter().zip(&owned) {
             let ramp = self.ramp(server);
             let let_in = owned * (1.0 - server.shut_out);
-            let unit = match (told(server), limits[server.ep.index]) {
+            let unit = match (told(server), view.limits[server.ep.index]) {
                 (Some(cpu), _) if ramp >= 1.0 => (cpu * share + usual * pad) / (let_in + pad).max(1e-9),
                 (None, limit) if !busy && limit.is_finite() => 1.0 / limit.max(1e-9),
                 _ => usual / server.size.max(1e-3),
             };
             let held = self.slices.iter().filter(|s| ramp < 1.0 && place(s) == Some(server.ep.index)).count();
             let own = owned * unit / ramp;
-            let crowd = own.max(view.mean * held as f64 * unit / ramp);
+            let crowd = own.max(view.idle * held as f64 * unit / ramp);
             let load = own + told(server).unwrap_or(USUAL) * (1.0 - share) / ramp;
             let load = if self.waits(server) { load } else { load.min(THRESHOLD) };
             let room = match usable(server) {
@@ -407,7 +415,7 @@
 
     /// Load that a slice brings a server. To a cold one even an idle slice counts: it may come into demand.
     fn add(&self, view: &View, id: SliceId, to: usize) -> f64 {
-        let least = if self.ramp(&self.servers[to]) < 1.0 { view.mean } else { 0.0 };
+        let least = if self.cold(to) { view.idle } else { 0.0 };
         view.demand[id].max(least) * view.units[to]
     }
 
@@ -415,15 +423,15 @@
 
     /// The ready servers beside the owner, in the slice's hash order, alike at every assigner.
     fn others(&self, id: SliceId) -> Vec<usize> {
-        let others = self.servers.iter().filter(|s| Some(s.ep.index) != self.slices[id].owner);
-        let ready = others.filter(|s| s.listed == Listed::Ready);
-        let mut order: Vec<(u64, usize)> = ready.map(|s| (mix(s.ep.stable, id as u64), s.ep.index)).collect();
+        let others = self.ready().filter(|s| Some(s.ep.index) != self.slices[id].owner);
+        let mut order: Vec<(u64, usize)> =
+            others.map(|s| (mix(s.ep.stable, id as u64), s.ep.index)).collect();
         order.sort_unstable_by(|a, b| b.cmp(a));
         order.into_iter().map(|(_, i)| i).collect()
     }
 
     fn movable(&self, slice: &Slice) -> bool {
-        slice.ours && slice.handover.is_none() && slice.owner.is_some() && self.now >= slice.stays
+        slice.handover.is_none() && slice.owner.is_some() && self.now >= slice.stays
     }
 
     /// The greedy pass: moves that bring every server of ours under `limit`, with little demand moved.
@@ -485,20 +493,16 @@
         self.plan.skewed = if skewed { self.plan.skewed + 1 } else { 0 };
         let find = |limit: f64, partly| self.pass(&view, limit, partly).filter(|moves| !moves.is_empty());
         let level = || TARGETS.iter().find_map(|t| find((t * view.average).min(THRESHOLD), false));
-        let leveling = if self.plan.skewed >= SKEW_ROUNDS { level() } else { None };
-        let (stage, found) = match (leveling, hot.then(|| find(THRESHOLD, false)).flatten()) {
-            (Some(moves), _) => ("leveling", moves),
-            (None, Some(moves)) => ("elimination", moves),
-            (None, None) if hot => ("mitigation", find(THRESHOLD, true).unwrap_or_default()),
-            (None, None) => return,
-        };
-        if found.is_empty() {
-            return;
-        }
-        let text = format!("{stage}: {} moves, average {:.2}", found.len(), view.average);
+        let cool = |partly| if hot { find(THRESHOLD, partly) } else { None };
+        let leveling = (self.plan.skewed >= SKEW_ROUNDS).then(level).flatten();
+        let found = leveling.map(|moves| ("leveling", moves));
+        let found = found.or_else(|| cool(false).map(|moves| ("elimination", moves)));
+        let found = found.or_else(|| cool(true).map(|moves| ("mitigation", moves)));
+        let Some((stage, moves)) = found else { return };
+        let text = format!("{stage}: {} moves, average {:.2}", moves.len(), view.average);
         self.out.push(Order::Log { text });
         self.plan.skewed = 0;
-        self.plan.batches = self.sequence(found, &view);
+        self.plan.batches = self.sequence(moves, &view);
     }
 
     /// Sinks first; a cycle breaks at the server least loaded after its incoming moves.
@@ -550,16 +554,16 @@
             match &self.slices[id].handover {
                 Some(moving) if well || moving.cut => {}
                 Some(_) if cut || self.now >= server.told + lead => self.cut(id),
-                None if self.has_room(0.9) && (!well || self.ramp(server) < 1.0) => {
+                None if self.has_room(0.9) && (!well || self.cold(owner)) => {
                     let v: &mut View = view.get_or_insert_with(|| self.view());
                     let to = self.destination(id, v);
                     let add = to.map_or(0.0, |to| self.add(v, id, to));
                     let over = v.own[owner] > self.cold_budget() && to.is_some_and(|to| v.rooms[to] >= add);
                     if !well || over {
                         v.own[owner] -= v.demand[id] * v.units[owner];
-                        to.into_iter().for_each(|to| {
-                            (v.loads[to], v.rooms[to]) = (v.loads[to] + add, v.rooms[to] - add)
-                        });
+                        if let Some(to) = to {
+                            (v.loads[to], v.rooms[to]) = (v.loads[to] + add, v.rooms[to] - add);
+                        }
                         self.stop(id, to, cut);
                     }
                 }
@@ -576,7 +580,7 @@
         let fits = |i: &usize| usable(&self.servers[*i]) && view.rooms[*i] >= add(i);
         let least = |a: &usize, b: &usize| (view.loads[*a] + add(a)).total_cmp(&(view.loads[*b] + add(b)));
         let first = order.iter().copied().filter(fits).take(CANDIDATES).min_by(least);
-        let full = |i: &usize| self.ramp(&self.servers[*i]) < 1.0 && !fits(i);
+        let full = |i: &usize| self.cold(*i) && !fits(i);
         let unfit = |i: &usize| (!usable(&self.servers[*i]), full(i));
         first.or_else(|| order.into_iter().min_by(|a, b| unfit(a).cmp(&unfit(b)).then(least(a, b))))
     }
@@ -645,7 +649,7 @@
         let mut view = None;
         for id in 0..self.slices.len() {
             let slice = &self.slices[id];
-            let Some(handover) = slice.handover.as_ref().filter(|_| slice.ours) else { continue };
+            let Some(handover) = slice.handover.as_ref() else { continue };
             if handover.awaits.values().any(Option::is_some) || self.now < handover.quiet + self.cfg.settle {
                 continue;
             }
@@ -706,15 +710,14 @@
     /// Draws each server's line of criticality by its limit, and by its budget while it is cold.
     fn draw_lines(&mut self) {
         let view = self.view();
-        let offered = self.demand_by(|s| s.owner);
+        let offered = self.demand_by(&view.demand, |s| s.owner);
         let work = |m: &usize| self.came[*m].read(self.now, self.cfg.period) * self.work(*m);
         let works: Vec<f64> = self.cfg.ranks.iter().map(work).collect();
         let all = works.iter().sum::<f64>().max(1e-9);
-        let limits = self.limits();
         for (i, offered) in offered.into_iter().enumerate() {
-            let cold = self.ramp(&self.servers[i]) < 1.0;
-            let budget = if cold { self.cold_budget() / view.units[i].max(1e-9) } else { f64::INFINITY };
-            let limit = limits[i].min(budget);
+            let budget =
+                if self.cold(i) { self.cold_budget() / view.units[i].max(1e-9) } else { f64::INFINITY };
+            let limit = view.limits[i].min(budget);
             let mut over = (1.0 - limit / offered.max(1e-9)).clamp(0.0, 0.9);
             self.servers[i].shut_out = over;
             let mut line = 0.0;
@@ -737,10 +740,10 @@
         let open = period && self.channel.tuned.is_none();
         for id in 0..self.slices.len() {
             let slice = &self.slices[id];
-            let Some(owner) = slice.owner.filter(|_| slice.ours) else { continue };
+            let Some(owner) = slice.owner else { continue };
             let line = self.servers[owner].line;
             let stopped = slice.handover.as_ref().is_some_and(|h| !h.cut);
-            let cold = period && self.ramp(&self.servers[owner]) < 1.0 && self.has_room(0.5);
+            let cold = period && self.cold(owner) && self.has_room(0.5);
             let tune = slice.stays == self.now + STAY || cold || open && self.has_room(0.25);
             let mut wanted = slice.told.clone();
             for (rank, method) in self.cfg.ranks.iter().enumerate() {
--- a/crates/whinhill/src/assigner/tests.rs
+++ b/crates/whinhill/src/assigner/tests.rs
@@ -179,7 +179,7 @@
 /// A view in which a unit of demand is a unit of load, and every server offers all its room.
 fn plain_view(a: &Assigner) -> View {
     let demand = a.demand();
-    let loads = a.demand_by(|s| s.owner);
+    let loads = a.demand_by(&demand, |s| s.owner);
     let rooms = loads.iter().map(|l| (THRESHOLD - l).max(0.0)).collect();
     let average = loads.iter().sum::<f64>() / loads.len() as f64;
     View {
--- a/crates/whinhill/src/state.rs
+++ b/crates/whinhill/src/state.rs
@@ -103,6 +103,7 @@
     pub to: Option<usize>,
 }
 
+/// One that is not ours has neither owner nor handover.
 #[derive(Clone, Debug, Default)]
 pub struct Slice {
     pub ours: bool,
@@ -126,8 +127,10 @@
     /// Load that a unit of demand adds.
     pub units: Vec<f64>,
     pub demand: Vec<f64>,
-    /// The demand of an average slice of ours.
-    pub mean: f64,
+    /// Work a second that each server can do.
+    pub limits: Vec<f64>,
+    /// The demand for which an idle slice counts on a cold server.
+    pub idle: f64,
     pub average: f64,
 }
 
