Follow each report's stretch, reckon the channel by acks, doubt a list that lies

Channel: only the time told what had left, at a quarter of the pace, so drains waited behind nothing. An answered mark now tells that what went before has left; grants go in pieces; what a drain still needs counts in its lead; a line taken away needs no level.

--- a/crates/whinhill/src/assigner.rs
+++ b/crates/whinhill/src/assigner.rs
@@ -2,7 +2,8 @@
 //! happened at one time and returns what is to be done, in order; one call's orders become one message
 //! for each proxy. The types stand in `interface.rs`, the reasons and the sources in `docs/design.md`.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 use rand::{Rng, SeedableRng};
@@ -46,10 +47,10 @@
 const SICK: (f64, f64) = (0.3, 3.0);
 /// Tries (or RPCs expected) below which nothing is said about a server.
 const ENOUGH: f64 = 6.0;
+/// Slices that a server never seen to serve may hold. More: a false list takes them; fewer: releases wait.
+const UNPROVEN: usize = 4;
 /// How long a sick server is left alone. Shorter: slices go back to a server still sick.
 const SICK_FOR: Duration = Duration::from_secs(8);
-/// Part of its room that a server back from sickness holds back, and how that falls each period.
-const DOUBT: (f64, f64) = (0.75, 0.1);
 /// Most of the ready servers that may be held sick at a time. Higher: the rest fall over.
 const SICK_MOST: f64 = 0.5;
 /// A cold server's budget: part of what topples it, most of its capacity, and a power of our share of the
@@ -69,8 +70,11 @@
     servers: Vec<Server>,
     proxies: BTreeMap<ProxyId, Proxy>,
     slices: Vec<Slice>,
+    orders: Vec<Vec<usize>>,
     /// RPCs that came for our slices, by method.
     came: Vec<Sum>,
+    /// The usual stretch of a report, in which measures halve.
+    half: Duration,
     next_period: Duration,
     list: Following,
     plan: Plan,
@@ -83,7 +87,9 @@
         let cfg = Config::read(settings)?;
         Ok(Assigner {
             slices: vec![Slice::default(); settings.get("familyInfo.shards")?],
+            orders: vec![Vec::new(); settings.get("familyInfo.shards")?],
             came: vec![Sum::default(); cfg.methods.len()],
+            half: cfg.period,
             cfg,
             rng: ChaCha8Rng::seed_from_u64(seed),
             now: Duration::ZERO,
@@ -100,8 +106,15 @@
     /// Takes all that happened at `now` and returns the orders, safety first.
     pub fn handle(&mut self, now: Duration, events: &[Event]) -> Vec<Order> {
         self.now = now;
-        for event in events {
-            self.take(event);
+        // Where more is told than the feed carries, reports come late, each for a longer stretch.
+        let mut spans: Vec<Duration> = events.iter().filter_map(Event::span).collect();
+        if spans.len() > self.ready().count() {
+            let middle = spans.len() / 2;
+            self.half = self.cfg.period.max(*spans.select_nth_unstable(middle).1);
+        }
+        events.iter().for_each(|event| self.take(event));
+        if self.orders.first().is_some_and(|order| order.len() < self.servers.len()) {
+            self.rank();
         }
         if self.list.ask_at.is_some_and(|at| now >= at) {
             self.ask();
@@ -110,12 +123,9 @@
         if period {
             self.next_period = now + self.cfg.period;
             self.judge();
-            self.judge_limits();
             self.make_plan();
-            if self.cfg.probes {
-                let probes: Vec<Order> = self.ready().map(|s| Order::Probe { ep: s.ep }).collect();
-                self.out.extend(probes);
-            }
+            let probed = self.servers.iter().filter(|s| self.cfg.probes && s.listed == Listed::Ready);
+            self.out.extend(probed.map(|s| Order::Probe { ep: s.ep }));
         }
         if now >= self.channel.wake && self.has_room(0.5) {
             self.tell_joined();
@@ -133,20 +143,21 @@
     fn take(&mut self, event: &Event) {
         match event {
             Event::List { kind, entries } => self.take_list(*kind, entries),
-            Event::Met { ep, tries, lost, wait, load, .. } => {
-                let (now, half) = (self.now, self.cfg.period);
-                self.server(*ep).meet(now, half, *tries, *lost, *wait);
+            Event::Met { ep, tries, lost, wait, load, span, .. } => {
+                let (now, half) = (self.now, self.half);
+                self.server(*ep).meet(now, half, (*tries, *lost), *wait, *span);
                 self.take_load(*ep, load);
             }
-            Event::Demand { slice, method, rpcs, .. } => {
-                let weight = self.work(*method);
-                self.came[*method].add(self.now, self.cfg.period, *rpcs as f64);
-                self.slices[*slice].demand.add(self.now, self.cfg.period, weight * *rpcs as f64);
+            Event::Demand { slice, method, rpcs, span, .. } => {
+                let (now, half, work) = (self.now, self.half, self.work(*method) * *rpcs as f64);
+                self.came[*method].add(now, half, *rpcs as f64, *span);
+                self.slices[*slice].demand.add(now, half, work, *span);
             }
             Event::Probed { ep, result, load } => {
                 let server = self.server(*ep);
                 if *result != Probe::PushedBack {
                     server.unanswered = if *result == Probe::Unanswered { server.unanswered + 1 } else { 0 };
+                    server.proven |= *result == Probe::Ok;
                 }
                 self.take_load(*ep, load);
             }
@@ -177,6 +188,7 @@
             Event::Taken { slice } => self.slices[*slice] = Slice::default(),
             Event::Stored { slice, ep } => {
                 let owner = self.server(*ep).ep.index;
+                self.servers[owner].proven = true;
                 (self.slices[*slice].owner, self.slices[*slice].handover) = (Some(owner), None);
             }
             Event::Timer => {}
@@ -194,8 +206,17 @@
         server
     }
 
+    /// Sorts the servers in each slice's hash order, alike at every assigner.
+    fn rank(&mut self) {
+        for (id, order) in self.orders.iter_mut().enumerate() {
+            *order = (0..self.servers.len()).collect();
+            order.sort_by_cached_key(|i| Reverse(self.servers[*i].ep.weight(id)));
+        }
+    }
+
+    /// Listed ready and seen to serve: a list may name servers that don't exist.
     fn ready(&self) -> impl Iterator<Item = &Server> {
-        self.servers.iter().filter(|s| s.listed == Listed::Ready)
+        self.servers.iter().filter(|s| s.listed == Listed::Ready && s.proven)
     }
 
     fn take_list(&mut self, kind: ListKind, entries: &[Entry]) {
@@ -211,27 +232,26 @@
         if kind == ListKind::Stored {
             self.ask();
         }
-        if kind != ListKind::Changes {
-            let kept: Vec<usize> = entries.iter().map(|e| e.ep.index).collect();
-            let held = self.servers.iter_mut().filter(|s| s.listed != Listed::Gone);
-            for server in held.filter(|s| !kept.contains(&s.ep.index)) {
-                (server.listed, server.told) = (Listed::Gone, now);
-            }
-        }
-        let mut restarted = false;
-        for entry in entries {
+        let named: BTreeSet<usize> = entries.iter().map(|e| e.ep.index).collect();
+        let absent = |s: &&Server| kind != ListKind::Changes && !named.contains(&s.ep.index);
+        let gone: Vec<Entry> = self.servers.iter().filter(absent).map(Server::gone).collect();
+        let (mut restarted, advice) = (false, self.cfg.gone_is_advice);
+        for entry in entries.iter().chain(&gone) {
             let server = self.server(entry.ep);
             if entry.listed == Listed::Ready && entry.started > server.started {
-                *server = Server { ep: entry.ep, started: entry.started, ..Server::default() };
+                let proven = server.proven;
+                *server = Server { ep: entry.ep, started: entry.started, proven, ..Server::default() };
                 restarted = true;
             }
+            // A list may lie: where gone is advice, a server that serves stays until its answers end too.
+            server.dropped = advice && entry.listed == Listed::Gone && server.listed == Listed::Ready;
             if entry.listed == Listed::Ready && server.listed == Listed::Gone {
                 server.last_ok = now;
             } else if entry.listed != Listed::Ready && server.listed == Listed::Ready {
                 server.told = now;
             }
-            (server.listed, server.zone) = (entry.listed, entry.zone);
-            server.size = entry.size.max(1e-3);
+            server.listed = if server.dropped { Listed::Ready } else { entry.listed };
+            (server.zone, server.size) = (entry.zone, entry.size.max(1e-3));
         }
         // What a cold server owns must be cut to its budget at once.
         self.next_period = if restarted { now } else { self.next_period };
@@ -255,17 +275,17 @@
     /// Whether a zone's proxies have all left lately, or are just back: then the path is broken, and slices
     /// stay for as long as their move would take. Harm: if the servers died too, they leave so much later.
     fn cut_off(&self, zone: ZoneId) -> bool {
-        let (gone, back) = (self.cfg.lease + self.cfg.settle, self.cfg.period * 2);
+        let (gone, back) = (self.cfg.lease + self.cfg.settle, self.half * 2);
         let mut there = self.proxies.values().filter(|p| p.zone == zone).peekable();
         there.peek().is_some() && there.all(|p| self.now < p.since + if p.joined { back } else { gone })
     }
 
     /// Judges each server by several symptoms against its peers, and lets recovered ones back by steps.
     fn judge(&mut self) {
-        let (now, half) = (self.now, self.cfg.period);
+        let (now, half) = (self.now, self.half);
         let sum = |f: fn(&Server) -> &Sum| -> f64 { self.servers.iter().map(|s| f(s).read(now, half)).sum() };
         let (all_tries, all_lost) = (sum(|s| &s.tries), sum(|s| &s.lost));
-        let heard = self.servers.iter().filter(|s| now < s.last_ok + self.cfg.period * 2).count();
+        let heard = self.servers.iter().filter(|s| now < s.last_ok + self.half * 2).count();
         let ready = self.ready().count();
         let mut sick = self.ready().filter(|s| s.sick.is_some()).count();
         let expected = self.demand_by(&self.demand(), |s| s.owner.filter(|_| s.handover.is_none()));
@@ -280,11 +300,27 @@
             let others = (all_lost - lost) / (all_tries - tries).max(1.0);
             let share = lost / tries.max(1.0);
             let silence = now.saturating_sub(server.last_ok);
-            let loaded = wait.is_some_and(|wait| wait > slow) && silence < self.cfg.period * 2;
+            let loaded = wait.is_some_and(|wait| wait > slow) && silence < self.half * 2;
             let aborts = tries >= ENOUGH && share > SICK.0.max(SICK.1 * others) && !loaded;
-            let quiet = silence > self.cfg.period * 2 && heard * 2 > ready;
+            let quiet = silence > self.half * 2 && heard * 2 > ready;
             let silent = quiet && expected * silence.as_secs_f64() > 2.0 * ENOUGH;
-            let dead = server.unanswered >= 2 && silence > self.cfg.period;
+            let dead = server.unanswered >= 2 && silence > self.half;
+            // Where answers come late or are lost, it can do a little less than it was seen to do. That grows
+            // while it binds without lateness.
+            let slows = wait.is_some_and(|w| w > WAITING * server.base.unwrap_or(w));
+            server.late =
+                wait.is_some_and(|w| w > LATE * self.cfg.mean_soft) || share > SICK.0 / 2.0 && slows;
+            if server.late && tries >= ENOUGH && usable(server) && now >= server.limited + half * 3 {
+                let (served, wait) = (server.oks.rate(now, half), wait.unwrap_or(0.0));
+                let text = format!("server {i} limited to {served:.1}: wait {wait:.2} s, lost {share:.2}");
+                self.out.extend(server.limit.is_none().then_some(Order::Log { text }));
+                (server.limit, server.limited) = (Some(served * LIMIT_STEP.0), now);
+            } else if !server.late && server.line > 0.0 {
+                server.limit = server.limit.map(|limit| limit * LIMIT_STEP.1);
+            }
+            if server.dropped && (quiet || dead || aborts) && !cut_off {
+                (server.listed, server.dropped, server.told) = (Listed::Gone, false, now);
+            }
             let bad = !cut_off && (aborts || silent || dead);
             if usable(server) && bad && (sick + 1) as f64 <= SICK_MOST * ready as f64 {
                 sick += 1;
@@ -293,11 +329,9 @@
                 let text = format!("server {i} sick: {losses}, no ok for {silence:.1?}");
                 self.out.push(Order::Log { text });
             } else if server.sick.is_some_and(|until| now >= until && server.unanswered == 0) {
-                (server.sick, server.doubt, server.last_ok) = (None, DOUBT.0, now);
+                (server.sick, server.proven, server.last_ok) = (None, false, now);
                 (server.tries, server.lost) = (Sum::default(), Sum::default());
-                self.out.push(Order::Log { text: format!("server {i} back at a quarter of its room") });
-            } else if server.sick.is_none() {
-                server.doubt = (server.doubt - DOUBT.1).max(0.0);
+                self.out.push(Order::Log { text: format!("server {i} back, to prove itself") });
             }
         }
     }
@@ -311,37 +345,24 @@
 
     /// Work that comes in a second, in average RPCs; for a slice not heard of yet, the others' mean.
     fn demand(&self) -> Vec<f64> {
-        let rate = |slice: &Slice| {
-            let age = self.now.saturating_sub(slice.given);
-            let seen = 1.0 - 0.5f64.powf(age.as_secs_f64() / self.cfg.period.as_secs_f64());
-            (slice.ours && age > self.cfg.period * 2)
-                .then(|| slice.demand.rate(self.now, self.cfg.period) / seen)
-        };
+        let heard = |s: &Slice| s.ours && self.now > s.given + self.half * 2;
+        let rate = |s: &Slice| heard(s).then(|| s.demand.rate(self.now, self.half));
         let rates: Vec<Option<f64>> = self.slices.iter().map(rate).collect();
-        let known = rates.iter().flatten().count().max(1) as f64;
-        let mean = rates.iter().flatten().sum::<f64>() / known;
-        let or_mean =
-            |(rate, slice): (Option<f64>, &Slice)| rate.unwrap_or(if slice.ours { mean } else { 0.0 });
+        let mean = rates.iter().flatten().sum::<f64>() / rates.iter().flatten().count().max(1) as f64;
+        let or_mean = |(rate, s): (Option<f64>, &Slice)| rate.unwrap_or(if s.ours { mean } else { 0.0 });
         rates.into_iter().zip(&self.slices).map(or_mean).collect()
     }
 
     fn demand_by(&self, demand: &[f64], place: impl Fn(&Slice) -> Option<usize>) -> Vec<f64> {
         let mut sums = vec![0.0; self.servers.len()];
-        for (slice, demand) in self.slices.iter().zip(demand) {
-            if let Some(place) = place(slice) {
-                sums[place] += demand;
-            }
-        }
+        let placed = self.slices.iter().zip(demand).filter_map(|(s, demand)| Some((place(s)?, demand)));
+        placed.for_each(|(place, demand)| sums[place] += demand);
         sums
     }
 
-    fn ours(&self) -> usize {
-        self.slices.iter().filter(|s| s.ours).count()
-    }
-
     /// Our share of all slices.
     fn our_share(&self) -> f64 {
-        self.ours() as f64 / self.slices.len().max(1) as f64
+        self.slices.iter().filter(|s| s.ours).count() as f64 / self.slices.len().max(1) as f64
     }
 
     /// Present capacity as a part of the full one, at the slowest ramp that the rules allow.
@@ -358,7 +379,7 @@
     /// Whether answers wait at a server: without that it isn't hot, however its load compares.
     fn waits(&self, server: &Server) -> bool {
         let free = server.service.or(server.base);
-        server.wait(self.now, self.cfg.period).zip(free).is_some_and(|(wait, free)| wait > WAITING * free)
+        server.wait(self.now, self.half).zip(free).is_some_and(|(wait, free)| wait > WAITING * free)
     }
 
     /// Splits each server's load over the slices it serves. Where servers don't report how busy they are, it
@@ -369,7 +390,7 @@
         let place = |s: &Slice| s.handover.as_ref().and_then(|h| h.to).or(s.owner);
         let demand = self.demand();
         let owned = self.demand_by(&demand, place);
-        let ready: Vec<&Server> = self.ready().collect();
+        let ready: Vec<&Server> = self.servers.iter().filter(|s| s.listed == Listed::Ready).collect();
         let count = ready.len().max(1) as f64;
         // A stale report is unknown, not idle. Of a server's load, our share of slices is taken to be ours.
         let told = |s: &Server| s.cpu.filter(|(_, at)| now < *at + fresh).map(|(cpu, _)| cpu);
@@ -382,7 +403,7 @@
         let (loads, owns) = known.fold((0.0, 0.0), |sum, one| (sum.0 + one.0, sum.1 + one.1));
         let usual = if owns > 0.0 { loads / owns } else { 0.0 };
         let pad = PAD * owned.iter().sum::<f64>() / count;
-        let idle = CROWD * owned.iter().sum::<f64>() / self.ours().max(1) as f64;
+        let idle = CROWD * owned.iter().sum::<f64>() / (share * self.slices.len() as f64).max(1.0);
         let mut view = View { demand, limits: self.limits(), idle, ..View::default() };
         for (server, owned) in self.servers.iter().zip(&owned) {
             let ramp = self.ramp(server);
@@ -392,22 +413,20 @@
                 (None, limit) if !busy && limit.is_finite() => 1.0 / limit.max(1e-9),
                 _ => usual / server.size.max(1e-3),
             };
-            let held = self.slices.iter().filter(|s| ramp < 1.0 && place(s) == Some(server.ep.index)).count();
+            let counts = ramp < 1.0 || !server.proven;
+            let held = self.slices.iter().filter(|s| counts && place(s) == Some(server.ep.index)).count();
             let own = owned * unit / ramp;
+            let untried = !server.proven && (self.cfg.probes || held >= UNPROVEN);
             let crowd = own.max(view.idle * held as f64 * unit / ramp);
             let load = own + told(server).unwrap_or(USUAL) * (1.0 - share) / ramp;
             let load = if self.waits(server) { load } else { load.min(THRESHOLD) };
-            let room = match usable(server) {
-                true if ramp < 1.0 => {
-                    ((THRESHOLD / ramp - load) * NEW_OFFERS * share).min(self.cold_budget() - crowd)
-                }
-                true => (THRESHOLD - load) * (1.0 - server.doubt) * share,
-                false => 0.0,
-            };
+            let (part, most) =
+                if ramp < 1.0 { (NEW_OFFERS, self.cold_budget() - crowd) } else { (1.0, f64::MAX) };
+            let room = ((THRESHOLD / ramp - load) * part * share).clamp(0.0, most.max(0.0));
             view.own.push(own);
             view.loads.push(load);
             view.units.push(unit / ramp);
-            view.rooms.push(room.max(0.0));
+            view.rooms.push(if usable(server) && !untried { room } else { 0.0 });
         }
         view.average = ready.iter().map(|s| view.loads[s.ep.index]).sum::<f64>() / count;
         view
@@ -422,12 +441,10 @@
     // 3. Plan.
 
     /// The ready servers beside the owner, in the slice's hash order, alike at every assigner.
-    fn others(&self, id: SliceId) -> Vec<usize> {
-        let others = self.ready().filter(|s| Some(s.ep.index) != self.slices[id].owner);
-        let mut order: Vec<(u64, usize)> =
-            others.map(|s| (mix(s.ep.stable, id as u64), s.ep.index)).collect();
-        order.sort_unstable_by(|a, b| b.cmp(a));
-        order.into_iter().map(|(_, i)| i).collect()
+    fn others(&self, id: SliceId) -> impl Iterator<Item = usize> + '_ {
+        let fit =
+            move |i: &usize| Some(*i) != self.slices[id].owner && self.servers[*i].listed == Listed::Ready;
+        self.orders[id].iter().copied().filter(fit)
     }
 
     fn movable(&self, slice: &Slice) -> bool {
@@ -437,15 +454,12 @@
     /// The greedy pass: moves that bring every server of ours under `limit`, with little demand moved.
     /// With `partly`, it keeps what it found even if some servers stay above.
     fn pass(&self, view: &View, limit: f64, partly: bool) -> Option<Vec<Move>> {
-        let mut loads = view.loads.clone();
-        let mut rooms = view.rooms.clone();
-        let mut moves: Vec<Move> = Vec::new();
-        let mut stuck = vec![false; loads.len()];
+        let (mut loads, mut rooms) = (view.loads.clone(), view.rooms.clone());
+        let (mut moves, mut stuck) = (Vec::<Move>::new(), vec![false; loads.len()]);
         loop {
-            let owns = |i: usize| self.slices.iter().any(|s| s.owner == Some(i));
-            let over = (0..loads.len()).filter(|i| !stuck[*i] && loads[*i] > limit && owns(*i));
-            let over = over.filter(|i| self.servers[*i].listed == Listed::Ready);
-            let over = over.max_by(|a, b| loads[*a].total_cmp(&loads[*b]));
+            let fit = |i: &usize| !stuck[*i] && loads[*i] > limit && self.servers[*i].listed == Listed::Ready;
+            let over = self.slices.iter().filter_map(|s| s.owner).filter(fit);
+            let over = over.min_by(|a, b| loads[*b].total_cmp(&loads[*a]).then(b.cmp(a)));
             let Some(from) = over else { return Some(moves) };
             let excess = loads[from] - limit;
             let mut best: Option<((u8, f64), Move)> = None;
@@ -457,7 +471,7 @@
                 // The least demand that does it; where none does, the most.
                 let off = view.demand[id] * view.units[from];
                 let cost = if off >= excess { (0, off) } else { (1, -off) };
-                for to in self.others(id).into_iter().take(CANDIDATES) {
+                for to in self.others(id).take(CANDIDATES) {
                     let add = self.add(view, id, to);
                     let fits = usable(&self.servers[to]) && add <= rooms[to] && loads[to] + add <= limit;
                     if fits && best.is_none_or(|(least, _)| cost < least) {
@@ -486,7 +500,7 @@
             return;
         }
         let view = self.view();
-        let fit = || view.loads.iter().zip(&self.servers).filter(|(_, s)| usable(s));
+        let fit = || view.loads.iter().zip(&self.servers).filter(|(_, s)| usable(s) && s.proven);
         let hot = fit().any(|(load, _)| *load > THRESHOLD);
         let (low, high) = ((1.0 - SKEW) * view.average, (1.0 + SKEW) * view.average);
         let skewed = fit().any(|(load, _)| !(low..=high).contains(load)) && fit().any(|(_, s)| self.waits(s));
@@ -543,18 +557,27 @@
     /// Slices whose owner is gone, draining or sick leave at once, and, where there is room for them, those
     /// that bring a cold one over its budget: they may come into demand sooner than levels tell.
     fn evacuate(&mut self) {
-        // After a drain is told, reads may stay as long as their end still arrives within the grace.
-        let lead = self.cfg.grace.saturating_sub(self.cfg.way_most.mul_f64(DRAIN_WAYS));
-        let mut view = None;
+        // After a drain is told, reads may stay as long as their end still arrives within the grace: behind
+        // what waits in the channel, and as long as that many lines take.
+        let drains =
+            self.slices.iter().filter(|s| s.owner.is_some_and(|o| self.servers[o].listed != Listed::Ready));
+        let steps = drains.map(|s| s.handover.as_ref().map_or(2, |h| usize::from(!h.cut))).sum();
+        let lines = self.channel.lines + self.lines(steps);
+        let way =
+            self.cfg.way_most.mul_f64(DRAIN_WAYS) + Duration::from_secs_f64(lines / self.cfg.lines_per_s);
+        let lead = self.cfg.grace.saturating_sub(way);
+        let (mut view, open) = (None, self.has_room(0.3));
         for id in 0..self.slices.len() {
             let Some(owner) = self.slices[id].owner else { continue };
             let server = &self.servers[owner];
             let (well, listed) = (usable(server), server.listed);
-            let cut = listed != Listed::Draining || server.sick.is_some();
+            let cut = listed != Listed::Draining || server.sick.is_some() || lead.is_zero();
             match &self.slices[id].handover {
                 Some(moving) if well || moving.cut => {}
                 Some(_) if cut || self.now >= server.told + lead => self.cut(id),
-                None if self.has_room(0.9) && (!well || self.cold(owner)) => {
+                None if listed != Listed::Ready && self.has_room(0.9)
+                    || open && (!well || self.cold(owner)) && self.has_room(0.6) =>
+                {
                     let v: &mut View = view.get_or_insert_with(|| self.view());
                     let to = self.destination(id, v);
                     let add = to.map_or(0.0, |to| self.add(v, id, to));
@@ -575,14 +598,13 @@
     /// Where a slice that must leave goes: the less loaded of its first usable candidates, walking on in
     /// its hash order past those without room; failing that the least loaded one that is not cold and full.
     fn destination(&self, id: SliceId, view: &View) -> Option<usize> {
-        let order = self.others(id);
         let add = |i: &usize| self.add(view, id, *i);
         let fits = |i: &usize| usable(&self.servers[*i]) && view.rooms[*i] >= add(i);
         let least = |a: &usize, b: &usize| (view.loads[*a] + add(a)).total_cmp(&(view.loads[*b] + add(b)));
-        let first = order.iter().copied().filter(fits).take(CANDIDATES).min_by(least);
-        let full = |i: &usize| self.cold(*i) && !fits(i);
+        let first = self.others(id).filter(fits).take(CANDIDATES).min_by(least);
+        let full = |i: &usize| (self.cold(*i) || !self.servers[*i].proven) && !fits(i);
         let unfit = |i: &usize| (!usable(&self.servers[*i]), full(i));
-        first.or_else(|| order.into_iter().min_by(|a, b| unfit(a).cmp(&unfit(b)).then(least(a, b))))
+        first.or_else(|| self.others(id).min_by(|a, b| unfit(a).cmp(&unfit(b)).then(least(a, b))))
     }
 
     // 4. Handover: stop, every proxy's answer or lease end, settle, grant.
@@ -590,13 +612,12 @@
     /// Stops a slice's writes at its owner, or with `cut` everything, and awaits every proxy.
     fn stop(&mut self, id: SliceId, to: Option<usize>, cut: bool) {
         let (mark, lease) = (self.channel.marks + 1, self.cfg.lease);
-        self.channel.mark_wanted = true;
+        (self.channel.mark_wanted, self.channel.due) = (true, self.channel.due + 1);
         let absent = self.proxies.values().filter(|p| !p.joined).map(|p| p.since + lease).max();
         let awaits = self.proxies.iter().filter(|(_, p)| p.joined).map(|(id, _)| (*id, Some(mark)));
-        let slice = &mut self.slices[id];
-        let quiet = absent.unwrap_or_default().max(slice.given + lease);
-        slice.handover =
-            Some(Handover { awaits: awaits.collect(), ordered: self.now, quiet, cut: false, to });
+        let quiet = absent.unwrap_or_default().max(self.slices[id].given + lease);
+        let handover = Handover { awaits: awaits.collect(), ordered: self.now, quiet, cut: false, to };
+        self.slices[id].handover = Some(handover);
         if cut {
             self.cut(id);
         }
@@ -627,7 +648,7 @@
             for untold in handover.awaits.values_mut().filter(|mark| **mark == Some(u64::MAX)) {
                 *untold = Some(self.channel.marks + 1);
                 (handover.ordered, self.channel.mark_wanted) = (self.now, true);
-                slice.told.fill(if handover.cut { 1.0 } else { f64::NAN });
+                slice.told.fill(f64::NAN);
             }
         }
     }
@@ -635,6 +656,9 @@
     fn acked(&mut self, proxy: ProxyId, mark: u16, way: Duration) {
         let mark = self.channel.marks.saturating_sub((self.channel.marks as u16).wrapping_sub(mark).into());
         self.channel.tuned = self.channel.tuned.filter(|tuned| *tuned > mark);
+        // Messages leave in order: what was sent before the answered one has left.
+        self.channel.sent.retain(|(sent, _)| *sent >= mark);
+        self.channel.lines = self.channel.lines.min(self.channel.sent.iter().map(|(_, lines)| lines).sum());
         for handover in self.slices.iter_mut().filter_map(|s| s.handover.as_mut()) {
             let awaited = handover.awaits.get_mut(&proxy).filter(|m| m.is_some_and(|m| m <= mark));
             if let Some(awaited) = awaited {
@@ -650,7 +674,8 @@
         for id in 0..self.slices.len() {
             let slice = &self.slices[id];
             let Some(handover) = slice.handover.as_ref() else { continue };
-            if handover.awaits.values().any(Option::is_some) || self.now < handover.quiet + self.cfg.settle {
+            let waits = handover.awaits.values().any(Option::is_some);
+            if waits || self.now < handover.quiet + self.cfg.settle || !self.has_room(0.7) {
                 continue;
             }
             let wanted = handover.to.filter(|to| usable(&self.servers[*to]));
@@ -665,44 +690,21 @@
             let slice = &mut self.slices[id];
             (slice.owner, slice.handover, slice.stays) = (Some(to), None, self.now + STAY);
             // The first answers show only after the grant's way and a report.
-            self.servers[to].last_ok = self.now + self.cfg.way_most + self.cfg.period;
-            if !same {
-                self.out.push(Order::Grant { slice: id, ep: self.servers[to].ep });
-            }
+            self.servers[to].last_ok = self.now + self.cfg.way_most + self.half;
+            self.channel.due += self.cfg.methods.len();
+            self.out.extend((!same).then_some(Order::Grant { slice: id, ep: self.servers[to].ep }));
         }
     }
 
     // 5. Levels and tries.
 
-    /// Where answers come late or are lost, a server can do a little less than it was seen to do. That
-    /// grows while it binds without lateness.
-    fn judge_limits(&mut self) {
-        let (now, half, soft) = (self.now, self.cfg.period, self.cfg.mean_soft);
-        for (i, server) in self.servers.iter_mut().enumerate() {
-            let served = server.oks.rate(now, half);
-            let wait = server.wait(now, half).unwrap_or(0.0);
-            let tries = server.tries.read(now, half);
-            let lost = server.lost.read(now, half) / tries.max(1.0);
-            let loses = lost > SICK.0 / 2.0 && wait > WAITING * server.base.unwrap_or(wait);
-            server.late = wait > LATE * soft || loses;
-            let again = now >= server.limited + self.cfg.period * 3;
-            if server.late && tries >= ENOUGH && usable(server) && again {
-                let text = format!("server {i} limited to {served:.1}: wait {wait:.2} s, lost {lost:.2}");
-                self.out.extend(server.limit.is_none().then_some(Order::Log { text }));
-                (server.limit, server.limited) = (Some(served * LIMIT_STEP.0), now);
-            } else if !server.late && server.line > 0.0 {
-                server.limit = server.limit.map(|limit| limit * LIMIT_STEP.1);
-            }
-        }
-    }
-
     /// The work a second that each server can do: as learned there, else as learned at the others.
     fn limits(&self) -> Vec<f64> {
         let ready = || self.servers.iter().filter(|s| usable(s));
         let mut learned: Vec<f64> = ready().filter_map(|s| s.limit.map(|limit| limit / s.size)).collect();
         learned.sort_by(f64::total_cmp);
         let median = learned.get(learned.len() / 2).filter(|_| learned.len() * 4 > ready().count());
-        let shown = ready().filter(|s| !s.late).map(|s| s.oks.rate(self.now, self.cfg.period) / s.size);
+        let shown = ready().filter(|s| !s.late).map(|s| s.oks.rate(self.now, self.half) / s.size);
         let usual = median.map_or(f64::INFINITY, |median| shown.fold(*median, f64::max));
         self.servers.iter().map(|s| s.limit.unwrap_or(usual * s.size)).collect()
     }
@@ -711,13 +713,12 @@
     fn draw_lines(&mut self) {
         let view = self.view();
         let offered = self.demand_by(&view.demand, |s| s.owner);
-        let work = |m: &usize| self.came[*m].read(self.now, self.cfg.period) * self.work(*m);
+        let work = |m: &usize| self.came[*m].read(self.now, self.half) * self.work(*m);
         let works: Vec<f64> = self.cfg.ranks.iter().map(work).collect();
         let all = works.iter().sum::<f64>().max(1e-9);
         for (i, offered) in offered.into_iter().enumerate() {
-            let budget =
-                if self.cold(i) { self.cold_budget() / view.units[i].max(1e-9) } else { f64::INFINITY };
-            let limit = view.limits[i].min(budget);
+            let budget = self.cold(i).then(|| self.cold_budget() / view.units[i].max(1e-9));
+            let limit = view.limits[i].min(budget.unwrap_or(f64::INFINITY));
             let mut over = (1.0 - limit / offered.max(1e-9)).clamp(0.0, 0.9);
             self.servers[i].shut_out = over;
             let mut line = 0.0;
@@ -740,9 +741,9 @@
         let open = period && self.channel.tuned.is_none();
         for id in 0..self.slices.len() {
             let slice = &self.slices[id];
-            let Some(owner) = slice.owner else { continue };
+            let (stopped, cut) = slice.handover.as_ref().map_or((false, false), |h| (true, h.cut));
+            let Some(owner) = slice.owner.filter(|_| !cut) else { continue };
             let line = self.servers[owner].line;
-            let stopped = slice.handover.as_ref().is_some_and(|h| !h.cut);
             let cold = period && self.cold(owner) && self.has_room(0.5);
             let tune = slice.stays == self.now + STAY || cold || open && self.has_room(0.25);
             let mut wanted = slice.told.clone();
@@ -769,10 +770,15 @@
 
     /// Whether the channel holds less than a part of what may wait in it.
     fn has_room(&self, part: f64) -> bool {
-        let pending = self.out.len() * self.proxies.len();
+        let pending = self.lines(self.out.len() + self.channel.due);
         let sent = self.cfg.messages_most == 0
             || (self.channel.messages.len() as f64) < part * self.cfg.messages_most as f64 - 1.0;
-        self.channel.lines + (pending as f64) < part * self.cfg.backlog && sent
+        self.channel.lines + pending < part * self.cfg.backlog && sent
+    }
+
+    /// Lines that the channel carries for a message to every proxy.
+    fn lines(&self, orders: usize) -> f64 {
+        (orders as f64 + self.cfg.head) * self.proxies.values().filter(|p| p.joined).count() as f64
     }
 
     /// Counts what goes out, and asks to be woken at the next time that matters.
@@ -782,16 +788,17 @@
             self.channel.marks += 1;
             self.out.push(Order::Mark { mark: (self.channel.marks & 0xffff) as u16 });
         }
-        let joined = self.proxies.values().filter(|p| p.joined).count() as f64;
-        let local = |o: &&Order| matches!(o, Order::Log { .. } | Order::Probe { .. } | Order::Watch);
-        let count = self.out.iter().filter(|o| !local(o)).count() as f64;
+        let count = self.out.iter().filter(|order| order.costs_a_line()).count();
         let sent = now.saturating_sub(self.channel.at).as_secs_f64() * self.cfg.lines_per_s / SLOW_CHANNEL;
         (self.channel.lines, self.channel.at) = ((self.channel.lines - sent).max(0.0), now);
         self.channel.messages.retain(|at| now <= *at + self.cfg.messages_span);
-        if count > 0.0 {
-            self.channel.lines += joined * (count + self.cfg.head);
+        if count > 0 {
+            let lines = self.lines(count);
+            self.channel.lines += lines;
+            self.channel.sent.push_back((self.channel.marks, lines));
             self.channel.messages.push(now);
         }
+        self.channel.due = 0;
         if now >= self.channel.wake {
             self.channel.wake = now + TICK;
             self.out.push(Order::Wake { after: TICK });
@@ -804,13 +811,5 @@
     server.listed == Listed::Ready && server.sick.is_none()
 }
 
-/// A 64-bit finalizer (splitmix64) over a server's stable id and a slice.
-fn mix(stable: u64, slice: u64) -> u64 {
-    let mut x = stable ^ slice.wrapping_mul(0x9e37_79b9_7f4a_7c15);
-    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    x ^ (x >> 31)
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/whinhill/src/assigner/tests.rs
+++ b/crates/whinhill/src/assigner/tests.rs
@@ -27,8 +27,14 @@
     a.next_period = s(101.0);
     a.list.ask_at = Some(s(200.0));
     for index in 0..servers {
-        *a.server(ep(index)) =
-            Server { ep: ep(index), listed: Listed::Ready, size: 1.0, last_ok: a.now, ..Server::default() };
+        *a.server(ep(index)) = Server {
+            ep: ep(index),
+            listed: Listed::Ready,
+            proven: true,
+            size: 1.0,
+            last_ok: a.now,
+            ..Server::default()
+        };
     }
     a.proxies = [0, 1].map(|id| (id, Proxy { zone: 0, joined: true, since: s(0.0) })).into();
     for (slice, (owner, demand)) in a.slices.iter_mut().zip(slices) {
@@ -41,6 +47,7 @@
             ..Slice::default()
         };
     }
+    a.rank();
     a
 }
 
@@ -272,8 +279,14 @@
     let mut a = fleet(4, &[(0, 0.3), (0, 0.3), (0, 0.3), (1, 0.3), (2, 0.3), (3, 0.3)]);
     let cold = Entry { started: Some(s(99.9)), ..entry(0, Listed::Ready) };
     let orders = a.handle(s(100.0), &[list(vec![cold])]);
-    let shut = |o: &Order| matches!(o, Order::Level { slice: 0, share, .. } if *share < 1.0);
-    assert!(orders.iter().any(shut));
+    let shut = |id: SliceId| {
+        orders.iter().any(|o| match o {
+            Order::Level { slice, share, .. } => *slice == id && *share < 1.0,
+            Order::Revoke { slice, .. } => *slice == id,
+            _ => false,
+        })
+    };
+    assert!((0..3).all(shut));
 }
 
 #[test]
@@ -366,7 +379,7 @@
 #[test]
 fn a_cold_server_that_must_take_slices_is_let_no_more_than_its_budget() {
     let mut a = fleet(2, &[(0, 20.0), (1, 20.0)]);
-    a.came.iter_mut().for_each(|sum| sum.add(a.now, a.cfg.period, 30.0));
+    a.came.iter_mut().for_each(|sum| sum.add(a.now, a.half, 30.0, a.half));
     a.servers[0].started = Some(a.now);
     a.draw_lines();
     // It counts as at half its load, in a fifth of its capacity: 2.5 against its budget.
@@ -414,9 +427,9 @@
 #[test]
 fn an_overloaded_server_is_let_less_of_the_least_critical_method_first() {
     let mut a = fleet(1, &[(0, 40.0)]);
-    a.came.iter_mut().for_each(|sum| sum.add(a.now, a.cfg.period, 30.0));
+    a.came.iter_mut().for_each(|sum| sum.add(a.now, a.half, 30.0, a.half));
     met(&mut a, 0, 40, 0, 0.9);
-    a.judge_limits();
+    a.judge();
     a.draw_lines();
     a.order_levels(true);
     // It did 40 in a half-life of 1 s: ln 2 * 40 = 27.7 a second; nine tenths are 25 of the 40 that come.
@@ -441,3 +454,119 @@
     };
     assert_eq!(run(), run());
 }
+
+#[test]
+fn a_feed_that_lags_makes_nobody_sick_late_or_moved() {
+    let owners: Vec<(usize, f64)> = (0..40).map(|id| (id % 8, 5.0)).collect();
+    let mut a = fleet(8, &owners);
+    // Each report covers four periods and comes when the next four have passed.
+    for round in 0..20u32 {
+        let mut events = vec![Event::Timer];
+        for id in (0..40).filter(|id| id % 4 == round as usize % 4) {
+            let (ep, span, wait) = (ep(id % 8), s(4.0), s(0.1));
+            events.push(Event::Demand { slice: id, method: 0, rpcs: 20, lost: 0, span });
+            let load = LoadReport::default();
+            events.push(Event::Met { ep, zone: 0, tries: 20, lost: 0, wait, span, load });
+        }
+        let orders = a.handle(s(101.0 + f64::from(round)), &events);
+        let harmless = |o: &Order| matches!(o, Order::Wake { .. } | Order::Watch);
+        assert!(orders.iter().all(harmless), "{orders:?}");
+    }
+    assert_eq!(a.half, s(4.0));
+    assert!((a.demand()[0] - 5.0).abs() < 2.5, "{:?}", a.demand());
+}
+
+#[test]
+fn a_report_of_a_long_stretch_counts_as_spread_over_it() {
+    let (mut long, mut short, half) = (Sum::default(), Sum::default(), s(1.0));
+    long.add(s(100.0), half, 10.0, s(0.5));
+    short.add(s(100.0), half, 10.0, s(0.001));
+    let first = long.read(s(100.0), half);
+    assert!(first < short.read(s(100.0), half));
+    long.add(s(101.0), half, 0.0, half);
+    assert!((long.read(s(102.0), half) * 4.0 - first).abs() < 1e-9);
+}
+
+/// Servers 0 to 3 own slices with demand; the list drops those named, in full or by changes.
+fn dropped(advice: bool, gone: &[usize], kind: ListKind) -> (Assigner, Vec<Order>) {
+    let mut a = fleet(4, &[(0, 60.0), (1, 60.0), (2, 60.0), (3, 60.0)]);
+    a.cfg.gone_is_advice = advice;
+    let entries = match kind {
+        ListKind::Changes => gone.iter().map(|i| entry(*i, Listed::Gone)).collect(),
+        _ => (0..4).filter(|i| !gone.contains(i)).map(|i| entry(i, Listed::Ready)).collect(),
+    };
+    let orders = a.handle(s(100.0), &[Event::List { kind, entries }]);
+    (a, orders)
+}
+
+#[test]
+fn where_gone_is_advice_a_dropped_server_that_serves_stays_and_a_silent_one_goes() {
+    for kind in [ListKind::Changes, ListKind::Full] {
+        let (mut a, orders) = dropped(true, &[0, 1, 2], kind);
+        assert!(!orders.iter().any(|o| matches!(o, Order::Revoke { .. })));
+        a.now = s(103.0);
+        (1..4).for_each(|i| met(&mut a, i, 20, 0, 0.1));
+        a.judge();
+        let listed: Vec<Listed> = a.servers.iter().map(|s| s.listed).collect();
+        assert_eq!(listed, [Listed::Gone, Listed::Ready, Listed::Ready, Listed::Ready]);
+    }
+}
+
+#[test]
+fn where_gone_binds_a_dropped_server_loses_its_slices_at_once() {
+    let (_, orders) = dropped(false, &[0], ListKind::Full);
+    assert!(orders.contains(&Order::Revoke { slice: 0, ep: ep(0) }));
+}
+
+#[test]
+fn an_empty_list_and_one_of_only_unknown_servers_empty_no_table_that_serves() {
+    for unknown in [None, Some(9)] {
+        let mut a = fleet(2, &[(0, 1.0), (1, 1.0)]);
+        a.cfg.gone_is_advice = true;
+        let entries = unknown.map(|i| entry(i, Listed::Ready)).into_iter().collect();
+        let orders = a.handle(s(100.0), &[Event::List { kind: ListKind::Full, entries }]);
+        assert!(!orders.iter().any(|o| matches!(o, Order::Revoke { .. } | Order::Grant { .. })));
+    }
+}
+
+#[test]
+fn a_server_never_seen_to_serve_gets_nothing_before_a_probe_is_answered_else_a_few_slices() {
+    let mut a = fleet(3, &[(0, 1.0), (0, 1.0), (0, 1.0), (0, 1.0), (1, 1.0)]);
+    (a.servers[2].proven, a.cfg.probes) = (false, true);
+    assert_eq!(a.view().rooms[2], 0.0);
+    a.take(&Event::Probed { ep: ep(2), result: Probe::Ok, load: LoadReport::default() });
+    assert!(a.view().rooms[2] > 0.0);
+    (a.servers[2].proven, a.cfg.probes) = (false, false);
+    assert!(a.view().rooms[2] > 0.0);
+    a.slices.iter_mut().take(UNPROVEN).for_each(|slice| slice.owner = Some(2));
+    assert_eq!(a.view().rooms[2], 0.0);
+}
+
+#[test]
+fn an_answered_mark_tells_that_what_went_before_has_left_the_channel() {
+    let mut a = moving();
+    a.channel.lines = 5000.0;
+    a.channel.sent = [(0, 4000.0), (1, 20.0)].into();
+    a.acked(0, 1, s(0.3));
+    assert_eq!(a.channel.lines, 20.0);
+}
+
+#[test]
+fn grants_that_the_channel_cannot_hold_wait_for_the_next_message() {
+    let mut a = fleet(2, &[(0, 0.1); 40]);
+    (0..40).for_each(|id| a.stop(id, Some(1), true));
+    a.slices.iter_mut().for_each(|slice| slice.handover.as_mut().unwrap().awaits.clear());
+    (a.out, a.channel.due) = (Vec::new(), 0);
+    a.channel.lines = 0.7 * a.cfg.backlog - 100.0;
+    a.advance();
+    let first = grants(&a.out).len();
+    assert!(first > 0 && first < 40, "{first}");
+}
+
+#[test]
+fn a_drain_of_more_slices_than_the_grace_has_time_for_takes_the_lines_away_at_once() {
+    let mut a = fleet(2, &[(0, 0.01); 700]);
+    let orders = a.handle(s(100.0), &[list(vec![entry(0, Listed::Draining)])]);
+    assert!(orders.contains(&Order::Revoke { slice: 0, ep: ep(0) }));
+    assert!(!orders.iter().any(|o| matches!(o, Order::Level { .. })));
+}
--- a/crates/whinhill/src/interface.rs
+++ b/crates/whinhill/src/interface.rs
@@ -15,6 +15,16 @@
     pub stable: u64,
 }
 
+impl Ep {
+    /// Its rendezvous weight for a slice: a 64-bit finalizer (splitmix64) over the stable id and the slice.
+    pub fn weight(&self, slice: SliceId) -> u64 {
+        let mut x = self.stable ^ (slice as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        x ^ (x >> 31)
+    }
+}
+
 pub type ProxyId = u32;
 pub type SliceId = usize;
 pub type MethodId = usize;
@@ -129,6 +139,16 @@
     Timer,
 }
 
+impl Event {
+    /// The stretch of time that a report covers.
+    pub fn span(&self) -> Option<Duration> {
+        match self {
+            Event::Met { span, .. } | Event::Demand { span, .. } => Some(*span),
+            _ => None,
+        }
+    }
+}
+
 /// Which methods an order is for.
 pub type MethodMask = u32;
 
@@ -170,6 +190,16 @@
     },
 }
 
+impl Order {
+    /// Whether it takes a line in the message to each proxy.
+    pub fn costs_a_line(&self) -> bool {
+        !matches!(
+            self,
+            Order::Log { .. } | Order::Probe { .. } | Order::Watch | Order::Fetch | Order::Wake { .. }
+        )
+    }
+}
+
 /// The settings as they came: names and values.
 #[derive(Clone, Debug, Default)]
 pub struct Settings(pub BTreeMap<String, String>);
--- a/crates/whinhill/src/settings.rs
+++ b/crates/whinhill/src/settings.rs
@@ -13,6 +13,8 @@
 pub struct Config {
     pub watch: bool,
     pub must_ask: Duration,
+    /// A server that the list only drops need not leave the tables.
+    pub gone_is_advice: bool,
     pub probes: bool,
     pub methods: Vec<Method>,
     /// The methods, least critical first.
@@ -56,6 +58,7 @@
             watch,
             // Absent where nothing need be asked: then never.
             must_ask: settings.span("rules.mustAskIn").unwrap_or(Duration::from_secs(u64::from(u32::MAX))),
+            gone_is_advice: settings.flag("rules.goneIsAdvice").unwrap_or(false),
             probes: settings.flag("caps.mayProbe")?,
             methods,
             ranks,
--- a/crates/whinhill/src/state.rs
+++ b/crates/whinhill/src/state.rs
@@ -3,9 +3,10 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-use crate::interface::{Ep, Listed, ProxyId, SliceId, ZoneId};
+use crate::interface::{Entry, Ep, Listed, ProxyId, SliceId, ZoneId};
 
-/// A sum that halves every `half`, brought up to date when it is read.
+/// A sum that halves every `half`, brought up to date when it is read. What a report tells counts as spread
+/// over its stretch, up to one `half`.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Sum {
     pub value: f64,
@@ -22,8 +23,11 @@
         self.read(now, half) * std::f64::consts::LN_2 / half.as_secs_f64()
     }
 
-    pub fn add(&mut self, now: Duration, half: Duration, x: f64) {
-        *self = Sum { value: self.read(now, half) + x, at: now };
+    pub fn add(&mut self, now: Duration, half: Duration, x: f64, span: Duration) {
+        let fade = |age: Duration| 0.5f64.powf(age.as_secs_f64() / half.as_secs_f64());
+        let age = span.clamp(Duration::from_millis(1), half).as_secs_f64() / half.as_secs_f64();
+        let mean = (1.0 - 0.5f64.powf(age)) / (age * 0.5);
+        *self = Sum { value: self.value * fade(now.saturating_sub(self.at)) + x * mean, at: now };
     }
 }
 
@@ -36,6 +40,10 @@
     pub started: Option<Duration>,
     /// When we were told that it drains or is gone.
     pub told: Duration,
+    /// The list has dropped it, but it serves.
+    pub dropped: bool,
+    /// It was seen to serve, or the store names it as an owner.
+    pub proven: bool,
     pub tries: Sum,
     pub lost: Sum,
     /// Of the answers that were ok: their number, and their waits in seconds.
@@ -49,8 +57,6 @@
     pub cpu: Option<(f64, Duration)>,
     pub unanswered: u32,
     pub sick: Option<Duration>,
-    /// Part of its room that a server newly back from sickness does not offer yet.
-    pub doubt: f64,
     /// Whether its answers come late or are lost.
     pub late: bool,
     /// Work a second that it was learned to do, and when that was last cut.
@@ -63,15 +69,20 @@
 }
 
 impl Server {
+    /// The entry of a list that drops it.
+    pub fn gone(&self) -> Entry {
+        Entry { ep: self.ep, zone: self.zone, listed: Listed::Gone, size: self.size, started: self.started }
+    }
+
     /// Counts what proxies met here.
-    pub fn meet(&mut self, now: Duration, half: Duration, tries: u64, lost: u64, wait: Duration) {
-        let oks = tries.saturating_sub(lost) as f64;
-        self.tries.add(now, half, tries as f64);
-        self.lost.add(now, half, lost as f64);
-        self.oks.add(now, half, oks);
-        self.waits.add(now, half, oks * wait.as_secs_f64());
+    pub fn meet(&mut self, now: Duration, half: Duration, met: (u64, u64), wait: Duration, span: Duration) {
+        let oks = met.0.saturating_sub(met.1) as f64;
+        self.tries.add(now, half, met.0 as f64, span);
+        self.lost.add(now, half, met.1 as f64, span);
+        self.oks.add(now, half, oks, span);
+        self.waits.add(now, half, oks * wait.as_secs_f64(), span);
         if oks > 0.0 {
-            self.last_ok = self.last_ok.max(now);
+            (self.last_ok, self.proven) = (self.last_ok.max(now), true);
         }
     }
 
@@ -165,6 +176,10 @@
     pub tuned: Option<u64>,
     /// Lines that wait, as reckoned at a time.
     pub lines: f64,
+    /// Lines of the replies that may not have left yet, by the marks set until then.
+    pub sent: VecDeque<(u64, f64)>,
+    /// Lines at a proxy that orders still to be written in this reply will need.
+    pub due: usize,
     pub at: Duration,
     /// When messages were sent lately.
     pub messages: Vec<Duration>,
