Share out the channel, drain in one step where two don't fit, judge an owner taken over afresh

Causes seen on the wire: - Grants trickled one by one, 3 lines each, since no mark told that the channel had emptied: a slice stayed 17 s without a line. A message sent into a channel thought filled now carries a mark; grants, departures and drains have a share of the backlog each. - Stops were told again to every proxy whenever one joined.

--- a/crates/whinhill/src/assigner.rs
+++ b/crates/whinhill/src/assigner.rs
@@ -48,7 +48,7 @@
 /// Tries (or RPCs expected) below which nothing is said about a server.
 const ENOUGH: f64 = 6.0;
 /// Slices that a server never seen to serve may hold. More: a false list takes them; fewer: releases wait.
-const UNPROVEN: usize = 4;
+const UNPROVEN: f64 = 4.0;
 /// How long a sick server is left alone. Shorter: slices go back to a server still sick.
 const SICK_FOR: Duration = Duration::from_secs(8);
 /// Most of the ready servers that may be held sick at a time. Higher: the rest fall over.
@@ -56,6 +56,12 @@
 /// A cold server's budget: part of what topples it, most of its capacity, and a power of our share of the
 /// slices (others give it slices unseen). More: it topples; less: it idles while warm ones are full.
 const COLD: (f64, f64, f64) = (0.38, 1.3, 1.5);
+/// Parts of the backlog under which plans and tuning go out; and under which departures from sick or cold
+/// owners, grants and drains start, and stop. Higher: no room for what can't wait; lower: moves trickle.
+const PLAN_ROOM: f64 = 0.25;
+const LEAVE_ROOM: (f64, f64) = (0.3, 0.6);
+const GRANT_ROOM: (f64, f64) = (0.4, 0.7);
+const DRAIN_ROOM: (f64, f64) = (0.7, 0.9);
 /// The channel may run this many times slower than stated. Lower: the queue's rule is at risk.
 const SLOW_CHANNEL: f64 = 4.0;
 /// Mean wait, as a part of the soft deadline, at which a server counts as overloaded.
@@ -116,8 +122,10 @@
         if self.orders.first().is_some_and(|order| order.len() < self.servers.len()) {
             self.rank();
         }
+        // Asks for changes of the list after a failure, and when nothing has come for long.
         if self.list.ask_at.is_some_and(|at| now >= at) {
-            self.ask();
+            self.out.extend(self.cfg.watch.then_some(Order::Watch));
+            self.list.ask_at = Some(now + self.cfg.must_ask / 2);
         }
         let period = now >= self.next_period;
         if period {
@@ -174,22 +182,24 @@
             }
             Event::Acked { proxy, mark, way } => self.acked(*proxy, *mark, *way),
             Event::Given { slice } => {
-                let (now, lease) = (self.now, self.cfg.lease);
-                let unowned = Handover { quiet: now + lease, cut: true, ..Handover::default() };
+                let quiet = self.now + self.cfg.lease;
                 self.slices[*slice] = Slice {
                     ours: true,
-                    given: now,
-                    handover: Some(unowned),
-                    stays: now + lease + self.cfg.settle,
+                    given: self.now,
+                    handover: Some(Handover { quiet, cut: true, ..Handover::default() }),
+                    stays: quiet + self.cfg.settle,
                     told: vec![1.0; self.cfg.methods.len()],
                     ..Slice::default()
                 };
             }
             Event::Taken { slice } => self.slices[*slice] = Slice::default(),
             Event::Stored { slice, ep } => {
-                let owner = self.server(*ep).ep.index;
-                self.servers[owner].proven = true;
-                (self.slices[*slice].owner, self.slices[*slice].handover) = (Some(owner), None);
+                // What we heard of an owner before its slice was ours says little: it is judged afresh.
+                let first = self.now + self.cfg.way_most + self.half;
+                let server = self.server(*ep);
+                (server.proven, server.sick, server.last_ok) = (true, None, server.last_ok.max(first));
+                let owner = Some(server.ep.index);
+                (self.slices[*slice].owner, self.slices[*slice].handover) = (owner, None);
             }
             Event::Timer => {}
         }
@@ -220,22 +230,20 @@
     }
 
     fn take_list(&mut self, kind: ListKind, entries: &[Entry]) {
-        let now = self.now;
+        let (now, advice, mut restarted) = (self.now, self.cfg.gone_is_advice, false);
         if kind == ListKind::Failed {
             let back_off = ASK_AGAIN * 2u32.pow(self.list.failures.min(3));
             let back_off = back_off.mul_f64(self.rng.random_range(0.7..1.3)).min(self.cfg.must_ask / 2);
             (self.list.failures, self.list.ask_at) = (self.list.failures + 1, Some(now + back_off));
             return;
         }
-        self.list.failures = 0;
-        self.list.ask_at = Some(now + self.cfg.must_ask * 2);
-        if kind == ListKind::Stored {
-            self.ask();
-        }
+        let stored = kind == ListKind::Stored;
+        self.out.extend((stored && self.cfg.watch).then_some(Order::Watch));
+        let ask_at = now + if stored { self.cfg.must_ask / 2 } else { self.cfg.must_ask * 2 };
+        (self.list.failures, self.list.ask_at) = (0, Some(ask_at));
         let named: BTreeSet<usize> = entries.iter().map(|e| e.ep.index).collect();
         let absent = |s: &&Server| kind != ListKind::Changes && !named.contains(&s.ep.index);
         let gone: Vec<Entry> = self.servers.iter().filter(absent).map(Server::gone).collect();
-        let (mut restarted, advice) = (false, self.cfg.gone_is_advice);
         for entry in entries.iter().chain(&gone) {
             let server = self.server(entry.ep);
             if entry.listed == Listed::Ready && entry.started > server.started {
@@ -257,14 +265,6 @@
         self.next_period = if restarted { now } else { self.next_period };
     }
 
-    /// Asks for changes: at the start, after a failure, and when nothing has come for long.
-    fn ask(&mut self) {
-        if self.cfg.watch {
-            self.out.push(Order::Watch);
-        }
-        self.list.ask_at = Some(self.now + self.cfg.must_ask / 2);
-    }
-
     fn take_load(&mut self, ep: Ep, load: &LoadReport) {
         let (now, server) = (self.now, self.server(ep));
         let cpu = load.cpu.map(|cpu| (0.5 * cpu + 0.5 * server.cpu.map_or(cpu, |old| old.0), now));
@@ -292,26 +292,26 @@
         for (i, expected) in expected.into_iter().enumerate() {
             let cut_off = self.cut_off(self.servers[i].zone);
             let server = &mut self.servers[i];
-            // Where ok answers wait, lost tries tell of too much load, which moves and levels answer.
-            let slow = (LATE * self.cfg.mean_soft).min(WAITING * server.base.unwrap_or(f64::MAX));
             let wait = server.wait(now, half);
             server.base = wait.map(|w| server.base.map_or(w, |base| (base * 1.01).min(w))).or(server.base);
+            let wait = wait.unwrap_or(0.0);
+            let (late, slow) =
+                (wait > LATE * self.cfg.mean_soft, wait > WAITING * server.base.unwrap_or(wait));
             let (tries, lost) = (server.tries.read(now, half), server.lost.read(now, half));
             let others = (all_lost - lost) / (all_tries - tries).max(1.0);
             let share = lost / tries.max(1.0);
             let silence = now.saturating_sub(server.last_ok);
-            let loaded = wait.is_some_and(|wait| wait > slow) && silence < self.half * 2;
+            // Where ok answers wait, lost tries tell of too much load, which moves and levels answer.
+            let loaded = (late || slow) && silence < self.half * 2;
             let aborts = tries >= ENOUGH && share > SICK.0.max(SICK.1 * others) && !loaded;
             let quiet = silence > self.half * 2 && heard * 2 > ready;
             let silent = quiet && expected * silence.as_secs_f64() > 2.0 * ENOUGH;
             let dead = server.unanswered >= 2 && silence > self.half;
             // Where answers come late or are lost, it can do a little less than it was seen to do. That grows
             // while it binds without lateness.
-            let slows = wait.is_some_and(|w| w > WAITING * server.base.unwrap_or(w));
-            server.late =
-                wait.is_some_and(|w| w > LATE * self.cfg.mean_soft) || share > SICK.0 / 2.0 && slows;
+            server.late = late || share > SICK.0 / 2.0 && slow;
             if server.late && tries >= ENOUGH && usable(server) && now >= server.limited + half * 3 {
-                let (served, wait) = (server.oks.rate(now, half), wait.unwrap_or(0.0));
+                let served = server.oks.rate(now, half);
                 let text = format!("server {i} limited to {served:.1}: wait {wait:.2} s, lost {share:.2}");
                 self.out.extend(server.limit.is_none().then_some(Order::Log { text }));
                 (server.limit, server.limited) = (Some(served * LIMIT_STEP.0), now);
@@ -405,7 +405,8 @@
         let pad = PAD * owned.iter().sum::<f64>() / count;
         let idle = CROWD * owned.iter().sum::<f64>() / (share * self.slices.len() as f64).max(1.0);
         let mut view = View { demand, limits: self.limits(), idle, ..View::default() };
-        for (server, owned) in self.servers.iter().zip(&owned) {
+        let held = self.demand_by(&vec![1.0; self.slices.len()], place);
+        for ((server, owned), held) in self.servers.iter().zip(&owned).zip(held) {
             let ramp = self.ramp(server);
             let let_in = owned * (1.0 - server.shut_out);
             let unit = match (told(server), view.limits[server.ep.index]) {
@@ -413,11 +414,9 @@
                 (None, limit) if !busy && limit.is_finite() => 1.0 / limit.max(1e-9),
                 _ => usual / server.size.max(1e-3),
             };
-            let counts = ramp < 1.0 || !server.proven;
-            let held = self.slices.iter().filter(|s| counts && place(s) == Some(server.ep.index)).count();
             let own = owned * unit / ramp;
             let untried = !server.proven && (self.cfg.probes || held >= UNPROVEN);
-            let crowd = own.max(view.idle * held as f64 * unit / ramp);
+            let crowd = own.max(view.idle * held * unit / ramp);
             let load = own + told(server).unwrap_or(USUAL) * (1.0 - share) / ramp;
             let load = if self.waits(server) { load } else { load.min(THRESHOLD) };
             let (part, most) =
@@ -542,7 +541,7 @@
     /// Starts a batch once the one before is done.
     fn run_batches(&mut self) {
         self.plan.batch.retain(|id| self.slices[*id].handover.is_some());
-        if !self.plan.batch.is_empty() || !self.has_room(0.25) {
+        if !self.plan.batch.is_empty() || !self.has_room(PLAN_ROOM) {
             return;
         }
         let Some(moves) = self.plan.batches.pop_front() else { return };
@@ -557,26 +556,27 @@
     /// Slices whose owner is gone, draining or sick leave at once, and, where there is room for them, those
     /// that bring a cold one over its budget: they may come into demand sooner than levels tell.
     fn evacuate(&mut self) {
-        // After a drain is told, reads may stay as long as their end still arrives within the grace: behind
-        // what waits in the channel, and as long as that many lines take.
+        // After a drain is told, reads may stay as long as their end still arrives within the grace, behind
+        // what waits in the channel. Where that would fill the channel, or time is short, they end at once.
         let drains =
             self.slices.iter().filter(|s| s.owner.is_some_and(|o| self.servers[o].listed != Listed::Ready));
-        let steps = drains.map(|s| s.handover.as_ref().map_or(2, |h| usize::from(!h.cut))).sum();
-        let lines = self.channel.lines + self.lines(steps);
+        let uncut = drains.filter(|s| s.handover.as_ref().is_none_or(|h| !h.cut)).count();
+        let lines = self.channel.lines + self.lines(2 * uncut);
         let way =
             self.cfg.way_most.mul_f64(DRAIN_WAYS) + Duration::from_secs_f64(lines / self.cfg.lines_per_s);
         let lead = self.cfg.grace.saturating_sub(way);
-        let (mut view, open) = (None, self.has_room(0.3));
+        let short = lines > PLAN_ROOM * self.cfg.backlog || lead < self.cfg.way_most / 2;
+        let (mut view, drain, leave) = (None, self.has_room(DRAIN_ROOM.0), self.has_room(LEAVE_ROOM.0));
         for id in 0..self.slices.len() {
             let Some(owner) = self.slices[id].owner else { continue };
             let server = &self.servers[owner];
             let (well, listed) = (usable(server), server.listed);
-            let cut = listed != Listed::Draining || server.sick.is_some() || lead.is_zero();
+            let cut = listed != Listed::Draining || server.sick.is_some() || short;
             match &self.slices[id].handover {
                 Some(moving) if well || moving.cut => {}
                 Some(_) if cut || self.now >= server.told + lead => self.cut(id),
-                None if listed != Listed::Ready && self.has_room(0.9)
-                    || open && (!well || self.cold(owner)) && self.has_room(0.6) =>
+                None if drain && listed != Listed::Ready && self.has_room(DRAIN_ROOM.1)
+                    || leave && (!well || self.cold(owner)) && self.has_room(LEAVE_ROOM.1) =>
                 {
                     let v: &mut View = view.get_or_insert_with(|| self.view());
                     let to = self.destination(id, v);
@@ -643,12 +643,10 @@
 
     /// Tells proxies that joined of the handovers under way, those of one tick together.
     fn tell_joined(&mut self) {
-        for slice in &mut self.slices {
-            let Some(handover) = &mut slice.handover else { continue };
+        for handover in self.slices.iter_mut().filter_map(|s| s.handover.as_mut()) {
             for untold in handover.awaits.values_mut().filter(|mark| **mark == Some(u64::MAX)) {
                 *untold = Some(self.channel.marks + 1);
                 (handover.ordered, self.channel.mark_wanted) = (self.now, true);
-                slice.told.fill(f64::NAN);
             }
         }
     }
@@ -670,12 +668,12 @@
 
     /// Grants what has settled: nobody writes to the old owner, and what it had in hand has ended.
     fn advance(&mut self) {
-        let mut view = None;
+        let (mut view, open) = (None, self.has_room(GRANT_ROOM.0));
         for id in 0..self.slices.len() {
             let slice = &self.slices[id];
-            let Some(handover) = slice.handover.as_ref() else { continue };
+            let Some(handover) = slice.handover.as_ref().filter(|_| open) else { continue };
             let waits = handover.awaits.values().any(Option::is_some);
-            if waits || self.now < handover.quiet + self.cfg.settle || !self.has_room(0.7) {
+            if waits || self.now < handover.quiet + self.cfg.settle || !self.has_room(GRANT_ROOM.1) {
                 continue;
             }
             let wanted = handover.to.filter(|to| usable(&self.servers[*to]));
@@ -742,16 +740,16 @@
         for id in 0..self.slices.len() {
             let slice = &self.slices[id];
             let (stopped, cut) = slice.handover.as_ref().map_or((false, false), |h| (true, h.cut));
-            let Some(owner) = slice.owner.filter(|_| !cut) else { continue };
+            let Some(owner) = slice.owner else { continue };
             let line = self.servers[owner].line;
             let cold = period && self.cold(owner) && self.has_room(0.5);
-            let tune = slice.stays == self.now + STAY || cold || open && self.has_room(0.25);
+            let tune = slice.stays == self.now + STAY || cold || open && self.has_room(PLAN_ROOM);
             let mut wanted = slice.told.clone();
             for (rank, method) in self.cfg.ranks.iter().enumerate() {
                 let told = &mut wanted[*method];
-                if stopped && self.cfg.methods[*method].writes {
+                if stopped && !cut && self.cfg.methods[*method].writes {
                     *told = 0.0;
-                } else if tune || *told == 0.0 || told.is_nan() {
+                } else if tune && !cut || *told == 0.0 {
                     *told = ((1.0 - (line - rank as f64)).clamp(0.0, 1.0) * 20.0).round() / 20.0;
                 }
             }
@@ -770,10 +768,9 @@
 
     /// Whether the channel holds less than a part of what may wait in it.
     fn has_room(&self, part: f64) -> bool {
-        let pending = self.lines(self.out.len() + self.channel.due);
-        let sent = self.cfg.messages_most == 0
-            || (self.channel.messages.len() as f64) < part * self.cfg.messages_most as f64 - 1.0;
-        self.channel.lines + pending < part * self.cfg.backlog && sent
+        let lines = self.channel.lines + self.lines(self.out.len() + self.channel.due);
+        let (sent, most) = (self.channel.messages.len() as f64, self.cfg.messages_most as f64);
+        lines < part * self.cfg.backlog && (most == 0.0 || sent < part * most - 1.0)
     }
 
     /// Lines that the channel carries for a message to every proxy.
@@ -784,7 +781,9 @@
     /// Counts what goes out, and asks to be woken at the next time that matters.
     fn close(&mut self) -> Vec<Order> {
         let now = self.now;
-        if std::mem::take(&mut self.channel.mark_wanted) {
+        // The answer tells early that a channel thought to be filled has emptied.
+        let filled = self.out.iter().any(Order::costs_a_line) && !self.has_room(PLAN_ROOM);
+        if std::mem::take(&mut self.channel.mark_wanted) || filled {
             self.channel.marks += 1;
             self.out.push(Order::Mark { mark: (self.channel.marks & 0xffff) as u16 });
         }
