Take a server slower than its peers for hot, whatever it reports as its own usual time

The time is now capped at 1.5 of the middle of the peers' times, unless a server is cold: in a release many are slow for a while, and moves only add to it. Guards also against neighbours and overload of single servers; harm: slow kinds of machine lose slices while they wait.

--- a/crates/whinhill/src/assigner.rs
+++ b/crates/whinhill/src/assigner.rs
@@ -11,7 +11,7 @@
 
 use crate::interface::*;
 use crate::settings::Config;
-use crate::state::{Channel, Following, Handover, Move, Plan, Proxy, Server, Slice, Sum, View};
+use crate::state::{middle, Channel, Following, Handover, Move, Plan, Proxy, Server, Slice, Sum, View};
 
 // Tuned values: unit, reason, and what goes wrong with another.
 
@@ -37,6 +37,9 @@
 const NEW_OFFERS: f64 = 0.5;
 /// Times the free time of an answer from which answers wait. Lower: moves after noise.
 const WAITING: f64 = 3.0;
+/// Times the middle of its peers' times of service from which a server is slow, whatever its own usual one.
+/// Lower: slow kinds of machine lose slices for nothing; higher: a server that ages is found late.
+const SLOWER: f64 = 1.5;
 /// How often handovers, drains and calls under way are looked at. Longer: slices stay without an owner.
 const TICK: Duration = Duration::from_millis(50);
 /// Demand, against a server's average, that counts at the fleet's usual cost. Less: costs follow noise.
@@ -81,6 +84,8 @@
     came: Vec<Sum>,
     /// The usual stretch of a report, in which measures halve.
     half: Duration,
+    /// Time of service in seconds from which a server counts as slow against its peers.
+    slow: f64,
     next_period: Duration,
     list: Following,
     plan: Plan,
@@ -101,6 +106,7 @@
             now: Duration::ZERO,
             servers: Vec::new(),
             proxies: BTreeMap::new(),
+            slow: f64::MAX,
             next_period: Duration::ZERO,
             list: Following::default(),
             plan: Plan::default(),
@@ -113,11 +119,9 @@
     pub fn handle(&mut self, now: Duration, events: &[Event]) -> Vec<Order> {
         self.now = now;
         // Where more is told than the feed carries, reports come late, each for a longer stretch.
-        let mut spans: Vec<Duration> = events.iter().filter_map(Event::span).collect();
-        if spans.len() > self.ready().count() {
-            let middle = spans.len() / 2;
-            self.half = self.cfg.period.max(*spans.select_nth_unstable(middle).1);
-        }
+        let spans: Vec<Duration> = events.iter().filter_map(Event::span).collect();
+        let usual = (spans.len() > self.ready().count()).then(|| middle(spans)).flatten();
+        self.half = usual.map_or(self.half, |usual| usual.max(self.cfg.period));
         events.iter().for_each(|event| self.take(event));
         if self.orders.first().is_some_and(|order| order.len() < self.servers.len()) {
             self.rank();
@@ -149,15 +153,15 @@
     }
 
     fn take(&mut self, event: &Event) {
+        let (now, half) = (self.now, self.half);
         match event {
             Event::List { kind, entries } => self.take_list(*kind, entries),
             Event::Met { ep, tries, lost, wait, load, span, .. } => {
-                let (now, half) = (self.now, self.half);
                 self.server(*ep).meet(now, half, (*tries, *lost), *wait, *span);
                 self.take_load(*ep, load);
             }
             Event::Demand { slice, method, rpcs, span, .. } => {
-                let (now, half, work) = (self.now, self.half, self.work(*method) * *rpcs as f64);
+                let work = self.work(*method) * *rpcs as f64;
                 self.came[*method].add(now, half, *rpcs as f64, *span);
                 self.slices[*slice].demand.add(now, half, work, *span);
             }
@@ -208,9 +212,7 @@
     // 1. List and health.
 
     fn server(&mut self, ep: Ep) -> &mut Server {
-        while self.servers.len() <= ep.index {
-            self.servers.push(Server::default());
-        }
+        self.servers.resize_with(self.servers.len().max(ep.index + 1), Server::default);
         let server = &mut self.servers[ep.index];
         server.ep = ep;
         server
@@ -287,6 +289,10 @@
         let (all_tries, all_lost) = (sum(|s| &s.tries), sum(|s| &s.lost));
         let heard = self.servers.iter().filter(|s| now < s.last_ok + self.half * 2).count();
         let ready = self.ready().count();
+        // In a release many are slow that will not stay so, and moves only add to it.
+        let calm = self.ready().all(|s| self.ramp(s) >= 1.0);
+        let usual = middle(self.ready().filter(|_| calm).filter_map(|s| s.service).collect());
+        self.slow = usual.map_or(f64::MAX, |usual| SLOWER * usual);
         let mut sick = self.ready().filter(|s| s.sick.is_some()).count();
         let expected = self.demand_by(&self.demand(), |s| s.owner.filter(|_| s.handover.is_none()));
         for (i, expected) in expected.into_iter().enumerate() {
@@ -307,8 +313,7 @@
             let quiet = silence > self.half * 2 && heard * 2 > ready;
             let silent = quiet && expected * silence.as_secs_f64() > 2.0 * ENOUGH;
             let dead = server.unanswered >= 2 && silence > self.half;
-            // Where answers come late or are lost, it can do a little less than it was seen to do. That grows
-            // while it binds without lateness.
+            // Late or lost answers: it can do a little less than it did, and more while that binds in time.
             server.late = late || share > SICK.0 / 2.0 && slow;
             if server.late && tries >= ENOUGH && usable(server) && now >= server.limited + half * 3 {
                 let served = server.oks.rate(now, half);
@@ -378,7 +383,7 @@
 
     /// Whether answers wait at a server: without that it isn't hot, however its load compares.
     fn waits(&self, server: &Server) -> bool {
-        let free = server.service.or(server.base);
+        let free = server.service.map(|service| service.min(self.slow)).or(server.base);
         server.wait(self.now, self.half).zip(free).is_some_and(|(wait, free)| wait > WAITING * free)
     }
 
@@ -460,7 +465,6 @@
             let over = self.slices.iter().filter_map(|s| s.owner).filter(fit);
             let over = over.min_by(|a, b| loads[*b].total_cmp(&loads[*a]).then(b.cmp(a)));
             let Some(from) = over else { return Some(moves) };
-            let excess = loads[from] - limit;
             let mut best: Option<((u8, f64), Move)> = None;
             for (id, slice) in self.slices.iter().enumerate() {
                 let moved = moves.iter().any(|(s, _)| *s == id);
@@ -469,7 +473,7 @@
                 }
                 // The least demand that does it; where none does, the most.
                 let off = view.demand[id] * view.units[from];
-                let cost = if off >= excess { (0, off) } else { (1, -off) };
+                let cost = if off >= loads[from] - limit { (0, off) } else { (1, -off) };
                 for to in self.others(id).take(CANDIDATES) {
                     let add = self.add(view, id, to);
                     let fits = usable(&self.servers[to]) && add <= rooms[to] && loads[to] + add <= limit;
@@ -501,8 +505,8 @@
         let view = self.view();
         let fit = || view.loads.iter().zip(&self.servers).filter(|(_, s)| usable(s) && s.proven);
         let hot = fit().any(|(load, _)| *load > THRESHOLD);
-        let (low, high) = ((1.0 - SKEW) * view.average, (1.0 + SKEW) * view.average);
-        let skewed = fit().any(|(load, _)| !(low..=high).contains(load)) && fit().any(|(_, s)| self.waits(s));
+        let off = |load: f64| (load - view.average).abs() > SKEW * view.average;
+        let skewed = fit().any(|(load, _)| off(*load)) && fit().any(|(_, s)| self.waits(s));
         self.plan.skewed = if skewed { self.plan.skewed + 1 } else { 0 };
         let find = |limit: f64, partly| self.pass(&view, limit, partly).filter(|moves| !moves.is_empty());
         let level = || TARGETS.iter().find_map(|t| find((t * view.average).min(THRESHOLD), false));
@@ -514,8 +518,7 @@
         let Some((stage, moves)) = found else { return };
         let text = format!("{stage}: {} moves, average {:.2}", moves.len(), view.average);
         self.out.push(Order::Log { text });
-        self.plan.skewed = 0;
-        self.plan.batches = self.sequence(moves, &view);
+        (self.plan.skewed, self.plan.batches) = (0, self.sequence(moves, &view));
     }
 
     /// Sinks first; a cycle breaks at the server least loaded after its incoming moves.
@@ -681,9 +684,7 @@
             let last = slice.owner.filter(|o| self.servers[*o].listed == Listed::Ready);
             let elsewhere = || self.destination(id, view.get_or_insert_with(|| self.view()));
             let Some(to) = wanted.or(stays).or_else(elsewhere).or(last) else { continue };
-            if let Some(v) = view.as_mut() {
-                v.loads[to] += v.demand[id] * v.units[to];
-            }
+            view.iter_mut().for_each(|v: &mut View| v.loads[to] += v.demand[id] * v.units[to]);
             let same = slice.owner == Some(to) && !handover.cut;
             let slice = &mut self.slices[id];
             (slice.owner, slice.handover, slice.stays) = (Some(to), None, self.now + STAY);
@@ -699,11 +700,10 @@
     /// The work a second that each server can do: as learned there, else as learned at the others.
     fn limits(&self) -> Vec<f64> {
         let ready = || self.servers.iter().filter(|s| usable(s));
-        let mut learned: Vec<f64> = ready().filter_map(|s| s.limit.map(|limit| limit / s.size)).collect();
-        learned.sort_by(f64::total_cmp);
-        let median = learned.get(learned.len() / 2).filter(|_| learned.len() * 4 > ready().count());
+        let learned: Vec<f64> = ready().filter_map(|s| s.limit.map(|limit| limit / s.size)).collect();
+        let median = (learned.len() * 4 > ready().count()).then(|| middle(learned)).flatten();
         let shown = ready().filter(|s| !s.late).map(|s| s.oks.rate(self.now, self.half) / s.size);
-        let usual = median.map_or(f64::INFINITY, |median| shown.fold(*median, f64::max));
+        let usual = median.map_or(f64::INFINITY, |median| shown.fold(median, f64::max));
         self.servers.iter().map(|s| s.limit.unwrap_or(usual * s.size)).collect()
     }
 
@@ -716,7 +716,7 @@
         let all = works.iter().sum::<f64>().max(1e-9);
         for (i, offered) in offered.into_iter().enumerate() {
             let budget = self.cold(i).then(|| self.cold_budget() / view.units[i].max(1e-9));
-            let limit = view.limits[i].min(budget.unwrap_or(f64::INFINITY));
+            let limit = budget.map_or(view.limits[i], |budget| budget.min(view.limits[i]));
             let mut over = (1.0 - limit / offered.max(1e-9)).clamp(0.0, 0.9);
             self.servers[i].shut_out = over;
             let mut line = 0.0;
--- a/crates/whinhill/src/assigner/tests.rs
+++ b/crates/whinhill/src/assigner/tests.rs
@@ -580,3 +580,17 @@
     a.judge();
     assert!(usable(&a.servers[0]));
 }
+
+#[test]
+fn a_server_slower_than_its_peers_is_hot_whatever_its_own_usual_time_but_not_in_a_release() {
+    let mut a = fleet(5, &[(0, 40.0), (1, 40.0), (2, 40.0), (3, 40.0), (4, 40.0)]);
+    a.servers.iter_mut().for_each(|server| server.service = Some(0.1));
+    a.servers[0].service = Some(1.0);
+    (0..5).for_each(|i| met(&mut a, i, 20, 0, if i == 0 { 1.2 } else { 0.12 }));
+    a.judge();
+    let waits: Vec<bool> = a.servers.iter().map(|server| a.waits(server)).collect();
+    assert_eq!(waits, [true, false, false, false, false]);
+    a.servers[4].started = Some(a.now);
+    a.judge();
+    assert!(!a.waits(&a.servers[0]));
+}
--- a/crates/whinhill/src/state.rs
+++ b/crates/whinhill/src/state.rs
@@ -31,6 +31,12 @@
     }
 }
 
+/// The middle one of some values.
+pub fn middle<T: Copy + PartialOrd>(mut values: Vec<T>) -> Option<T> {
+    values.sort_by(|a, b| a.partial_cmp(b).unwrap_or(std::cmp::Ordering::Equal));
+    values.get(values.len() / 2).copied()
+}
+
 #[derive(Clone, Debug, Default)]
 pub struct Server {
     pub ep: Ep,
