Count only orders that cost a line against the channel

Traced: offered work was twice what servers were reckoned to do, the channel empty, and still one or two levels a period: the probes of a period, 61 to 130 at full size, were counted as lines to every proxy, so tuning never found room. Told from a slow channel by the reckoned lines (0), from late limits by the limits themselves.

--- a/crates/whinhill/src/assigner.rs
+++ b/crates/whinhill/src/assigner.rs
@@ -290,7 +290,7 @@
         let heard = self.servers.iter().filter(|s| now < s.last_ok + self.half * 2).count();
         let ready = self.ready().count();
         // In a release many are slow that will not stay so, and moves only add to it.
-        let calm = self.ready().all(|s| self.ramp(s) >= 1.0);
+        let calm = !self.servers.iter().any(|s| s.listed == Listed::Draining || self.ramp(s) < 1.0);
         let usual = middle(self.ready().filter(|_| calm).filter_map(|s| s.service).collect());
         self.slow = usual.map_or(f64::MAX, |usual| SLOWER * usual);
         let mut sick = self.ready().filter(|s| s.sick.is_some()).count();
@@ -768,13 +768,14 @@
 
     /// Whether the channel holds less than a part of what may wait in it.
     fn has_room(&self, part: f64) -> bool {
-        let lines = self.channel.lines + self.lines(self.out.len() + self.channel.due);
+        let lines = self.channel.lines + self.lines(self.channel.due);
         let (sent, most) = (self.channel.messages.len() as f64, self.cfg.messages_most as f64);
         lines < part * self.cfg.backlog && (most == 0.0 || sent < part * most - 1.0)
     }
 
-    /// Lines that the channel carries for a message to every proxy.
-    fn lines(&self, orders: usize) -> f64 {
+    /// Lines that the channel carries for a message to every proxy with what is written so far, and more.
+    fn lines(&self, more: usize) -> f64 {
+        let orders = self.out.iter().filter(|order| order.costs_a_line()).count() + more;
         (orders as f64 + self.cfg.head) * self.proxies.values().filter(|p| p.joined).count() as f64
     }
 
@@ -787,12 +788,11 @@
             self.channel.marks += 1;
             self.out.push(Order::Mark { mark: (self.channel.marks & 0xffff) as u16 });
         }
-        let count = self.out.iter().filter(|order| order.costs_a_line()).count();
         let sent = now.saturating_sub(self.channel.at).as_secs_f64() * self.cfg.lines_per_s / SLOW_CHANNEL;
         (self.channel.lines, self.channel.at) = ((self.channel.lines - sent).max(0.0), now);
         self.channel.messages.retain(|at| now <= *at + self.cfg.messages_span);
-        if count > 0 {
-            let lines = self.lines(count);
+        if self.out.iter().any(Order::costs_a_line) {
+            let lines = self.lines(0);
             self.channel.lines += lines;
             self.channel.sent.push_back((self.channel.marks, lines));
             self.channel.messages.push(now);
--- a/crates/whinhill/src/assigner/tests.rs
+++ b/crates/whinhill/src/assigner/tests.rs
@@ -594,3 +594,13 @@
     a.judge();
     assert!(!a.waits(&a.servers[0]));
 }
+
+#[test]
+fn probes_and_log_lines_take_no_room_in_the_channel() {
+    let mut a = fleet(2, &[(0, 1.0)]);
+    let local = [Order::Probe { ep: ep(0) }, Order::Log { text: String::new() }, Order::Watch];
+    a.out = local.iter().cycle().take(3000).cloned().collect();
+    assert!(a.has_room(PLAN_ROOM));
+    a.out = vec![Order::Grant { slice: 0, ep: ep(0) }; 3000];
+    assert!(!a.has_room(DRAIN_ROOM.1));
+}
