--- a/crates/whinhill/src/assigner.rs
+++ b/crates/whinhill/src/assigner.rs
@@ -60,7 +60,7 @@
 /// slices (others give it slices unseen). More: it topples; less: it idles while warm ones are full.
 const COLD: (f64, f64, f64) = (0.38, 1.3, 1.5);
 /// Parts of the backlog under which plans go out; and under which departures from sick or cold owners (levels
-/// to the end too), grants and drains start, and stop. Higher: no room for safety; lower: moves trickle.
+/// to the start too), grants and drains start, and stop. Higher: no room for safety; lower: moves trickle.
 const PLAN_ROOM: f64 = 0.25;
 const LEAVE_ROOM: (f64, f64) = (0.3, 0.6);
 const GRANT_ROOM: (f64, f64) = (0.4, 0.7);
@@ -743,7 +743,7 @@
             let Some(owner) = slice.owner else { continue };
             let line = self.servers[owner].line;
             let cold = period && self.cold(owner) && self.has_room(0.5);
-            let tune = slice.stays == self.now + STAY || cold || open && self.has_room(LEAVE_ROOM.1);
+            let tune = slice.stays == self.now + STAY || cold || open && self.has_room(LEAVE_ROOM.0);
             let mut wanted = slice.told.clone();
             for (rank, method) in self.cfg.ranks.iter().enumerate() {
                 let told = &mut wanted[*method];
--- a/crates/whinhill/src/assigner/tests.rs
+++ b/crates/whinhill/src/assigner/tests.rs
@@ -316,7 +316,7 @@
 #[test]
 fn levels_wait_while_the_channel_is_filled_but_a_stop_does_not() {
     let mut a = fleet(3, &[(0, 0.5), (1, 0.3)]);
-    a.channel.lines = 5000.0;
+    a.channel.lines = 3000.0;
     a.servers[0].line = 0.5;
     a.stop(1, Some(2), false);
     a.order_levels(true);
