--- a/crates/whinhill/src/assigner.rs
+++ b/crates/whinhill/src/assigner.rs
@@ -63,8 +63,8 @@
 /// to the start too), grants and drains start, and stop. Higher: no room for safety; lower: moves trickle.
 const PLAN_ROOM: f64 = 0.25;
 const LEAVE_ROOM: (f64, f64) = (0.3, 0.6);
-const GRANT_ROOM: (f64, f64) = (0.4, 0.7);
-const DRAIN_ROOM: (f64, f64) = (0.7, 0.9);
+const GRANT_ROOM: (f64, f64) = (0.3, 0.5);
+const DRAIN_ROOM: (f64, f64) = (0.8, 0.9);
 /// The channel may run this many times slower than stated. Lower: the queue's rule is at risk.
 const SLOW_CHANNEL: f64 = 4.0;
 /// Mean wait, as a part of the soft deadline, at which a server counts as overloaded.
