--- a/crates/whinhill/src/assigner.rs
+++ b/crates/whinhill/src/assigner.rs
@@ -58,7 +58,7 @@
 const SICK_MOST: f64 = 0.5;
 /// A cold server's budget: part of what topples it, most of its capacity, and a power of our share of the
 /// slices (others give it slices unseen). More: it topples; less: it idles while warm ones are full.
-const COLD: (f64, f64, f64) = (0.38, 1.3, 1.5);
+const COLD: (f64, f64, f64) = (0.35, 1.3, 1.5);
 /// Parts of the backlog under which plans go out; and under which departures from sick or cold owners (levels
 /// to the start too), grants and drains start, and stop. Higher: no room for safety; lower: moves trickle.
 const PLAN_ROOM: f64 = 0.25;
