--- a/crates/whinhill/src/assigner.rs
+++ b/crates/whinhill/src/assigner.rs
@@ -341,7 +341,7 @@
         }
     }
 
-    // 2. Estimates. Measures halve in a report's usual stretch: longer finds trouble late, shorter follows noise.
+    // 2. Estimates. Measures halve in a report's usual stretch: longer finds trouble late, shorter is noise.
 
     /// Work of a method's RPC against the average: soft deadlines are the one hint at it.
     fn work(&self, method: MethodId) -> f64 {
