Reckon a cold server's load by the share of tries served until capacity is learned

Change: where no capacity is learned and servers don't report how busy they are, the load of a slice on a cold server is divided by the part of tries that are served.

--- a/crates/whinhill/src/assigner.rs
+++ b/crates/whinhill/src/assigner.rs
@@ -46,6 +46,9 @@
 const PAD: f64 = 0.3;
 /// Load that the average server is taken to have where servers don't report how busy they are.
 const USUAL: f64 = 0.5;
+/// Least part of tries served that a cold server's load is reckoned with where no capacity is learned.
+/// Lower: cold servers idle where answers are lost; higher: they are pushed over after a return.
+const PRESSED: f64 = 0.2;
 /// Share of tries lost, and times the others' share, that make a server sick. Lower: healthy ones go.
 const SICK: (f64, f64) = (0.3, 3.0);
 /// Tries (or RPCs expected) below which nothing is said about a server.
@@ -407,6 +410,11 @@
         });
         let (loads, owns) = known.fold((0.0, 0.0), |sum, one| (sum.0 + one.0, sum.1 + one.1));
         let usual = if owns > 0.0 { loads / owns } else { 0.0 };
+        // Lost tries show more load than that; a cold server must not learn it by falling (after a return
+        // nothing else is known). Harm: where answers are lost for another reason, cold servers fill later.
+        let sum = |f: fn(&Server) -> &Sum| ready.iter().map(|s| f(s).read(now, self.half)).sum::<f64>();
+        let served_part = 1.0 - sum(|s| &s.lost) / sum(|s| &s.tries).max(1.0);
+        let pressed = usual / served_part.clamp(PRESSED, 1.0);
         let pad = PAD * owned.iter().sum::<f64>() / count;
         let idle = CROWD * owned.iter().sum::<f64>() / (share * self.slices.len() as f64).max(1.0);
         let mut view = View { demand, limits: self.limits(), idle, ..View::default() };
@@ -417,7 +425,7 @@
             let unit = match (told(server), view.limits[server.ep.index]) {
                 (Some(cpu), _) if ramp >= 1.0 => (cpu * share + usual * pad) / (let_in + pad).max(1e-9),
                 (None, limit) if !busy && limit.is_finite() => 1.0 / limit.max(1e-9),
-                _ => usual / server.size.max(1e-3),
+                _ => (if ramp < 1.0 && !busy { pressed } else { usual }) / server.size.max(1e-3),
             };
             let own = owned * unit / ramp;
             let untried = !server.proven && (self.cfg.probes || held >= UNPROVEN);
--- a/crates/whinhill/src/assigner/tests.rs
+++ b/crates/whinhill/src/assigner/tests.rs
@@ -387,6 +387,19 @@
     assert_eq!(a.servers[1].line, 0.0);
 }
 
+#[test]
+fn where_nothing_is_learned_lost_tries_cut_what_a_cold_server_is_let() {
+    let shut_out = |lost: u64| {
+        let mut a = fleet(3, &[(0, 20.0), (1, 20.0), (2, 20.0)]);
+        a.servers[0].started = Some(s(95.0));
+        (1..3).for_each(|server| met(&mut a, server, 20, lost, 0.1));
+        a.draw_lines();
+        a.servers[0].shut_out
+    };
+    assert!(shut_out(0) < 0.01, "{}", shut_out(0));
+    assert!(shut_out(12) > 0.3, "{}", shut_out(12));
+}
+
 #[test]
 fn servers_of_a_zone_whose_proxies_all_left_are_cut_off_not_sick() {
     let mut a = fleet(3, &[(0, 300.0), (1, 300.0), (2, 300.0)]);
