--- /dev/null
+++ b/crates/whinhill-transport/src/call.rs
@@ -0,0 +1,464 @@
+//! Calls as ordinary threads use them: each wait blocks and has an end.
+
+use std::io;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use crossbeam_channel::bounded;
+use h2::client::{ResponseFuture, SendRequest};
+use h2::server::SendResponse;
+use h2::{Reason, RecvStream, SendStream};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode};
+use tracing::{debug, warn};
+
+use crate::connection::{Counted, Handler};
+use crate::error::{CallError, Code, NeverRan};
+use crate::limits::Limits;
+use crate::park::{wait, wait_for};
+use crate::Drivers;
+
+/// The header map that ends a call.
+pub type Trailers = HeaderMap;
+
+const PREFIX: usize = 5;
+
+/// Reads messages of one direction of a call.
+pub struct MessageReader {
+    body: RecvStream,
+    held: BytesMut,
+    most: usize,
+}
+
+impl MessageReader {
+    /// The next message; `None` at the end of the direction.
+    pub fn recv(&mut self, within: Duration) -> Result<Option<Bytes>, CallError> {
+        let until = Instant::now() + within;
+        loop {
+            if let Some(message) = self.framed()? {
+                return Ok(Some(message));
+            }
+            let chunk = wait(until, |cx| self.body.poll_data(cx)).ok_or(CallError::Deadline(within))?;
+            match chunk {
+                None if self.held.is_empty() => return Ok(None),
+                None => return Err(CallError::Malformed("the stream ends within a message")),
+                Some(Err(error)) => return Err(CallError::of(error, true)),
+                Some(Ok(chunk)) => {
+                    self.held.extend_from_slice(&chunk);
+                    // What is held is bounded by the message's limit, so the window may open again at once.
+                    let released = self.body.flow_control().release_capacity(chunk.len());
+                    released.map_err(|error| CallError::of(error, true))?;
+                }
+            }
+        }
+    }
+
+    fn framed(&mut self) -> Result<Option<Bytes>, CallError> {
+        if self.held.len() < PREFIX {
+            return Ok(None);
+        }
+        if self.held[0] != 0 {
+            return Err(CallError::Malformed("a compressed message, though no encoding was agreed"));
+        }
+        let size = u32::from_be_bytes([self.held[1], self.held[2], self.held[3], self.held[4]]) as usize;
+        if size > self.most {
+            return Err(CallError::TooLarge { size, most: self.most });
+        }
+        if self.held.len() < PREFIX + size {
+            return Ok(None);
+        }
+        self.held.advance(PREFIX);
+        Ok(Some(self.held.split_to(size).freeze()))
+    }
+
+    /// What ends the call, after the last message.
+    pub fn trailers(&mut self, within: Duration) -> Result<Trailers, CallError> {
+        let until = Instant::now() + within;
+        while self.recv(until.saturating_duration_since(Instant::now()))?.is_some() {}
+        let trailers = wait(until, |cx| self.body.poll_trailers(cx)).ok_or(CallError::Deadline(within))?;
+        Ok(trailers.map_err(|error| CallError::of(error, true))?.unwrap_or_default())
+    }
+}
+
+/// Writes messages of one direction of a call, waiting for the peer's window.
+pub struct MessageWriter {
+    stream: SendStream<Bytes>,
+    _counted: Option<Counted>,
+}
+
+fn framed(message: &[u8]) -> Bytes {
+    let mut frame = BytesMut::with_capacity(PREFIX + message.len());
+    frame.put_u8(0);
+    frame.put_u32(message.len() as u32);
+    frame.put_slice(message);
+    frame.freeze()
+}
+
+impl MessageWriter {
+    /// Sends one message as far as the peer's window opens in time. A failure in mid-message leaves the call
+    /// unusable: the caller must end it.
+    pub fn send(&mut self, message: &[u8], within: Duration) -> Result<(), CallError> {
+        let until = Instant::now() + within;
+        let mut left = framed(message);
+        while !left.is_empty() {
+            self.stream.reserve_capacity(left.len());
+            if self.stream.capacity() == 0 {
+                let room =
+                    wait(until, |cx| self.stream.poll_capacity(cx)).ok_or(CallError::Deadline(within))?;
+                match room {
+                    Some(Ok(_)) => {}
+                    Some(Err(error)) => return Err(CallError::of(error, true)),
+                    None => return Err(CallError::Reset("the stream is closed".into())),
+                }
+            }
+            let part = self.stream.capacity().min(left.len());
+            let chunk = left.split_to(part);
+            self.stream.send_data(chunk, false).map_err(|error| CallError::of(error, true))?;
+        }
+        Ok(())
+    }
+
+    /// Ends the client's direction.
+    pub fn finish(&mut self) -> Result<(), CallError> {
+        self.stream.send_data(Bytes::new(), true).map_err(|error| CallError::of(error, true))
+    }
+
+    /// Ends a server's direction, and with it the call.
+    pub fn close(&mut self, code: Code, message: &str, extra: Trailers) -> Result<(), CallError> {
+        let trailers = status(code, message, extra);
+        self.stream.send_trailers(trailers).map_err(|error| CallError::of(error, true))
+    }
+
+    pub fn reset(&mut self, reason: Reason) {
+        self.stream.send_reset(reason);
+    }
+}
+
+fn status(code: Code, message: &str, mut extra: Trailers) -> HeaderMap {
+    extra.insert(HeaderName::from_static("grpc-status"), HeaderValue::from(code.number()));
+    if !message.is_empty() {
+        let plain: String =
+            message.chars().map(|c| if (' '..='~').contains(&c) && c != '%' { c } else { ' ' }).collect();
+        if let Ok(value) = HeaderValue::from_str(&plain) {
+            extra.insert(HeaderName::from_static("grpc-message"), value);
+        }
+    }
+    extra
+}
+
+/// A call that came in.
+pub struct ServerCall {
+    pub head: http::request::Parts,
+    pub peer: SocketAddr,
+    pub came: Instant,
+    body: RecvStream,
+    respond: SendResponse<Bytes>,
+    most: usize,
+    counted: Option<Counted>,
+}
+
+impl ServerCall {
+    pub(crate) fn new(
+        request: Request<RecvStream>,
+        respond: SendResponse<Bytes>,
+        peer: SocketAddr,
+        most: usize,
+        counted: Option<Counted>,
+    ) -> Self {
+        let (head, body) = request.into_parts();
+        ServerCall { head, peer, came: Instant::now(), body, respond, most, counted }
+    }
+
+    pub fn path(&self) -> &str {
+        self.head.uri.path()
+    }
+
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.head.headers.get(name).and_then(|value| value.to_str().ok())
+    }
+
+    /// Answers with a status alone, without waiting for anything.
+    pub fn refuse(mut self, code: Code, message: &str, extra: Trailers) {
+        let mut response = Response::new(());
+        *response.headers_mut() = status(code, message, extra);
+        response.headers_mut().insert("content-type", HeaderValue::from_static("application/grpc"));
+        let _ = self.respond.send_response(response, true);
+    }
+
+    /// Resets the stream with REFUSED_STREAM: proof for the client that nothing ran.
+    pub fn refuse_unseen(mut self) {
+        self.respond.send_reset(Reason::REFUSED_STREAM);
+    }
+
+    /// Opens the answer: messages may go both ways from now on.
+    pub fn open(self) -> Result<(MessageReader, MessageWriter), CallError> {
+        let ServerCall { mut respond, body, most, counted, .. } = self;
+        let mut response = Response::new(());
+        response.headers_mut().insert("content-type", HeaderValue::from_static("application/grpc"));
+        let stream = respond.send_response(response, false).map_err(|error| CallError::of(error, true))?;
+        let reader = MessageReader { body, held: BytesMut::new(), most };
+        Ok((reader, MessageWriter { stream, _counted: counted }))
+    }
+
+    /// Reads the one message of a unary call. The answer can still be refused after it.
+    pub fn message(&mut self, within: Duration) -> Result<Bytes, CallError> {
+        // The reader is put together for the wait alone: the body stays with the call.
+        let until = Instant::now() + within;
+        let mut held = BytesMut::new();
+        loop {
+            let Some(chunk) = wait(until, |cx| self.body.poll_data(cx)) else {
+                return Err(CallError::Deadline(within));
+            };
+            let Some(chunk) = chunk else { break };
+            let chunk = chunk.map_err(|error| CallError::of(error, true))?;
+            if held.len() + chunk.len() > PREFIX + self.most {
+                return Err(CallError::TooLarge { size: held.len() + chunk.len(), most: self.most });
+            }
+            held.extend_from_slice(&chunk);
+            let released = self.body.flow_control().release_capacity(chunk.len());
+            released.map_err(|error| CallError::of(error, true))?;
+        }
+        if held.len() < PREFIX || held[0] != 0 {
+            return Err(CallError::Malformed("not one uncompressed gRPC message"));
+        }
+        let size = u32::from_be_bytes([held[1], held[2], held[3], held[4]]) as usize;
+        if held.len() != PREFIX + size {
+            return Err(CallError::Malformed("the length of the message is not what its prefix says"));
+        }
+        Ok(held.split_off(PREFIX).freeze())
+    }
+
+    /// Answers a unary call whole.
+    pub fn answer(self, message: &[u8], extra: Trailers, within: Duration) -> Result<(), CallError> {
+        let (_, mut writer) = self.open()?;
+        writer.send(message, within)?;
+        writer.close(Code::Ok, "", extra)
+    }
+
+    /// Whether the client has cancelled it or gone away.
+    pub fn cancelled(&mut self) -> bool {
+        wait(Instant::now(), |cx| self.respond.poll_reset(cx)).is_some()
+    }
+}
+
+/// Takes connections in. Dropping it stops that; connections that stand go on until their drivers end.
+pub struct Listener {
+    addr: SocketAddr,
+    stop: Arc<AtomicBool>,
+    count: Arc<AtomicUsize>,
+    thread: Option<thread::JoinHandle<()>>,
+}
+
+impl Listener {
+    /// Listens on `addr`; port 0 lets the system choose one. `handler` runs on a driver thread and must not block.
+    pub fn start(
+        name: &str,
+        addr: SocketAddr,
+        limits: Limits,
+        drivers: &Drivers,
+        handler: impl Fn(ServerCall) + Send + Sync + 'static,
+    ) -> io::Result<Self> {
+        let socket = TcpListener::bind(addr)?;
+        let addr = socket.local_addr()?;
+        let (stop, count) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicUsize::new(0)));
+        let (stopped, counter, drivers) = (stop.clone(), count.clone(), drivers.clone());
+        let handler: Handler = Arc::new(handler);
+        let builder = thread::Builder::new().name(format!("{name}-accept")).stack_size(64 << 10);
+        let thread = builder.spawn(move || {
+            // A refused crowd is one line a second, not one each.
+            let (mut refused, mut told) = (0u64, Instant::now() - Duration::from_secs(1));
+            while let Ok((stream, peer)) = socket.accept() {
+                if stopped.load(Ordering::Relaxed) {
+                    break;
+                }
+                let counted = Counted::take(&counter, limits.connections_most);
+                let taken = counted
+                    .map(|counted| drivers.accepted(stream, peer, limits.clone(), handler.clone(), counted));
+                if !matches!(taken, Some(Ok(()))) {
+                    refused += 1;
+                    if told.elapsed() >= Duration::from_secs(1) {
+                        warn!(%addr, %peer, refused, most = limits.connections_most, "connection refused: too many");
+                        (refused, told) = (0, Instant::now());
+                    }
+                }
+            }
+            debug!(%addr, "listener ended");
+        })?;
+        Ok(Listener { addr, stop, count, thread: Some(thread) })
+    }
+
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Connections that stand.
+    pub fn connections(&self) -> usize {
+        self.count.load(Ordering::Relaxed)
+    }
+}
+
+impl Drop for Listener {
+    fn drop(&mut self) {
+        self.stop.store(true, Ordering::Relaxed);
+        // Wakes the accept; it sees the flag.
+        let woken = TcpStream::connect_timeout(&self.addr, Duration::from_secs(1)).is_ok();
+        if let Some(thread) = self.thread.take().filter(|_| woken) {
+            let _ = thread.join();
+        }
+    }
+}
+
+/// One connection to a server, for many calls at a time.
+#[derive(Clone)]
+pub struct Client {
+    request: Arc<Mutex<SendRequest<Bytes>>>,
+    streams: Arc<AtomicUsize>,
+    dead: Arc<AtomicBool>,
+    addr: SocketAddr,
+    most: usize,
+}
+
+/// A call whose answer is still to come.
+pub struct PendingAnswer {
+    future: ResponseFuture,
+    most: usize,
+    dead: Arc<AtomicBool>,
+}
+
+/// The answer's head is there: messages, then trailers.
+pub struct Opened {
+    pub head: http::response::Parts,
+    pub reader: MessageReader,
+}
+
+impl PendingAnswer {
+    pub fn head(self, within: Duration) -> Result<Opened, CallError> {
+        let until = Instant::now() + within;
+        let PendingAnswer { future, most, dead } = self;
+        let answer = wait_for(until, future).ok_or(CallError::Deadline(within))?;
+        let answer = answer.map_err(|error| {
+            if error.is_io() || error.is_go_away() {
+                dead.store(true, Ordering::Relaxed);
+            }
+            CallError::of(error, true)
+        })?;
+        let (head, body) = answer.into_parts();
+        if head.status != StatusCode::OK {
+            return Err(CallError::Malformed("the HTTP status is not 200"));
+        }
+        check(&head.headers)?;
+        Ok(Opened { head, reader: MessageReader { body, held: BytesMut::new(), most } })
+    }
+}
+
+fn check(headers: &HeaderMap) -> Result<(), CallError> {
+    let Some(value) = headers.get("grpc-status") else { return Ok(()) };
+    let number = value.to_str().ok().and_then(|text| text.parse().ok());
+    match number.ok_or(CallError::Malformed("grpc-status is no number"))? {
+        0 => Ok(()),
+        code => {
+            let message = headers.get("grpc-message").and_then(|m| m.to_str().ok()).unwrap_or_default();
+            Err(CallError::Status { code: Code::from_number(code), message: message.to_string() })
+        }
+    }
+}
+
+/// A span in the form of the header `grpc-timeout`, in microseconds or, where those take over eight digits, milliseconds.
+pub fn grpc_timeout(span: Duration) -> String {
+    match span.as_micros() {
+        micros @ 0..=99_999_999 => format!("{micros}u"),
+        micros => format!("{}m", (micros / 1000).min(99_999_999)),
+    }
+}
+
+impl Client {
+    pub fn connect(addr: SocketAddr, limits: Limits, drivers: &Drivers) -> Result<Self, CallError> {
+        let no_connection = |_| CallError::NeverRan(NeverRan::NoConnection);
+        let socket = TcpStream::connect_timeout(&addr, limits.handshake).map_err(no_connection)?;
+        let (answer, opened) = bounded(1);
+        let streams = Arc::new(AtomicUsize::new(0));
+        let (most, within) = (limits.message_most, limits.handshake);
+        drivers.opened(socket, addr, limits, streams.clone(), answer).map_err(no_connection)?;
+        let request = opened.recv_timeout(within).map_err(|_| CallError::NeverRan(NeverRan::NoConnection))?;
+        let request = request.map_err(|_| CallError::NeverRan(NeverRan::NoConnection))?;
+        Ok(Client { request: Arc::new(Mutex::new(request)), streams, dead: Arc::default(), addr, most })
+    }
+
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// False once a call has found the connection ended.
+    pub fn alive(&self) -> bool {
+        !self.dead.load(Ordering::Relaxed)
+    }
+
+    /// Calls under way.
+    pub fn streams(&self) -> usize {
+        self.streams.load(Ordering::Relaxed)
+    }
+
+    /// Opens a call. Until this returns nothing was sent.
+    pub fn call(
+        &self,
+        path: &str,
+        headers: &[(&'static str, String)],
+        within: Duration,
+    ) -> Result<(MessageWriter, PendingAnswer), CallError> {
+        let uri = format!("http://{}{path}", self.addr);
+        let mut builder = Request::builder().method(Method::POST).uri(uri);
+        builder = builder.header("content-type", "application/grpc").header("te", "trailers");
+        for (name, value) in headers {
+            builder = builder.header(*name, value);
+        }
+        let request = builder.body(()).map_err(|_| CallError::Malformed("a header's value"))?;
+        let mut send = self.request.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        let until = Instant::now() + within;
+        let failed = |error: h2::Error| {
+            self.dead.store(true, Ordering::Relaxed);
+            CallError::of(error, false)
+        };
+        wait(until, |cx| send.poll_ready(cx))
+            .ok_or(CallError::NeverRan(NeverRan::NeverWritten))?
+            .map_err(failed)?;
+        let (future, stream) = send.send_request(request, false).map_err(failed)?;
+        let counted = Counted::take(&self.streams, usize::MAX);
+        let writer = MessageWriter { stream, _counted: counted };
+        Ok((writer, PendingAnswer { future, most: self.most, dead: self.dead.clone() }))
+    }
+
+    /// One message there, one back, and the trailers.
+    pub fn unary(
+        &self,
+        path: &str,
+        headers: &[(&'static str, String)],
+        message: Bytes,
+        within: Duration,
+    ) -> Result<(Bytes, Trailers), CallError> {
+        let until = Instant::now() + within;
+        let left = || until.saturating_duration_since(Instant::now());
+        let (mut writer, pending) = self.call(path, headers, within)?;
+        let result = (|| {
+            // A server may end the call before it has read all; only the answer's side tells how it ended.
+            let written = writer.send(&message, left()).and_then(|()| writer.finish());
+            let mut opened = match written {
+                Err(error @ CallError::Deadline(_)) => return Err(error),
+                _ => pending.head(left())?,
+            };
+            let answer = opened.reader.recv(left())?;
+            let trailers = opened.reader.trailers(left())?;
+            check(&trailers)?;
+            Ok((answer.ok_or(CallError::Malformed("no message before the status"))?, trailers))
+        })();
+        match result {
+            Err(CallError::Deadline(_)) => {
+                writer.reset(Reason::CANCEL);
+                Err(CallError::Deadline(within))
+            }
+            other => other,
+        }
+    }
+}
--- /dev/null
+++ b/crates/whinhill-transport/src/driver.rs
@@ -0,0 +1,230 @@
+//! The threads that turn connections. Each holds some of them, sleeps until one has something to do, and
+//! polls just that one.
+
+use std::io;
+use std::net::{SocketAddr, TcpStream};
+use std::os::fd::{AsRawFd, RawFd};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::task::{Context, Wake, Waker};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crossbeam_channel::{bounded, Receiver, Sender};
+use mio::unix::SourceFd;
+use mio::{Events, Interest, Poll, Token};
+use tracing::error;
+
+use crate::connection::{Connection, Counted, Handler};
+use crate::limits::Limits;
+use crate::socket::Socket;
+
+const STACK: usize = 256 << 10;
+/// How often clocks are looked at: the grain of every limit in time.
+const TICK: Duration = Duration::from_millis(50);
+/// Sockets waiting to be taken on by a driver; further ones are refused.
+const INBOX: usize = 4096;
+const WAKE: Token = Token(usize::MAX);
+
+/// Wakes the thread, and says which connection has something to do.
+struct Bell {
+    waker: mio::Waker,
+    ready: Mutex<Vec<usize>>,
+    rung: AtomicBool,
+}
+
+impl Bell {
+    fn ring(&self, key: Option<usize>) {
+        if let Some(key) = key {
+            self.ready.lock().unwrap_or_else(PoisonError::into_inner).push(key);
+        }
+        if !self.rung.swap(true, Ordering::AcqRel) {
+            // It fails only when the process is out of file descriptors; the tick then finds the work.
+            let _ = self.waker.wake();
+        }
+    }
+
+    fn take(&self, into: &mut Vec<usize>) {
+        self.rung.store(false, Ordering::Release);
+        into.append(&mut self.ready.lock().unwrap_or_else(PoisonError::into_inner));
+    }
+}
+
+struct Ring {
+    bell: Arc<Bell>,
+    key: usize,
+    queued: AtomicBool,
+}
+
+impl Wake for Ring {
+    fn wake(self: Arc<Self>) {
+        if !self.queued.swap(true, Ordering::AcqRel) {
+            self.bell.ring(Some(self.key));
+        }
+    }
+}
+
+enum Adopt {
+    Accepted { socket: TcpStream, peer: SocketAddr, limits: Limits, handler: Handler, counted: Counted },
+    Opened { socket: TcpStream, peer: SocketAddr, limits: Limits, streams: Arc<AtomicUsize>, answer: Answer },
+    Stop,
+}
+
+type Answer = Sender<Result<h2::client::SendRequest<bytes::Bytes>, h2::Error>>;
+
+struct Held {
+    connection: Connection,
+    ring: Arc<Ring>,
+    waker: Waker,
+    fd: RawFd,
+}
+
+/// The driver threads of a process. Dropping the last handle ends them and every connection they hold.
+#[derive(Clone)]
+pub struct Drivers(Arc<Inner>);
+
+struct Inner {
+    drivers: Vec<(Sender<Adopt>, Arc<Bell>)>,
+    next: AtomicUsize,
+}
+
+impl Drop for Inner {
+    fn drop(&mut self) {
+        for (inbox, bell) in &self.drivers {
+            let _ = inbox.try_send(Adopt::Stop);
+            bell.ring(None);
+        }
+    }
+}
+
+impl Drivers {
+    /// Starts `threads` of them, named after `name`.
+    pub fn start(name: &str, threads: usize) -> io::Result<Self> {
+        let mut drivers = Vec::new();
+        for number in 0..threads.max(1) {
+            let poll = Poll::new()?;
+            let bell = Arc::new(Bell {
+                waker: mio::Waker::new(poll.registry(), WAKE)?,
+                ready: Mutex::default(),
+                rung: AtomicBool::new(false),
+            });
+            let (inbox, taken) = bounded(INBOX);
+            drivers.push((inbox, bell.clone()));
+            let thread = thread::Builder::new().name(format!("{name}-h2-{number}")).stack_size(STACK);
+            thread.spawn(move || {
+                if let Err(error) = turn(poll, &bell, &taken) {
+                    error!(%error, "a driver thread ended; its connections are lost");
+                }
+            })?;
+        }
+        Ok(Drivers(Arc::new(Inner { drivers, next: AtomicUsize::new(0) })))
+    }
+
+    fn adopt(&self, what: Adopt) -> io::Result<()> {
+        let place = self.0.next.fetch_add(1, Ordering::Relaxed) % self.0.drivers.len();
+        let (inbox, bell) = &self.0.drivers[place];
+        inbox.try_send(what).map_err(|_| io::Error::other("too many connections wait to be taken on"))?;
+        bell.ring(None);
+        Ok(())
+    }
+
+    pub(crate) fn accepted(
+        &self,
+        socket: TcpStream,
+        peer: SocketAddr,
+        limits: Limits,
+        handler: Handler,
+        counted: Counted,
+    ) -> io::Result<()> {
+        self.adopt(Adopt::Accepted { socket, peer, limits, handler, counted })
+    }
+
+    pub(crate) fn opened(
+        &self,
+        socket: TcpStream,
+        peer: SocketAddr,
+        limits: Limits,
+        streams: Arc<AtomicUsize>,
+        answer: Answer,
+    ) -> io::Result<()> {
+        self.adopt(Adopt::Opened { socket, peer, limits, streams, answer })
+    }
+}
+
+fn take_on(poll: &Poll, bell: &Arc<Bell>, key: usize, what: Adopt) -> io::Result<Option<Held>> {
+    let reads = Arc::new(AtomicU64::new(0));
+    let (connection, fd) = match what {
+        Adopt::Stop => return Ok(None),
+        Adopt::Accepted { socket, peer, limits, handler, counted } => {
+            let fd = prepare(poll, &socket, key)?;
+            let socket = Socket::new(Box::new(socket), reads.clone());
+            (Connection::accepted(socket, peer, reads, limits, handler, counted), fd)
+        }
+        Adopt::Opened { socket, peer, limits, streams, answer } => {
+            let fd = prepare(poll, &socket, key)?;
+            let socket = Socket::new(Box::new(socket), reads.clone());
+            (Connection::opened(socket, peer, reads, limits, streams, answer), fd)
+        }
+    };
+    let ring = Arc::new(Ring { bell: bell.clone(), key, queued: AtomicBool::new(true) });
+    Ok(Some(Held { connection, waker: ring.clone().into(), ring, fd }))
+}
+
+fn prepare(poll: &Poll, socket: &TcpStream, key: usize) -> io::Result<RawFd> {
+    socket.set_nonblocking(true)?;
+    socket.set_nodelay(true)?;
+    let fd = socket.as_raw_fd();
+    let interest = Interest::READABLE | Interest::WRITABLE;
+    poll.registry().register(&mut SourceFd(&fd), Token(key), interest)?;
+    Ok(fd)
+}
+
+fn turn(mut poll: Poll, bell: &Arc<Bell>, inbox: &Receiver<Adopt>) -> io::Result<()> {
+    let mut held: Vec<Option<Held>> = Vec::new();
+    let mut free: Vec<usize> = Vec::new();
+    let mut due: Vec<usize> = Vec::new();
+    let mut events = Events::with_capacity(1024);
+    let mut next_tick = Instant::now() + TICK;
+    loop {
+        let left = next_tick.saturating_duration_since(Instant::now());
+        match poll.poll(&mut events, Some(left)) {
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
+            other => other?,
+        }
+        due.clear();
+        due.extend(events.iter().map(|event| event.token()).filter(|t| *t != WAKE).map(|t| t.0));
+        bell.take(&mut due);
+        while let Ok(what) = inbox.try_recv() {
+            if matches!(what, Adopt::Stop) {
+                return Ok(());
+            }
+            let key = free.pop().unwrap_or(held.len());
+            held.resize_with(held.len().max(key + 1), || None);
+            match take_on(&poll, bell, key, what) {
+                Ok(taken) => held[key] = taken,
+                Err(error) => error!(%error, "a socket could not be taken on"),
+            }
+            due.push(key);
+        }
+        let now = Instant::now();
+        let ticked = now >= next_tick;
+        if ticked {
+            next_tick = now + TICK;
+            due.extend((0..held.len()).filter(|key| held[*key].is_some()));
+        }
+        due.sort_unstable();
+        due.dedup();
+        for key in due.drain(..) {
+            let Some(one) = held.get_mut(key).and_then(Option::as_mut) else { continue };
+            one.ring.queued.store(false, Ordering::Release);
+            let clocks = !ticked || one.connection.tick(now);
+            let alive = clocks && !one.connection.may_drop();
+            if !alive || !one.connection.poll(&mut Context::from_waker(&one.waker)) {
+                // Deregister before the socket closes, so that a later one of the same number is not confused with it.
+                let _ = poll.registry().deregister(&mut SourceFd(&one.fd));
+                held[key] = None;
+                free.push(key);
+            }
+        }
+    }
+}
