Speak xDS v3 both ways as state machines without I/O, over tables in versions

Change: whinhill-tables (versions, a keeper that tells a grant only once the store holds it, the check before publishing, a set's hash); whinhill-xds (messages with the specification's field numbers, the server's and the client's end, the mapping: a cluster and a load assignment for each slice and method, the write lease as TTL of the writes' route).

They found four faults on the way: a mark answered past a rejection, a subscription taken for a stale answer, a resource held after it was given up, removed endpoints told to a client that has no word for it.

--- /dev/null
+++ b/crates/whinhill-tables/src/lib.rs
@@ -0,0 +1,14 @@
+//! What is published: each slice's table, in versions. No I/O and no clock.
+//!
+//! A [`Keeper`] takes the module's orders and says which slices changed, and which grants the store must hold
+//! before they may be told to anyone.
+
+mod check;
+mod hash;
+mod keeper;
+mod table;
+
+pub use check::{check, Fault};
+pub use hash::set_hash;
+pub use keeper::{Changed, Keeper, PendingGrant};
+pub use table::{ServerName, SliceTable, TableSet, Version, VersionError};
--- /dev/null
+++ b/crates/whinhill-xds/src/server.rs
@@ -0,0 +1,489 @@
+//! The control plane's end of one aggregated stream: a state machine without I/O.
+//!
+//! Nothing is queued but names: what a reply holds is read from the cache when it is made, so a newer version
+//! of a resource takes the place of an older one that was not sent yet, and a slow reader costs a set of names.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use crate::cache::{Cache, Entry, Kind, WRAPPER_URL};
+use crate::proto::{self, Any, DeltaDiscoveryRequest, DiscoveryRequest};
+use crate::{Request, Response, Variant};
+
+/// Replies of one type that may be unanswered at a time.
+const UNANSWERED: usize = 8;
+/// Resources in one reply: a message stays well under the transport's limit.
+const IN_ONE_REPLY: usize = 4096;
+/// Bytes of resources after which a reply is full.
+const REPLY_BYTES: usize = 1 << 20;
+/// Names that a client may subscribe to beyond those that exist.
+const UNKNOWN_NAMES: usize = 4096;
+
+/// What a request told.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Heard {
+    /// Names were asked for or given up.
+    Subscribed { kind: Kind },
+    /// A reply was taken, with whatever came before it.
+    Acked { kind: Kind, nonce: u64 },
+    /// A reply was rejected: the client holds what it had. Its resources go out once more.
+    Nacked { kind: Kind, nonce: u64, names: Vec<String>, reason: String },
+    /// The nonce is older than the last reply's, or none of ours.
+    Stale { kind: Kind, nonce: String },
+}
+
+/// Why the stream must end.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum StreamError {
+    #[error("unknown resource type {0:?}")]
+    UnknownType(String),
+    #[error("a request of the other variant")]
+    WrongVariant,
+    #[error("{kind:?}: {names} names subscribed, {most} allowed")]
+    TooManyNames { kind: Kind, names: usize, most: usize },
+    #[error("{kind:?} {name} {version} was rejected twice: {reason}")]
+    RejectedTwice { kind: Kind, name: String, version: String, reason: String },
+}
+
+/// A resource as it was last sent: its version, or `None` where the client was told that there is none.
+type SentVersion = Option<String>;
+
+#[derive(Debug)]
+struct Sent {
+    nonce: u64,
+    items: Vec<(String, SentVersion)>,
+}
+
+#[derive(Debug, Default)]
+struct Topic {
+    started: bool,
+    wildcard: bool,
+    names: BTreeSet<String>,
+    /// What the client holds once it has taken all that was sent.
+    holds: BTreeMap<String, SentVersion>,
+    dirty: BTreeSet<String>,
+    sent: VecDeque<Sent>,
+    rejected: BTreeMap<String, SentVersion>,
+    /// A heartbeat that was not answered yet.
+    beat: Option<u64>,
+    /// The last reply's nonce.
+    newest: u64,
+}
+
+impl Topic {
+    fn wants(&self, name: &str) -> bool {
+        self.wildcard || self.names.contains(name)
+    }
+
+    /// Whether the client must still hear of a name.
+    fn due(&self, kind: Kind, name: &str, cache: &Cache) -> bool {
+        let current = cache.get(kind, name).map(|entry| &entry.version);
+        self.wants(name) && self.holds.get(name).map(Option::as_ref) != Some(current) && {
+            // A wildcard client need not be told of what it never had.
+            current.is_some() || self.holds.contains_key(name) || self.names.contains(name)
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Mark {
+    mark: u16,
+    /// The replies that must be answered first, once all that was due has been sent.
+    waits: Option<BTreeSet<(Kind, u64)>>,
+}
+
+/// One stream. Feed it requests and changes; write what [`ServerStream::next`] returns until it returns nothing.
+#[derive(Debug)]
+pub struct ServerStream {
+    variant: Variant,
+    wrapped: bool,
+    nonces: u64,
+    topics: [Topic; 4],
+    marks: Vec<Mark>,
+    /// The revision of the cache's names and of ours at which every slice was subscribed.
+    complete: Option<u64>,
+}
+
+impl ServerStream {
+    /// `features` are the client features of the first request's node.
+    pub fn new(variant: Variant, features: &[String]) -> Self {
+        let wrapped = features.iter().any(|f| f == crate::client::FEATURE_WRAPPED);
+        ServerStream {
+            variant,
+            wrapped,
+            nonces: 0,
+            topics: Default::default(),
+            marks: Vec::new(),
+            complete: None,
+        }
+    }
+
+    /// Takes one request.
+    pub fn hear(&mut self, request: &Request, cache: &Cache) -> Result<Heard, StreamError> {
+        match (request, self.variant) {
+            (Request::Incremental(request), Variant::Incremental) => self.hear_incremental(request, cache),
+            (Request::StateOfTheWorld(request), Variant::StateOfTheWorld) => self.hear_whole(request, cache),
+            _ => Err(StreamError::WrongVariant),
+        }
+    }
+
+    /// The cache has a new version of a name, or has it no longer.
+    pub fn changed(&mut self, kind: Kind, name: &str) {
+        let topic = &mut self.topics[kind.place()];
+        if topic.started && topic.wants(name) {
+            topic.dirty.insert(name.to_string());
+        }
+    }
+
+    /// Asks to be told, by [`ServerStream::take_acked`], when the client has taken all that is due now.
+    pub fn mark(&mut self, mark: u16) {
+        self.marks.push(Mark { mark, waits: None });
+    }
+
+    /// Marks that have been answered since the last call, in order.
+    pub fn take_acked(&mut self, cache: &Cache) -> Vec<u16> {
+        if self.marks.is_empty() || !self.settled(cache) {
+            return Vec::new();
+        }
+        let open: BTreeSet<(Kind, u64)> = Kind::ALL
+            .into_iter()
+            .flat_map(|kind| self.topics[kind.place()].sent.iter().map(move |sent| (kind, sent.nonce)))
+            .collect();
+        for mark in &mut self.marks {
+            let waits = mark.waits.get_or_insert_with(|| open.clone());
+            waits.retain(|wait| open.contains(wait));
+        }
+        let done = self.marks.iter().take_while(|m| m.waits.as_ref().is_some_and(BTreeSet::is_empty)).count();
+        self.marks.drain(..done).map(|mark| mark.mark).collect()
+    }
+
+    /// Marks without an answer.
+    pub fn marks_open(&self) -> usize {
+        self.marks.len()
+    }
+
+    /// Whether all that is due has been sent, and the client has asked for every slice: one that has not may
+    /// still follow a table of an earlier stream.
+    fn settled(&mut self, cache: &Cache) -> bool {
+        if self.topics.iter().any(|topic| !topic.dirty.is_empty()) {
+            return false;
+        }
+        if self.complete != Some(cache.names_revision()) {
+            let topic = &self.topics[Kind::Endpoints.place()];
+            let all = topic.started && cache.names(Kind::Endpoints).all(|name| topic.wants(name));
+            self.complete = all.then(|| cache.names_revision());
+        }
+        self.complete.is_some()
+    }
+
+    fn hear_incremental(
+        &mut self,
+        request: &DeltaDiscoveryRequest,
+        cache: &Cache,
+    ) -> Result<Heard, StreamError> {
+        let kind = kind_of(&request.type_url)?;
+        let first = !self.topics[kind.place()].started;
+        let mut heard = Heard::Subscribed { kind };
+        if !request.response_nonce.is_empty() {
+            let reason = request.error_detail.as_ref().map(|status| status.message.clone());
+            heard = self.answered(kind, &request.response_nonce, reason, false)?;
+        }
+        self.complete = None;
+        let topic = &mut self.topics[kind.place()];
+        topic.started = true;
+        if first {
+            let named = |(name, version): (&String, &String)| (name.clone(), Some(version.clone()));
+            topic.holds = request.initial_resource_versions.iter().map(named).collect();
+            // The legacy form: a first request without names asks for all there is.
+            topic.wildcard = request.resource_names_subscribe.is_empty() && kind.whole();
+        }
+        for name in &request.resource_names_subscribe {
+            if name == "*" {
+                topic.wildcard = true;
+            } else if !topic.names.insert(name.clone()) || !first {
+                // Asked for again, or anew: it must be sent even if it was sent before.
+                topic.holds.remove(name);
+            }
+        }
+        for name in &request.resource_names_unsubscribe {
+            if name == "*" {
+                topic.wildcard = false;
+            } else {
+                topic.names.remove(name);
+            }
+        }
+        if !request.resource_names_unsubscribe.is_empty() {
+            let Topic { names, wildcard, holds, dirty, .. } = &mut *topic;
+            holds.retain(|name, _| *wildcard || names.contains(name));
+            dirty.retain(|name| *wildcard || names.contains(name));
+        }
+        if first || !request.resource_names_subscribe.is_empty() {
+            self.refresh(kind, cache);
+        }
+        self.bounded(kind, cache)?;
+        Ok(heard)
+    }
+
+    fn hear_whole(&mut self, request: &DiscoveryRequest, cache: &Cache) -> Result<Heard, StreamError> {
+        let kind = kind_of(&request.type_url)?;
+        let mut heard = Heard::Subscribed { kind };
+        if !request.response_nonce.is_empty() {
+            let reason = request.error_detail.as_ref().map(|status| status.message.clone());
+            let answer = self.answered(kind, &request.response_nonce, reason, true)?;
+            // Only a request that names the newest reply tells what is wanted now, whether it answers it or, later,
+            // asks for other names; after an older one the answer to the newest is still to come.
+            let newest = self.topics[kind.place()].newest.to_string() == request.response_nonce;
+            if !newest {
+                return Ok(answer);
+            }
+            if !matches!(answer, Heard::Stale { .. }) {
+                heard = answer;
+            }
+        }
+        self.complete = None;
+        let topic = &mut self.topics[kind.place()];
+        let first = !std::mem::replace(&mut topic.started, true);
+        let names: BTreeSet<String> = request.resource_names.iter().filter(|n| *n != "*").cloned().collect();
+        let star = names.len() < request.resource_names.len();
+        topic.wildcard = star || kind.whole() && names.is_empty() && (first || topic.wildcard);
+        let fresh = names.iter().any(|name| !topic.names.contains(name));
+        if !topic.wildcard {
+            topic.holds.retain(|name, _| names.contains(name));
+            topic.dirty.retain(|name| names.contains(name));
+        }
+        topic.names = names;
+        if first || fresh {
+            self.refresh(kind, cache);
+        }
+        self.bounded(kind, cache)?;
+        Ok(heard)
+    }
+
+    /// Finds every name of a type that the client must still hear of.
+    fn refresh(&mut self, kind: Kind, cache: &Cache) {
+        let topic = &mut self.topics[kind.place()];
+        let there = cache.names(kind).map(str::to_string);
+        let all: BTreeSet<String> =
+            there.chain(topic.holds.keys().cloned()).chain(topic.names.iter().cloned()).collect();
+        let due: Vec<String> = all.into_iter().filter(|name| topic.due(kind, name, cache)).collect();
+        topic.dirty.extend(due);
+    }
+
+    fn bounded(&self, kind: Kind, cache: &Cache) -> Result<(), StreamError> {
+        let topic = &self.topics[kind.place()];
+        let (names, most) = (topic.names.len().max(topic.holds.len()), cache.len(kind) + UNKNOWN_NAMES);
+        if names > most {
+            return Err(StreamError::TooManyNames { kind, names, most });
+        }
+        Ok(())
+    }
+
+    /// Books the answer to a reply. In the state of the world an answer stands for all before it.
+    fn answered(
+        &mut self,
+        kind: Kind,
+        nonce: &str,
+        rejected: Option<String>,
+        with_earlier: bool,
+    ) -> Result<Heard, StreamError> {
+        let topic = &mut self.topics[kind.place()];
+        let place = nonce.parse().ok().and_then(|n: u64| topic.sent.iter().position(|sent| sent.nonce == n));
+        let Some(place) = place else { return Ok(Heard::Stale { kind, nonce: nonce.to_string() }) };
+        let earlier: Vec<Sent> = if with_earlier { topic.sent.drain(..place).collect() } else { Vec::new() };
+        let place = if with_earlier { 0 } else { place };
+        let Some(sent) = topic.sent.remove(place) else {
+            return Ok(Heard::Stale { kind, nonce: nonce.to_string() });
+        };
+        if topic.beat == Some(sent.nonce) || earlier.iter().any(|s| topic.beat == Some(s.nonce)) {
+            topic.beat = None;
+        }
+        let Some(reason) = rejected else {
+            for (name, version) in earlier.into_iter().chain([sent_copy(&sent)]).flat_map(|s| s.items) {
+                topic.rejected.retain(|n, v| *n != name || *v != version);
+            }
+            return Ok(Heard::Acked { kind, nonce: sent.nonce });
+        };
+        // A mark that waited for it must wait for what is sent in its place: an answer that rejects is no ack.
+        for mark in &mut self.marks {
+            mark.waits = mark.waits.take().filter(|waits| !waits.contains(&(kind, sent.nonce)));
+        }
+        let mut names = Vec::new();
+        for (name, version) in sent.items {
+            if topic.rejected.get(&name) == Some(&version) {
+                let version = version.unwrap_or_default();
+                return Err(StreamError::RejectedTwice { kind, name, version, reason });
+            }
+            topic.rejected.insert(name.clone(), version.clone());
+            // What was sent after it may have been taken; only what still stands as sent goes out again.
+            if topic.holds.get(&name) == Some(&version) {
+                topic.holds.remove(&name);
+                topic.dirty.insert(name.clone());
+            }
+            names.push(name);
+        }
+        Ok(Heard::Nacked { kind, nonce: sent.nonce, names, reason })
+    }
+
+    /// The next reply to write, in make-before-break order; `None` when nothing is due or too much is unanswered.
+    pub fn next(&mut self, cache: &Cache) -> Option<Response> {
+        // Clusters first but without the removed ones, which go last.
+        let clusters = self.reply(Kind::Cluster, cache, false);
+        clusters.or_else(|| Kind::ALL[1..].iter().find_map(|kind| self.reply(*kind, cache, true))).or_else(
+            || {
+                let rest = Kind::ALL[1..].iter().any(|kind| !self.topics[kind.place()].dirty.is_empty());
+                if rest {
+                    None
+                } else {
+                    self.reply(Kind::Cluster, cache, true)
+                }
+            },
+        )
+    }
+
+    fn reply(&mut self, kind: Kind, cache: &Cache, with_removed: bool) -> Option<Response> {
+        let variant = self.variant;
+        let topic = &mut self.topics[kind.place()];
+        if topic.dirty.is_empty() || topic.sent.len() >= UNANSWERED {
+            return None;
+        }
+        if !with_removed && topic.dirty.iter().all(|name| cache.get(kind, name).is_none()) {
+            return None;
+        }
+        let whole = variant == Variant::StateOfTheWorld && kind.whole();
+        let mut items: Vec<(String, SentVersion)> = Vec::new();
+        let mut bytes = 0;
+        let names: Vec<String> = topic.dirty.iter().cloned().collect();
+        for name in names {
+            let entry = cache.get(kind, &name);
+            if entry.is_none() && !with_removed {
+                continue;
+            }
+            topic.dirty.remove(&name);
+            if !topic.due(kind, &name, cache) {
+                continue;
+            }
+            bytes += entry.map_or(0, |entry| entry.body.len()) + name.len();
+            items.push((name, entry.map(|entry| entry.version.clone())));
+            if !whole && (items.len() >= IN_ONE_REPLY || bytes >= REPLY_BYTES) {
+                break;
+            }
+        }
+        if items.is_empty() {
+            return None;
+        }
+        if whole {
+            // All that is wanted and there is goes along: what is left out counts as gone.
+            let there = cache.names(kind).filter(|name| topic.wants(name)).map(str::to_string);
+            items.retain(|(_, version)| version.is_none());
+            items.extend(there.map(|name| (name.clone(), cache.get(kind, &name).map(|e| e.version.clone()))));
+            topic.dirty.clear();
+        }
+        for (name, version) in &items {
+            topic.holds.insert(name.clone(), version.clone());
+            if version.is_none() && !topic.names.contains(name) {
+                topic.holds.remove(name);
+            }
+        }
+        if variant == Variant::StateOfTheWorld && !kind.whole() && items.iter().all(|(_, v)| v.is_none()) {
+            // The variant has no way to say that endpoints or routes are gone; their cluster or listener says it.
+            return None;
+        }
+        let beats: Vec<(&str, &Entry, bool)> = items
+            .iter()
+            .filter_map(|(name, version)| {
+                version.as_ref()?;
+                Some((name.as_str(), cache.get(kind, name)?.as_ref(), true))
+            })
+            .collect();
+        let removed: Vec<String> =
+            items.iter().filter(|(_, v)| v.is_none()).map(|(name, _)| name.clone()).collect();
+        self.nonces += 1;
+        let reply = build(variant, self.wrapped, kind, self.nonces, cache.revision(), &beats, removed);
+        let topic = &mut self.topics[kind.place()];
+        topic.newest = self.nonces;
+        topic.sent.push_back(Sent { nonce: self.nonces, items });
+        Some(reply)
+    }
+
+    /// Renews the TTL of a resource that the client holds. `None` while the last renewal is unanswered: the next
+    /// one is then sent by an end that is known to have heard it, on which the client's lease rests
+    /// (`docs/xds.md`, the lease).
+    pub fn heartbeat(&mut self, kind: Kind, name: &str, cache: &Cache) -> Option<Response> {
+        let (variant, wrapped) = (self.variant, self.wrapped);
+        let topic = &mut self.topics[kind.place()];
+        let entry = cache.get(kind, name)?;
+        let held = topic.holds.get(name).and_then(Option::as_ref) == Some(&entry.version);
+        if !held || topic.beat.is_some() || topic.sent.len() >= UNANSWERED {
+            return None;
+        }
+        self.nonces += 1;
+        (topic.beat, topic.newest) = (Some(self.nonces), self.nonces);
+        topic.sent.push_back(Sent { nonce: self.nonces, items: Vec::new() });
+        Some(build(
+            variant,
+            wrapped,
+            kind,
+            self.nonces,
+            cache.revision(),
+            &[(name, entry.as_ref(), false)],
+            Vec::new(),
+        ))
+    }
+
+    /// Replies that wait for an answer.
+    pub fn unanswered(&self) -> usize {
+        self.topics.iter().map(|topic| topic.sent.len()).sum()
+    }
+}
+
+fn sent_copy(sent: &Sent) -> Sent {
+    Sent { nonce: sent.nonce, items: sent.items.clone() }
+}
+
+fn kind_of(url: &str) -> Result<Kind, StreamError> {
+    Kind::of_type_url(url).ok_or_else(|| StreamError::UnknownType(url.chars().take(120).collect()))
+}
+
+/// Writes a reply; the flag of each resource tells whether its body goes along or only its TTL is renewed.
+fn build(
+    variant: Variant,
+    wrapped: bool,
+    kind: Kind,
+    nonce: u64,
+    revision: u64,
+    resources: &[(&str, &Entry, bool)],
+    removed: Vec<String>,
+) -> Response {
+    let any = |entry: &Entry| Any { type_url: kind.type_url().to_string(), value: entry.body.to_vec() };
+    let wrap = |(name, entry, body): &(&str, &Entry, bool)| proto::Resource {
+        version: entry.version.clone(),
+        resource: body.then(|| any(entry)),
+        name: name.to_string(),
+        ttl: entry.ttl.map(proto::span),
+    };
+    match variant {
+        Variant::Incremental => Response::Incremental(proto::DeltaDiscoveryResponse {
+            system_version_info: revision.to_string(),
+            resources: resources.iter().map(wrap).collect(),
+            type_url: kind.type_url().to_string(),
+            nonce: nonce.to_string(),
+            removed_resources: removed,
+            control_plane: None,
+        }),
+        Variant::StateOfTheWorld => {
+            let plain = |resource: &(&str, &Entry, bool)| match wrapped {
+                true => {
+                    let value = prost::Message::encode_to_vec(&wrap(resource));
+                    Any { type_url: WRAPPER_URL.to_string(), value }
+                }
+                false => any(resource.1),
+            };
+            Response::StateOfTheWorld(proto::DiscoveryResponse {
+                version_info: revision.to_string(),
+                resources: resources.iter().map(plain).collect(),
+                type_url: kind.type_url().to_string(),
+                nonce: nonce.to_string(),
+                control_plane: None,
+            })
+        }
+    }
+}
