--- /dev/null
+++ b/crates/whinhill-store/src/resp.rs
@@ -0,0 +1,103 @@
+//! One connection that speaks RESP2: commands out in one write, answers in as many.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+use bytes::{Bytes, BytesMut};
+use redis_protocol::resp2::decode::decode_bytes_mut;
+use redis_protocol::resp2::encode::extend_encode;
+pub use redis_protocol::resp2::types::BytesFrame as Frame;
+
+use crate::store::StoreFault;
+
+/// The longest answer taken in: far over the records of any deployment.
+const ANSWER_MOST: usize = 64 << 20;
+
+pub struct Connection {
+    stream: TcpStream,
+    held: BytesMut,
+}
+
+/// A failed exchange, and whether the store may have seen the commands.
+pub struct Failed {
+    pub fault: StoreFault,
+    pub sent: bool,
+}
+
+/// A command in the form that the protocol asks for: an array of bulk strings.
+pub fn command(words: &[&str]) -> Frame {
+    Frame::Array(
+        words.iter().map(|word| Frame::BulkString(Bytes::copy_from_slice(word.as_bytes()))).collect(),
+    )
+}
+
+impl Connection {
+    pub fn open(addr: SocketAddr, within: Duration) -> Result<Self, StoreFault> {
+        let unreachable = |error: std::io::Error| StoreFault::Unreachable(format!("{addr}: {error}"));
+        let stream = TcpStream::connect_timeout(&addr, within).map_err(unreachable)?;
+        stream.set_nodelay(true).map_err(unreachable)?;
+        Ok(Connection { stream, held: BytesMut::new() })
+    }
+
+    /// Sends commands and reads one answer for each. After a failure the connection is out of step and must be
+    /// dropped: a late answer would be taken for a later command's.
+    pub fn exchange(&mut self, commands: &[Frame], within: Duration) -> Result<Vec<Frame>, Failed> {
+        let until = Instant::now() + within;
+        let mut out = BytesMut::new();
+        for frame in commands {
+            let encoded = extend_encode(&mut out, frame, false);
+            encoded.map_err(|error| Failed { fault: StoreFault::Refused(error.to_string()), sent: false })?;
+        }
+        if !self.held.is_empty() {
+            let fault = StoreFault::OutOfStep(format!("{} bytes before the question", self.held.len()));
+            return Err(Failed { fault, sent: false });
+        }
+        // Part of it may have arrived even where the write fails.
+        let lost = |error: std::io::Error| Failed { fault: io_fault(&error, within), sent: true };
+        self.stream.set_write_timeout(Some(within)).map_err(lost)?;
+        self.stream.write_all(&out).map_err(lost)?;
+        let mut answers = Vec::with_capacity(commands.len());
+        while answers.len() < commands.len() {
+            match decode_bytes_mut(&mut self.held) {
+                Ok(Some((frame, _, _))) => answers.push(frame),
+                Ok(None) => self.fill(until, within).map_err(|fault| Failed { fault, sent: true })?,
+                Err(error) => {
+                    return Err(Failed { fault: StoreFault::OutOfStep(error.to_string()), sent: true })
+                }
+            }
+        }
+        if !self.held.is_empty() {
+            let fault = StoreFault::OutOfStep(format!("{} bytes after the last answer", self.held.len()));
+            return Err(Failed { fault, sent: true });
+        }
+        Ok(answers)
+    }
+
+    fn fill(&mut self, until: Instant, within: Duration) -> Result<(), StoreFault> {
+        let left = until.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return Err(StoreFault::Timeout(within));
+        }
+        if self.held.len() > ANSWER_MOST {
+            return Err(StoreFault::OutOfStep(format!("an answer over {ANSWER_MOST} bytes")));
+        }
+        let mut chunk = [0; 64 << 10];
+        self.stream.set_read_timeout(Some(left)).map_err(|error| io_fault(&error, within))?;
+        match self.stream.read(&mut chunk) {
+            Ok(0) => Err(StoreFault::Unreachable("the store closed the connection".into())),
+            Ok(count) => {
+                self.held.extend_from_slice(&chunk[..count]);
+                Ok(())
+            }
+            Err(error) => Err(io_fault(&error, within)),
+        }
+    }
+}
+
+fn io_fault(error: &std::io::Error, within: Duration) -> StoreFault {
+    match error.kind() {
+        std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut => StoreFault::Timeout(within),
+        _ => StoreFault::Unreachable(error.to_string()),
+    }
+}
