Claim again, in a new epoch, a slice whose grant had an unknown outcome

Cause or need: the record names us as holder while we have let go of it, so nobody would claim it; the test for it was red on the commit before.

Change: such a slice counts as free for us alone.

--- a/crates/whinhill-store/src/custody.rs
+++ b/crates/whinhill-store/src/custody.rs
@@ -119,8 +119,10 @@
                 }
                 continue;
             }
-            let free =
-                record.as_ref().and_then(|r| r.holder.as_ref()).is_none_or(|holder| !alive.contains(holder));
+            // What names us though we have let go of it (an outcome was unknown) is claimed again, in a new epoch.
+            let dropped = |holder: &Identity| *holder == self.config.me && !self.leaving.contains_key(&slice);
+            let holder = record.as_ref().and_then(|r| r.holder.as_ref());
+            let free = holder.is_none_or(|holder| !alive.contains(holder) || dropped(holder));
             if free && self.preferred(slice, alive) && claims.len() < self.config.step {
                 let owner = record.as_ref().and_then(|r| r.owner.clone());
                 let holder = Some(self.config.me.clone());
