Add the plain proxy: tables of all assigners, write leases, levels, reports

Change: whinhill-proxy: the table without I/O (epochs, leases reckoned from our last answer, withdrawn slices), streams for tables and load reports with back-off and chance, one try at a time by the table's word, push-back with a time to come back. Worker threads started as needed up to a bound. A state-of-the-world client is owed a first reply even if nothing is left.

--- /dev/null
+++ b/crates/whinhill-proxy/src/forward.rs
@@ -0,0 +1,275 @@
+//! Carries one RPC: slice, table, hold, a try, its answer back. Each wait ends by the RPC's own deadline.
+
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{HeaderName, HeaderValue};
+use prost::Message;
+use whinhill::interface::{MethodId, SliceId};
+use whinhill_tables::Version;
+use whinhill_transport::{grpc_timeout, CallError, Code, ServerCall, Trailers};
+use whinhill_xds::mapping::Effect;
+use whinhill_xds::proto::OrcaLoadReport;
+use whinhill_xds::ORCA_TRAILER;
+
+use crate::pool::Pool;
+use crate::report::Ended;
+use crate::shared::{lock, Shared};
+use crate::table::{Refusal, Route};
+
+/// Carries the key by whose hash an RPC finds its slice.
+pub const KEY_HEADER: &str = "whinhill-key";
+/// Says, on what is pushed back by the proxy itself, why.
+pub const REFUSED_HEADER: &str = "whinhill-refused";
+/// When to come back, in milliseconds (gRFC A6).
+pub const PUSHBACK_HEADER: &str = "grpc-retry-pushback-ms";
+/// Names the server that answered.
+pub const ANSWERED_BY: &str = "whinhill-answered-by";
+/// Tells the server which slice and epoch the RPC goes by.
+const SLICE_HEADER: &str = "whinhill-slice";
+const EPOCH_HEADER: &str = "whinhill-epoch";
+/// When to come back after a push-back.
+const COME_BACK: Duration = Duration::from_millis(250);
+/// The most time that the request's one message may take to arrive.
+const MESSAGE_WITHIN: Duration = Duration::from_secs(2);
+
+pub struct Forwarder {
+    pub shared: Arc<Shared>,
+    pub pool: Pool,
+    pub id: String,
+    /// A write ends, well or badly, within this time: assigners settle that long.
+    pub settle: Duration,
+}
+
+struct Rpc {
+    slice: SliceId,
+    method: MethodId,
+    until: Instant,
+    budget: Duration,
+    headers: Vec<(&'static str, String)>,
+}
+
+/// How one RPC ended here.
+enum Done {
+    Answered { server: Arc<str>, message: Bytes, trailers: Trailers },
+    PushedBack(Refusal),
+    Failed { code: Code, text: String },
+}
+
+fn header(name: &'static str, value: &str) -> Trailers {
+    let mut trailers = Trailers::new();
+    if let Ok(value) = HeaderValue::from_str(value) {
+        trailers.insert(HeaderName::from_static(name), value);
+    }
+    trailers
+}
+
+/// A gRPC time-out: up to eight digits and a unit.
+fn parse_timeout(text: &str) -> Option<Duration> {
+    let (digits, unit) = text.split_at_checked(text.len().checked_sub(1)?)?;
+    if digits.len() > 8 {
+        return None;
+    }
+    let count: u64 = digits.parse().ok()?;
+    Some(match unit {
+        "H" => Duration::from_secs(count * 3600),
+        "M" => Duration::from_secs(count * 60),
+        "S" => Duration::from_secs(count),
+        "m" => Duration::from_millis(count),
+        "u" => Duration::from_micros(count),
+        "n" => Duration::from_nanos(count),
+        _ => return None,
+    })
+}
+
+impl Forwarder {
+    /// Answers one call; runs on a worker's thread.
+    pub fn carry(&self, mut call: ServerCall) {
+        let rpc = match self.read(&call) {
+            Ok(rpc) => rpc,
+            Err(why) => return call.refuse(Code::InvalidArgument, why, Trailers::new()),
+        };
+        let within = MESSAGE_WITHIN.min(rpc.until.saturating_duration_since(Instant::now()));
+        let message = match call.message(within) {
+            Ok(message) => message,
+            Err(error) => return call.refuse(Code::InvalidArgument, &error.to_string(), Trailers::new()),
+        };
+        let counts = &self.shared.counts;
+        match self.serve(&rpc, &message, &mut call) {
+            Done::Answered { server, message, mut trailers } => {
+                counts.forwarded.fetch_add(1, Ordering::Relaxed);
+                trailers.remove("grpc-status");
+                trailers.remove("grpc-message");
+                trailers.extend(header(ANSWERED_BY, &server));
+                // The client may have gone; then nobody is left to tell.
+                let _ = call.answer(&message, trailers, rpc.until.saturating_duration_since(Instant::now()));
+            }
+            Done::PushedBack(why) => {
+                counts.refused.fetch_add(1, Ordering::Relaxed);
+                let mut trailers = header(REFUSED_HEADER, why.name());
+                trailers.extend(header(PUSHBACK_HEADER, &COME_BACK.as_millis().to_string()));
+                call.refuse(Code::Unavailable, "pushed back", trailers);
+            }
+            Done::Failed { code, text } => {
+                counts.aborted.fetch_add(1, Ordering::Relaxed);
+                call.refuse(code, &text, Trailers::new());
+            }
+        }
+    }
+
+    fn read(&self, call: &ServerCall) -> Result<Rpc, &'static str> {
+        let service = &self.shared.service;
+        let method = service.methods.iter().position(|m| m.path == call.path()).ok_or("no such method")?;
+        let key = call.head.headers.get(KEY_HEADER).ok_or("the header whinhill-key is missing")?;
+        let slice = service.slice_of(key.as_bytes());
+        let asked = match call.header("grpc-timeout") {
+            Some(text) => parse_timeout(text).ok_or("grpc-timeout is no span")?,
+            None => service.methods[method].deadline,
+        };
+        let budget = asked.min(service.methods[method].deadline);
+        // What describes the RPC goes along; what describes this hop does not.
+        let mut headers =
+            vec![(KEY_HEADER, key.to_str().map_err(|_| "whinhill-key is no text")?.to_string())];
+        for name in ["whinhill-rpc", "whinhill-criticality"] {
+            headers.extend(call.header(name).map(|value| (name, value.to_string())));
+        }
+        Ok(Rpc { slice, method, until: call.came + budget, budget, headers })
+    }
+
+    fn serve(&self, rpc: &Rpc, message: &Bytes, call: &mut ServerCall) -> Done {
+        let shared = &self.shared;
+        let holds = Instant::now() + shared.service.hold;
+        let level = shared.draw();
+        let (mut left_tries, mut tried) = (None, 0u8);
+        loop {
+            let seen = shared.changes();
+            let route =
+                shared.read(|table| table.route(shared.now(), rpc.slice, rpc.method, level, shared.draw()));
+            match route {
+                Route::Refuse(why) => {
+                    self.note(rpc, |met, source| met.dropped(source, rpc.slice, rpc.method));
+                    return Done::PushedBack(why);
+                }
+                Route::Wait(why) => {
+                    let until = holds.min(rpc.until);
+                    if Instant::now() >= until {
+                        self.note(rpc, |met, source| met.waited_out(source, rpc.slice, rpc.method));
+                        return Done::PushedBack(why);
+                    }
+                    shared.await_change(seen, until);
+                }
+                Route::Send { server, tries, version } => {
+                    let allowed = *left_tries.get_or_insert(tries);
+                    let began = Instant::now();
+                    let result = self.attempt(rpc, message, &server, version);
+                    if !matches!(result, Err(Attempt::Stopped)) {
+                        let ended = if result.is_ok() { Ended::Ok } else { Ended::Lost };
+                        let wait = began.elapsed();
+                        self.note(rpc, |met, source| {
+                            met.tried(source, (rpc.slice, rpc.method), &server, ended, wait);
+                        });
+                    }
+                    match result {
+                        Ok((message, trailers)) => {
+                            self.note_load(&server, &trailers);
+                            return Done::Answered { server, message, trailers };
+                        }
+                        // The table changed between draw and send: look again.
+                        Err(Attempt::Stopped) => {}
+                        Err(Attempt::Failed(error)) => {
+                            self.pool.forget(&server);
+                            if !self.again(rpc, allowed, tried, &error) || call.cancelled() {
+                                return failed(&error);
+                            }
+                            tried += 1;
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    /// Whether a try may follow one that failed. Where nothing is said, none does.
+    fn again(&self, rpc: &Rpc, allowed: u8, tried: u8, error: &CallError) -> bool {
+        let effect = self.shared.service.methods[rpc.method].effect;
+        let more = match allowed {
+            0 => false,
+            1 => tried < 1 && error.never_ran().is_some(),
+            // After any failure, but never what may have run and must not run twice.
+            most => tried < most - 1 && (effect == Effect::Idempotent || error.never_ran().is_some()),
+        };
+        more && Instant::now() < rpc.until
+    }
+
+    fn attempt(
+        &self,
+        rpc: &Rpc,
+        message: &Bytes,
+        server: &Arc<str>,
+        version: Version,
+    ) -> Result<(Bytes, Trailers), Attempt> {
+        let shared = &self.shared;
+        let writes = shared.service.methods[rpc.method].writes;
+        let client = self.pool.get(server, rpc.until).map_err(Attempt::Failed)?;
+        let left = rpc.until.saturating_duration_since(Instant::now());
+        let within = if writes { left.min(self.settle) } else { left };
+        let mut headers = rpc.headers.clone();
+        headers.push(("grpc-timeout", grpc_timeout(within.min(rpc.budget))));
+        headers.push((SLICE_HEADER, rpc.slice.to_string()));
+        headers.push((EPOCH_HEADER, version.epoch.to_string()));
+        headers.push(("whinhill-proxy", self.id.clone()));
+        // The last look before the first byte: a lease that ends now keeps the write here.
+        if writes && !shared.read(|table| table.still(shared.now(), rpc.slice, rpc.method, version)) {
+            return Err(Attempt::Stopped);
+        }
+        let path = &shared.service.methods[rpc.method].path;
+        client.unary(path, &headers, message.clone(), within).map_err(Attempt::Failed)
+    }
+
+    fn note(&self, rpc: &Rpc, act: impl FnOnce(&mut crate::report::Met, usize)) {
+        if let Some(source) = self.shared.read(|table| table.source_of(rpc.slice, rpc.method)) {
+            act(&mut lock(&self.shared.met), source);
+        }
+    }
+
+    fn note_load(&self, server: &Arc<str>, trailers: &Trailers) {
+        let Some(value) = trailers.get(ORCA_TRAILER).and_then(|value| value.to_str().ok()) else { return };
+        let report = whinhill_xds::unbase64(value).and_then(|bytes| OrcaLoadReport::decode(&bytes[..]).ok());
+        if let Some(report) = report {
+            lock(&self.shared.met).load(server, &report);
+        }
+    }
+}
+
+enum Attempt {
+    /// Nothing was sent: the table no longer allows it.
+    Stopped,
+    Failed(CallError),
+}
+
+fn failed(error: &CallError) -> Done {
+    let code = match error {
+        CallError::Status { code: Code::ResourceExhausted, .. } => Code::ResourceExhausted,
+        CallError::Status { code, .. } => *code,
+        CallError::Deadline(_) => Code::DeadlineExceeded,
+        CallError::NeverRan(_) => Code::Unavailable,
+        _ => Code::Internal,
+    };
+    Done::Failed { code, text: error.to_string() }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_timeout_has_up_to_eight_digits_and_a_unit() {
+        assert_eq!(parse_timeout("250m"), Some(Duration::from_millis(250)));
+        assert_eq!(parse_timeout("99999999u"), Some(Duration::from_micros(99_999_999)));
+        for bad in ["", "m", "123456789m", "5", "-1m", "1é"] {
+            assert_eq!(parse_timeout(bad), None, "{bad}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/whinhill-proxy/src/streams.rs
@@ -0,0 +1,253 @@
+//! The streams to one assigner: tables in (ADS), figures out (LRS). Each has a thread; each is opened again
+//! after a failure, later each time, with chance in it.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use prost::Message;
+use tracing::{info, warn};
+use whinhill_transport::{CallError, Client, Drivers, Limits, MessageWriter};
+use whinhill_xds::mapping::{read_assignment, Assignment};
+use whinhill_xds::proto::{self, read_span};
+use whinhill_xds::{ClientStream, Kind, Request, Response, Update, Variant, LRS_PATH};
+
+use crate::proxy::Sabotage;
+use crate::shared::{lock, Shared};
+use crate::table::Source;
+
+const BACK_OFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(2));
+/// How often a waiting thread looks whether it must stop.
+const LOOK: Duration = Duration::from_millis(100);
+const WRITE_WITHIN: Duration = Duration::from_secs(3);
+/// The time between reports until the assigner names another.
+const REPORT_EVERY: Duration = Duration::from_secs(1);
+
+pub struct Streams {
+    pub shared: Arc<Shared>,
+    pub source: Source,
+    pub assigner: String,
+    pub addr: SocketAddr,
+    pub node: proto::Node,
+    pub variant: Variant,
+    pub limits: Limits,
+    pub drivers: Drivers,
+    pub sabotage: Sabotage,
+    /// Replies to reject, whatever they hold: for days that rehearse it.
+    pub reject: Arc<AtomicU64>,
+}
+
+/// Why a stream ended.
+#[derive(Debug, thiserror::Error)]
+enum Ended {
+    #[error(transparent)]
+    Call(#[from] CallError),
+    #[error("a message that is none of the protocol's: {0}")]
+    Decode(#[from] prost::DecodeError),
+    #[error(transparent)]
+    Update(#[from] whinhill_xds::UpdateError),
+    #[error("the assigner ended the stream")]
+    Closed,
+}
+
+impl Streams {
+    /// Follows tables until the proxy stops.
+    pub fn follow(self) {
+        let mut client = ClientStream::new(self.variant, self.node.clone());
+        client.subscribe(Kind::Cluster, true, BTreeSet::new());
+        let service = self.shared.service.clone();
+        let listeners: BTreeSet<String> = [false, true].map(|writes| service.listener_name(writes)).into();
+        client.subscribe(Kind::Listener, false, listeners.clone());
+        client.subscribe(Kind::Route, false, listeners);
+        let mut back_off = BACK_OFF.0;
+        while !self.shared.stopping() {
+            let began = Instant::now();
+            let error = match self.stream(&mut client) {
+                Ok(()) => return,
+                Err(error) => error,
+            };
+            self.shared.change(|table| table.stream_lost(self.source));
+            self.shared.counts.reconnects.fetch_add(1, Ordering::Relaxed);
+            if began.elapsed() > BACK_OFF.1 {
+                back_off = BACK_OFF.0;
+                info!(proxy = %self.node.id, assigner = %self.assigner, %error, "table stream lost");
+            }
+            let wait = back_off.mul_f64(0.5 + self.shared.draw());
+            back_off = (back_off * 2).min(BACK_OFF.1);
+            if !self.shared.pause(wait) {
+                return;
+            }
+        }
+    }
+
+    fn stream(&self, client: &mut ClientStream) -> Result<(), Ended> {
+        let connection = Client::connect(self.addr, self.limits.clone(), &self.drivers)?;
+        let (mut writer, pending) = connection.call(self.variant.path(), &[], self.limits.handshake)?;
+        for request in client.open() {
+            self.send(&mut writer, &request)?;
+        }
+        let mut reader = pending.head(self.limits.handshake)?.reader;
+        loop {
+            if self.shared.stopping() {
+                writer.finish()?;
+                return Ok(());
+            }
+            let message = match reader.recv(LOOK) {
+                Err(CallError::Deadline(_)) => continue,
+                other => other?.ok_or(Ended::Closed)?,
+            };
+            let response = Response::decode(self.variant, &message)?;
+            let update = client.hear(&response)?;
+            for request in self.take(client, &update) {
+                self.send(&mut writer, &request)?;
+            }
+        }
+    }
+
+    fn send(&self, writer: &mut MessageWriter, request: &Request) -> Result<(), Ended> {
+        let url = match request {
+            Request::StateOfTheWorld(request) => &request.type_url,
+            Request::Incremental(request) => &request.type_url,
+        };
+        // Before it is sent: the lease must not be reckoned from a time later than the send.
+        if url == Kind::Route.type_url() {
+            self.shared.change(|table| table.lease_asked(self.source, self.shared.now()));
+        }
+        writer.send(&request.encode(), WRITE_WITHIN)?;
+        Ok(())
+    }
+
+    /// Applies a reply whole or not at all, and returns what is to be sent for it.
+    fn take(&self, client: &mut ClientStream, update: &Update) -> Vec<Request> {
+        match self.apply(update) {
+            Ok(()) => {
+                self.shared.counts.applied.fetch_add(1, Ordering::Relaxed);
+                let mut requests = vec![client.accept(update)];
+                if update.kind == Kind::Cluster {
+                    let names = client.versions(Kind::Cluster).keys().cloned().collect();
+                    requests.extend(client.subscribe(Kind::Endpoints, false, names));
+                }
+                requests
+            }
+            Err(reason) => {
+                self.shared.counts.rejected.fetch_add(1, Ordering::Relaxed);
+                warn!(proxy = %self.node.id, assigner = %self.assigner, nonce = %update.nonce, %reason, "tables rejected");
+                vec![client.reject(update, &reason)]
+            }
+        }
+    }
+
+    fn apply(&self, update: &Update) -> Result<(), String> {
+        if let Some(fault) = &update.fault {
+            return Err(fault.clone());
+        }
+        let (shared, source) = (&self.shared, self.source);
+        let service = &shared.service;
+        match update.kind {
+            Kind::Endpoints => {
+                let with_body = update.resources.iter().filter_map(|r| Some((r, r.body.as_ref()?)));
+                let read = with_body.map(|(r, body)| read_assignment(service, &r.name, &r.version, body));
+                let assignments: Vec<Assignment> =
+                    read.collect::<Result<_, _>>().map_err(|error| error.to_string())?;
+                let to_reject = |left: u64| left.checked_sub(1);
+                if !assignments.is_empty()
+                    && self.reject.fetch_update(Ordering::Relaxed, Ordering::Relaxed, to_reject).is_ok()
+                {
+                    return Err("rejected by order of the day's script".to_string());
+                }
+                shared.change(|table| {
+                    for assignment in &assignments {
+                        table.check(source, assignment).map_err(|conflict| conflict.to_string())?;
+                    }
+                    for assignment in &assignments {
+                        if self.sabotage.ignores_stops
+                            && (assignment.share == 0.0 || assignment.lines.is_empty())
+                        {
+                            continue;
+                        }
+                        table.apply(source, assignment);
+                    }
+                    for name in &update.removed {
+                        if let Some((slice, method)) = service.of_cluster_name(name) {
+                            table.withdrawn(source, slice, method);
+                        }
+                    }
+                    Ok(())
+                })
+            }
+            Kind::Cluster => {
+                shared.change(|table| {
+                    for (slice, method) in
+                        update.removed.iter().filter_map(|name| service.of_cluster_name(name))
+                    {
+                        table.withdrawn(source, slice, method);
+                    }
+                });
+                Ok(())
+            }
+            Kind::Route => {
+                let writes = service.listener_name(true);
+                for resource in update.resources.iter().filter(|r| r.name == writes) {
+                    let ttl = resource.ttl.unwrap_or(service.write_lease).min(service.write_lease);
+                    shared.change(|table| table.lease_renewed(source, ttl));
+                }
+                Ok(())
+            }
+            Kind::Listener => Ok(()),
+        }
+    }
+
+    /// Tells what was met until the proxy stops.
+    pub fn report(self) {
+        let mut back_off = BACK_OFF.0;
+        while !self.shared.stopping() {
+            let began = Instant::now();
+            if self.report_stream().is_ok() {
+                return;
+            }
+            if began.elapsed() > BACK_OFF.1 {
+                back_off = BACK_OFF.0;
+            }
+            let wait = back_off.mul_f64(0.5 + self.shared.draw());
+            back_off = (back_off * 2).min(BACK_OFF.1);
+            if !self.shared.pause(wait) {
+                return;
+            }
+        }
+    }
+
+    fn report_stream(&self) -> Result<(), Ended> {
+        let connection = Client::connect(self.addr, self.limits.clone(), &self.drivers)?;
+        let (mut writer, pending) = connection.call(LRS_PATH, &[], self.limits.handshake)?;
+        let first = proto::LoadStatsRequest { node: Some(self.node.clone()), cluster_stats: Vec::new() };
+        writer.send(&first.encode_to_vec(), WRITE_WITHIN)?;
+        let mut reader = pending.head(self.limits.handshake)?.reader;
+        let mut every = REPORT_EVERY;
+        let mut next = Instant::now() + every;
+        loop {
+            if self.shared.stopping() {
+                writer.finish()?;
+                return Ok(());
+            }
+            let left = next.saturating_duration_since(Instant::now());
+            match reader.recv(left.min(LOOK)) {
+                Err(CallError::Deadline(_)) => {}
+                Ok(Some(message)) => {
+                    let told = proto::LoadStatsResponse::decode(message)?;
+                    let asked = told.load_reporting_interval.as_ref().and_then(read_span);
+                    every = asked.unwrap_or(every).clamp(Duration::from_millis(50), Duration::from_secs(60));
+                    next = next.min(Instant::now() + every);
+                }
+                other => return Err(other?.map_or(Ended::Closed, |_| Ended::Closed)),
+            }
+            if Instant::now() >= next {
+                next += every;
+                let now = self.shared.now();
+                let report = lock(&self.shared.met).take(self.source, now, &self.shared.service);
+                writer.send(&report.encode_to_vec(), WRITE_WITHIN)?;
+            }
+        }
+    }
+}
--- a/crates/whinhill-transport/src/lib.rs
+++ b/crates/whinhill-transport/src/lib.rs
@@ -22,6 +22,7 @@
 mod limits;
 mod park;
 mod socket;
+mod workers;
 
 pub use call::{
     grpc_timeout, Client, Listener, MessageReader, MessageWriter, Opened, PendingAnswer, ServerCall, Trailers,
@@ -29,3 +30,4 @@
 pub use driver::Drivers;
 pub use error::{CallError, Code, NeverRan};
 pub use limits::Limits;
+pub use workers::{AllBusy, Workers};
--- a/crates/whinhill-xds/src/lib.rs
+++ b/crates/whinhill-xds/src/lib.rs
@@ -102,3 +102,17 @@
         }
     }
 }
+
+/// Reads the value of a binary header: base64, padded or not.
+pub fn unbase64(text: &str) -> Option<Vec<u8>> {
+    use base64::engine::general_purpose::STANDARD_NO_PAD;
+    use base64::Engine;
+    STANDARD_NO_PAD.decode(text.trim_end_matches('=')).ok()
+}
+
+/// Writes the value of a binary header.
+pub fn base64(bytes: &[u8]) -> String {
+    use base64::engine::general_purpose::STANDARD_NO_PAD;
+    use base64::Engine;
+    STANDARD_NO_PAD.encode(bytes)
+}
--- a/crates/whinhill-xds/src/server.rs
+++ b/crates/whinhill-xds/src/server.rs
@@ -65,6 +65,8 @@
     rejected: BTreeMap<String, SentVersion>,
     /// The last reply's nonce.
     newest: u64,
+    /// A reply is owed even if it names nothing: what a client of the whole state holds may all be gone.
+    owed: bool,
 }
 
 impl Topic {
@@ -162,7 +164,7 @@
     /// Whether all that is due has been sent, and the client has asked for every slice: one that has not may
     /// still follow a table of an earlier stream.
     fn settled(&mut self, cache: &Cache) -> bool {
-        if self.topics.iter().any(|topic| !topic.dirty.is_empty()) {
+        if self.topics.iter().any(|topic| !topic.dirty.is_empty() || topic.owed) {
             return false;
         }
         if self.complete != Some(cache.names_revision()) {
@@ -242,6 +244,7 @@
             topic.dirty.retain(|name| names.contains(name));
         }
         topic.names = names;
+        topic.owed |= first && kind.whole();
         if first || fresh {
             self.refresh(kind, cache);
         }
@@ -339,10 +342,11 @@
         let topic = &mut self.topics[kind.place()];
         // Of routes one at a time: the lease of the client that reads them rests on it.
         let most = if kind == Kind::Route { 1 } else { UNANSWERED };
-        if topic.dirty.is_empty() || topic.sent.len() >= most {
+        let owed = topic.owed && topic.dirty.is_empty();
+        if topic.dirty.is_empty() && !owed || topic.sent.len() >= most {
             return None;
         }
-        if !with_removed && topic.dirty.iter().all(|name| cache.get(kind, name).is_none()) {
+        if !owed && !with_removed && topic.dirty.iter().all(|name| cache.get(kind, name).is_none()) {
             return None;
         }
         let whole = variant == Variant::StateOfTheWorld && kind.whole();
@@ -364,9 +368,10 @@
                 break;
             }
         }
-        if items.is_empty() {
+        if items.is_empty() && !owed {
             return None;
         }
+        topic.owed = false;
         if whole {
             // All that is wanted and there is goes along: what is left out counts as gone.
             let there = cache.names(kind).filter(|name| topic.wants(name)).map(str::to_string);
@@ -406,7 +411,7 @@
     /// one, and confirms all that was said before. The client's lease rests on both (`docs/xds.md`, the lease).
     pub fn heartbeat(&mut self, kind: Kind, name: &str, cache: &Cache) -> Option<Response> {
         let (variant, wrapped) = (self.variant, self.wrapped);
-        if self.topics.iter().any(|topic| !topic.dirty.is_empty()) {
+        if self.topics.iter().any(|topic| !topic.dirty.is_empty() || topic.owed) {
             return None;
         }
         let topic = &mut self.topics[kind.place()];
