--- /dev/null
+++ b/crates/whinhill-assigner/src/core.rs
@@ -0,0 +1,324 @@
+//! The assigner without threads: what happened in, what is to be done out. No I/O, no clock.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use whinhill::interface::{
+    Entry, Ep, Event, ListKind, Listed, LoadReport, Order, Probe, ProxyId, SettingsError, SliceId,
+};
+use whinhill_store::Told;
+use whinhill_tables::{Keeper, PendingGrant, ServerName};
+use whinhill_xds::mapping::Service;
+use whinhill_xds::proto;
+
+use crate::config::AssignerConfig;
+use crate::intake::Intake;
+use crate::names::Names;
+use crate::roster::{RosterEntry, RosterState};
+
+/// One thing that happened.
+#[derive(Clone, Debug)]
+pub enum Input {
+    /// The whole list of servers, the kind it is, and the wall clock when it was read.
+    Roster {
+        kind: ListKind,
+        entries: Vec<RosterEntry>,
+        unix_ms: u64,
+    },
+    Joined {
+        proxy: String,
+        zone: String,
+        stream: u64,
+    },
+    Left {
+        proxy: String,
+        stream: u64,
+    },
+    Acked {
+        proxy: String,
+        stream: u64,
+        mark: u16,
+    },
+    Report {
+        zone: String,
+        report: proto::LoadStatsRequest,
+    },
+    Probed {
+        server: ServerName,
+        result: Probe,
+        load: LoadReport,
+    },
+    Custody {
+        told: Vec<Told>,
+    },
+    /// The store holds a grant.
+    Granted {
+        grant: PendingGrant,
+    },
+}
+
+/// What is to be done, in this order: tables into the cache, removals told at once, changes and the mark to the
+/// channel, grants to the store.
+#[derive(Debug, Default)]
+pub struct Effects {
+    /// Slices whose table is another now.
+    pub changed: BTreeSet<SliceId>,
+    /// Slices that are ours now, and ours no longer.
+    pub given: BTreeSet<SliceId>,
+    pub taken: BTreeSet<SliceId>,
+    /// Stops of writes and lines taken away are among the changes.
+    pub safety: bool,
+    pub mark: Option<u16>,
+    /// Lines that the changes cost in each proxy's message.
+    pub lines: u32,
+    pub grants: Vec<PendingGrant>,
+    pub probes: Vec<ServerName>,
+    pub left: Vec<ProxyId>,
+    pub ask_roster: bool,
+    pub log: Vec<String>,
+}
+
+pub struct Core {
+    module: whinhill::Assigner,
+    names: Names,
+    keeper: Keeper,
+    intake: Intake,
+    service: Arc<Service>,
+    /// The stream of each proxy that has joined.
+    joined: BTreeMap<ProxyId, u64>,
+    wake: Duration,
+    /// When each mark that may still be answered was ordered.
+    marks: BTreeMap<u16, Duration>,
+    skips_the_wait: bool,
+    started: bool,
+    /// What came before the first list: the module is told of it with that list.
+    early: Vec<Event>,
+    moves: u64,
+    strange: u64,
+}
+
+impl Core {
+    pub fn new(config: &AssignerConfig, seed: u64) -> Result<Self, SettingsError> {
+        let service = Arc::new(config.service.service());
+        let writes = service.methods.iter().map(|method| method.writes).collect();
+        Ok(Core {
+            module: whinhill::Assigner::new(&config.settings(), seed)?,
+            names: Names::new(&config.zones),
+            keeper: Keeper::new(service.slices, writes, config.service.tries),
+            intake: Intake::new(config.report_lines_per_s, Duration::from_millis(config.report_period_ms)),
+            service,
+            joined: BTreeMap::new(),
+            wake: Duration::ZERO,
+            marks: BTreeMap::new(),
+            skips_the_wait: config.sabotage.skips_the_wait,
+            started: false,
+            early: Vec::new(),
+            moves: 0,
+            strange: 0,
+        })
+    }
+
+    pub fn service(&self) -> &Arc<Service> {
+        &self.service
+    }
+
+    pub fn keeper(&self) -> &Keeper {
+        &self.keeper
+    }
+
+    pub fn joined(&self) -> &BTreeMap<ProxyId, u64> {
+        &self.joined
+    }
+
+    /// Grants ordered since the start.
+    pub fn moves(&self) -> u64 {
+        self.moves
+    }
+
+    /// Figures of reports that could not be made out.
+    pub fn strange(&self) -> u64 {
+        self.strange
+    }
+
+    /// When to call [`Core::handle`] next even if nothing happens.
+    pub fn wake(&self) -> Duration {
+        self.wake
+    }
+
+    /// The id of a proxy by its name.
+    pub fn proxy(&mut self, name: &str) -> ProxyId {
+        self.names.proxy(name)
+    }
+
+    /// Takes all that happened by `now` and says what is to be done.
+    pub fn handle(&mut self, now: Duration, inputs: Vec<Input>) -> Effects {
+        let mut effects = Effects::default();
+        let mut events = std::mem::take(&mut self.early);
+        for input in inputs {
+            self.take(now, input, &mut events, &mut effects);
+        }
+        let names = &self.names;
+        let ep = |index: usize| {
+            let stable = names.server(index).map_or(0, |name| xxhash_rust::xxh3::xxh3_64(name.as_bytes()));
+            Ep { index, stable }
+        };
+        if self.started {
+            events.extend(self.intake.give(now, names, ep));
+        }
+        if now >= self.wake {
+            events.push(Event::Timer);
+        }
+        if !self.started {
+            events.retain(|event| *event != Event::Timer);
+            self.early = events;
+            return effects;
+        }
+        if events.is_empty() {
+            return effects;
+        }
+        let orders = self.module.handle(now, &events);
+        self.carry_out(now, &orders, &mut effects);
+        effects
+    }
+
+    fn take(&mut self, now: Duration, input: Input, events: &mut Vec<Event>, effects: &mut Effects) {
+        match input {
+            Input::Roster { kind, entries, unix_ms } => {
+                self.started = true;
+                let entry = |entry: RosterEntry| self.entry(now, entry, unix_ms);
+                events.push(Event::List { kind, entries: entries.into_iter().map(entry).collect() });
+            }
+            Input::Joined { proxy, zone, stream } => {
+                let (id, zone) = (self.names.proxy(&proxy), self.names.zone(&zone));
+                if self.joined.insert(id, stream).is_some() {
+                    events.push(Event::Left { proxy: id });
+                    effects.left.push(id);
+                }
+                events.push(Event::Joined { proxy: id, zone });
+            }
+            // The end of a stream that another one has replaced says nothing.
+            Input::Left { proxy, stream } => {
+                let id = self.names.proxy(&proxy);
+                if self.joined.get(&id) == Some(&stream) {
+                    self.joined.remove(&id);
+                    effects.left.push(id);
+                    events.push(Event::Left { proxy: id });
+                }
+            }
+            Input::Acked { proxy, stream, mark } => {
+                let id = self.names.proxy(&proxy);
+                if let (Some(ordered), true) = (self.marks.get(&mark), self.joined.get(&id) == Some(&stream))
+                {
+                    events.push(Event::Acked { proxy: id, mark, way: now.saturating_sub(*ordered) });
+                }
+            }
+            Input::Report { zone, report } => {
+                let zone = self.names.zone(&zone);
+                self.strange += self.intake.take(now, zone, &report, &self.service, &mut self.names) as u64;
+            }
+            Input::Probed { server, result, load } => {
+                events.push(Event::Probed { ep: self.names.ep(&server), result, load });
+            }
+            Input::Custody { told } => {
+                for one in told {
+                    self.custody(one, events, effects);
+                }
+            }
+            Input::Granted { grant } => {
+                let changed = self.keeper.granted(&grant);
+                effects.log.extend(changed.faults.iter().map(|fault| format!("not published: {fault}")));
+                effects.lines += changed.slices.len() as u32;
+                effects.changed.extend(changed.slices);
+            }
+        }
+    }
+
+    fn entry(&mut self, now: Duration, entry: RosterEntry, unix_ms: u64) -> Entry {
+        let server: ServerName = entry.addr.to_string().into();
+        self.keeper.know(server.clone());
+        Entry {
+            ep: self.names.ep(&server),
+            zone: self.names.zone(&entry.zone),
+            listed: match entry.state {
+                RosterState::Ready => Listed::Ready,
+                RosterState::Draining => Listed::Draining,
+            },
+            size: entry.size,
+            started: self.names.started(&server, entry.started_unix_ms, unix_ms, now),
+        }
+    }
+
+    fn custody(&mut self, told: Told, events: &mut Vec<Event>, effects: &mut Effects) {
+        match told {
+            Told::Given { slice, epoch, owner } => {
+                let owner: Option<ServerName> = owner.map(Into::into);
+                self.keeper.give(slice, epoch, owner.clone());
+                events.push(Event::Given { slice });
+                if let Some(owner) = owner {
+                    events.push(Event::Stored { slice, ep: self.names.ep(&owner) });
+                }
+                effects.taken.remove(&slice);
+                effects.given.insert(slice);
+            }
+            Told::Taken { slice } => {
+                self.keeper.take(slice);
+                self.intake.forget(slice);
+                events.push(Event::Taken { slice });
+                effects.given.remove(&slice);
+                effects.changed.remove(&slice);
+                effects.taken.insert(slice);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, now: Duration, orders: &[Order], effects: &mut Effects) {
+        let names = &self.names;
+        let changed = self.keeper.apply(orders, |index| names.server(index));
+        effects.log.extend(changed.faults.iter().map(|fault| format!("not published: {fault}")));
+        effects.changed.extend(changed.slices);
+        effects.safety |= changed.safety;
+        self.moves += changed.grants.len() as u64;
+        effects.grants.extend(changed.grants);
+        for order in orders {
+            match order {
+                Order::Mark { mark } => {
+                    self.marks.insert(*mark, now);
+                    effects.mark = Some(*mark);
+                    // Marks far behind are answered by nobody any more.
+                    let old = mark.wrapping_sub(30_000);
+                    self.marks.remove(&old);
+                }
+                Order::Watch | Order::Fetch => effects.ask_roster = true,
+                Order::Probe { ep } => effects.probes.extend(names.server(ep.index)),
+                Order::Wake { after } => self.wake = now + *after,
+                Order::Log { text } => effects.log.push(name_servers(text, names)),
+                Order::Grant { .. } | Order::Revoke { .. } | Order::Level { .. } => {}
+            }
+            // A grant's line is paid when it leaves, once the store holds it.
+            let costs = order.costs_a_line() && !matches!(order, Order::Grant { .. });
+            effects.lines += u32::from(costs);
+        }
+        if let (Some(mark), true) = (effects.mark, self.skips_the_wait) {
+            let acks: Vec<Event> = self
+                .joined
+                .keys()
+                .map(|proxy| Event::Acked { proxy: *proxy, mark, way: Duration::ZERO })
+                .collect();
+            let more = self.module.handle(now, &acks);
+            self.skips_the_wait = false;
+            self.carry_out(now, &more, effects);
+            self.skips_the_wait = true;
+        }
+    }
+}
+
+/// The module names servers by number, in the order in which it met them; staff know them by address.
+fn name_servers(text: &str, names: &Names) -> String {
+    let Some(rest) = text.strip_prefix("server ") else { return text.to_string() };
+    let (number, rest) = rest.split_once(' ').unwrap_or((rest, ""));
+    match number.parse().ok().and_then(|index| names.server(index)) {
+        Some(name) => format!("server {name} {rest}"),
+        None => text.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/whinhill-assigner/src/hub.rs
@@ -0,0 +1,388 @@
+//! The streams of all proxies: two threads each, one that reads and one that writes. Neither decides anything:
+//! what a stream must say is in its state machine and the cache.
+
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use std::time::{Duration, Instant};
+
+use crossbeam_channel::{bounded, Receiver, Sender};
+use prost::Message;
+use tracing::{debug, info, warn};
+use whinhill_transport::{CallError, Code, MessageReader, MessageWriter, ServerCall, Trailers, Workers};
+use whinhill_xds::mapping::Service;
+use whinhill_xds::{proto, Cache, Heard, Kind, Request, Response, ServerStream, Variant, LRS_PATH};
+
+use crate::channel::Parcel;
+use crate::core::Input;
+use crate::status::Counters;
+use crate::stewards::Charge;
+
+const LOOK: Duration = Duration::from_millis(50);
+/// A proxy that takes nothing in for this long has lost its stream.
+const WRITE_WITHIN: Duration = Duration::from_secs(3);
+/// The first message names the proxy; it must come within this.
+const FIRST_WITHIN: Duration = Duration::from_secs(2);
+/// A name or zone longer than this is refused.
+const NAME_MOST: usize = 200;
+
+pub type Inputs = Sender<(Input, Option<Sender<()>>)>;
+
+struct Stream {
+    id: u64,
+    proxy: String,
+    state: Mutex<ServerStream>,
+    wake: Sender<()>,
+    closed: AtomicBool,
+}
+
+impl Stream {
+    fn state(&self) -> MutexGuard<'_, ServerStream> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn close(&self) {
+        self.closed.store(true, Ordering::Relaxed);
+        self.wake();
+    }
+
+    fn wake(&self) {
+        // A full channel means that it will wake anyway.
+        let _ = self.wake.try_send(());
+    }
+}
+
+pub struct Hub {
+    pub service: Arc<Service>,
+    pub cache: RwLock<Cache>,
+    streams: Mutex<BTreeMap<String, Arc<Stream>>>,
+    ids: AtomicU64,
+    inputs: Inputs,
+    workers: Workers,
+    counters: Arc<Counters>,
+    charge: Arc<Charge>,
+    start: Instant,
+    base: Duration,
+    answer_within: Duration,
+    proxies_most: usize,
+    report_every: Duration,
+    stop: AtomicBool,
+}
+
+pub struct HubConfig {
+    pub answer_within: Duration,
+    pub proxies_most: usize,
+    pub report_every: Duration,
+    pub start: Instant,
+    pub base: Duration,
+}
+
+impl Hub {
+    pub fn new(
+        service: Arc<Service>,
+        inputs: Inputs,
+        counters: Arc<Counters>,
+        charge: Arc<Charge>,
+        config: HubConfig,
+    ) -> Self {
+        // Reader and writer of a table stream, and one thread for load reports.
+        let workers = Workers::new("stream", config.proxies_most * 3 + 8, 192 << 10);
+        Hub {
+            service,
+            cache: RwLock::default(),
+            streams: Mutex::default(),
+            ids: AtomicU64::new(0),
+            inputs,
+            workers,
+            counters,
+            charge,
+            start: config.start,
+            base: config.base,
+            answer_within: config.answer_within,
+            proxies_most: config.proxies_most,
+            report_every: config.report_every,
+            stop: AtomicBool::new(false),
+        }
+    }
+
+    fn streams(&self) -> MutexGuard<'_, BTreeMap<String, Arc<Stream>>> {
+        self.streams.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes a call; runs on a driver thread.
+    pub fn accept(self: &Arc<Self>, call: ServerCall) {
+        let full =
+            |call: ServerCall| call.refuse(Code::ResourceExhausted, "too many streams", Trailers::new());
+        let variant = Variant::of_path(call.path());
+        if variant.is_none() && call.path() != LRS_PATH {
+            return call.refuse(Code::Unimplemented, "no such method", Trailers::new());
+        }
+        if self.stop.load(Ordering::Relaxed) {
+            return call.refuse(Code::Unavailable, "the assigner stops", Trailers::new());
+        }
+        if self.streams().len() >= self.proxies_most {
+            return full(call);
+        }
+        let slot = Arc::new(Mutex::new(Some(call)));
+        let (hub, job) = (self.clone(), slot.clone());
+        let take =
+            |slot: &Mutex<Option<ServerCall>>| slot.lock().unwrap_or_else(PoisonError::into_inner).take();
+        let run = move || {
+            let Some(call) = take(&job) else { return };
+            let peer = call.peer;
+            let result = match variant {
+                Some(variant) => hub.tables(call, variant),
+                None => hub.reports(call),
+            };
+            if let Err(error) = result {
+                debug!(%peer, %error, "stream ended");
+            }
+        };
+        if self.workers.run(run).is_err() {
+            if let Some(call) = take(&slot) {
+                full(call);
+            }
+        }
+    }
+
+    fn reports(&self, call: ServerCall) -> Result<(), CallError> {
+        let (mut reader, mut writer) = call.open()?;
+        let bad = |_| CallError::Malformed("a message that is none of the protocol's");
+        let first = reader.recv(FIRST_WITHIN)?.ok_or(CallError::Malformed("no first message"))?;
+        let first = proto::LoadStatsRequest::decode(first).map_err(bad)?;
+        let zone = first.node.and_then(|node| node.locality).map(|l| l.zone).unwrap_or_default();
+        if zone.len() > NAME_MOST {
+            return Err(CallError::Malformed("a zone's name that is too long"));
+        }
+        let asked = proto::LoadStatsResponse {
+            clusters: Vec::new(),
+            load_reporting_interval: Some(proto::span(self.report_every)),
+            report_endpoint_granularity: true,
+            send_all_clusters: true,
+        };
+        writer.send(&asked.encode_to_vec(), WRITE_WITHIN)?;
+        while !self.stop.load(Ordering::Relaxed) {
+            let message = match reader.recv(LOOK) {
+                Err(CallError::Deadline(_)) => continue,
+                other => match other? {
+                    Some(message) => message,
+                    None => break,
+                },
+            };
+            let report = proto::LoadStatsRequest::decode(message).map_err(bad)?;
+            let input = Input::Report { zone: zone.clone(), report };
+            if self.inputs.send_timeout((input, None), WRITE_WITHIN).is_err() {
+                break;
+            }
+        }
+        writer.close(Code::Ok, "", Trailers::new())
+    }
+
+    fn tables(self: &Arc<Self>, call: ServerCall, variant: Variant) -> Result<(), CallError> {
+        let (mut reader, mut writer) = call.open()?;
+        let bad = |_| CallError::Malformed("a message that is none of the protocol's");
+        let first = reader.recv(FIRST_WITHIN)?.ok_or(CallError::Malformed("no first message"))?;
+        let first = Request::decode(variant, &first).map_err(bad)?;
+        let node = first.node().cloned().unwrap_or_default();
+        let zone = node.locality.map(|l| l.zone).unwrap_or_default();
+        if node.id.is_empty() || node.id.len() > NAME_MOST || zone.len() > NAME_MOST {
+            return writer.close(
+                Code::InvalidArgument,
+                "the first message must name a node",
+                Trailers::new(),
+            );
+        }
+        let (wake, woken) = bounded(1);
+        let stream = Arc::new(Stream {
+            id: self.ids.fetch_add(1, Ordering::Relaxed) + 1,
+            proxy: node.id.clone(),
+            state: Mutex::new(ServerStream::new(variant, &node.client_features)),
+            wake,
+            closed: AtomicBool::new(false),
+        });
+        Counters::add(&self.counters.streams, 1);
+        // Of two streams of one proxy the older loses: only the newer can be the one that it reads.
+        let old = self.streams().insert(node.id.clone(), stream.clone());
+        if let Some(old) = old {
+            info!(proxy = %node.id, old = old.id, new = stream.id, "a second stream: the older is closed");
+            old.close();
+        }
+        self.tell(Input::Joined { proxy: node.id.clone(), zone, stream: stream.id });
+        let (hub, writing) = (self.clone(), stream.clone());
+        let slot = Arc::new(Mutex::new(Some(writer)));
+        let handed = slot.clone();
+        let take =
+            |slot: &Mutex<Option<MessageWriter>>| slot.lock().unwrap_or_else(PoisonError::into_inner).take();
+        let started = self.workers.run(move || {
+            if let Some(writer) = take(&handed) {
+                hub.write(&writing, writer, &woken);
+            }
+        });
+        let result = match started {
+            Ok(()) => self.read(&stream, &mut reader, first, variant),
+            Err(_) => Err(CallError::Reset("no thread is free to write".into())),
+        };
+        stream.close();
+        {
+            let mut streams = self.streams();
+            if streams.get(&stream.proxy).is_some_and(|held| held.id == stream.id) {
+                streams.remove(&stream.proxy);
+            }
+        }
+        self.tell(Input::Left { proxy: stream.proxy.clone(), stream: stream.id });
+        result
+    }
+
+    fn tell(&self, input: Input) {
+        // The decision thread has ended: so will the stream.
+        let _ = self.inputs.send((input, None));
+    }
+
+    fn read(
+        &self,
+        stream: &Arc<Stream>,
+        reader: &mut MessageReader,
+        first: Request,
+        variant: Variant,
+    ) -> Result<(), CallError> {
+        self.hear(stream, &first)?;
+        loop {
+            if stream.closed.load(Ordering::Relaxed) || self.stop.load(Ordering::Relaxed) {
+                return Ok(());
+            }
+            let message = match reader.recv(LOOK) {
+                Err(CallError::Deadline(_)) => continue,
+                other => match other? {
+                    Some(message) => message,
+                    None => return Ok(()),
+                },
+            };
+            let request = Request::decode(variant, &message)
+                .map_err(|_| CallError::Malformed("a message that is none of the protocol's"))?;
+            self.hear(stream, &request)?;
+        }
+    }
+
+    fn hear(&self, stream: &Arc<Stream>, request: &Request) -> Result<(), CallError> {
+        let cache = self.cache.read().unwrap_or_else(PoisonError::into_inner);
+        let (heard, marks) = {
+            let mut state = stream.state();
+            let heard = state.hear(request, &cache);
+            (heard, state.take_acked(&cache))
+        };
+        drop(cache);
+        let proxy = &stream.proxy;
+        match heard {
+            Ok(Heard::Nacked { kind, nonce, names, reason }) => {
+                Counters::add(&self.counters.nacks, 1);
+                warn!(%proxy, ?kind, nonce, resources = names.len(), first = names.first(), %reason, "tables rejected");
+            }
+            Ok(Heard::Stale { .. }) => Counters::add(&self.counters.stale, 1),
+            Ok(_) => {}
+            Err(error) => {
+                warn!(%proxy, %error, "stream closed");
+                return Err(CallError::Reset(error.to_string()));
+            }
+        }
+        self.tell_acked(stream, marks);
+        stream.wake();
+        Ok(())
+    }
+
+    fn tell_acked(&self, stream: &Stream, marks: Vec<u16>) {
+        for mark in marks {
+            self.tell(Input::Acked { proxy: stream.proxy.clone(), stream: stream.id, mark });
+        }
+    }
+
+    fn write(&self, stream: &Arc<Stream>, mut writer: MessageWriter, woken: &Receiver<()>) {
+        let beat_every = self.service.write_lease / 5;
+        let gate = self.service.listener_name(true);
+        let mut next_beat = Instant::now() + beat_every;
+        let mut answered = Instant::now();
+        while !stream.closed.load(Ordering::Relaxed) && !self.stop.load(Ordering::Relaxed) {
+            let _ = woken.recv_timeout(LOOK);
+            loop {
+                let (response, marks) = {
+                    let cache = self.cache.read().unwrap_or_else(PoisonError::into_inner);
+                    let mut state = stream.state();
+                    let mut response = state.next(&cache);
+                    // The lease is renewed only while our charge holds; what was renewed before then runs out.
+                    if response.is_none() && Instant::now() >= next_beat && self.charged() {
+                        response = state.heartbeat(Kind::Route, &gate, &cache);
+                        next_beat = Instant::now() + if response.is_some() { beat_every } else { LOOK };
+                    }
+                    let marks = state.take_acked(&cache);
+                    if state.marks_open() == 0 {
+                        answered = Instant::now();
+                    }
+                    (response, marks)
+                };
+                self.tell_acked(stream, marks);
+                let Some(response) = response else { break };
+                if let Err(error) = self.send(&mut writer, &response) {
+                    debug!(proxy = %stream.proxy, %error, "stream lost in a write");
+                    return stream.close();
+                }
+            }
+            if answered.elapsed() > self.answer_within {
+                warn!(proxy = %stream.proxy, within = ?self.answer_within, "no answer to a mark: stream closed");
+                break;
+            }
+        }
+        stream.close();
+        // The peer may be gone already.
+        let _ = writer.close(Code::Unavailable, "the stream ends here", Trailers::new());
+    }
+
+    fn charged(&self) -> bool {
+        self.charge.holds(self.base + self.start.elapsed())
+    }
+
+    fn send(&self, writer: &mut MessageWriter, response: &Response) -> Result<(), CallError> {
+        let bytes = response.encode();
+        Counters::add(&self.counters.bytes, bytes.len() as u64);
+        writer.send(&bytes, WRITE_WITHIN)
+    }
+
+    /// Hands a parcel to a proxy's stream. The stream reads the tables from the cache when it writes.
+    pub fn deliver(&self, proxy: &str, parcel: &Parcel) {
+        let Some(stream) = self.streams().get(proxy).cloned() else { return };
+        {
+            let mut state = stream.state();
+            for &slice in &parcel.slices {
+                for method in 0..self.service.methods.len() {
+                    state.changed(Kind::Endpoints, &self.service.cluster_name(slice, method));
+                }
+            }
+            parcel.marks.iter().for_each(|mark| state.mark(*mark));
+        }
+        stream.wake();
+    }
+
+    /// Tells every stream at once of names that have come or gone with custody.
+    pub fn announce(&self, names: &[String]) {
+        let streams: Vec<Arc<Stream>> = self.streams().values().cloned().collect();
+        for stream in streams {
+            {
+                let mut state = stream.state();
+                for name in names {
+                    state.changed(Kind::Cluster, name);
+                    state.changed(Kind::Endpoints, name);
+                }
+            }
+            stream.wake();
+        }
+    }
+
+    pub fn connected(&self) -> usize {
+        self.streams().len()
+    }
+
+    /// Ends all streams in order.
+    pub fn close(&self) {
+        self.stop.store(true, Ordering::Relaxed);
+        let streams: Vec<Arc<Stream>> = self.streams().values().cloned().collect();
+        streams.iter().for_each(|stream| stream.close());
+    }
+}
--- /dev/null
+++ b/crates/whinhill-assigner/src/intake.rs
@@ -0,0 +1,173 @@
+//! Load reports in, a bounded number of lines a second out to the module. No I/O, no clock.
+//!
+//! What is over the cap is not dropped but waits and adds up, each line for the stretch that it then covers;
+//! the oldest go first.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use whinhill::interface::{Ep, Event, LoadReport, MethodId, SliceId, ZoneId};
+use whinhill_xds::mapping::{server_name, Service};
+use whinhill_xds::proto;
+
+use crate::names::Names;
+
+#[derive(Clone, Debug, Default)]
+struct Sum {
+    tries: u64,
+    lost: u64,
+    oks: u64,
+    wait_ms: f64,
+    load: LoadReport,
+    /// When the first figure in it came, and the stretch that the first report covered.
+    since: Option<Duration>,
+    first: Duration,
+}
+
+impl Sum {
+    fn begin(&mut self, now: Duration, span: Duration) {
+        if self.since.is_none() {
+            (self.since, self.first) = (Some(now), span);
+        }
+    }
+
+    fn span(&self, now: Duration) -> Duration {
+        self.first + now.saturating_sub(self.since.unwrap_or(now))
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Key {
+    Met { server: usize, zone: ZoneId },
+    Came { slice: SliceId, method: MethodId },
+}
+
+#[derive(Debug)]
+pub struct Intake {
+    sums: BTreeMap<Key, Sum>,
+    lines_per_s: u32,
+    period: Duration,
+    next: Duration,
+    /// A stretch over this says that a proxy's clock stood still or jumped.
+    span_most: Duration,
+}
+
+impl Intake {
+    pub fn new(lines_per_s: u32, period: Duration) -> Self {
+        Intake { sums: BTreeMap::new(), lines_per_s, period, next: Duration::ZERO, span_most: period * 20 }
+    }
+
+    /// Takes one proxy's report. Clusters and servers that can't be made out are passed over and counted.
+    pub fn take(
+        &mut self,
+        now: Duration,
+        zone: ZoneId,
+        report: &proto::LoadStatsRequest,
+        service: &Service,
+        names: &mut Names,
+    ) -> usize {
+        let mut strange = 0;
+        for cluster in &report.cluster_stats {
+            let Some((slice, method)) = service.of_cluster_name(&cluster.cluster_name) else {
+                strange += 1;
+                continue;
+            };
+            let told = cluster.load_report_interval.as_ref().and_then(proto::read_span);
+            let span = told.unwrap_or(self.period).clamp(Duration::from_millis(1), self.span_most);
+            let came = self.sums.entry(Key::Came { slice, method }).or_default();
+            came.begin(now, span);
+            came.tries += cluster.total_dropped_requests;
+            for locality in &cluster.upstream_locality_stats {
+                came.tries += locality.total_issued_requests;
+                came.lost += locality.total_error_requests;
+            }
+            for server in cluster.upstream_locality_stats.iter().flat_map(|l| &l.upstream_endpoint_stats) {
+                let Some(name) = server.address.as_ref().and_then(server_name) else {
+                    strange += 1;
+                    continue;
+                };
+                let key = Key::Met { server: names.ep(&name).index, zone };
+                let met = self.sums.entry(key).or_default();
+                met.begin(now, span);
+                met.tries += server.total_issued_requests;
+                met.lost += server.total_error_requests.min(server.total_issued_requests);
+                for metric in &server.load_metric_stats {
+                    read_metric(met, metric);
+                }
+            }
+        }
+        strange
+    }
+
+    /// What the module is given now: once a period, the oldest sums first, up to the cap.
+    pub fn give(&mut self, now: Duration, names: &Names, ep: impl Fn(usize) -> Ep) -> Vec<Event> {
+        if now < self.next {
+            return Vec::new();
+        }
+        self.next = now + self.period;
+        let most = (f64::from(self.lines_per_s) * self.period.as_secs_f64()).ceil() as usize;
+        let mut keys: Vec<(Duration, Key)> =
+            self.sums.iter().filter_map(|(key, sum)| Some((sum.since?, *key))).collect();
+        keys.sort_unstable();
+        let mut events = Vec::with_capacity(keys.len().min(most));
+        for (_, key) in keys.into_iter().take(most) {
+            let Some(sum) = self.sums.remove(&key) else { continue };
+            let span = sum.span(now);
+            events.push(match key {
+                Key::Came { slice, method } => {
+                    Event::Demand { slice, method, rpcs: sum.tries, lost: sum.lost.min(sum.tries), span }
+                }
+                Key::Met { server, zone } => {
+                    debug_assert!(server < names.servers());
+                    let wait = if sum.oks > 0 { sum.wait_ms / sum.oks as f64 } else { 0.0 };
+                    let wait = Duration::try_from_secs_f64(wait / 1e3).unwrap_or_default();
+                    Event::Met {
+                        ep: ep(server),
+                        zone,
+                        tries: sum.tries,
+                        lost: sum.lost,
+                        wait,
+                        span,
+                        load: sum.load,
+                    }
+                }
+            });
+        }
+        events
+    }
+
+    /// A slice is no longer ours: what was told of it is another's to use.
+    pub fn forget(&mut self, slice: SliceId) {
+        self.sums.retain(|key, _| !matches!(key, Key::Came { slice: s, .. } if *s == slice));
+    }
+
+    /// Lines that wait.
+    pub fn waiting(&self) -> usize {
+        self.sums.len()
+    }
+}
+
+fn read_metric(met: &mut Sum, metric: &proto::EndpointLoadMetricStats) {
+    let count = metric.num_requests_finished_with_metric;
+    let value = metric.total_metric_value;
+    if count == 0 || !value.is_finite() || value < 0.0 {
+        return;
+    }
+    if metric.metric_name == "wait_ms" {
+        met.oks += count;
+        met.wait_ms += value;
+    } else {
+        read_load(&mut met.load, &metric.metric_name, value / count as f64);
+    }
+}
+
+/// A figure that a server tells of itself; names that we do not know are passed over.
+pub fn read_load(load: &mut LoadReport, name: &str, value: f64) {
+    match name {
+        "cpu" => load.cpu = Some(value),
+        "in_hand" => load.in_hand = Some(value),
+        "queue" => load.waiting = Some(value),
+        "service_ms" => load.service = Duration::try_from_secs_f64(value / 1e3).ok(),
+        _ => {}
+    }
+}
--- /dev/null
+++ b/crates/whinhill-assigner/src/lib.rs
@@ -0,0 +1,29 @@
+//! The running assigner.
+//!
+//! Feeds (roster, load reports, probes, streams, custody) put what happened into one bounded channel. The
+//! decision thread drains it into a batch, has [`Core`] decide, and hands on what is to be done: tables into the
+//! cache, changes to the paced [`Channel`], grants to the store, probes to their threads. [`Core`], the channel and
+//! the intake of reports have no I/O and no clock; threads and sockets stand around them and hold no rule.
+
+mod assigner;
+mod channel;
+mod config;
+mod core;
+mod hub;
+mod intake;
+mod names;
+mod probes;
+mod roster;
+mod status;
+mod stewards;
+
+pub use crate::core::{Core, Effects, Input};
+pub use assigner::{Assigner, StartError};
+pub use channel::{Channel, Parcel};
+pub use config::{
+    AssignerConfig, ChannelConfig, CustodySettings, Fault, MethodConfig, MethodEffect, RosterConfig,
+    RulesConfig, Sabotage, ServiceConfig, StoreConfig,
+};
+pub use intake::Intake;
+pub use roster::{read_roster, RosterEntry, RosterFile, RosterState};
+pub use status::Status;
--- a/crates/whinhill-proxy/src/forward.rs
+++ b/crates/whinhill-proxy/src/forward.rs
@@ -110,7 +110,7 @@
                 counts.refused.fetch_add(1, Ordering::Relaxed);
                 let mut trailers = header(REFUSED_HEADER, why.name());
                 trailers.extend(header(PUSHBACK_HEADER, &COME_BACK.as_millis().to_string()));
-                call.refuse(Code::Unavailable, "pushed back", trailers);
+                call.refuse(Code::Unavailable, &format!("pushed back: {}", why.name()), trailers);
             }
             Done::Failed { code, text } => {
                 counts.aborted.fetch_add(1, Ordering::Relaxed);
--- /dev/null
+++ b/crates/whinhill-standins/src/day.rs
@@ -0,0 +1,219 @@
+//! A day's script: fleet, load, seed, and faults by time. JSON5, checked whole.
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use whinhill_assigner::{ChannelConfig, CustodySettings, Fault, RulesConfig, ServiceConfig};
+
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Day {
+    pub seed: u64,
+    /// How long load is sent.
+    pub seconds: f64,
+    pub zones: Vec<String>,
+    pub service: ServiceConfig,
+    pub rules: RulesConfig,
+    pub channel: ChannelConfig,
+    pub custody: CustodySettings,
+    pub report_period_ms: u64,
+    #[serde(default)]
+    pub probes: bool,
+    pub servers: Servers,
+    pub proxies: Proxies,
+    /// How many assigners run, each as a process.
+    pub assigners: usize,
+    /// One-way delay of every link between proxies and assigners, in milliseconds.
+    #[serde(default)]
+    pub link_delay_ms: u64,
+    pub load: Load,
+    #[serde(default)]
+    pub faults: Vec<Scheduled>,
+    /// Broken components put in on purpose: the audit must find them.
+    #[serde(default)]
+    pub sabotage: Vec<Sabotage>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "kebab-case")]
+pub enum Sabotage {
+    /// Every proxy goes on by tables whose writes were stopped.
+    ProxyIgnoresStops,
+    /// Servers go on with work that was given up, many times as long as it should take.
+    ServerHoldsOn,
+    /// Assigners take their own marks for answered at once.
+    AssignerSkipsWait,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Servers {
+    pub count: usize,
+    pub cores: usize,
+    /// Core-seconds of work that a core does in a second: the slowest and the fastest server's.
+    pub speed: [f64; 2],
+    pub queue: usize,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "kebab-case")]
+pub enum Speaks {
+    Incremental,
+    StateOfTheWorld,
+    /// Every other proxy.
+    Both,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Proxies {
+    pub count: usize,
+    pub speaks: Speaks,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Load {
+    /// First tries a second, open loop.
+    pub rps: f64,
+    pub keys: u64,
+    /// By method, in the order of the service's: share of the RPCs, mean work in core-milliseconds, retries by clients.
+    pub mix: Vec<Mix>,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Mix {
+    pub share: f64,
+    pub work_ms: f64,
+    #[serde(default)]
+    pub retries: u32,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Scheduled {
+    pub at_s: f64,
+    /// How long it lasts, where it lasts.
+    #[serde(default)]
+    pub for_s: f64,
+    pub what: Trouble,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub enum Trouble {
+    /// Servers are drained, stopped and replaced, so many at a time, until that part is new.
+    Release {
+        part: f64,
+        at_a_time: usize,
+    },
+    /// The process is killed outright, and started again at the end.
+    KillAssigner {
+        which: usize,
+    },
+    /// It stands still.
+    StallAssigner {
+        which: usize,
+    },
+    KillProxies {
+        part: f64,
+    },
+    /// Links between that part of the proxies and an assigner, or all of them, carry nothing.
+    CutProxies {
+        part: f64,
+        assigner: Option<usize>,
+    },
+    /// The link of an assigner to the store carries nothing.
+    CutStore {
+        which: usize,
+    },
+    /// The store itself refuses everybody.
+    StoreDown {},
+    /// Streams of that part of the proxies break in the middle of an update, after so many bytes.
+    DropMidUpdate {
+        part: f64,
+        after_bytes: u64,
+    },
+    /// That part of the proxies rejects its next tables, once each.
+    RejectTables {
+        part: f64,
+    },
+    SlowServers {
+        part: f64,
+        times: f64,
+    },
+    SilentServers {
+        part: f64,
+    },
+    /// Fails at once; one method only, if named.
+    FailingServers {
+        part: f64,
+        share: f64,
+        method: Option<usize>,
+    },
+    AnswersLost {
+        part: f64,
+        share: f64,
+    },
+    Burst {
+        times: f64,
+    },
+    /// The roster's file is left half written.
+    RosterHalfWritten {},
+    /// The roster leaves that part of the servers out, though they serve.
+    RosterDrops {
+        part: f64,
+    },
+}
+
+impl Day {
+    pub fn check(&self) -> Vec<Fault> {
+        let mut faults = Vec::new();
+        let mut must = |holds: bool, path: String, what: &str| {
+            if !holds {
+                faults.push(Fault { path, what: what.to_string() });
+            }
+        };
+        must(
+            self.seconds > 0.0 && self.seconds <= 3600.0,
+            "seconds".into(),
+            "over 0 and up to 3600 is expected",
+        );
+        must(!self.zones.is_empty(), "zones".into(), "one at least is expected");
+        must((1..=1000).contains(&self.servers.count), "servers.count".into(), "1 to 1000 is expected");
+        must(self.servers.cores > 0, "servers.cores".into(), "must be over 0");
+        let [low, high] = self.servers.speed;
+        must(
+            low > 0.0 && low <= high && high.is_finite(),
+            "servers.speed".into(),
+            "two rising figures over 0 are expected",
+        );
+        must((1..=1000).contains(&self.proxies.count), "proxies.count".into(), "1 to 1000 is expected");
+        must((1..=16).contains(&self.assigners), "assigners".into(), "1 to 16 is expected");
+        must(self.load.rps >= 0.0 && self.load.rps <= 20_000.0, "load.rps".into(), "0 to 20000 is expected");
+        must(self.load.keys > 0, "load.keys".into(), "must be over 0");
+        let methods = self.service.methods.len();
+        must(self.load.mix.len() == methods, "load.mix".into(), "one entry for each method is expected");
+        for (k, mix) in self.load.mix.iter().enumerate() {
+            must(
+                mix.share >= 0.0 && mix.work_ms > 0.0,
+                format!("load.mix[{k}]"),
+                "share from 0 and work_ms over 0 are expected",
+            );
+        }
+        for (k, fault) in self.faults.iter().enumerate() {
+            let path = format!("faults[{k}]");
+            must(fault.at_s >= 0.0 && fault.for_s >= 0.0, path.clone(), "times from 0 are expected");
+            must(fault.at_s <= self.seconds, path.clone(), "begins after the day's end");
+            let assigner = match &fault.what {
+                Trouble::KillAssigner { which }
+                | Trouble::StallAssigner { which }
+                | Trouble::CutStore { which } => Some(*which),
+                Trouble::CutProxies { assigner, .. } => *assigner,
+                _ => None,
+            };
+            must(assigner.is_none_or(|which| which < self.assigners), path, "there is no such assigner");
+        }
+        faults
+    }
+}
--- /dev/null
+++ b/crates/whinhill-standins/src/from_bench.rs
@@ -0,0 +1,207 @@
+//! Turns a day of the operators' bench into a script: the kinds of trouble, their sizes and times. The fleet is
+//! scaled to what one machine plays in real time.
+
+use serde::Deserialize;
+use whinhill_assigner::{
+    ChannelConfig, CustodySettings, MethodConfig, MethodEffect, RulesConfig, ServiceConfig,
+};
+
+use crate::day::{Day, Load, Mix, Proxies, Scheduled, Servers, Speaks, Trouble};
+
+#[derive(Debug, thiserror::Error)]
+pub enum FromBenchError {
+    #[error("not a day of the bench: {0}")]
+    Read(#[from] serde_json::Error),
+    #[error("a day of another kind of system: {0}")]
+    Family(String),
+}
+
+/// What is read of such a day; times are in microseconds.
+#[derive(Deserialize)]
+struct BenchDay {
+    family: String,
+    noise: u64,
+    length: f64,
+    zones: Vec<String>,
+    drain_grace: f64,
+    fall_multiple: f64,
+    fall_for: f64,
+    classes: Vec<Class>,
+    servers: Vec<serde_json::Value>,
+    tiers: Vec<Tier>,
+    troubles: Vec<BenchTrouble>,
+    fam: Fam,
+    traffic: Traffic,
+    clients: BenchClients,
+}
+
+#[derive(Deserialize)]
+struct Class {
+    name: String,
+    share: f64,
+    work: f64,
+    aim: f64,
+    deadline: f64,
+    worth: f64,
+    effect: String,
+    write: bool,
+}
+
+#[derive(Deserialize)]
+struct Tier {
+    stated_cold_from: f64,
+    stated_cold: f64,
+}
+
+#[derive(Deserialize)]
+struct BenchTrouble {
+    kind: String,
+    at: f64,
+    len: f64,
+    size: f64,
+    on: Vec<usize>,
+    #[serde(default)]
+    steps: Vec<serde_json::Value>,
+    #[serde(default)]
+    how: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct Fam {
+    controllers: Vec<usize>,
+    lease: f64,
+    settle: f64,
+    hold: f64,
+    bare: f64,
+    period: f64,
+    slices: usize,
+    usual_how: u8,
+}
+
+#[derive(Deserialize)]
+struct Traffic {
+    load: f64,
+}
+
+#[derive(Deserialize)]
+struct BenchClients {
+    retries: u32,
+}
+
+const SERVERS: usize = 12;
+const PROXIES: usize = 6;
+const CORES: usize = 2;
+
+/// Reads a day as the bench prints it, and says which of its troubles have no counterpart here.
+pub fn from_bench(text: &str) -> Result<(Day, Vec<String>), FromBenchError> {
+    let bench: BenchDay = serde_json::from_str(text)?;
+    if bench.family != "control" {
+        return Err(FromBenchError::Family(bench.family));
+    }
+    let ms = |micros: f64| (micros / 1e3).round().max(1.0) as u64;
+    let assigners = bench.fam.controllers.iter().sum::<usize>().clamp(1, 2);
+    let servers = bench.servers.len().clamp(2, SERVERS);
+    let slices = (bench.fam.slices * servers / bench.servers.len().max(1)).max(8);
+    // Work is cut to a tenth, so that as many RPCs come at the same load on a few cores.
+    let shares: f64 = bench.classes.iter().map(|class| class.share).sum();
+    let work = |class: &Class| (class.work / 1e4).max(1.0);
+    let mean: f64 = bench.classes.iter().map(|class| class.share / shares * work(class)).sum();
+    let rps = (bench.traffic.load * 0.6 * (servers * CORES) as f64 / (mean / 1e3)).min(600.0);
+    let method = |class: &Class| MethodConfig {
+        name: class.name.clone(),
+        path: format!("/bench.Day/{}", class.name),
+        writes: class.write,
+        effect: match class.effect.as_str() {
+            "safe" => MethodEffect::Idempotent,
+            "keyed" => MethodEffect::Tokened,
+            _ => MethodEffect::NonIdempotent,
+        },
+        criticality: class.worth,
+        soft_deadline_ms: ms(class.aim),
+        deadline_ms: ms(class.deadline),
+    };
+    let mut strange = Vec::new();
+    let mut faults = Vec::new();
+    for trouble in &bench.troubles {
+        let struck = trouble.on.len().max(1) as f64;
+        let part = |of: usize| (struck / of.max(1) as f64).clamp(0.0, 1.0);
+        let on_servers = part(bench.servers.len());
+        let what = match (trouble.kind.as_str(), trouble.how.as_deref()) {
+            ("deploy", _) => Some(Trouble::Release {
+                part: (trouble.size * trouble.steps.len().max(1) as f64).clamp(0.1, 1.0),
+                at_a_time: ((trouble.size * servers as f64).round() as usize).max(1),
+            }),
+            ("balancer_crash", _) if trouble.on.len() <= 2 => Some(Trouble::KillAssigner { which: 0 }),
+            ("balancer_crash" | "counter_down", _) => Some(Trouble::KillProxies { part: 0.3 }),
+            ("balancer_stall", _) => Some(Trouble::StallAssigner { which: 0 }),
+            ("cut" | "zone_cut" | "reconnect", _) => Some(Trouble::CutProxies { part: 0.4, assigner: None }),
+            ("slow" | "ageing" | "neighbour" | "false_reports", _) => {
+                Some(Trouble::SlowServers { part: on_servers, times: trouble.size.clamp(2.0, 10.0) })
+            }
+            ("vanish" | "hang", _) => Some(Trouble::SilentServers { part: on_servers }),
+            ("fast_errors", _) => {
+                let share = trouble.size.clamp(0.1, 1.0);
+                Some(Trouble::FailingServers { part: on_servers, share, method: None })
+            }
+            ("class_fail", _) => {
+                let share = trouble.size.clamp(0.1, 1.0);
+                Some(Trouble::FailingServers { part: on_servers, share, method: Some(0) })
+            }
+            ("answer_lost", _) => {
+                Some(Trouble::AnswersLost { part: on_servers, share: trouble.size.clamp(0.1, 1.0) })
+            }
+            ("burst", _) => Some(Trouble::Burst { times: trouble.size.clamp(1.1, 3.0) }),
+            ("discovery_down", _) => Some(Trouble::RosterHalfWritten {}),
+            ("wrong_list", Some("shrink")) => Some(Trouble::RosterDrops { part: on_servers }),
+            _ => None,
+        };
+        match what {
+            Some(what) => faults.push(Scheduled { at_s: trouble.at / 1e6, for_s: trouble.len / 1e6, what }),
+            None => strange.push(trouble.kind.clone()),
+        }
+    }
+    let tier = bench.tiers.first();
+    let day = Day {
+        seed: bench.noise,
+        seconds: bench.length / 1e6,
+        zones: bench.zones,
+        service: ServiceConfig {
+            name: "bench-day".into(),
+            slices,
+            methods: bench.classes.iter().map(method).collect(),
+            write_lease_ms: ms(bench.fam.lease),
+            settle_ms: ms(bench.fam.settle),
+            hold_ms: ms(bench.fam.hold),
+            tries: bench.fam.usual_how,
+        },
+        rules: RulesConfig {
+            empty_ms: ms(bench.fam.bare),
+            grace_ms: ms(bench.drain_grace),
+            warm_after_ms: ms(tier.map_or(1e7, |tier| tier.stated_cold)),
+            cold_from: tier.map_or(0.2, |tier| tier.stated_cold_from),
+            fall_multiple: bench.fall_multiple,
+            fall_ms: ms(bench.fall_for),
+            gone_is_advice: false,
+        },
+        channel: ChannelConfig { lines_per_s: 20_000.0, head: 8, backlog: 20_000.0, way_most_ms: 300 },
+        custody: CustodySettings { ttl_ms: 2000, margin_ms: 400, step: 128 },
+        report_period_ms: ms(bench.fam.period),
+        probes: false,
+        servers: Servers { count: servers, cores: CORES, speed: [0.8, 1.2], queue: 40 },
+        proxies: Proxies { count: PROXIES, speaks: Speaks::Both },
+        assigners,
+        link_delay_ms: 10,
+        load: Load {
+            rps,
+            keys: 4000,
+            mix: bench
+                .classes
+                .iter()
+                .map(|class| Mix { share: class.share, work_ms: work(class), retries: bench.clients.retries })
+                .collect(),
+        },
+        faults,
+        sabotage: Vec::new(),
+    };
+    Ok((day, strange))
+}
--- /dev/null
+++ b/crates/whinhill-standins/src/link.rs
@@ -0,0 +1,199 @@
+//! A faulty link: a relay on loopback that delays, cuts one way or both, breaks in mid-message, or reads slowly.
+
+use std::collections::VecDeque;
+use std::io::{self, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicI64, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// What a link does to one direction.
+#[derive(Debug, Default)]
+struct Way {
+    delay_us: AtomicU64,
+    /// Bytes stay where they are; connections stand.
+    stalled: AtomicBool,
+    /// Bytes after which the connections break; negative: never.
+    breaks_after: AtomicI64,
+    bytes: AtomicU64,
+}
+
+struct Inner {
+    /// Where connections go; a process that starts again may listen elsewhere.
+    target: Mutex<SocketAddr>,
+    to: Way,
+    back: Way,
+    down: AtomicBool,
+    stop: AtomicBool,
+    sockets: Mutex<Vec<TcpStream>>,
+    on_connect: Box<dyn Fn() + Send + Sync>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Direction {
+    To,
+    Back,
+    Both,
+}
+
+pub struct Link {
+    addr: SocketAddr,
+    inner: Arc<Inner>,
+}
+
+const STACK: usize = 96 << 10;
+const CHUNK: usize = 16 << 10;
+
+impl Link {
+    /// A link to `target`; `on_connect` is called for each connection that gets through.
+    pub fn start(target: SocketAddr, on_connect: impl Fn() + Send + Sync + 'static) -> io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let addr = listener.local_addr()?;
+        let way = || Way { breaks_after: AtomicI64::new(-1), ..Way::default() };
+        let inner = Arc::new(Inner {
+            target: Mutex::new(target),
+            to: way(),
+            back: way(),
+            down: AtomicBool::new(false),
+            stop: AtomicBool::new(false),
+            sockets: Mutex::default(),
+            on_connect: Box::new(on_connect),
+        });
+        let held = inner.clone();
+        thread::Builder::new().name("link".into()).stack_size(STACK).spawn(move || {
+            for near in listener.incoming().map_while(Result::ok) {
+                if held.stop.load(Ordering::Relaxed) {
+                    return;
+                }
+                if !held.down.load(Ordering::Relaxed) {
+                    // A target that is not there closes the near end, as its absence would.
+                    let _ = held.clone().relay(near);
+                }
+            }
+        })?;
+        Ok(Link { addr, inner })
+    }
+
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    fn ways(&self, direction: Direction) -> impl Iterator<Item = &Way> {
+        let to = (direction != Direction::Back).then_some(&self.inner.to);
+        to.into_iter().chain((direction != Direction::To).then_some(&self.inner.back))
+    }
+
+    pub fn set_target(&self, target: SocketAddr) {
+        *self.inner.target.lock().unwrap_or_else(PoisonError::into_inner) = target;
+    }
+
+    pub fn set_delay(&self, delay: Duration) {
+        self.ways(Direction::Both)
+            .for_each(|way| way.delay_us.store(delay.as_micros() as u64, Ordering::Relaxed));
+    }
+
+    /// Holds up all bytes of a direction, or lets them go on.
+    pub fn stall(&self, direction: Direction, stalled: bool) {
+        self.ways(direction).for_each(|way| way.stalled.store(stalled, Ordering::Relaxed));
+    }
+
+    /// Breaks all connections and refuses new ones, or carries again.
+    pub fn cut(&self, down: bool) {
+        self.inner.down.store(down, Ordering::Relaxed);
+        if down {
+            self.inner.break_all();
+        }
+    }
+
+    /// Breaks what stands once `bytes` more have come back: in the middle of whatever is under way then.
+    pub fn break_after(&self, bytes: u64) {
+        self.inner.back.breaks_after.store(bytes as i64, Ordering::Relaxed);
+    }
+
+    /// Bytes carried to the target and back.
+    pub fn carried(&self) -> (u64, u64) {
+        (self.inner.to.bytes.load(Ordering::Relaxed), self.inner.back.bytes.load(Ordering::Relaxed))
+    }
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.inner.stop.store(true, Ordering::Relaxed);
+        self.inner.break_all();
+        drop(TcpStream::connect_timeout(&self.addr, Duration::from_millis(200)));
+    }
+}
+
+impl Inner {
+    fn break_all(&self) {
+        for socket in self.sockets.lock().unwrap_or_else(PoisonError::into_inner).drain(..) {
+            let _ = socket.shutdown(Shutdown::Both);
+        }
+    }
+
+    fn relay(self: Arc<Self>, near: TcpStream) -> io::Result<()> {
+        let target = *self.target.lock().unwrap_or_else(PoisonError::into_inner);
+        let far = TcpStream::connect_timeout(&target, Duration::from_secs(1))?;
+        near.set_nodelay(true)?;
+        far.set_nodelay(true)?;
+        (self.on_connect)();
+        {
+            let mut sockets = self.sockets.lock().unwrap_or_else(PoisonError::into_inner);
+            sockets.retain(|socket| socket.peer_addr().is_ok());
+            sockets.extend([near.try_clone()?, far.try_clone()?]);
+        }
+        let pairs = [(near.try_clone()?, far.try_clone()?, true), (far, near, false)];
+        for (from, to, forth) in pairs {
+            let inner = self.clone();
+            let thread = thread::Builder::new().name("link-way".into()).stack_size(STACK);
+            thread.spawn(move || {
+                let way = if forth { &inner.to } else { &inner.back };
+                let _ = inner.pump(way, &from, &to);
+                let _ = (from.shutdown(Shutdown::Both), to.shutdown(Shutdown::Both));
+            })?;
+        }
+        Ok(())
+    }
+
+    fn pump(&self, way: &Way, mut from: &TcpStream, mut to: &TcpStream) -> io::Result<()> {
+        from.set_read_timeout(Some(Duration::from_millis(5)))?;
+        let mut waiting: VecDeque<(Instant, Vec<u8>)> = VecDeque::new();
+        let mut chunk = [0; CHUNK];
+        loop {
+            // What is on its way is bounded: past it the sender's own window closes.
+            if waiting.len() < 64 {
+                match from.read(&mut chunk) {
+                    Ok(0) => return Ok(()),
+                    Ok(count) => {
+                        let delay = Duration::from_micros(way.delay_us.load(Ordering::Relaxed));
+                        waiting.push_back((Instant::now() + delay, chunk[..count].to_vec()));
+                    }
+                    Err(error)
+                        if matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => {}
+                    Err(error) => return Err(error),
+                }
+            } else {
+                thread::park_timeout(Duration::from_millis(5));
+            }
+            while !way.stalled.load(Ordering::Relaxed)
+                && waiting.front().is_some_and(|(due, _)| *due <= Instant::now())
+            {
+                let Some((_, data)) = waiting.pop_front() else { break };
+                let left = way.breaks_after.load(Ordering::Relaxed);
+                if left >= 0 {
+                    let part = data.len().min(left as usize);
+                    to.write_all(&data[..part])?;
+                    if part < data.len() {
+                        way.breaks_after.store(-1, Ordering::Relaxed);
+                        return Ok(());
+                    }
+                    way.breaks_after.store(left - part as i64, Ordering::Relaxed);
+                } else {
+                    to.write_all(&data)?;
+                }
+                way.bytes.fetch_add(data.len() as u64, Ordering::Relaxed);
+            }
+        }
+    }
+}
