--- a/crates/whinhill-assigner/src/assigner.rs
+++ b/crates/whinhill-assigner/src/assigner.rs
@@ -189,6 +189,12 @@
             }
         }
         self.hub.close();
+        // Streams say that they end; a proxy that does not read is not waited for.
+        let until = Instant::now() + Duration::from_millis(500);
+        while self.hub.connected() > 0 && Instant::now() < until {
+            thread::park_timeout(Duration::from_millis(10));
+        }
+        thread::park_timeout(Duration::from_millis(50));
         self.listener = None;
         info!("assigner stopped");
     }
--- a/crates/whinhill-assigner/src/config.rs
+++ b/crates/whinhill-assigner/src/config.rs
@@ -86,7 +86,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
 pub struct Sabotage {
-    /// Answers its own marks at once, as if every proxy had.
+    /// Answers its own marks at once, as if every proxy had, and lets neither leases end nor writes settle.
     pub skips_the_wait: bool,
 }
 
@@ -333,8 +333,9 @@
         set("familyInfo.mutating", writes.join(","));
         set("familyInfo.shards", s.slices.to_string());
         set("familyInfo.retryDefault", s.tries.to_string());
-        set("familyInfo.writeLease", s.write_lease_ms.to_string());
-        set("familyInfo.inFlightMax", s.settle_ms.to_string());
+        let waits = |ms: u64| if self.sabotage.skips_the_wait { 0 } else { ms };
+        set("familyInfo.writeLease", waits(s.write_lease_ms).to_string());
+        set("familyInfo.inFlightMax", waits(s.settle_ms).to_string());
         set("familyInfo.period", self.report_period_ms.to_string());
         set("familyInfo.transitMax", self.channel.way_most_ms.to_string());
         set("familyInfo.overhead", self.channel.head.to_string());
--- a/crates/whinhill-assigner/src/hub.rs
+++ b/crates/whinhill-assigner/src/hub.rs
@@ -207,6 +207,7 @@
             info!(proxy = %node.id, old = old.id, new = stream.id, "a second stream: the older is closed");
             old.close();
         }
+        debug!(proxy = %node.id, stream = stream.id, ?variant, "table stream opened");
         self.tell(Input::Joined { proxy: node.id.clone(), zone, stream: stream.id });
         let (hub, writing) = (self.clone(), stream.clone());
         let slot = Arc::new(Mutex::new(Some(writer)));
--- a/crates/whinhill-assigner/src/stewards.rs
+++ b/crates/whinhill-assigner/src/stewards.rs
@@ -54,6 +54,8 @@
         let every = self.custody.config().ttl / 4;
         let mut next = Instant::now();
         while !self.stop.load(Ordering::Relaxed) {
+            // First of all after every wait: whoever stood still past its charge must not act on it.
+            self.expire();
             if Instant::now() >= next {
                 next = Instant::now() + every;
                 self.round();
@@ -63,18 +65,12 @@
                 Ok(first) => {
                     let mut batch = vec![first];
                     batch.extend(self.grants.try_iter().take(GRANTS_AT_ONCE - 1));
+                    self.expire();
                     self.grant(batch);
                 }
                 Err(RecvTimeoutError::Timeout) => {}
                 Err(RecvTimeoutError::Disconnected) => break,
             }
-            let now = self.now();
-            let ended = self.custody.expire(now);
-            if !ended.is_empty() {
-                warn!(slices = ended.len(), "our charge has ended: the store was not heard in time");
-                self.alive = false;
-            }
-            self.tell(ended, false);
         }
         let told = self.custody.leave();
         self.tell(told, true);
@@ -83,6 +79,17 @@
         let _ = self.store.vanish(&self.custody.config().me.clone());
     }
 
+    /// Lets go of everything once our charge has ended by our own clock.
+    fn expire(&mut self) {
+        let now = self.now();
+        let ended = self.custody.expire(now);
+        if !ended.is_empty() {
+            warn!(slices = ended.len(), "our charge has ended: the store was not heard in time");
+            self.alive = false;
+        }
+        self.tell(ended, false);
+    }
+
     /// Tells the decision thread; with `wait`, until it no longer acts on what was taken.
     fn tell(&mut self, told: Vec<Told>, wait: bool) {
         self.charge.set(self.custody.until());
@@ -198,12 +205,14 @@
             match self.store.swap(&all) {
                 Outcome::Done(true) => swaps.into_iter().for_each(|(grant, swap)| self.granted(grant, &swap)),
                 Outcome::Done(false) => {
+                    let mut lost = Vec::new();
                     for (grant, swap) in swaps {
                         match self.store.swap(std::slice::from_ref(&swap)) {
                             Outcome::Done(true) => self.granted(grant, &swap),
-                            _ => self.unknown(std::slice::from_ref(&swap)),
+                            _ => lost.push(swap),
                         }
                     }
+                    self.unknown(&lost);
                 }
                 Outcome::NotDone(fault) | Outcome::Unknown(fault) => {
                     self.failed("storing grants", &fault);
@@ -226,7 +235,10 @@
 
     fn unknown(&mut self, swaps: &[Swap]) {
         let told = self.custody.unknown(swaps);
-        warn!(slices = told.len(), "grants that the store may or may not hold: their slices are let go");
+        warn!(
+            slices = told.len(),
+            "grants that the store did not take, or may not have: their slices are let go"
+        );
         self.tell(told, true);
     }
 }
--- a/crates/whinhill-cli/src/day.rs
+++ b/crates/whinhill-cli/src/day.rs
@@ -24,9 +24,12 @@
         /// Goes before the script's seed.
         #[arg(long)]
         seed: Option<u64>,
-        /// Play it with so many seeds, one after the other.
+        /// Play it with so many seeds.
         #[arg(long, default_value_t = 1)]
         seeds: u64,
+        /// So many days at a time.
+        #[arg(long, default_value_t = 1)]
+        jobs: usize,
     },
     /// Turn a day as the bench prints it into a script, on standard output.
     FromBench { file: PathBuf },
@@ -34,16 +37,24 @@
 
 pub fn run(command: DayCommand) -> Result<(), Failed> {
     match command {
-        DayCommand::Run { file, json, out, seed, seeds } => {
-            let mut day: Day = config::read(&file, Day::check)?;
+        DayCommand::Run { file, json, out, seed, seeds, jobs } => {
+            let day: Day = config::read(&file, Day::check)?;
             let first = seed.unwrap_or(day.seed);
+            let all: Vec<u64> = (0..seeds.max(1)).map(|k| first.wrapping_add(k)).collect();
             let mut broken = Vec::new();
-            for k in 0..seeds.max(1) {
-                day.seed = first.wrapping_add(k);
-                let outcome = run_one(&day, out.as_deref(), seeds > 1)?;
-                print(&outcome, json)?;
-                if !outcome.kept() {
-                    broken.push(day.seed);
+            for some in all.chunks(jobs.max(1)) {
+                let one = |seed: u64| run_one(&Day { seed, ..day.clone() }, out.as_deref(), seeds > 1);
+                let outcomes: Vec<Result<Outcome, Failed>> = std::thread::scope(|scope| {
+                    let running: Vec<_> = some.iter().map(|seed| scope.spawn(|| one(*seed))).collect();
+                    let panicked = |_| Err(Failed::Running("a day panicked".to_string()));
+                    running.into_iter().map(|day| day.join().unwrap_or_else(panicked)).collect()
+                });
+                for outcome in outcomes {
+                    let outcome = outcome?;
+                    print(&outcome, json)?;
+                    if !outcome.kept() {
+                        broken.push(outcome.seed);
+                    }
                 }
             }
             if seeds > 1 {
--- a/crates/whinhill-standins/src/audit.rs
+++ b/crates/whinhill-standins/src/audit.rs
@@ -82,9 +82,9 @@
 #[derive(Default)]
 struct World {
     slices: BTreeMap<usize, History>,
-    /// When a proxy's link to an assigner was cut or mended, and when it last connected through it.
+    /// When a proxy's link to an assigner was cut or mended, and when its connections came and went.
     cuts: HashMap<(Server, Server), Times>,
-    connects: HashMap<(Server, Server), Vec<Duration>>,
+    connections: HashMap<(Server, Server), Times>,
     runs: HashMap<Server, Times>,
     proxy_runs: HashMap<Server, Times>,
 }
@@ -114,8 +114,9 @@
                 Seen::Cut { proxy, assigner, cut } => {
                     world.cuts.entry((proxy.clone(), assigner.clone())).or_default().push((*at, *cut));
                 }
-                Seen::Connected { proxy, assigner } => {
-                    world.connects.entry((proxy.clone(), assigner.clone())).or_default().push(*at);
+                Seen::Connected { proxy, assigner, stands } => {
+                    let pair = (proxy.clone(), assigner.clone());
+                    world.connections.entry(pair).or_default().push((*at, *stands));
                 }
                 Seen::Runs { assigner, runs } => {
                     world.runs.entry(assigner.clone()).or_default().push((*at, *runs))
@@ -140,11 +141,12 @@
         };
         let holder: Server = holder.into();
         let pair = (proxy.clone(), holder.clone());
-        let connects = self.connects.get(&pair);
-        let connected = connects.is_some_and(|times| times.iter().any(|at| *at <= from));
-        let again = connects.is_some_and(|times| times.iter().any(|at| *at > from && *at <= to));
-        connected
-            && !again
+        // Tables and load reports have a connection each: both must have stood, none come or gone.
+        let connections = self.connections.get(&pair).map(Vec::as_slice).unwrap_or_default();
+        let standing: i32 =
+            connections.iter().filter(|(at, _)| *at <= from).map(|(_, up)| if *up { 1 } else { -1 }).sum();
+        standing >= 2
+            && !connections.iter().any(|(at, _)| *at > from && *at <= to)
             && !ever(self.cuts.get(&pair), false, from, to)
             && !ever(self.runs.get(&holder), true, from, to)
             && !ever(self.proxy_runs.get(proxy), true, from, to)
@@ -240,7 +242,7 @@
                     audit.find(
                         *at,
                         format!(
-                            "slice {slice}: RPC {rpc} sent to {server} {after:.2} s after it was to be left"
+                            "slice {slice}: RPC {rpc} sent by {proxy} to {server} {after:.2} s after it was to be left"
                         ),
                     );
                 }
--- a/crates/whinhill-standins/src/audit/tests.rs
+++ b/crates/whinhill-standins/src/audit/tests.rs
@@ -39,8 +39,12 @@
     Seen::Arrived { server: name(server), rpc: 9, slice: 1, write: false, proxy: name("p"), work }
 }
 
+fn connected(stands: bool) -> Seen {
+    Seen::Connected { proxy: name("p"), assigner: name("a"), stands }
+}
+
 fn joined() -> Vec<(Duration, Seen)> {
-    vec![(s(0.0), stored(1, "x")), (s(0.1), Seen::Connected { proxy: name("p"), assigner: name("a") })]
+    vec![(s(0.0), stored(1, "x")), (s(0.1), connected(true)), (s(0.1), connected(true))]
 }
 
 fn judge(more: Vec<(f64, Seen)>) -> Audit {
@@ -102,6 +106,10 @@
     assert_eq!(judge(vec![draining(), (3.1, arrived("x", 0.1))]).rules.drains_kept, 1);
     let cut = Seen::Cut { proxy: name("p"), assigner: name("a"), cut: true };
     assert_eq!(judge(vec![draining(), (2.0, cut), (3.1, arrived("x", 0.1))]).rules.drains_kept, 0);
+    assert_eq!(
+        judge(vec![draining(), (2.0, connected(false)), (3.1, arrived("x", 0.1))]).rules.drains_kept,
+        0
+    );
     let died = Seen::Runs { assigner: name("a"), runs: false };
     assert_eq!(judge(vec![draining(), (2.0, died), (3.1, arrived("x", 0.1))]).rules.drains_kept, 0);
 }
--- a/crates/whinhill-standins/src/day.rs
+++ b/crates/whinhill-standins/src/day.rs
@@ -38,9 +38,9 @@
 pub enum Sabotage {
     /// Every proxy goes on by tables whose writes were stopped.
     ProxyIgnoresStops,
-    /// Servers go on with work that was given up, many times as long as it should take.
+    /// Servers go on with some writes for seconds after they were given up.
     ServerHoldsOn,
-    /// Assigners take their own marks for answered at once.
+    /// Assigners take their own marks for answered at once, and let no write settle.
     AssignerSkipsWait,
 }
 
--- a/crates/whinhill-standins/src/link.rs
+++ b/crates/whinhill-standins/src/link.rs
@@ -27,7 +27,8 @@
     down: AtomicBool,
     stop: AtomicBool,
     sockets: Mutex<Vec<TcpStream>>,
-    on_connect: Box<dyn Fn() + Send + Sync>,
+    /// Called with true for each connection that gets through, with false when it ends.
+    watch: Box<dyn Fn(bool) + Send + Sync>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -46,8 +47,8 @@
 const CHUNK: usize = 16 << 10;
 
 impl Link {
-    /// A link to `target`; `on_connect` is called for each connection that gets through.
-    pub fn start(target: SocketAddr, on_connect: impl Fn() + Send + Sync + 'static) -> io::Result<Self> {
+    /// A link to `target`; `watch` is called with true for each connection that gets through, false when it ends.
+    pub fn start(target: SocketAddr, watch: impl Fn(bool) + Send + Sync + 'static) -> io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let addr = listener.local_addr()?;
         let way = || Way { breaks_after: AtomicI64::new(-1), ..Way::default() };
@@ -58,7 +59,7 @@
             down: AtomicBool::new(false),
             stop: AtomicBool::new(false),
             sockets: Mutex::default(),
-            on_connect: Box::new(on_connect),
+            watch: Box::new(watch),
         });
         let held = inner.clone();
         thread::Builder::new().name("link".into()).stack_size(STACK).spawn(move || {
@@ -137,7 +138,8 @@
         let far = TcpStream::connect_timeout(&target, Duration::from_secs(1))?;
         near.set_nodelay(true)?;
         far.set_nodelay(true)?;
-        (self.on_connect)();
+        (self.watch)(true);
+        let ended = Arc::new(AtomicBool::new(false));
         {
             let mut sockets = self.sockets.lock().unwrap_or_else(PoisonError::into_inner);
             sockets.retain(|socket| socket.peer_addr().is_ok());
@@ -145,12 +147,15 @@
         }
         let pairs = [(near.try_clone()?, far.try_clone()?, true), (far, near, false)];
         for (from, to, forth) in pairs {
-            let inner = self.clone();
+            let (inner, ended) = (self.clone(), ended.clone());
             let thread = thread::Builder::new().name("link-way".into()).stack_size(STACK);
             thread.spawn(move || {
                 let way = if forth { &inner.to } else { &inner.back };
                 let _ = inner.pump(way, &from, &to);
                 let _ = (from.shutdown(Shutdown::Both), to.shutdown(Shutdown::Both));
+                if !ended.swap(true, Ordering::Relaxed) {
+                    (inner.watch)(false);
+                }
             })?;
         }
         Ok(())
--- a/crates/whinhill-standins/src/play.rs
+++ b/crates/whinhill-standins/src/play.rs
@@ -256,7 +256,7 @@
         };
         let server = Server::start(config, &self.workers, &self.record).map_err(io_at("a server"))?;
         if self.day.sabotage.contains(&Sabotage::ServerHoldsOn) {
-            server.set_faults(|faults| faults.holds_on = 40.0);
+            server.set_faults(|faults| faults.holds_on = 4.0);
         }
         Ok(server)
     }
@@ -288,8 +288,10 @@
     fn add_assigner(&mut self, number: usize, out: &Path) -> Result<(), PlayError> {
         let name = format!("assigner-{number}");
         let dir = out.join(&name);
+        // What an earlier day left there would be taken for this one's.
+        let _ = fs::remove_dir_all(&dir);
         fs::create_dir_all(&dir).map_err(io_at("an assigner's folder"))?;
-        let store_link = Link::start(self.store.addr(), || {}).map_err(io_at("a link"))?;
+        let store_link = Link::start(self.store.addr(), |_| {}).map_err(io_at("a link"))?;
         let config = AssignerConfig {
             name: name.clone(),
             peers: (0..self.day.assigners).map(|k| format!("assigner-{k}")).collect(),
@@ -341,7 +343,7 @@
         let log = running.dir.join(format!("log-{life}.jsonl"));
         let file = fs::File::create(&log).map_err(io_at("a log"))?;
         let child = Command::new(self.program)
-            .args(["--log", "json", "assigner", "--config"])
+            .args(["--log", "json", "--log-level", "info,whinhill_assigner=debug", "assigner", "--config"])
             .arg(&running.config)
             .arg("--ready-file")
             .arg(&ready)
@@ -384,7 +386,9 @@
         for assigner in 0..self.day.assigners {
             let (record, proxy) = (self.record.clone(), id.clone());
             let name: Arc<str> = self.assigners[assigner].name.as_str().into();
-            let note = move || record.note(Seen::Connected { proxy: proxy.clone(), assigner: name.clone() });
+            let note = move |stands| {
+                record.note(Seen::Connected { proxy: proxy.clone(), assigner: name.clone(), stands });
+            };
             let link = Link::start(self.assigner_addr(assigner), note).map_err(io_at("a link"))?;
             link.set_delay(ms(self.day.link_delay_ms));
             links.push(Arc::new(link));
--- a/crates/whinhill-standins/src/record.rs
+++ b/crates/whinhill-standins/src/record.rs
@@ -58,7 +58,7 @@
         in_time: bool,
         no_line: bool,
     },
-    /// A link between a proxy and an assigner was cut, or carries again; a connection was made through it.
+    /// A link between a proxy and an assigner was cut, or carries again; a connection was made through it, or ended.
     Cut {
         proxy: Arc<str>,
         assigner: Arc<str>,
@@ -67,6 +67,7 @@
     Connected {
         proxy: Arc<str>,
         assigner: Arc<str>,
+        stands: bool,
     },
     /// An assigner's process was stopped or stood still, or runs again.
     Runs {
--- a/crates/whinhill-standins/src/server.rs
+++ b/crates/whinhill-standins/src/server.rs
@@ -30,7 +30,7 @@
     pub errors_method: Option<usize>,
     /// The share of answers that are lost after the work was done.
     pub answers_lost: f64,
-    /// Goes on with work that was cancelled, and takes this much longer over it: for rehearsals.
+    /// Seconds for which one write in twenty goes on, whoever gives it up: for rehearsals.
     pub holds_on: f64,
 }
 
@@ -202,7 +202,11 @@
         }
         self.record.note(Seen::Began { server: self.name.clone(), rpc, slice, write, once });
         let slow = faults.slow.max(1.0);
-        let done = self.work(&mut call, work, slow, faults.holds_on);
+        let mut done = self.work(&mut call, work, slow);
+        if write && faults.holds_on > 0.0 && self.state().rng.random_bool(0.05) {
+            thread::sleep(Duration::from_secs_f64(faults.holds_on));
+            done = false;
+        }
         // The end is written down before the core is free and the answer leaves.
         self.record.note(Seen::Ended { server: self.name.clone(), rpc, slice, write });
         self.state().busy -= 1;
@@ -250,8 +254,8 @@
     }
 
     /// Works it off; a slice of time at a time, at the speed of the moment. False if it was cancelled on the way.
-    fn work(&self, call: &mut ServerCall, work: f64, slow: f64, holds_on: f64) -> bool {
-        let mut left = work * (1.0 + holds_on);
+    fn work(&self, call: &mut ServerCall, work: f64, slow: f64) -> bool {
+        let mut left = work;
         while left > 0.0 {
             let speed = self.config.speed * self.ramp() / slow;
             let step = (left / speed).min(0.01);
@@ -261,7 +265,7 @@
                 thread::park_timeout(rest);
             }
             left -= step * speed;
-            if holds_on == 0.0 && call.cancelled() {
+            if call.cancelled() {
                 return false;
             }
         }
