--- a/crates/whinhill-assigner/src/assigner.rs
+++ b/crates/whinhill-assigner/src/assigner.rs
@@ -24,7 +24,7 @@
 use crate::names::PAST;
 use crate::probes::Prober;
 use crate::roster::Feed;
-use crate::status::{Counters, Status};
+use crate::status::{process_figures, Counters, Status};
 use crate::stewards::{Charge, Steward};
 
 /// Inputs that may wait for the decision thread; whoever brings more waits.
@@ -365,6 +365,12 @@
         self.status.grants_waiting = self.core.keeper().waiting() as u64;
         self.status.bytes_sent = get(&self.counters.bytes);
         self.status.store_failures = get(&self.counters.store_failures);
+        let (answers, rounds) = self.core.ways();
+        let quantile = |of: &hdrhistogram::Histogram<u64>, q: f64| of.value_at_quantile(q);
+        (self.status.answer_us_p50, self.status.answer_us_p99) =
+            (quantile(answers, 0.5), quantile(answers, 0.99));
+        (self.status.all_us_p50, self.status.all_us_p99) = (quantile(rounds, 0.5), quantile(rounds, 0.99));
+        (self.status.cpu_ms, self.status.rss_kb) = process_figures();
         let Some(out) = file else { return };
         let line = serde_json::to_string(&self.status).unwrap_or_default();
         if let Err(error) = writeln!(out, "{line}") {
--- a/crates/whinhill-assigner/src/core.rs
+++ b/crates/whinhill-assigner/src/core.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hdrhistogram::Histogram;
+
 use whinhill::interface::{
     Entry, Ep, Event, ListKind, Listed, LoadReport, Order, Probe, ProxyId, SettingsError, SliceId,
 };
@@ -90,6 +92,10 @@
     wake: Duration,
     /// When each mark that may still be answered was ordered.
     marks: BTreeMap<u16, Duration>,
+    /// Who has yet to answer the newest mark that is followed to its end.
+    followed: Option<(u16, Duration, BTreeSet<ProxyId>)>,
+    answers: Histogram<u64>,
+    rounds: Histogram<u64>,
     skips_the_wait: bool,
     started: bool,
     /// What came before the first list: the module is told of it with that list.
@@ -111,6 +117,9 @@
             joined: BTreeMap::new(),
             wake: Duration::ZERO,
             marks: BTreeMap::new(),
+            followed: None,
+            answers: ways(),
+            rounds: ways(),
             skips_the_wait: config.sabotage.skips_the_wait,
             started: false,
             early: Vec::new(),
@@ -202,6 +211,7 @@
                 let id = self.names.proxy(&proxy);
                 if self.joined.get(&id) == Some(&stream) {
                     self.joined.remove(&id);
+                    self.follow(id, None);
                     effects.left.push(id);
                     events.push(Event::Left { proxy: id });
                 }
@@ -210,7 +220,10 @@
                 let id = self.names.proxy(&proxy);
                 if let (Some(ordered), true) = (self.marks.get(&mark), self.joined.get(&id) == Some(&stream))
                 {
-                    events.push(Event::Acked { proxy: id, mark, way: now.saturating_sub(*ordered) });
+                    let way = now.saturating_sub(*ordered);
+                    events.push(Event::Acked { proxy: id, mark, way });
+                    self.answers.saturating_record(way.as_micros() as u64);
+                    self.follow(id, Some((mark, now)));
                 }
             }
             Input::Report { zone, report } => {
@@ -234,6 +247,27 @@
         }
     }
 
+    /// A proxy answered a mark, or left: for the measure of how long a mark takes until the last has answered.
+    fn follow(&mut self, proxy: ProxyId, answered: Option<(u16, Duration)>) {
+        let Some((mark, ordered, awaited)) = &mut self.followed else { return };
+        // Marks wrap; one that is not behind the followed one stands for it.
+        if answered.is_some_and(|(other, _)| other.wrapping_sub(*mark) > u16::MAX / 2) {
+            return;
+        }
+        awaited.remove(&proxy);
+        if awaited.is_empty() {
+            if let Some((_, now)) = answered {
+                self.rounds.saturating_record(now.saturating_sub(*ordered).as_micros() as u64);
+            }
+            self.followed = None;
+        }
+    }
+
+    /// From an order to its answer by one proxy, and by the last of all, in microseconds.
+    pub fn ways(&self) -> (&Histogram<u64>, &Histogram<u64>) {
+        (&self.answers, &self.rounds)
+    }
+
     fn entry(&mut self, now: Duration, entry: RosterEntry, unix_ms: u64) -> Entry {
         let server: ServerName = entry.addr.to_string().into();
         self.keeper.know(server.clone());
@@ -284,6 +318,9 @@
             match order {
                 Order::Mark { mark } => {
                     self.marks.insert(*mark, now);
+                    if self.followed.is_none() {
+                        self.followed = Some((*mark, now, self.joined.keys().copied().collect()));
+                    }
                     effects.mark = Some(*mark);
                     // Marks far behind are answered by nobody any more.
                     let old = mark.wrapping_sub(30_000);
@@ -313,6 +350,11 @@
     }
 }
 
+/// Up to a minute in microseconds, to two digits.
+fn ways() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, 60_000_000, 2).unwrap_or_else(|_| unreachable!("the bounds are constants"))
+}
+
 /// The module names servers by number, in the order in which it met them; staff know them by address.
 fn name_servers(text: &str, names: &Names) -> String {
     let Some(rest) = text.strip_prefix("server ") else { return text.to_string() };
--- a/crates/whinhill-cli/src/main.rs
+++ b/crates/whinhill-cli/src/main.rs
@@ -1,5 +1,6 @@
 //! `whinhill`: runs an assigner, plays scripted days, checks configuration. No logic of its own.
 
+mod bench;
 mod config;
 mod day;
 mod logging;
@@ -50,6 +51,11 @@
         #[command(subcommand)]
         command: day::DayCommand,
     },
+    /// Measurements on loopback, printed as JSON lines.
+    Bench {
+        #[command(subcommand)]
+        command: bench::BenchCommand,
+    },
     /// Look at configuration without starting anything.
     Config {
         #[command(subcommand)]
@@ -119,6 +125,7 @@
             assigner(config, ready_file)
         }
         Command::Day { command } => day::run(command),
+        Command::Bench { command } => bench::run(command),
         Command::Config { command: ConfigCommand::Check { file, kind } } => {
             match kind {
                 Kind::Assigner => drop(config::read(&file, AssignerConfig::check)?),
--- /dev/null
+++ b/crates/whinhill-standins/src/bench.rs
@@ -0,0 +1,204 @@
+//! Measurements on loopback: a grown fleet, and one proxy against the server direct.
+
+use std::io;
+use std::path::Path;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use hdrhistogram::Histogram;
+use serde::Serialize;
+use whinhill_proxy::KEY_HEADER;
+use whinhill_transport::{Client, Drivers, Limits, Workers};
+
+use crate::day::{Day, Proxies, Speaks};
+use crate::play::{play, with_fleet, Outcome, PlayError};
+use crate::record::Recorder;
+use crate::server::{Server, ServerConfig};
+
+/// A day of a grown fleet, in each variant of the protocol.
+#[derive(Debug, Serialize)]
+pub struct FleetFigures {
+    pub variant: &'static str,
+    pub rpcs_per_s: f64,
+    pub in_time_share: f64,
+    pub rules_broken: u64,
+    pub handovers: u64,
+    pub batch_us_mean: f64,
+    pub batch_us_most: u64,
+    pub cpu_share: f64,
+    pub answer_ms_p50: f64,
+    pub answer_ms_p99: f64,
+    pub all_ms_p50: f64,
+    pub all_ms_p99: f64,
+    pub bytes_sent: u64,
+    pub lines_sent: u64,
+    pub backlog_most: u64,
+    pub rss_mb: f64,
+    pub taken_over_ms: Option<f64>,
+    pub first_grant_ms: Option<f64>,
+}
+
+/// Plays the same day with every proxy speaking the one variant, then the other.
+pub fn fleet(day: &Day, program: &Path, out: &Path) -> Result<Vec<FleetFigures>, PlayError> {
+    let variants = [("incremental", Speaks::Incremental), ("state of the world", Speaks::StateOfTheWorld)];
+    let mut figures = Vec::new();
+    for (variant, speaks) in variants {
+        let day = Day { proxies: Proxies { speaks, ..day.proxies.clone() }, ..day.clone() };
+        let outcome = play(&day, program, &out.join(variant.replace(' ', "-")))?;
+        figures.push(read(variant, &day, &outcome));
+    }
+    Ok(figures)
+}
+
+fn read(variant: &'static str, day: &Day, outcome: &Outcome) -> FleetFigures {
+    let all = &outcome.status;
+    let sum = |of: fn(&whinhill_assigner::Status) -> u64| all.iter().map(of).sum::<u64>() as f64;
+    let most = |of: fn(&whinhill_assigner::Status) -> u64| all.iter().map(of).max().unwrap_or(0);
+    FleetFigures {
+        variant,
+        rpcs_per_s: outcome.rpcs as f64 / day.seconds,
+        in_time_share: outcome.in_time_share,
+        rules_broken: outcome.rules.broken(),
+        handovers: outcome.handovers,
+        batch_us_mean: sum(|s| s.batch_us_sum) / sum(|s| s.batches).max(1.0),
+        batch_us_most: most(|s| s.batch_us_most),
+        cpu_share: sum(|s| s.cpu_ms) / sum(|s| s.uptime_ms).max(1.0),
+        answer_ms_p50: most(|s| s.answer_us_p50) as f64 / 1e3,
+        answer_ms_p99: most(|s| s.answer_us_p99) as f64 / 1e3,
+        all_ms_p50: most(|s| s.all_us_p50) as f64 / 1e3,
+        all_ms_p99: most(|s| s.all_us_p99) as f64 / 1e3,
+        bytes_sent: sum(|s| s.bytes_sent) as u64,
+        lines_sent: outcome.lines_sent,
+        backlog_most: outcome.backlog_most,
+        rss_mb: most(|s| s.rss_kb) as f64 / 1024.0,
+        taken_over_ms: outcome.taken_over_ms,
+        first_grant_ms: outcome.first_grant_ms,
+    }
+}
+
+/// How fast calls go, in a closed loop.
+#[derive(Debug, Serialize)]
+pub struct CallFigures {
+    pub path: &'static str,
+    pub callers: usize,
+    pub rpcs_per_s: f64,
+    pub p50_us: u64,
+    pub p99_us: u64,
+    pub p999_us: u64,
+    pub failed: u64,
+}
+
+#[derive(Debug, thiserror::Error)]
+pub enum BenchError {
+    #[error(transparent)]
+    Play(#[from] PlayError),
+    #[error("{0}")]
+    Io(#[from] io::Error),
+    #[error("{0}")]
+    Call(#[from] whinhill_transport::CallError),
+}
+
+/// Calls a server direct, in a closed loop of `callers` threads for `seconds`.
+pub fn direct(day: &Day, callers: usize, seconds: f64) -> Result<CallFigures, BenchError> {
+    let record = Recorder::default();
+    let (drivers, workers) = (Drivers::start("bench", 2)?, Workers::new("bench", 1024, 96 << 10));
+    let service = Arc::new(day.service.service());
+    let config = ServerConfig {
+        listen: ([127, 0, 0, 1], 0).into(),
+        cores: 64,
+        speed: 1.0,
+        cold: false,
+        cold_from: 1.0,
+        warm_after: Duration::from_secs(1),
+        queue_most: 1024,
+        work: vec![0.0; service.methods.len()],
+        service: service.clone(),
+        seed: 1,
+    };
+    let server = Server::start(config, &workers, &record)?;
+    let addr = server.name().parse().map_err(io::Error::other)?;
+    let headers = [("whinhill-slice", "0".to_string())];
+    closed_loop("direct", addr, &service.methods[0].path, &headers, &drivers, callers, seconds)
+}
+
+/// Calls through one proxy of a day's fleet, and the server direct, one after the other in one run.
+pub fn proxy(
+    day: &Day,
+    program: &Path,
+    out: &Path,
+    callers: usize,
+    seconds: f64,
+) -> Result<[CallFigures; 2], BenchError> {
+    let mut day =
+        Day { proxies: Proxies { count: 1, ..day.proxies.clone() }, faults: Vec::new(), ..day.clone() };
+    // Work so small that the way is what is measured.
+    day.load.mix.iter_mut().for_each(|mix| mix.work_ms = 0.001);
+    day.servers.cores = 64;
+    let path = day.service.methods[0].path.clone();
+    let through = with_fleet(&day, program, out, |front| {
+        let drivers = Drivers::start("bench", 2)?;
+        let (_, addr) = front.first().ok_or_else(|| io::Error::other("no proxy"))?;
+        closed_loop("through the proxy", *addr, &path, &[], &drivers, callers, seconds)
+    })??;
+    Ok([direct(&day, callers, seconds)?, through])
+}
+
+/// Calls `path` at `addr` over one connection for every eight callers.
+pub fn closed_loop(
+    name: &'static str,
+    addr: std::net::SocketAddr,
+    path: &str,
+    headers: &[(&'static str, String)],
+    drivers: &Drivers,
+    callers: usize,
+    seconds: f64,
+) -> Result<CallFigures, BenchError> {
+    let new =
+        || Histogram::<u64>::new_with_bounds(1, 60_000_000, 3).map_err(|e| io::Error::other(e.to_string()));
+    let (all, failed) = (Mutex::new(new()?), Mutex::new(0u64));
+    let stop = AtomicBool::new(false);
+    let connections = callers.div_ceil(8);
+    let clients: Vec<Client> = (0..connections)
+        .map(|_| Client::connect(addr, Limits::default(), drivers))
+        .collect::<Result<_, _>>()?;
+    let began = Instant::now();
+    thread::scope(|scope| {
+        for number in 0..callers {
+            let (client, all, failed, stop) = (&clients[number % connections], &all, &failed, &stop);
+            scope.spawn(move || {
+                let Ok(mut mine) = Histogram::<u64>::new_with_bounds(1, 60_000_000, 3) else { return };
+                let (mut lost, mut turn) = (0, number as u64);
+                while !stop.load(Ordering::Relaxed) {
+                    turn += callers as u64;
+                    let mut with = headers.to_vec();
+                    with.push(("whinhill-rpc", turn.to_string()));
+                    with.push((KEY_HEADER, format!("key-{}", turn % 997)));
+                    let began = Instant::now();
+                    match client.unary(path, &with, Bytes::from_static(b"a request"), Duration::from_secs(5))
+                    {
+                        Ok(_) => mine.saturating_record(began.elapsed().as_micros() as u64),
+                        Err(_) => lost += 1,
+                    }
+                }
+                // Two histograms of the same bounds always add up.
+                let _ = all.lock().unwrap_or_else(PoisonError::into_inner).add(&mine);
+                *failed.lock().unwrap_or_else(PoisonError::into_inner) += lost;
+            });
+        }
+        thread::sleep(Duration::from_secs_f64(seconds));
+        stop.store(true, Ordering::Relaxed);
+    });
+    let all = all.into_inner().unwrap_or_else(PoisonError::into_inner);
+    Ok(CallFigures {
+        path: name,
+        callers,
+        rpcs_per_s: all.len() as f64 / began.elapsed().as_secs_f64(),
+        p50_us: all.value_at_quantile(0.5),
+        p99_us: all.value_at_quantile(0.99),
+        p999_us: all.value_at_quantile(0.999),
+        failed: failed.into_inner().unwrap_or_else(PoisonError::into_inner),
+    })
+}
--- a/crates/whinhill-standins/src/day.rs
+++ b/crates/whinhill-standins/src/day.rs
@@ -22,6 +22,10 @@
     pub proxies: Proxies,
     /// How many assigners run, each as a process.
     pub assigners: usize,
+    /// Whether links stand between proxies and assigners, so that they can be cut. Without them a large fleet is
+    /// measured itself, not its links; the audit of drains and lines then has nothing to go by.
+    #[serde(default = "yes")]
+    pub links: bool,
     /// One-way delay of every link between proxies and assigners, in milliseconds.
     #[serde(default)]
     pub link_delay_ms: u64,
@@ -33,6 +37,10 @@
     pub sabotage: Vec<Sabotage>,
 }
 
+fn yes() -> bool {
+    true
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "kebab-case")]
 pub enum Sabotage {
@@ -212,6 +220,18 @@
                 Trouble::CutProxies { assigner, .. } => *assigner,
                 _ => None,
             };
+            let by_links = matches!(
+                fault.what,
+                Trouble::CutProxies { .. } | Trouble::DropMidUpdate { .. } | Trouble::KillAssigner { .. }
+            );
+            must(
+                self.links
+                    || !by_links
+                    || matches!(fault.what, Trouble::KillAssigner { .. })
+                        && fault.at_s + fault.for_s >= self.seconds,
+                path.clone(),
+                "needs links",
+            );
             must(assigner.is_none_or(|which| which < self.assigners), path, "there is no such assigner");
         }
         faults
--- a/crates/whinhill-standins/src/from_bench.rs
+++ b/crates/whinhill-standins/src/from_bench.rs
@@ -190,6 +190,7 @@
         servers: Servers { count: servers, cores: CORES, speed: [0.8, 1.2], queue: 40 },
         proxies: Proxies { count: PROXIES, speaks: Speaks::Both },
         assigners,
+        links: true,
         link_delay_ms: 10,
         load: Load {
             rps,
--- a/crates/whinhill-standins/src/lib.rs
+++ b/crates/whinhill-standins/src/lib.rs
@@ -2,6 +2,7 @@
 //! store, faulty links. With them days are played on loopback, and audited from what passed over the sockets.
 
 pub mod audit;
+pub mod bench;
 pub mod clients;
 pub mod day;
 pub mod from_bench;
--- a/crates/whinhill-standins/src/play.rs
+++ b/crates/whinhill-standins/src/play.rs
@@ -58,6 +58,12 @@
 #[derive(Clone, Debug, Serialize)]
 pub struct Outcome {
     pub seed: u64,
+    /// The last figures of each life of each assigner.
+    #[serde(skip)]
+    pub status: Vec<Status>,
+    /// From an assigner's death to the first of its slices in another's charge, and to that one's first grant of one.
+    pub taken_over_ms: Option<f64>,
+    pub first_grant_ms: Option<f64>,
     pub rules: crate::audit::Rules,
     pub rpcs: u64,
     pub ok_share: f64,
@@ -158,8 +164,11 @@
     let share = |count: u64| (count as f64 / rpcs.max(1) as f64 * 1e4).round() / 1e4;
     let micros = micros.lock().unwrap_or_else(PoisonError::into_inner);
     let ms = |quantile: f64| micros.value_at_quantile(quantile) as f64 / 1e3;
+    let (taken_over_ms, first_grant_ms) = after_death(&seen);
     Ok(Outcome {
         seed: day.seed,
+        taken_over_ms,
+        first_grant_ms,
         rules: found.rules,
         rpcs,
         ok_share: share(get(&totals.ok)),
@@ -176,9 +185,47 @@
         backlog_most,
         complete: !cut_short,
         findings: found.findings,
+        status,
     })
 }
 
+/// See [`Outcome::taken_over_ms`]; of the first death of the day.
+fn after_death(seen: &[(Duration, Seen)]) -> (Option<f64>, Option<f64>) {
+    let died = seen.iter().position(|(_, what)| matches!(what, Seen::Runs { runs: false, .. }));
+    let Some(place) = died else { return (None, None) };
+    let (at, Seen::Runs { assigner, .. }) = &seen[place] else { return (None, None) };
+    let mut last: BTreeMap<usize, (Option<String>, Option<Arc<str>>)> = BTreeMap::new();
+    let (mut taken, mut granted) = (None, None);
+    for (k, (now, what)) in seen.iter().enumerate() {
+        let Seen::Stored { slice, holder, owner, .. } = what else { continue };
+        let before = last.insert(*slice, (holder.clone(), owner.clone()));
+        let Some((was, owned)) = before.filter(|_| k > place) else { continue };
+        let ms = (*now - *at).as_secs_f64() * 1e3;
+        if was.as_deref() == Some(&**assigner) && holder.as_deref() != Some(&**assigner) {
+            taken.get_or_insert(ms);
+        }
+        if taken.is_some() && owned != *owner {
+            granted.get_or_insert(ms);
+        }
+    }
+    (taken, granted)
+}
+
+/// Starts a day's fleet, hands the addresses of its proxies to `act`, and stops it.
+pub fn with_fleet<T>(
+    day: &Day,
+    program: &Path,
+    out: &Path,
+    act: impl FnOnce(&[(Arc<str>, SocketAddr)]) -> T,
+) -> Result<T, PlayError> {
+    fs::create_dir_all(out).map_err(io_at("the output folder"))?;
+    let mut fleet = Fleet::start(day, program, out)?;
+    let front = fleet.front.lock().unwrap_or_else(PoisonError::into_inner).clone();
+    let result = act(&front);
+    fleet.stop();
+    Ok(result)
+}
+
 fn ms(count: u64) -> Duration {
     Duration::from_millis(count)
 }
@@ -369,8 +416,8 @@
             thread::sleep(ms(5));
         };
         self.record.note(Seen::Runs { assigner: running.name.as_str().into(), runs: true });
-        for proxy in &self.proxies {
-            proxy.links[number].set_target(addr);
+        for link in self.proxies.iter().filter_map(|proxy| proxy.links.get(number)) {
+            link.set_target(addr);
         }
         fs::write(running.dir.join("addr"), addr.to_string()).map_err(io_at("an address"))
     }
@@ -383,7 +430,7 @@
     fn add_proxy(&mut self, number: usize) -> Result<(), PlayError> {
         let id: Arc<str> = format!("proxy-{number}").into();
         let mut links = Vec::new();
-        for assigner in 0..self.day.assigners {
+        for assigner in 0..if self.day.links { self.day.assigners } else { 0 } {
             let (record, proxy) = (self.record.clone(), id.clone());
             let name: Arc<str> = self.assigners[assigner].name.as_str().into();
             let note = move |stands| {
@@ -399,14 +446,15 @@
 
     fn start_proxy(&mut self, number: usize) -> Result<(), PlayError> {
         let seed = self.rng.random();
+        let direct: Vec<SocketAddr> = (0..self.assigners.len()).map(|k| self.assigner_addr(k)).collect();
         let running = &mut self.proxies[number];
         let incremental = match self.day.proxies.speaks {
             Speaks::Incremental => true,
             Speaks::StateOfTheWorld => false,
             Speaks::Both => running.number.is_multiple_of(2),
         };
-        let assigners =
-            self.assigners.iter().zip(&running.links).map(|(a, link)| (a.name.clone(), link.addr()));
+        let addr = |k: usize| running.links.get(k).map_or(direct[k], |link| link.addr());
+        let assigners = self.assigners.iter().enumerate().map(|(k, a)| (a.name.clone(), addr(k)));
         let config = ProxyConfig {
             id: running.id.to_string(),
             zone: self.day.zones[number % self.day.zones.len()].clone(),
