--- a/crates/whinhill-cli/src/main.rs
+++ b/crates/whinhill-cli/src/main.rs
@@ -4,10 +4,12 @@
 mod config;
 mod day;
 mod logging;
+mod proxy;
+mod standin;
+mod until_stopped;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
-use std::time::Duration;
 
 use clap::{Parser, Subcommand};
 use tracing::error;
@@ -46,6 +48,19 @@
         #[arg(long)]
         status_file: Option<PathBuf>,
     },
+    /// Run a proxy until SIGTERM or SIGINT.
+    Proxy {
+        #[arg(long)]
+        config: PathBuf,
+        /// The address that it listens on is written there once it does.
+        #[arg(long)]
+        ready_file: Option<PathBuf>,
+    },
+    /// Run a stand-in by itself until SIGTERM or SIGINT.
+    Standin {
+        #[command(subcommand)]
+        command: standin::StandinCommand,
+    },
     /// Scripted days on loopback.
     Day {
         #[command(subcommand)]
@@ -81,6 +96,7 @@
 #[derive(Clone, Copy, clap::ValueEnum)]
 enum Kind {
     Assigner,
+    Proxy,
     Day,
 }
 
@@ -124,11 +140,14 @@
             config.status_file = status_file.or(config.status_file);
             assigner(config, ready_file)
         }
+        Command::Proxy { config, ready_file } => proxy::run(&config, ready_file.as_deref()),
+        Command::Standin { command } => standin::run(command),
         Command::Day { command } => day::run(command),
         Command::Bench { command } => bench::run(command),
         Command::Config { command: ConfigCommand::Check { file, kind } } => {
             match kind {
                 Kind::Assigner => drop(config::read(&file, AssignerConfig::check)?),
+                Kind::Proxy => drop(config::read(&file, proxy::ProxyFile::check)?),
                 Kind::Day => drop(config::read(&file, Day::check)?),
             }
             println!("{}: no fault", file.display());
@@ -137,6 +156,7 @@
         Command::Config { command: ConfigCommand::Schema { kind } } => {
             let schema = match kind {
                 Kind::Assigner => schemars::schema_for!(AssignerConfig),
+                Kind::Proxy => schemars::schema_for!(proxy::ProxyFile),
                 Kind::Day => schemars::schema_for!(Day),
             };
             let text =
@@ -148,28 +168,15 @@
 }
 
 fn assigner(config: AssignerConfig, ready_file: Option<PathBuf>) -> Result<(), Failed> {
-    use signal_hook::consts::{SIGINT, SIGTERM};
-    let stop = std::sync::Arc::new(std::sync::atomic::AtomicBool::new(false));
-    for signal in [SIGTERM, SIGINT] {
-        let registered = signal_hook::flag::register(signal, stop.clone());
-        registered.map_err(|error| Failed::Running(format!("signal {signal}: {error}")))?;
-    }
+    let stop = until_stopped::listen()?;
     let running = Assigner::start(config).map_err(|error| match error {
         whinhill_assigner::StartError::Config(_) | whinhill_assigner::StartError::Settings(_) => {
             Failed::Usage(error.to_string())
         }
         other => Failed::Running(other.to_string()),
     })?;
-    if let Some(path) = ready_file {
-        // Whole or not at all: whoever waits for it may look at any moment.
-        let beside = path.with_extension("new");
-        let written = std::fs::write(&beside, running.addr().to_string())
-            .and_then(|()| std::fs::rename(&beside, &path));
-        written.map_err(|error| Failed::Running(format!("{}: {error}", path.display())))?;
-    }
-    while !stop.load(std::sync::atomic::Ordering::Relaxed) {
-        std::thread::park_timeout(Duration::from_millis(50));
-    }
+    until_stopped::say_ready(ready_file.as_deref(), running.addr())?;
+    until_stopped::wait(&stop);
     running.stop();
     Ok(())
 }
--- /dev/null
+++ b/crates/whinhill-cli/src/proxy.rs
@@ -0,0 +1,98 @@
+//! `whinhill proxy`: reads its configuration and runs it.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use whinhill_assigner::{Fault, ServiceConfig};
+use whinhill_proxy::{Proxy, ProxyConfig, Sabotage};
+use whinhill_transport::{Drivers, Limits, Workers};
+use whinhill_xds::Variant;
+
+use crate::{config, until_stopped, Failed};
+
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct ProxyFile {
+    /// This proxy's name; no other may have it.
+    pub id: String,
+    pub zone: String,
+    pub listen: SocketAddr,
+    /// The same as the assigners'.
+    pub service: ServiceConfig,
+    pub assigners: Vec<AssignerAt>,
+    /// Whether tables come as state of the world; incremental otherwise.
+    #[serde(default)]
+    pub state_of_the_world: bool,
+    /// RPCs in hand at a time; what is over is pushed back at once.
+    #[serde(default = "in_hand_most")]
+    pub in_hand_most: usize,
+    /// Threads that turn connections.
+    #[serde(default = "drivers")]
+    pub drivers: usize,
+    #[serde(default)]
+    pub seed: u64,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct AssignerAt {
+    pub name: String,
+    pub addr: SocketAddr,
+}
+
+fn in_hand_most() -> usize {
+    2048
+}
+
+fn drivers() -> usize {
+    2
+}
+
+impl ProxyFile {
+    pub fn check(&self) -> Vec<Fault> {
+        let mut faults = Vec::new();
+        let mut must = |holds: bool, path: &str, what: &str| {
+            if !holds {
+                faults.push(Fault { path: path.to_string(), what: what.to_string() });
+            }
+        };
+        must(!self.id.is_empty() && self.id.len() <= 200, "id", "1 to 200 bytes are expected");
+        must(!self.assigners.is_empty(), "assigners", "one at least is expected");
+        must((1..=65_534).contains(&self.service.slices), "service.slices", "1 to 65534 are expected");
+        must(!self.service.methods.is_empty(), "service.methods", "one at least is expected");
+        must((1..=65_536).contains(&self.in_hand_most), "in_hand_most", "1 to 65536 is expected");
+        must((1..=64).contains(&self.drivers), "drivers", "1 to 64 is expected");
+        faults
+    }
+}
+
+pub fn run(path: &Path, ready_file: Option<&Path>) -> Result<(), Failed> {
+    let file: ProxyFile = config::read(path, ProxyFile::check)?;
+    let stop = until_stopped::listen()?;
+    let failed = |error: &dyn std::fmt::Display| Failed::Running(error.to_string());
+    let drivers = Drivers::start(&file.id, file.drivers).map_err(|error| failed(&error))?;
+    let workers = Workers::new("rpc", file.in_hand_most, 128 << 10);
+    let config = ProxyConfig {
+        id: file.id,
+        zone: file.zone,
+        listen: file.listen,
+        service: Arc::new(file.service.service()),
+        assigners: file.assigners.into_iter().map(|a| (a.name, a.addr)).collect(),
+        variant: if file.state_of_the_world { Variant::StateOfTheWorld } else { Variant::Incremental },
+        settle: Duration::from_millis(file.service.settle_ms),
+        limits: Limits::default(),
+        seed: file.seed,
+        sabotage: Sabotage::default(),
+    };
+    let proxy = Proxy::start(config, &drivers, &workers).map_err(|error| failed(&error))?;
+    if let Some(addr) = proxy.addr() {
+        tracing::info!(id = proxy.id(), %addr, "proxy listens");
+        until_stopped::say_ready(ready_file, addr)?;
+    }
+    until_stopped::wait(&stop);
+    Ok(())
+}
--- a/crates/whinhill-standins/src/day.rs
+++ b/crates/whinhill-standins/src/day.rs
@@ -18,6 +18,9 @@
     pub report_period_ms: u64,
     #[serde(default)]
     pub probes: bool,
+    /// How assigners hear of servers.
+    #[serde(default)]
+    pub roster: RosterBy,
     pub servers: Servers,
     pub proxies: Proxies,
     /// How many assigners run, each as a process.
@@ -52,6 +55,16 @@
     AssignerSkipsWait,
 }
 
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "kebab-case")]
+pub enum RosterBy {
+    /// A watched JSON5 file.
+    #[default]
+    File,
+    /// An upstream control plane, over EDS.
+    Eds,
+}
+
 #[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Servers {
@@ -166,8 +179,8 @@
     Burst {
         times: f64,
     },
-    /// The roster's file is left half written.
-    RosterHalfWritten {},
+    /// The roster's file is left half written; one that is served by EDS ends its streams and refuses new ones.
+    RosterDown {},
     /// The roster leaves that part of the servers out, though they serve.
     RosterDrops {
         part: f64,
--- a/crates/whinhill-standins/src/from_bench.rs
+++ b/crates/whinhill-standins/src/from_bench.rs
@@ -6,7 +6,7 @@
     ChannelConfig, CustodySettings, MethodConfig, MethodEffect, RulesConfig, ServiceConfig,
 };
 
-use crate::day::{Day, Load, Mix, Proxies, Scheduled, Servers, Speaks, Trouble};
+use crate::day::{Day, Load, Mix, Proxies, RosterBy, Scheduled, Servers, Speaks, Trouble};
 
 #[derive(Debug, thiserror::Error)]
 pub enum FromBenchError {
@@ -151,7 +151,7 @@
                 Some(Trouble::AnswersLost { part: on_servers, share: trouble.size.clamp(0.1, 1.0) })
             }
             ("burst", _) => Some(Trouble::Burst { times: trouble.size.clamp(1.1, 3.0) }),
-            ("discovery_down", _) => Some(Trouble::RosterHalfWritten {}),
+            ("discovery_down", _) => Some(Trouble::RosterDown {}),
             ("wrong_list", Some("shrink")) => Some(Trouble::RosterDrops { part: on_servers }),
             _ => None,
         };
@@ -187,6 +187,7 @@
         custody: CustodySettings { ttl_ms: 2000, margin_ms: 400, step: 128 },
         report_period_ms: ms(bench.fam.period),
         probes: false,
+        roster: RosterBy::File,
         servers: Servers { count: servers, cores: CORES, speed: [0.8, 1.2], queue: 40 },
         proxies: Proxies { count: PROXIES, speaks: Speaks::Both },
         assigners,
--- a/crates/whinhill-standins/src/play.rs
+++ b/crates/whinhill-standins/src/play.rs
@@ -27,10 +27,10 @@
 
 use crate::audit::{audit, Audit, Limits as Rules};
 use crate::clients::{Clients, Front, Totals};
-use crate::day::{Day, Sabotage, Speaks, Trouble};
+use crate::day::{Day, RosterBy, Sabotage, Speaks, Trouble};
 use crate::link::{Direction, Link};
 use crate::record::{Recorder, Seen};
-use crate::roster::{entry, RosterStandIn};
+use crate::roster::{entry, RosterStandIn, RESOURCE};
 use crate::server::{Server, ServerConfig};
 use crate::store::StoreStandIn;
 
@@ -125,6 +125,7 @@
     workers: Workers,
     store: StoreStandIn,
     roster: RosterStandIn,
+    roster_addr: Option<SocketAddr>,
     servers: Vec<Slot>,
     proxies: Vec<RunningProxy>,
     assigners: Vec<RunningAssigner>,
@@ -251,7 +252,11 @@
         let drivers = Drivers::start("day", 3).map_err(io_at("driver threads"))?;
         let workers = Workers::new("day", 6000, 96 << 10);
         let store = StoreStandIn::start(loopback(), &record).map_err(io_at("the store"))?;
-        let roster = RosterStandIn::new(&out.join("roster.json5"), &record);
+        let mut roster = RosterStandIn::new(&out.join("roster.json5"), &record);
+        let roster_addr = match day.roster {
+            RosterBy::File => None,
+            RosterBy::Eds => Some(roster.listen(&drivers, &workers).map_err(io_at("the roster"))?),
+        };
         let mut fleet = Fleet {
             day,
             program,
@@ -261,6 +266,7 @@
             workers,
             store,
             roster,
+            roster_addr,
             servers: Vec::new(),
             proxies: Vec::new(),
             assigners: Vec::new(),
@@ -348,7 +354,10 @@
             service: self.day.service.clone(),
             rules: self.day.rules.clone(),
             channel: self.day.channel.clone(),
-            roster: RosterConfig::File { path: self.roster.path().to_path_buf() },
+            roster: match self.roster_addr {
+                Some(addr) => RosterConfig::Eds { addr, resource: RESOURCE.to_string() },
+                None => RosterConfig::File { path: self.roster.path().to_path_buf() },
+            },
             store: StoreConfig { addr: store_link.addr(), prefix: "whinhill".into(), within_ms: 300 },
             custody: self.day.custody,
             report_period_ms: self.day.report_period_ms,
@@ -672,7 +681,10 @@
                 self.set_faults(&trouble, &on, true);
             }
             Trouble::Burst { times } => self.rate.store((times * 1000.0) as u64, Ordering::Relaxed),
-            Trouble::RosterHalfWritten {} => self.roster.write_half().map_err(io_at("the roster"))?,
+            Trouble::RosterDown {} => {
+                self.roster.set_down(true);
+                self.roster.write_half().map_err(io_at("the roster"))?;
+            }
             Trouble::RosterDrops { part } => {
                 on = self.draw(*part, self.servers.len());
                 let addrs = self.addrs(&on);
@@ -697,7 +709,10 @@
             | Trouble::FailingServers { .. }
             | Trouble::AnswersLost { .. } => self.set_faults(trouble, on, false),
             Trouble::Burst { .. } => self.rate.store(1000, Ordering::Relaxed),
-            Trouble::RosterHalfWritten {} => self.roster.mend().map_err(io_at("the roster"))?,
+            Trouble::RosterDown {} => {
+                self.roster.set_down(false);
+                self.roster.mend().map_err(io_at("the roster"))?;
+            }
             Trouble::RosterDrops { .. } => self.list(on, false)?,
             Trouble::Release { .. } | Trouble::DropMidUpdate { .. } | Trouble::RejectTables { .. } => {}
         }
