--- a/crates/whinhill-assigner/src/core.rs
+++ b/crates/whinhill-assigner/src/core.rs
@@ -364,3 +364,6 @@
         None => text.to_string(),
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/whinhill-assigner/src/core/tests.rs
@@ -0,0 +1,264 @@
+//! The assigner as a value: inputs in, effects out, no thread and no socket.
+
+use super::*;
+use crate::config::Fault;
+
+const CONFIG: &str = r#"{
+  name: "a", peers: ["a", "b"], listen: "127.0.0.1:0", zone: "z", zones: ["z"],
+  service: {
+    name: "t", slices: 2, write_lease_ms: 2000, settle_ms: 500, hold_ms: 200,
+    methods: [
+      { name: "look", path: "/t.S/Look", effect: "idempotent", criticality: 1, soft_deadline_ms: 500, deadline_ms: 1000 },
+      { name: "book", path: "/t.S/Book", writes: true, effect: "non-idempotent", criticality: 5, soft_deadline_ms: 500, deadline_ms: 1000 },
+    ],
+  },
+  rules: { empty_ms: 9000, grace_ms: 2000, warm_after_ms: 5000, cold_from: 0.2, fall_multiple: 3, fall_ms: 1500 },
+  channel: { lines_per_s: 10000, head: 8, backlog: 10000, way_most_ms: 200 },
+  roster: { file: { path: "roster.json5" } },
+  store: { addr: "127.0.0.1:6379" }, custody: { ttl_ms: 2000, margin_ms: 400 }, report_period_ms: 500,
+}"#;
+
+fn config() -> AssignerConfig {
+    json5::from_str(CONFIG).unwrap()
+}
+
+fn s(seconds: f64) -> Duration {
+    crate::names::PAST + Duration::from_secs_f64(seconds)
+}
+
+fn entry(number: u8, state: RosterState) -> RosterEntry {
+    let addr = std::net::SocketAddr::from(([10, 0, 0, number], 7));
+    RosterEntry { addr, zone: "z".into(), state, size: 1.0, started_unix_ms: None }
+}
+
+fn roster(kind: ListKind, entries: Vec<RosterEntry>) -> Input {
+    Input::Roster { kind, entries, unix_ms: 1_000_000 }
+}
+
+fn ready(number: u8) -> RosterEntry {
+    entry(number, RosterState::Ready)
+}
+
+fn joined(proxy: &str, stream: u64) -> Input {
+    Input::Joined { proxy: proxy.into(), zone: "z".into(), stream }
+}
+
+fn acked(proxy: &str, stream: u64, mark: u16) -> Input {
+    Input::Acked { proxy: proxy.into(), stream, mark }
+}
+
+fn given(slice: SliceId, owner: Option<&str>) -> Input {
+    Input::Custody { told: vec![Told::Given { slice, epoch: 3, owner: owner.map(Into::into) }] }
+}
+
+/// Slice 0 at server 1, two servers ready, proxy p joined by stream 1, for long.
+fn running() -> Core {
+    let mut core = Core::new(&config(), 7).unwrap();
+    core.handle(s(0.0), vec![roster(ListKind::Full, vec![ready(1), ready(2)]), joined("p", 1)]);
+    core.handle(s(0.1), vec![given(0, Some("10.0.0.1:7"))]);
+    for tick in 0..60 {
+        core.handle(s(0.2 + 0.1 * f64::from(tick)), vec![]);
+    }
+    core
+}
+
+/// Drains server 1 and returns the core once the end of its line is marked, with that mark.
+fn drained() -> (Core, u16) {
+    let mut core = running();
+    let list = vec![entry(1, RosterState::Draining), ready(2)];
+    let mut mark = core.handle(s(7.0), vec![roster(ListKind::Full, list)]).mark;
+    let mut at = 7.0;
+    while mark.is_none() {
+        at += 0.05;
+        assert!(at < 9.0, "a drain is told within the grace");
+        mark = core.handle(s(at), vec![]).mark;
+    }
+    (core, mark.unwrap())
+}
+
+/// The first grant from a time on.
+fn first_grant(core: &mut Core, from: f64, until: f64) -> Option<(f64, PendingGrant)> {
+    let mut at = from;
+    while at < until {
+        if let Some(grant) = core.handle(s(at), vec![]).grants.pop() {
+            return Some((at, grant));
+        }
+        at += 0.05;
+    }
+    None
+}
+
+#[test]
+fn a_drained_owner_hands_over_after_every_answer_and_the_store() {
+    let (mut core, mark) = drained();
+    assert_eq!(first_grant(&mut core, 7.2, 7.9), None);
+    core.handle(s(8.0), vec![acked("p", 1, mark)]);
+    // Reads may have gone on until their end was told too.
+    let mut at = 8.0;
+    let grant = loop {
+        at += 0.05;
+        assert!(at < 12.0, "no grant");
+        let effects = core.handle(s(at), vec![]);
+        if let Some(mark) = effects.mark {
+            core.handle(s(at + 0.01), vec![acked("p", 1, mark)]);
+        }
+        if let Some(grant) = effects.grants.into_iter().next() {
+            break grant;
+        }
+    };
+    assert_eq!((&*grant.owner, grant.epoch), ("10.0.0.2:7", 3));
+    assert_ne!(core.keeper().published()[&0].owner.as_deref(), Some("10.0.0.2:7"));
+    let effects = core.handle(s(at + 0.1), vec![Input::Granted { grant }]);
+    assert!(effects.changed.contains(&0) && effects.lines > 0);
+    assert_eq!(core.keeper().published()[&0].owner.as_deref(), Some("10.0.0.2:7"));
+}
+
+#[test]
+fn an_answer_on_a_stream_that_another_has_replaced_is_none() {
+    let (mut core, mark) = drained();
+    core.handle(s(8.0), vec![joined("p", 2), acked("p", 1, mark)]);
+    // The older stream's end must not count as the proxy's leaving either.
+    let effects = core.handle(s(8.05), vec![Input::Left { proxy: "p".into(), stream: 1 }]);
+    assert!(effects.left.is_empty() && core.joined().len() == 1);
+    assert_eq!(first_grant(&mut core, 8.1, 9.4), None);
+}
+
+#[test]
+fn a_proxy_that_leaves_holds_the_grant_for_a_lease() {
+    let (mut core, _) = drained();
+    core.handle(s(8.0), vec![Input::Left { proxy: "p".into(), stream: 1 }]);
+    let (at, _) = first_grant(&mut core, 8.05, 14.0).unwrap();
+    assert!(at >= 8.0 + 2.0 + 0.5, "granted at {at}");
+}
+
+#[test]
+fn custody_that_ends_takes_the_tables_away_and_answers_nothing_of_them() {
+    let (mut core, mark) = drained();
+    let effects = core.handle(s(8.0), vec![Input::Custody { told: vec![Told::Taken { slice: 0 }] }]);
+    assert!(effects.taken.contains(&0) && core.keeper().published().is_empty());
+    let effects = core.handle(s(8.1), vec![acked("p", 1, mark)]);
+    assert!(effects.changed.is_empty() && effects.grants.is_empty());
+}
+
+#[test]
+fn what_comes_before_the_first_list_is_kept_for_it() {
+    let mut core = Core::new(&config(), 7).unwrap();
+    let effects = core.handle(s(0.0), vec![joined("p", 1), given(0, Some("10.0.0.1:7"))]);
+    assert!(effects.mark.is_none() && effects.given.contains(&0));
+    core.handle(s(1.0), vec![roster(ListKind::Stored, vec![ready(1), ready(2)])]);
+    // The owner turns out to drain: the proxy that joined early is told and awaited.
+    let list = vec![entry(1, RosterState::Draining), ready(2)];
+    let first = core.handle(s(6.0), vec![roster(ListKind::Full, list)]).mark;
+    let marked =
+        first.is_some() || (0..40).any(|k| core.handle(s(6.1 + 0.05 * f64::from(k)), vec![]).mark.is_some());
+    assert!(marked);
+}
+
+#[test]
+fn a_wall_clock_that_jumps_makes_no_server_young_again() {
+    let mut names = Names::new(&[]);
+    let server: ServerName = "10.0.0.1:7".into();
+    let first = names.started(&server, Some(990_000), 1_000_000, s(100.0));
+    assert_eq!(first, Some(s(90.0)));
+    assert_eq!(names.started(&server, Some(990_000), 500_000, s(200.0)), first);
+    // Started before anything that we can tell: long ago.
+    assert_eq!(names.started(&server, Some(0), u64::MAX / 2, s(200.0)), None);
+}
+
+#[test]
+fn a_broken_assigner_skips_the_wait() {
+    let mut config = config();
+    config.sabotage.skips_the_wait = true;
+    let mut core = Core::new(&config, 7).unwrap();
+    core.handle(s(0.0), vec![roster(ListKind::Full, vec![ready(1), ready(2)]), joined("p", 1)]);
+    core.handle(s(0.1), vec![given(0, Some("10.0.0.1:7"))]);
+    let list = vec![entry(1, RosterState::Draining), ready(2)];
+    let at_once = core.handle(s(3.0), vec![roster(ListKind::Full, list)]).grants;
+    // Neither an answer nor the settle time has come.
+    assert!(!at_once.is_empty() || first_grant(&mut core, 3.05, 3.4).is_some());
+}
+
+#[test]
+fn reports_beyond_the_cap_wait_and_nothing_is_lost() {
+    let mut intake = Intake::new(8, Duration::from_millis(500));
+    let (service, mut names) = (config().service.service(), Names::new(&[]));
+    let report = |server: u8, tries: u64| {
+        let at = format!("10.0.0.{server}:7");
+        let met = proto::UpstreamEndpointStats {
+            address: Some(whinhill_xds::mapping::address(&at)),
+            total_issued_requests: tries,
+            total_error_requests: 1,
+            ..Default::default()
+        };
+        let locality = proto::UpstreamLocalityStats {
+            upstream_endpoint_stats: vec![met],
+            total_issued_requests: tries,
+            total_error_requests: 1,
+            ..Default::default()
+        };
+        let cluster = proto::ClusterStats {
+            cluster_name: "t/0/look".into(),
+            upstream_locality_stats: vec![locality],
+            load_report_interval: Some(proto::span(Duration::from_millis(500))),
+            total_dropped_requests: 2,
+            ..Default::default()
+        };
+        proto::LoadStatsRequest { node: None, cluster_stats: vec![cluster] }
+    };
+    let ep = |index: usize| Ep { index, stable: 0 };
+    let (mut tries, mut came, mut late) = (0, 0, Duration::ZERO);
+    for round in 0..20u32 {
+        let now = s(f64::from(round) * 0.5);
+        for server in 1..=10 {
+            assert_eq!(intake.take(now, 0, &report(server, 3), &service, &mut names), 0);
+        }
+        let given = intake.give(now, &names, ep);
+        assert!(given.len() <= 4, "8 lines a second are 4 in half of one");
+        for event in given {
+            match event {
+                Event::Met { tries: t, span, .. } => (tries, late) = (tries + t, late.max(span)),
+                Event::Demand { rpcs, .. } => came += rpcs,
+                _ => {}
+            }
+        }
+    }
+    // What waits is told in the end, for the longer stretch that it then covers.
+    for round in 20..40u32 {
+        for event in intake.give(s(f64::from(round) * 0.5), &names, ep) {
+            match event {
+                Event::Met { tries: t, .. } => tries += t,
+                Event::Demand { rpcs, .. } => came += rpcs,
+                _ => {}
+            }
+        }
+    }
+    assert_eq!((tries, came, intake.waiting()), (20 * 10 * 3, 20 * 10 * 5, 0));
+    assert!(late > Duration::from_secs(1), "{late:?}");
+    let strange = proto::ClusterStats { cluster_name: "other/9/look".into(), ..Default::default() };
+    let strange = proto::LoadStatsRequest { node: None, cluster_stats: vec![strange] };
+    assert_eq!(intake.take(s(30.0), 0, &strange, &service, &mut names), 1);
+}
+
+#[test]
+fn a_roster_cut_short_is_refused_whole_and_faults_are_named() {
+    let whole = r#"{"servers":[{"addr":"10.0.0.1:7","zone":"z","state":"ready"}]}"#;
+    assert_eq!(crate::read_roster(whole).unwrap().servers.len(), 1);
+    (1..whole.len()).for_each(|end| assert!(crate::read_roster(&whole[..end]).is_err(), "{end}"));
+    let twice = r#"{servers:[{addr:"10.0.0.1:7",zone:"z",state:"ready"},{addr:"10.0.0.1:7",zone:"z",state:"ready"}]}"#;
+    assert!(crate::read_roster(twice).unwrap_err().contains("stands twice"));
+}
+
+#[test]
+fn every_fault_of_a_configuration_is_named_with_its_path() {
+    let mut config = config();
+    config.peers = vec!["b".into()];
+    config.service.methods[1].deadline_ms = 1;
+    config.custody.margin_ms = 1;
+    let faults: Vec<String> = config.check().iter().map(Fault::to_string).collect();
+    let named = |path: &str| faults.iter().any(|fault| fault.starts_with(path));
+    assert!(
+        named("peers") && named("service.methods[1].deadline_ms") && named("custody.margin_ms"),
+        "{faults:?}"
+    );
+    assert_eq!(faults.len(), 3, "{faults:?}");
+}
--- a/crates/whinhill-assigner/src/hub.rs
+++ b/crates/whinhill-assigner/src/hub.rs
@@ -18,7 +18,10 @@
 use crate::status::Counters;
 use crate::stewards::Charge;
 
-const LOOK: Duration = Duration::from_millis(50);
+/// How often a thread that waits for a peer looks whether its stream has ended. What must happen sooner wakes it.
+const LOOK: Duration = Duration::from_millis(500);
+/// When to try a renewal again that could not be sent: something was due or unanswered.
+const AGAIN: Duration = Duration::from_millis(50);
 /// A proxy that takes nothing in for this long has lost its stream.
 const WRITE_WITHIN: Duration = Duration::from_secs(3);
 /// The first message names the proxy; it must come within this.
@@ -302,16 +305,18 @@
         let mut next_beat = Instant::now() + beat_every;
         let mut answered = Instant::now();
         while !stream.closed.load(Ordering::Relaxed) && !self.stop.load(Ordering::Relaxed) {
-            let _ = woken.recv_timeout(LOOK);
+            let _ = woken.recv_timeout(LOOK.min(next_beat.saturating_duration_since(Instant::now())));
             loop {
                 let (response, marks) = {
                     let cache = self.cache.read().unwrap_or_else(PoisonError::into_inner);
                     let mut state = stream.state();
                     let mut response = state.next(&cache);
                     // The lease is renewed only while our charge holds; what was renewed before then runs out.
-                    if response.is_none() && Instant::now() >= next_beat && self.charged() {
-                        response = state.heartbeat(Kind::Route, &gate, &cache);
-                        next_beat = Instant::now() + if response.is_some() { beat_every } else { LOOK };
+                    if response.is_none() && Instant::now() >= next_beat {
+                        if self.charged() {
+                            response = state.heartbeat(Kind::Route, &gate, &cache);
+                        }
+                        next_beat = Instant::now() + if response.is_some() { beat_every } else { AGAIN };
                     }
                     let marks = state.take_acked(&cache);
                     if state.marks_open() == 0 {
--- a/crates/whinhill-proxy/src/proxy.rs
+++ b/crates/whinhill-proxy/src/proxy.rs
@@ -145,6 +145,11 @@
         self.shared.read(|table| (table.versions().len(), table.older()))
     }
 
+    /// Tells its threads to end, without waiting: many can then be dropped in the time of one.
+    pub fn begin_stop(&self) {
+        self.shared.stop.store(true, Ordering::Relaxed);
+    }
+
     /// Has it reject the next `count` replies that hold endpoints.
     pub fn reject_next(&self, count: u64) {
         self.reject.store(count, Ordering::Relaxed);
@@ -153,7 +158,7 @@
 
 impl Drop for Proxy {
     fn drop(&mut self) {
-        self.shared.stop.store(true, Ordering::Relaxed);
+        self.begin_stop();
         self.listener = None;
         for thread in self.threads.drain(..) {
             thread.thread().unpark();
--- a/crates/whinhill-proxy/src/streams.rs
+++ b/crates/whinhill-proxy/src/streams.rs
@@ -20,7 +20,7 @@
 
 const BACK_OFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(2));
 /// How often a waiting thread looks whether it must stop.
-const LOOK: Duration = Duration::from_millis(100);
+const LOOK: Duration = Duration::from_millis(500);
 const WRITE_WITHIN: Duration = Duration::from_secs(3);
 /// The time between reports until the assigner names another.
 const REPORT_EVERY: Duration = Duration::from_secs(1);
--- a/crates/whinhill-standins/src/play.rs
+++ b/crates/whinhill-standins/src/play.rs
@@ -197,6 +197,7 @@
     let (at, Seen::Runs { assigner, .. }) = &seen[place] else { return (None, None) };
     let mut last: BTreeMap<usize, (Option<String>, Option<Arc<str>>)> = BTreeMap::new();
     let (mut taken, mut granted) = (None, None);
+    let mut theirs = std::collections::BTreeSet::new();
     for (k, (now, what)) in seen.iter().enumerate() {
         let Seen::Stored { slice, holder, owner, .. } = what else { continue };
         let before = last.insert(*slice, (holder.clone(), owner.clone()));
@@ -204,8 +205,9 @@
         let ms = (*now - *at).as_secs_f64() * 1e3;
         if was.as_deref() == Some(&**assigner) && holder.as_deref() != Some(&**assigner) {
             taken.get_or_insert(ms);
+            theirs.insert(*slice);
         }
-        if taken.is_some() && owned != *owner {
+        if theirs.contains(slice) && owned != *owner {
             granted.get_or_insert(ms);
         }
     }
@@ -776,6 +778,7 @@
                 let _ = child.wait();
             }
         }
+        self.proxies.iter().filter_map(|proxy| proxy.proxy.as_ref()).for_each(Proxy::begin_stop);
         self.proxies.iter_mut().for_each(RunningProxy::stop);
         let (mut rejected, mut reconnects) = (0, 0);
         for proxy in &self.proxies {
