Keep listening when sockets run out, ask for custody only once a list is there

Cause or need: the grown fleet found four faults. A listener ended for good when the process was out of file descriptors. An assigner without any list claimed custody, took every owner for gone and left its slices bare for 2.7 s. RPCs were lost to connections just closed for idleness.

Change: the accept loop goes on after a pause; the store's thread waits for the first list; a try with the proof that it never ran goes to the same server once more on a fresh connection; failures are told by reason.

--- a/crates/whinhill-assigner/src/assigner.rs
+++ b/crates/whinhill-assigner/src/assigner.rs
@@ -118,6 +118,7 @@
             threads.push(builder.spawn(run)?);
             Ok(())
         };
+        let listed = Arc::new(AtomicBool::new(false));
         let steward = Steward {
             store: Box::new(store) as Box<dyn Store>,
             custody: Custody::new(CustodyConfig {
@@ -137,6 +138,7 @@
             base: PAST,
             alive: false,
             well: true,
+            listed: listed.clone(),
         };
         let (roster_in, roster_out) = bounded(16);
         let feed = Feed {
@@ -146,6 +148,7 @@
             stop: stop.clone(),
             drivers: drivers.clone(),
             node: config.name.clone(),
+            listed,
         };
         let decider = Decider {
             core,
--- a/crates/whinhill-assigner/src/roster.rs
+++ b/crates/whinhill-assigner/src/roster.rs
@@ -87,6 +87,9 @@
     pub stop: Arc<AtomicBool>,
     pub drivers: Drivers,
     pub node: String,
+    /// Set once a list has been told: until then no custody is asked for, since to the module an owner that no
+    /// list names is gone.
+    pub listed: Arc<AtomicBool>,
 }
 
 impl Feed {
@@ -99,10 +102,12 @@
         let last = self.last_path().and_then(|path| fs::read_to_string(path).ok());
         let last = last.and_then(|text| read_roster(&text).ok()).unwrap_or_default();
         info!(servers = last.servers.len(), "started from the last list");
+        let known = !last.servers.is_empty();
         let stored = Input::Roster { kind: ListKind::Stored, entries: last.servers, unix_ms: unix_ms() };
         if self.inputs.send(stored).is_err() {
             return;
         }
+        self.listed.store(known, Ordering::Release);
         match self.config.clone() {
             RosterConfig::File { path } => self.follow_file(&path),
             RosterConfig::Eds { addr, resource } => self.follow_eds(addr, &resource),
@@ -122,6 +127,7 @@
         let input = Input::Roster { kind: ListKind::Full, entries: roster.servers, unix_ms: unix_ms() };
         // The decision thread has ended: then so do we, at the next look.
         let _ = self.inputs.send(input);
+        self.listed.store(true, Ordering::Release);
     }
 
     fn failed(&self) {
--- a/crates/whinhill-assigner/src/stewards.rs
+++ b/crates/whinhill-assigner/src/stewards.rs
@@ -42,6 +42,8 @@
     pub base: Duration,
     pub alive: bool,
     pub well: bool,
+    /// Whether any list of servers has been told yet.
+    pub listed: Arc<AtomicBool>,
 }
 
 impl Steward {
@@ -113,6 +115,10 @@
     }
 
     fn round(&mut self) {
+        // Without a list nothing could be decided about what we got, and whoever counts as alive is given slices.
+        if !self.listed.load(Ordering::Acquire) {
+            return;
+        }
         let (me, ttl) = (self.custody.config().me.clone(), self.custody.config().ttl);
         let sent = self.now();
         let sign = if self.alive { self.store.renew(&me, ttl) } else { self.store.appear(&me, ttl) };
--- a/crates/whinhill-cli/src/day.rs
+++ b/crates/whinhill-cli/src/day.rs
@@ -114,6 +114,7 @@
         o.handovers, o.nacks, o.reconnects, o.lines_sent, o.backlog_most
     );
     println!("  rules broken: no proxy without a line {}, no effect twice {}, drains kept {}, cold servers {}, short queue {}", o.rules.no_proxy_without_a_line, o.rules.no_effect_twice, o.rules.drains_kept, o.rules.cold_servers, o.rules.short_queue);
+    o.failures.iter().for_each(|(reason, count)| println!("  failed {count}: {reason}"));
     o.findings.iter().for_each(|finding| println!("  {finding}"));
     Ok(())
 }
--- a/crates/whinhill-proxy/src/forward.rs
+++ b/crates/whinhill-proxy/src/forward.rs
@@ -9,7 +9,7 @@
 use prost::Message;
 use whinhill::interface::{MethodId, SliceId};
 use whinhill_tables::Version;
-use whinhill_transport::{grpc_timeout, CallError, Code, ServerCall, Trailers};
+use whinhill_transport::{grpc_timeout, CallError, Code, NeverRan, ServerCall, Trailers};
 use whinhill_xds::mapping::Effect;
 use whinhill_xds::proto::OrcaLoadReport;
 use whinhill_xds::ORCA_TRAILER;
@@ -212,20 +212,31 @@
     ) -> Result<(Bytes, Trailers), Attempt> {
         let shared = &self.shared;
         let writes = shared.service.methods[rpc.method].writes;
-        let client = self.pool.get(server, rpc.until).map_err(Attempt::Failed)?;
-        let left = rpc.until.saturating_duration_since(Instant::now());
-        let within = if writes { left.min(self.settle) } else { left };
-        let mut headers = rpc.headers.clone();
-        headers.push(("grpc-timeout", grpc_timeout(within.min(rpc.budget))));
-        headers.push((SLICE_HEADER, rpc.slice.to_string()));
-        headers.push((EPOCH_HEADER, version.epoch.to_string()));
-        headers.push(("whinhill-proxy", self.id.clone()));
-        // The last look before the first byte: a lease that ends now keeps the write here.
-        if writes && !shared.read(|table| table.still(shared.now(), rpc.slice, rpc.method, version)) {
-            return Err(Attempt::Stopped);
-        }
         let path = &shared.service.methods[rpc.method].path;
-        client.unary(path, &headers, message.clone(), within).map_err(Attempt::Failed)
+        let mut fresh = false;
+        loop {
+            let client = self.pool.get(server, rpc.until).map_err(Attempt::Failed)?;
+            let left = rpc.until.saturating_duration_since(Instant::now());
+            let within = if writes { left.min(self.settle) } else { left };
+            let mut headers = rpc.headers.clone();
+            headers.push(("grpc-timeout", grpc_timeout(within.min(rpc.budget))));
+            headers.push((SLICE_HEADER, rpc.slice.to_string()));
+            headers.push((EPOCH_HEADER, version.epoch.to_string()));
+            headers.push(("whinhill-proxy", self.id.clone()));
+            // The last look before the first byte: a lease that ends now keeps the write here.
+            if writes && !shared.read(|table| table.still(shared.now(), rpc.slice, rpc.method, version)) {
+                return Err(Attempt::Stopped);
+            }
+            match client.unary(path, &headers, message.clone(), within) {
+                // The connection was closed for idleness, by either end, as the RPC was on its way to it: with the
+                // proof that it never ran it goes to the same server once more, on a fresh connection.
+                Err(error) if !fresh && connection_ended(&error) => {
+                    fresh = true;
+                    self.pool.forget(server);
+                }
+                other => return other.map_err(Attempt::Failed),
+            }
+        }
     }
 
     fn note(&self, rpc: &Rpc, act: impl FnOnce(&mut crate::report::Met, usize)) {
@@ -243,6 +254,10 @@
     }
 }
 
+fn connection_ended(error: &CallError) -> bool {
+    matches!(error.never_ran(), Some(NeverRan::NeverWritten | NeverRan::AboveGoAway))
+}
+
 enum Attempt {
     /// Nothing was sent: the table no longer allows it.
     Stopped,
--- a/crates/whinhill-standins/src/bench.rs
+++ b/crates/whinhill-standins/src/bench.rs
@@ -137,6 +137,8 @@
     // Work so small that the way is what is measured.
     day.load.mix.iter_mut().for_each(|mix| mix.work_ms = 0.001);
     day.servers.cores = 64;
+    // One server: nothing is to be decided about it.
+    day.servers.count = 1;
     let path = day.service.methods[0].path.clone();
     let through = with_fleet(&day, program, out, |front| {
         let drivers = Drivers::start("bench", 2)?;
--- a/crates/whinhill-standins/src/clients.rs
+++ b/crates/whinhill-standins/src/clients.rs
@@ -1,7 +1,7 @@
 //! Clients at a set rate, open loop: RPCs come when they come, whatever became of those before. Each repeats by
 //! itself what its method allows, and nothing else.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -13,7 +13,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use whinhill_proxy::KEY_HEADER;
-use whinhill_transport::{CallError, Client, Code, Drivers, Limits, Workers};
+use whinhill_transport::{CallError, Client, Code, Drivers, Limits, NeverRan, Workers};
 use whinhill_xds::mapping::{Effect, Service};
 
 use crate::day::Load;
@@ -29,6 +29,8 @@
     pub in_time: AtomicU64,
     pub tries: AtomicU64,
     pub not_sent: AtomicU64,
+    /// Final failures by reason.
+    pub failures: Mutex<BTreeMap<String, u64>>,
 }
 
 pub struct Clients {
@@ -149,9 +151,15 @@
             let left = until.saturating_duration_since(Instant::now());
             self.totals.tries.fetch_add(1, Ordering::Relaxed);
             let headers = [(KEY_HEADER, key.clone()), ("whinhill-rpc", rpc.to_string())];
-            let result = self.client(chosen.1).and_then(|client| {
+            let send = || {
+                let client = self.client(chosen.1)?;
                 client.unary(&about.path, &headers, Bytes::from_static(b"a request"), left)
-            });
+            };
+            // A connection that was just closed for idleness is no failure of the service: the client dials again.
+            let result = match send() {
+                Err(CallError::NeverRan(NeverRan::AboveGoAway | NeverRan::NeverWritten)) => send(),
+                other => other,
+            };
             tries += 1;
             let again = match &result {
                 Ok(_) => false,
@@ -170,6 +178,13 @@
             matches!(&result, Err(CallError::Status { message, .. }) if message.contains("no-line"));
         self.totals.ok.fetch_add(u64::from(ok), Ordering::Relaxed);
         self.totals.in_time.fetch_add(u64::from(in_time), Ordering::Relaxed);
+        if let Err(error) = &result {
+            let mut failures = lock(&self.totals.failures);
+            let reason = reason(error);
+            if failures.len() < REASONS || failures.contains_key(&reason) {
+                *failures.entry(reason).or_default() += 1;
+            }
+        }
         if ok {
             // A value over the histogram's range counts as its highest.
             lock(&self.micros).saturating_record(took.as_micros() as u64);
@@ -178,6 +193,21 @@
     }
 }
 
+/// Reasons of failures that are told apart at most.
+const REASONS: usize = 64;
+
+/// A failure in a few words, without what differs from RPC to RPC.
+fn reason(error: &CallError) -> String {
+    match error {
+        CallError::Status { code, message } => {
+            format!("{code:?}: {}", message.chars().take(40).collect::<String>())
+        }
+        CallError::Deadline(_) => "deadline at the client".to_string(),
+        CallError::NeverRan(proof) => format!("never ran: {proof:?}"),
+        _ => "stream or connection lost".to_string(),
+    }
+}
+
 /// Whether nothing can have run: pushed back by the proxy itself, or proof that it never began.
 fn pushed_back(error: &CallError) -> bool {
     match error {
--- a/crates/whinhill-standins/src/play.rs
+++ b/crates/whinhill-standins/src/play.rs
@@ -79,6 +79,8 @@
     pub lines_sent: u64,
     pub backlog_most: u64,
     pub complete: bool,
+    /// RPCs that failed in the end, by reason.
+    pub failures: BTreeMap<String, u64>,
     pub findings: Vec<String>,
 }
 
@@ -165,6 +167,7 @@
     let share = |count: u64| (count as f64 / rpcs.max(1) as f64 * 1e4).round() / 1e4;
     let micros = micros.lock().unwrap_or_else(PoisonError::into_inner);
     let ms = |quantile: f64| micros.value_at_quantile(quantile) as f64 / 1e3;
+    let failures = totals.failures.lock().unwrap_or_else(PoisonError::into_inner).clone();
     let (taken_over_ms, first_grant_ms) = after_death(&seen);
     Ok(Outcome {
         seed: day.seed,
@@ -185,6 +188,7 @@
         lines_sent: sum(|s| s.lines_sent),
         backlog_most,
         complete: !cut_short,
+        failures,
         findings: found.findings,
         status,
     })
@@ -478,6 +482,8 @@
                 handshake: Duration::from_secs(1),
                 keep_alive: Duration::from_secs(1),
                 keep_alive_answer: Duration::from_secs(1),
+                // A whole fleet shares one process's file descriptors here.
+                idle: Duration::from_secs(3),
                 ..Limits::default()
             },
             seed,
@@ -760,6 +766,9 @@
 
     /// Stops everything. Returns what proxies counted: tables rejected, streams opened again.
     fn stop(&mut self) -> (u64, u64) {
+        // Proxies first: streams that they lose to the assigners' end are no event of the day.
+        self.proxies.iter().filter_map(|proxy| proxy.proxy.as_ref()).for_each(Proxy::begin_stop);
+        self.proxies.iter_mut().for_each(RunningProxy::stop);
         for assigner in &mut self.assigners {
             // One that stands still can't end; one that was killed has.
             if let Some(pid) = assigner.child.as_ref().and_then(|child| Pid::from_raw(child.id() as i32)) {
@@ -778,8 +787,6 @@
                 let _ = child.wait();
             }
         }
-        self.proxies.iter().filter_map(|proxy| proxy.proxy.as_ref()).for_each(Proxy::begin_stop);
-        self.proxies.iter_mut().for_each(RunningProxy::stop);
         let (mut rejected, mut reconnects) = (0, 0);
         for proxy in &self.proxies {
             rejected += proxy.rejected;
--- a/crates/whinhill-transport/src/call.rs
+++ b/crates/whinhill-transport/src/call.rs
@@ -270,19 +270,27 @@
         let thread = builder.spawn(move || {
             // A refused crowd is one line a second, not one each.
             let (mut refused, mut told) = (0u64, Instant::now() - Duration::from_secs(1));
-            while let Ok((stream, peer)) = socket.accept() {
+            loop {
+                let accepted = socket.accept();
                 if stopped.load(Ordering::Relaxed) {
                     break;
                 }
-                let counted = Counted::take(&counter, limits.connections_most);
-                let taken = counted
-                    .map(|counted| drivers.accepted(stream, peer, limits.clone(), handler.clone(), counted));
-                if !matches!(taken, Some(Ok(()))) {
-                    refused += 1;
-                    if told.elapsed() >= Duration::from_secs(1) {
-                        warn!(%addr, %peer, refused, most = limits.connections_most, "connection refused: too many");
-                        (refused, told) = (0, Instant::now());
-                    }
+                let taken = accepted.and_then(|(stream, peer)| {
+                    let counted = Counted::take(&counter, limits.connections_most).ok_or_else(|| {
+                        io::Error::other(format!("over {} connections", limits.connections_most))
+                    })?;
+                    drivers.accepted(stream, peer, limits.clone(), handler.clone(), counted)
+                });
+                let Err(error) = taken else { continue };
+                refused += 1;
+                if told.elapsed() >= Duration::from_secs(1) {
+                    warn!(%addr, %error, refused, "connection refused");
+                    (refused, told) = (0, Instant::now());
+                }
+                // A process out of file descriptors fails at once, again and again: it must neither spin here nor
+                // stop listening for good.
+                if error.raw_os_error().is_some() {
+                    thread::park_timeout(Duration::from_millis(10));
                 }
             }
             debug!(%addr, "listener ended");
