--- a/crates/whinhill-standins/src/day.rs
+++ b/crates/whinhill-standins/src/day.rs
@@ -1,5 +1,6 @@
 //! A day's script: fleet, load, seed, and faults by time. JSON5, checked whole.
 
+use crate::link::Direction;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use whinhill_assigner::{ChannelConfig, CustodySettings, Fault, RulesConfig, ServiceConfig};
@@ -142,7 +143,15 @@
     /// Links between that part of the proxies and an assigner, or all of them, carry nothing.
     CutProxies {
         part: f64,
+        #[serde(default)]
         assigner: Option<usize>,
+        #[serde(default)]
+        way: Direction,
+    },
+    /// That part of the proxies reads what assigners send at so many bytes a second.
+    SlowReaders {
+        part: f64,
+        bytes_per_s: u64,
     },
     /// The link of an assigner to the store carries nothing.
     CutStore {
@@ -235,7 +244,10 @@
             };
             let by_links = matches!(
                 fault.what,
-                Trouble::CutProxies { .. } | Trouble::DropMidUpdate { .. } | Trouble::KillAssigner { .. }
+                Trouble::CutProxies { .. }
+                    | Trouble::SlowReaders { .. }
+                    | Trouble::DropMidUpdate { .. }
+                    | Trouble::KillAssigner { .. }
             );
             must(
                 self.links
--- a/crates/whinhill-standins/src/from_bench.rs
+++ b/crates/whinhill-standins/src/from_bench.rs
@@ -7,6 +7,7 @@
 };
 
 use crate::day::{Day, Load, Mix, Proxies, RosterBy, Scheduled, Servers, Speaks, Trouble};
+use crate::link::Direction;
 
 #[derive(Debug, thiserror::Error)]
 pub enum FromBenchError {
@@ -134,7 +135,9 @@
             ("balancer_crash", _) if trouble.on.len() <= 2 => Some(Trouble::KillAssigner { which: 0 }),
             ("balancer_crash" | "counter_down", _) => Some(Trouble::KillProxies { part: 0.3 }),
             ("balancer_stall", _) => Some(Trouble::StallAssigner { which: 0 }),
-            ("cut" | "zone_cut" | "reconnect", _) => Some(Trouble::CutProxies { part: 0.4, assigner: None }),
+            ("cut" | "zone_cut" | "reconnect", _) => {
+                Some(Trouble::CutProxies { part: 0.4, assigner: None, way: Direction::Both })
+            }
             ("slow" | "ageing" | "neighbour" | "false_reports", _) => {
                 Some(Trouble::SlowServers { part: on_servers, times: trouble.size.clamp(2.0, 10.0) })
             }
@@ -207,3 +210,39 @@
     };
     Ok((day, strange))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// As much of such a day as is read.
+    const DAY: &str = r#"{
+        "family": "control", "noise": 5, "length": 20000000, "zones": ["a", "b"], "drain_grace": 2000000,
+        "fall_multiple": 4, "fall_for": 2000000, "traffic": {"load": 0.9}, "clients": {"retries": 2},
+        "tiers": [{"stated_cold_from": 0.2, "stated_cold": 15000000}],
+        "servers": [{}, {}, {}, {}, {}, {}, {}, {}, {}, {}, {}, {}, {}, {}, {}, {}, {}, {}, {}, {}],
+        "classes": [
+            {"name": "r", "share": 0.6, "work": 300000, "aim": 1500000, "deadline": 5000000, "worth": 1, "effect": "safe", "write": false},
+            {"name": "w", "share": 0.4, "work": 200000, "aim": 800000, "deadline": 1200000, "worth": 9, "effect": "unsafe", "write": true}],
+        "fam": {"controllers": [2], "lease": 2500000, "settle": 1200000, "hold": 300000, "bare": 10000000, "period": 1000000, "slices": 100, "usual_how": 1},
+        "troubles": [
+            {"kind": "deploy", "at": 2000000, "len": 9000000, "size": 0.1, "on": [0], "steps": [{}, {}, {}]},
+            {"kind": "balancer_crash", "at": 4000000, "len": 3000000, "size": 0, "on": [20]},
+            {"kind": "slow", "at": 5000000, "len": 3000000, "size": 4, "on": [1, 2]},
+            {"kind": "moonrise", "at": 6000000, "len": 1, "size": 0, "on": []}]
+    }"#;
+
+    #[test]
+    fn troubles_keep_their_kind_size_and_time_and_strange_ones_are_named() {
+        let (day, strange) = from_bench(DAY).unwrap();
+        assert_eq!((day.check().len(), strange), (0, vec!["moonrise".to_string()]));
+        assert_eq!((day.assigners, day.servers.count, day.service.slices), (2, 12, 60));
+        let at: Vec<f64> = day.faults.iter().map(|fault| fault.at_s).collect();
+        assert_eq!(at, [2.0, 4.0, 5.0]);
+        assert!(matches!(day.faults[0].what, Trouble::Release { part, .. } if (part - 0.3).abs() < 1e-9));
+        assert!(
+            matches!(day.faults[2].what, Trouble::SlowServers { part, times: 4.0 } if (part - 0.1).abs() < 1e-9)
+        );
+        assert!(from_bench(r#"{"family": "other"}"#).is_err());
+    }
+}
--- a/crates/whinhill-standins/src/link.rs
+++ b/crates/whinhill-standins/src/link.rs
@@ -8,6 +8,9 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
 /// What a link does to one direction.
 #[derive(Debug, Default)]
 struct Way {
@@ -17,6 +20,8 @@
     /// Bytes after which the connections break; negative: never.
     breaks_after: AtomicI64,
     bytes: AtomicU64,
+    /// Bytes a second that are read from the sender; 0: as many as come.
+    rate: AtomicU64,
 }
 
 struct Inner {
@@ -31,10 +36,14 @@
     watch: Box<dyn Fn(bool) + Send + Sync>,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "kebab-case")]
 pub enum Direction {
+    /// From the one that opened the connection.
     To,
+    /// Towards it.
     Back,
+    #[default]
     Both,
 }
 
@@ -99,6 +108,11 @@
         self.ways(direction).for_each(|way| way.stalled.store(stalled, Ordering::Relaxed));
     }
 
+    /// Carries no more than so many bytes a second: a reader that is slow. 0: as many as come.
+    pub fn slow(&self, direction: Direction, bytes_per_s: u64) {
+        self.ways(direction).for_each(|way| way.rate.store(bytes_per_s, Ordering::Relaxed));
+    }
+
     /// Breaks all connections and refuses new ones, or carries again.
     pub fn cut(&self, down: bool) {
         self.inner.down.store(down, Ordering::Relaxed);
@@ -167,8 +181,11 @@
         let mut chunk = [0; CHUNK];
         loop {
             // What is on its way is bounded: past it the sender's own window closes.
-            if waiting.len() < 64 {
-                match from.read(&mut chunk) {
+            let slow = way.rate.load(Ordering::Relaxed) > 0;
+            if waiting.len() < if slow { 2 } else { 64 } {
+                // A slow reader takes little at a time, so that its rate is even.
+                let most = if slow { 512 } else { CHUNK };
+                match from.read(&mut chunk[..most]) {
                     Ok(0) => return Ok(()),
                     Ok(count) => {
                         let delay = Duration::from_micros(way.delay_us.load(Ordering::Relaxed));
@@ -198,6 +215,10 @@
                     to.write_all(&data)?;
                 }
                 way.bytes.fetch_add(data.len() as u64, Ordering::Relaxed);
+                let rate = way.rate.load(Ordering::Relaxed);
+                if rate > 0 {
+                    thread::sleep(Duration::from_secs_f64(data.len() as f64 / rate as f64));
+                }
             }
         }
     }
--- a/crates/whinhill-standins/src/play.rs
+++ b/crates/whinhill-standins/src/play.rs
@@ -660,9 +660,13 @@
                     running.stop();
                 }
             }
-            Trouble::CutProxies { part, assigner } => {
+            Trouble::CutProxies { part, assigner, way } => {
                 on = self.draw(*part, self.proxies.len());
-                self.cut(&on, *assigner, true);
+                self.cut(&on, *assigner, *way, true);
+            }
+            Trouble::SlowReaders { part, bytes_per_s } => {
+                on = self.draw(*part, self.proxies.len());
+                self.slow(&on, *bytes_per_s);
             }
             Trouble::CutStore { which } => {
                 on.push(*which);
@@ -709,7 +713,8 @@
             Trouble::KillAssigner { which } => self.start_assigner(*which)?,
             Trouble::StallAssigner { which } => self.signal(*which, Signal::CONT, true),
             Trouble::KillProxies { .. } => on.iter().try_for_each(|&number| self.start_proxy(number))?,
-            Trouble::CutProxies { assigner, .. } => self.cut(on, *assigner, false),
+            Trouble::CutProxies { assigner, way, .. } => self.cut(on, *assigner, *way, false),
+            Trouble::SlowReaders { .. } => self.slow(on, 0),
             Trouble::CutStore { which } => self.assigners[*which].store_link.stall(Direction::Both, false),
             Trouble::StoreDown {} => self.store.set_down(false),
             Trouble::SlowServers { .. }
@@ -736,11 +741,23 @@
         self.record.note(Seen::Runs { assigner: running.name.as_str().into(), runs });
     }
 
-    fn cut(&self, on: &[usize], assigner: Option<usize>, cut: bool) {
+    /// A slow reader is told late: like one that is cut off, it is not held to what it was not told.
+    fn slow(&self, on: &[usize], bytes_per_s: u64) {
+        for &number in on {
+            for (place, link) in self.proxies[number].links.iter().enumerate() {
+                link.slow(Direction::Back, bytes_per_s);
+                let (proxy, assigner) =
+                    (self.proxies[number].id.clone(), self.assigners[place].name.as_str().into());
+                self.record.note(Seen::Cut { proxy, assigner, cut: bytes_per_s > 0 });
+            }
+        }
+    }
+
+    fn cut(&self, on: &[usize], assigner: Option<usize>, way: Direction, cut: bool) {
         for &number in on {
             for (place, link) in self.proxies[number].links.iter().enumerate() {
                 if assigner.is_none_or(|only| only == place) {
-                    link.stall(Direction::Both, cut);
+                    link.stall(way, cut);
                     let (proxy, name) =
                         (self.proxies[number].id.clone(), self.assigners[place].name.as_str().into());
                     self.record.note(Seen::Cut { proxy, assigner: name, cut });
