Keep a history of sets and lead from any kept one to any other by deltas

Change: whinhill-tables: Held and Delta (applied whole or not at all, hash compared), History (rebuilds any kept version, compacts by count, bytes and age, keeps good ones).

--- a/crates/whinhill-tables/src/lib.rs
+++ b/crates/whinhill-tables/src/lib.rs
@@ -4,11 +4,15 @@
 //! before they may be told to anyone.
 
 mod check;
+mod delta;
 mod hash;
+mod history;
 mod keeper;
 mod table;
 
 pub use check::{check, Fault};
+pub use delta::{Delta, DeltaError, Held, SetId};
 pub use hash::set_hash;
+pub use history::{differing, Author, Entry, History, Limits};
 pub use keeper::{Changed, Keeper, PendingGrant};
 pub use table::{ServerName, SliceTable, TableSet, Version, VersionError};
