--- a/crates/whinhill-assigner/src/assigner.rs
+++ b/crates/whinhill-assigner/src/assigner.rs
@@ -11,7 +11,7 @@
 use crossbeam_channel::{bounded, Receiver, RecvTimeoutError, Sender};
 use rand::Rng;
 use tracing::{error, info, warn};
-use whinhill::interface::{ProxyId, SettingsError};
+use whinhill::interface::{ProxyId, SettingsError, SliceId};
 use whinhill_store::{Custody, CustodyConfig, Identity, RespConfig, RespStore, Store};
 use whinhill_tables::PendingGrant;
 use whinhill_transport::{Drivers, Limits, Listener};
@@ -29,8 +29,8 @@
 
 /// Inputs that may wait for the decision thread; whoever brings more waits.
 const INBOX: usize = 8192;
-/// Grants that may wait for the store: every slice can be there at once.
-const GRANTS: usize = 65_536;
+/// Grants that may wait for the store's thread; more wait with the one that decides, one a slice.
+const GRANTS: usize = 4096;
 /// The shortest time between two batches: what comes meanwhile is decided together.
 const ROUND: Duration = Duration::from_millis(2);
 const STACK: usize = 512 << 10;
@@ -158,6 +158,7 @@
             inbox,
             roster: roster_out,
             grants,
+            owed: BTreeMap::new(),
             prober: Prober::new(drivers, inputs),
             counters,
             status: Status { name: config.name.clone(), ..Status::default() },
@@ -211,6 +212,8 @@
     inbox: Receiver<(Input, Option<Sender<()>>)>,
     roster: Receiver<Input>,
     grants: Sender<PendingGrant>,
+    /// Grants that the store's queue had no room for.
+    owed: BTreeMap<SliceId, PendingGrant>,
     prober: Prober,
     counters: Arc<Counters>,
     status: Status,
@@ -291,12 +294,13 @@
             let joined = self.core.joined().keys().copied();
             self.channel.push(joined, &effects.changed, effects.mark, effects.lines, effects.safety);
         }
-        for grant in effects.grants {
+        // Of a slice the newest grant alone counts: the keeper takes no answer for an older one.
+        self.owed.extend(effects.grants.into_iter().map(|grant| (grant.slice, grant)));
+        while let Some((slice, grant)) = self.owed.pop_first() {
             if let Err(refused) = self.grants.try_send(grant) {
-                error!(
-                    slice = refused.into_inner().slice,
-                    "the store's queue is full: a grant is dropped, its slice stays without an owner"
-                );
+                // The store is behind; the next batch tries again.
+                self.owed.insert(slice, refused.into_inner());
+                break;
             }
         }
         effects.probes.into_iter().for_each(|server| self.prober.probe(server));
--- a/crates/whinhill-assigner/src/core.rs
+++ b/crates/whinhill-assigner/src/core.rs
@@ -228,7 +228,7 @@
             }
             Input::Report { zone, report } => {
                 let zone = self.names.zone(&zone);
-                self.strange += self.intake.take(now, zone, &report, &self.service, &mut self.names) as u64;
+                self.strange += self.intake.take(now, zone, &report, &self.service, &self.names) as u64;
             }
             Input::Probed { server, result, load } => {
                 events.push(Event::Probed { ep: self.names.ep(&server), result, load });
--- a/crates/whinhill-assigner/src/core/tests.rs
+++ b/crates/whinhill-assigner/src/core/tests.rs
@@ -182,6 +182,9 @@
 fn reports_beyond_the_cap_wait_and_nothing_is_lost() {
     let mut intake = Intake::new(8, Duration::from_millis(500));
     let (service, mut names) = (config().service.service(), Names::new(&[]));
+    for server in 1..=10 {
+        names.ep(&format!("10.0.0.{server}:7"));
+    }
     let report = |server: u8, tries: u64| {
         let at = format!("10.0.0.{server}:7");
         let met = proto::UpstreamEndpointStats {
@@ -210,7 +213,7 @@
     for round in 0..20u32 {
         let now = s(f64::from(round) * 0.5);
         for server in 1..=10 {
-            assert_eq!(intake.take(now, 0, &report(server, 3), &service, &mut names), 0);
+            assert_eq!(intake.take(now, 0, &report(server, 3), &service, &names), 0);
         }
         let given = intake.give(now, &names, ep);
         assert!(given.len() <= 4, "8 lines a second are 4 in half of one");
@@ -234,9 +237,11 @@
     }
     assert_eq!((tries, came, intake.waiting()), (20 * 10 * 3, 20 * 10 * 5, 0));
     assert!(late > Duration::from_secs(1), "{late:?}");
+    // A server that no list has named is nobody: a peer can't fill our books with names.
+    assert_eq!(intake.take(s(30.0), 0, &report(99, 3), &service, &names), 1);
     let strange = proto::ClusterStats { cluster_name: "other/9/look".into(), ..Default::default() };
     let strange = proto::LoadStatsRequest { node: None, cluster_stats: vec![strange] };
-    assert_eq!(intake.take(s(30.0), 0, &strange, &service, &mut names), 1);
+    assert_eq!(intake.take(s(30.0), 0, &strange, &service, &names), 1);
 }
 
 #[test]
--- a/crates/whinhill-assigner/src/hub.rs
+++ b/crates/whinhill-assigner/src/hub.rs
@@ -1,7 +1,7 @@
 //! The streams of all proxies: two threads each, one that reads and one that writes. Neither decides anything:
 //! what a stream must say is in its state machine and the cache.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::{Duration, Instant};
@@ -28,6 +28,8 @@
 const FIRST_WITHIN: Duration = Duration::from_secs(2);
 /// A name or zone longer than this is refused.
 const NAME_MOST: usize = 200;
+/// Names over a run, for each proxy that may be connected: proxies that are replaced come under new ones.
+const NAMES_A_PROXY: usize = 64;
 
 pub type Inputs = Sender<(Input, Option<Sender<()>>)>;
 
@@ -59,6 +61,8 @@
     pub service: Arc<Service>,
     pub cache: RwLock<Cache>,
     streams: Mutex<BTreeMap<String, Arc<Stream>>>,
+    /// Names that proxies have come under. Each is remembered by the decisions, so their number is bounded.
+    names: Mutex<BTreeSet<String>>,
     ids: AtomicU64,
     inputs: Inputs,
     workers: Workers,
@@ -94,6 +98,7 @@
             service,
             cache: RwLock::default(),
             streams: Mutex::default(),
+            names: Mutex::default(),
             ids: AtomicU64::new(0),
             inputs,
             workers,
@@ -195,6 +200,10 @@
                 Trailers::new(),
             );
         }
+        if !self.admits(&node.id) {
+            warn!(proxy = %node.id, most = self.proxies_most * NAMES_A_PROXY, "too many names of proxies: refused");
+            return writer.close(Code::ResourceExhausted, "too many names of proxies", Trailers::new());
+        }
         let (wake, woken) = bounded(1);
         let stream = Arc::new(Stream {
             id: self.ids.fetch_add(1, Ordering::Relaxed) + 1,
@@ -237,6 +246,16 @@
         result
     }
 
+    /// Whether a proxy of that name may come: one that was here, or one more than there were.
+    fn admits(&self, name: &str) -> bool {
+        let mut names = self.names.lock().unwrap_or_else(PoisonError::into_inner);
+        if !names.contains(name) && names.len() >= self.proxies_most * NAMES_A_PROXY {
+            return false;
+        }
+        names.insert(name.to_string());
+        true
+    }
+
     fn tell(&self, input: Input) {
         // The decision thread has ended: so will the stream.
         let _ = self.inputs.send((input, None));
--- a/crates/whinhill-assigner/src/intake.rs
+++ b/crates/whinhill-assigner/src/intake.rs
@@ -57,14 +57,15 @@
         Intake { sums: BTreeMap::new(), lines_per_s, period, next: Duration::ZERO, span_most: period * 20 }
     }
 
-    /// Takes one proxy's report. Clusters and servers that can't be made out are passed over and counted.
+    /// Takes one proxy's report. Clusters that can't be made out and servers that no list has named are passed over
+    /// and counted: so what is held is bounded by slices, and by servers times zones.
     pub fn take(
         &mut self,
         now: Duration,
         zone: ZoneId,
         report: &proto::LoadStatsRequest,
         service: &Service,
-        names: &mut Names,
+        names: &Names,
     ) -> usize {
         let mut strange = 0;
         for cluster in &report.cluster_stats {
@@ -82,11 +83,12 @@
                 came.lost += locality.total_error_requests;
             }
             for server in cluster.upstream_locality_stats.iter().flat_map(|l| &l.upstream_endpoint_stats) {
-                let Some(name) = server.address.as_ref().and_then(server_name) else {
+                let name = server.address.as_ref().and_then(server_name);
+                let Some(server_index) = name.and_then(|name| names.known(&name)) else {
                     strange += 1;
                     continue;
                 };
-                let key = Key::Met { server: names.ep(&name).index, zone };
+                let key = Key::Met { server: server_index, zone };
                 let met = self.sums.entry(key).or_default();
                 met.begin(now, span);
                 met.tries += server.total_issued_requests;
--- a/crates/whinhill-assigner/src/names.rs
+++ b/crates/whinhill-assigner/src/names.rs
@@ -10,6 +10,9 @@
 /// Before our own start by this much, every start counts as long ago.
 pub const PAST: Duration = Duration::from_secs(3600);
 
+/// Zones that are told apart.
+const ZONES_MOST: usize = 256;
+
 #[derive(Debug, Default)]
 pub struct Names {
     servers: Vec<ServerName>,
@@ -39,6 +42,11 @@
         Ep { index, stable }
     }
 
+    /// The endpoint of a server that a list or the store has named. What a report alone names is nobody.
+    pub fn known(&self, server: &str) -> Option<usize> {
+        self.by_server.get(server).copied()
+    }
+
     pub fn server(&self, index: usize) -> Option<ServerName> {
         self.servers.get(index).cloned()
     }
@@ -48,8 +56,12 @@
     }
 
     pub fn zone(&mut self, name: &str) -> ZoneId {
-        self.zones.iter().position(|zone| zone == name).unwrap_or_else(|| {
-            self.zones.push(name.to_string());
+        let place = self.zones.iter().position(|zone| zone == name);
+        place.unwrap_or_else(|| {
+            // Peers may name what they like: past the bound all strange zones are one.
+            if self.zones.len() < ZONES_MOST {
+                self.zones.push(name.to_string());
+            }
             self.zones.len() - 1
         })
     }
--- a/crates/whinhill-tables/src/lib.rs
+++ b/crates/whinhill-tables/src/lib.rs
@@ -8,6 +8,7 @@
 mod hash;
 mod history;
 mod keeper;
+pub mod rollback;
 mod table;
 
 pub use check::{check, Fault};
