--- a/crates/whinhill-tables/src/delta.rs
+++ b/crates/whinhill-tables/src/delta.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use serde::{Deserialize, Serialize};
 use whinhill::interface::SliceId;
 
 use crate::hash::set_hash;
@@ -9,7 +10,7 @@
 
 /// Names one set: its number in a history, and the hash of what it says. Two holders with the same name hold the
 /// same.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct SetId {
     pub number: u64,
     pub hash: u64,
--- a/crates/whinhill-tables/src/history.rs
+++ b/crates/whinhill-tables/src/history.rs
@@ -7,13 +7,14 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
 use whinhill::interface::SliceId;
 
 use crate::delta::{Delta, Held, SetId};
 use crate::table::{SliceTable, TableSet};
 
 /// Who made a version.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Author {
     Module,
     Operator(String),
@@ -27,7 +28,7 @@
 }
 
 /// One version's entry.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Entry {
     pub id: SetId,
     pub author: Author,
@@ -74,6 +75,17 @@
     bytes: usize,
     /// Versions that were let go.
     compacted: u64,
+    /// Versions let go, rewritten or marked since the last [`History::take_touched`].
+    touched: BTreeSet<u64>,
+}
+
+/// Why a history that was kept somewhere can't be taken up.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum RestoreError {
+    #[error("version {0} stands before or beside the one that it follows")]
+    Order(u64),
+    #[error("the set says {found}, its newest version {wanted}")]
+    Newest { found: SetId, wanted: SetId },
 }
 
 /// The words of a cause are cut to this many characters.
@@ -83,7 +95,35 @@
     /// Begins with a set that was found, as version `number`.
     pub fn new(limits: Limits, number: u64, set: TableSet) -> Self {
         let current = Held::new(number, set);
-        History { limits, current, entries: VecDeque::new(), bytes: 0, compacted: 0 }
+        History {
+            limits,
+            current,
+            entries: VecDeque::new(),
+            bytes: 0,
+            compacted: 0,
+            touched: BTreeSet::new(),
+        }
+    }
+
+    /// Takes up what was kept: the newest set, and the versions that led to it, oldest first.
+    pub fn restore(limits: Limits, current: Held, entries: Vec<Entry>) -> Result<Self, RestoreError> {
+        let numbers = entries.windows(2).find(|pair| pair[0].id.number >= pair[1].id.number);
+        if let Some(pair) = numbers {
+            return Err(RestoreError::Order(pair[1].id.number));
+        }
+        if let Some(newest) = entries.last().filter(|newest| newest.id != current.id()) {
+            return Err(RestoreError::Newest { found: current.id(), wanted: newest.id });
+        }
+        let bytes = entries.iter().map(Entry::size).sum();
+        let (entries, touched) = (entries.into(), BTreeSet::new());
+        Ok(History { limits, current, entries, bytes, compacted: 0, touched })
+    }
+
+    /// The versions whose entries are others than they were at the last call; `None` for one that was let go.
+    pub fn take_touched(&mut self) -> Vec<(u64, Option<Entry>)> {
+        let touched = std::mem::take(&mut self.touched);
+        let entry = |number: u64| self.entries.iter().find(|entry| entry.id.number == number).cloned();
+        touched.into_iter().map(|number| (number, entry(number))).collect()
     }
 
     pub fn current(&self) -> &Held {
@@ -122,6 +162,7 @@
         let cause = cause.chars().take(CAUSE_MOST).collect();
         let entry = Entry { id: next.id(), author, at, unix_ms, cause, good: false, before };
         self.bytes += entry.size();
+        self.touched.insert(entry.id.number);
         self.entries.push_back(entry);
         self.current = next;
         self.compact(at);
@@ -131,7 +172,10 @@
     /// Marks a version as good: it stays reachable. False if it is not kept.
     pub fn pin_good(&mut self, number: u64) -> bool {
         let entry = self.entries.iter_mut().find(|entry| entry.id.number == number);
-        entry.map(|entry| entry.good = true).is_some()
+        let Some(entry) = entry else { return false };
+        entry.good = true;
+        self.touched.insert(number);
+        true
     }
 
     /// The newest version marked good, before the current one.
@@ -179,6 +223,7 @@
             let Some(place) = place else { return };
             let Some(gone) = self.entries.remove(place) else { return };
             self.compacted += 1;
+            self.touched.insert(gone.id.number);
             self.bytes = self.bytes.saturating_sub(gone.size());
             // Its successor must now lead back over both: what was before the older change counts. The oldest kept
             // version leads back to nothing that is kept.
@@ -187,6 +232,7 @@
                     self.bytes = self.bytes.saturating_sub(next.size());
                     next.before.extend(gone.before);
                     self.bytes += next.size();
+                    self.touched.insert(next.id.number);
                 }
             }
         }
--- a/crates/whinhill-tables/src/lib.rs
+++ b/crates/whinhill-tables/src/lib.rs
@@ -14,6 +14,6 @@
 pub use check::{check, Fault};
 pub use delta::{Delta, DeltaError, Held, SetId};
 pub use hash::set_hash;
-pub use history::{differing, Author, Entry, History, Limits};
+pub use history::{differing, Author, Entry, History, Limits, RestoreError};
 pub use keeper::{Changed, Keeper, PendingGrant};
 pub use table::{ServerName, SliceTable, TableSet, Version, VersionError};
--- a/crates/whinhill-tables/src/table.rs
+++ b/crates/whinhill-tables/src/table.rs
@@ -5,13 +5,14 @@
 use std::str::FromStr;
 use std::sync::Arc;
 
+use serde::{Deserialize, Serialize};
 use whinhill::interface::SliceId;
 
 /// A server's name: its address and port, the same at every assigner.
 pub type ServerName = Arc<str>;
 
 /// An epoch of custody and a number that only grows within it. An older one never replaces a newer one.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Version {
     pub epoch: u64,
     pub number: u64,
@@ -44,7 +45,7 @@
 }
 
 /// What a proxy is told of a slice.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct SliceTable {
     pub version: Version,
     /// `None`: nobody serves it now; RPCs wait for the hold.
