Hand work to threads in one place

Cause or need: three places wrapped a call so that it comes back where no thread is free.

Change: Workers::hand, used by the assigner's hub, the proxy and the server stand-in.

--- a/crates/whinhill-assigner/src/hub.rs
+++ b/crates/whinhill-assigner/src/hub.rs
@@ -131,12 +131,8 @@
         if self.streams().len() >= self.proxies_most {
             return full(call);
         }
-        let slot = Arc::new(Mutex::new(Some(call)));
-        let (hub, job) = (self.clone(), slot.clone());
-        let take =
-            |slot: &Mutex<Option<ServerCall>>| slot.lock().unwrap_or_else(PoisonError::into_inner).take();
-        let run = move || {
-            let Some(call) = take(&job) else { return };
+        let hub = self.clone();
+        let serve = move |call: ServerCall| {
             let peer = call.peer;
             let result = match variant {
                 Some(variant) => hub.tables(call, variant),
@@ -146,11 +142,7 @@
                 debug!(%peer, %error, "stream ended");
             }
         };
-        if self.workers.run(run).is_err() {
-            if let Some(call) = take(&slot) {
-                full(call);
-            }
-        }
+        self.workers.hand(call, serve, full);
     }
 
     fn reports(&self, call: ServerCall) -> Result<(), CallError> {
@@ -222,18 +214,11 @@
         debug!(proxy = %node.id, stream = stream.id, ?variant, "table stream opened");
         self.tell(Input::Joined { proxy: node.id.clone(), zone, stream: stream.id });
         let (hub, writing) = (self.clone(), stream.clone());
-        let slot = Arc::new(Mutex::new(Some(writer)));
-        let handed = slot.clone();
-        let take =
-            |slot: &Mutex<Option<MessageWriter>>| slot.lock().unwrap_or_else(PoisonError::into_inner).take();
-        let started = self.workers.run(move || {
-            if let Some(writer) = take(&handed) {
-                hub.write(&writing, writer, &woken);
-            }
-        });
-        let result = match started {
-            Ok(()) => self.read(&stream, &mut reader, first, variant),
-            Err(_) => Err(CallError::Reset("no thread is free to write".into())),
+        let mut no_thread = false;
+        self.workers.hand(writer, move |writer| hub.write(&writing, writer, &woken), |_| no_thread = true);
+        let result = match no_thread {
+            false => self.read(&stream, &mut reader, first, variant),
+            true => Err(CallError::Reset("no thread is free to write".into())),
         };
         stream.close();
         {
--- a/crates/whinhill-proxy/src/proxy.rs
+++ b/crates/whinhill-proxy/src/proxy.rs
@@ -103,21 +103,14 @@
         });
         let workers = workers.clone();
         let handler = move |call: ServerCall| {
+            let forwarder = forwarder.clone();
             // What no worker can take is pushed back at once: a queue would only grow old.
-            let slot = Arc::new(std::sync::Mutex::new(Some(call)));
-            let (job, forwarder) = (slot.clone(), forwarder.clone());
-            let run = move || {
-                if let Some(call) = crate::shared::lock(&job).take() {
-                    forwarder.carry(call);
-                }
-            };
-            if workers.run(run).is_err() {
+            let full = |call: ServerCall| {
                 let mut trailers = Trailers::new();
                 trailers.insert(PUSHBACK_HEADER, http::HeaderValue::from_static("250"));
-                if let Some(call) = crate::shared::lock(&slot).take() {
-                    call.refuse(Code::Unavailable, "pushed back: the proxy is full", trailers);
-                }
-            }
+                call.refuse(Code::Unavailable, "pushed back: the proxy is full", trailers);
+            };
+            workers.hand(call, move |call| forwarder.carry(call), full);
         };
         let listener = Listener::start(&config.id, config.listen, config.limits.clone(), drivers, handler);
         let listener = listener.map_err(|error| ProxyError::Listen {
--- a/crates/whinhill-standins/src/server.rs
+++ b/crates/whinhill-standins/src/server.rs
@@ -83,20 +83,7 @@
         let limits = Limits { connections_most: 1024, idle: Duration::from_secs(30), ..Limits::default() };
         let listener = Listener::start("server", config.listen, limits, &drivers, move |call| {
             let Some(inner) = later.get().cloned() else { return call.refuse_unseen() };
-            let slot = Arc::new(Mutex::new(Some(call)));
-            let job = slot.clone();
-            let take =
-                |slot: &Mutex<Option<ServerCall>>| slot.lock().unwrap_or_else(PoisonError::into_inner).take();
-            let run = move || {
-                if let Some(call) = take(&job) {
-                    inner.serve(call);
-                }
-            };
-            if pool.run(run).is_err() {
-                if let Some(call) = take(&slot) {
-                    call.refuse_unseen();
-                }
-            }
+            pool.hand(call, move |call| inner.serve(call), ServerCall::refuse_unseen);
         })?;
         let name: Arc<str> = listener.addr().to_string().into();
         let rng = ChaCha8Rng::seed_from_u64(config.seed);
--- a/crates/whinhill-transport/src/workers.rs
+++ b/crates/whinhill-transport/src/workers.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 use std::time::Duration;
 
@@ -68,6 +68,28 @@
         })
     }
 
+    /// Hands `value` to a thread for `job`, or, where none is free, back to `full` at once.
+    pub fn hand<T: Send + 'static>(
+        &self,
+        value: T,
+        job: impl FnOnce(T) + Send + 'static,
+        full: impl FnOnce(T),
+    ) {
+        let slot = Arc::new(Mutex::new(Some(value)));
+        let handed = slot.clone();
+        let take = |slot: &Mutex<Option<T>>| slot.lock().unwrap_or_else(PoisonError::into_inner).take();
+        let run = move || {
+            if let Some(value) = take(&handed) {
+                job(value);
+            }
+        };
+        if self.run(run).is_err() {
+            if let Some(value) = take(&slot) {
+                full(value);
+            }
+        }
+    }
+
     /// Threads that there are.
     pub fn threads(&self) -> usize {
         self.0.count.load(Ordering::Relaxed)
