--- a/crates/whinhill-cli/src/bench.rs
+++ b/crates/whinhill-cli/src/bench.rs
@@ -1,11 +1,14 @@
 //! `whinhill bench`: prints figures, each with its baseline in the same run.
 
 use std::path::PathBuf;
+use std::time::{Duration, Instant};
 
 use clap::Subcommand;
 use serde::Serialize;
+use whinhill_history::Book;
 use whinhill_standins::bench;
 use whinhill_standins::day::Day;
+use whinhill_tables::{Author, Limits, SliceTable, TableSet, Version};
 
 use crate::{config, Failed};
 
@@ -19,6 +22,16 @@
         #[arg(long)]
         out: Option<PathBuf>,
     },
+    /// What keeping a version on disk costs, and taking the history up again.
+    History {
+        #[arg(long, default_value_t = 2000)]
+        versions: u64,
+        #[arg(long, default_value_t = 900)]
+        slices: usize,
+        /// Slices that each version changes.
+        #[arg(long, default_value_t = 10)]
+        changes: usize,
+    },
     /// RPCs a second and latency through one proxy, against the server direct.
     Proxy {
         #[arg(default_value = "days/quiet.json5")]
@@ -41,6 +54,12 @@
             let figures = bench::fleet(&day, &program, &out).map_err(|error| failed(&error))?;
             figures.iter().try_for_each(print)
         }
+        BenchCommand::History { versions, slices, changes } => {
+            let path = scratch.path().join("history.redb");
+            let figures =
+                history(&path, versions, slices.max(1), changes.max(1)).map_err(|error| failed(&error))?;
+            print(&figures)
+        }
         BenchCommand::Proxy { file, callers, seconds } => {
             let day: Day = config::read(&file, Day::check)?;
             let figures =
@@ -50,6 +69,68 @@
     }
 }
 
+#[derive(Serialize)]
+struct HistoryFigures {
+    versions: u64,
+    slices: usize,
+    changes: usize,
+    keep_us_p50: u64,
+    keep_us_p99: u64,
+    file_mb: f64,
+    reopen_ms: f64,
+}
+
+fn history(
+    path: &std::path::Path,
+    versions: u64,
+    slices: usize,
+    changes: usize,
+) -> Result<HistoryFigures, Box<dyn std::error::Error>> {
+    let limits =
+        Limits { entries: usize::MAX, bytes: usize::MAX, age: Duration::from_secs(u64::from(u32::MAX)) };
+    let table = |slice: usize, number: u64| SliceTable {
+        version: Version { epoch: 1, number },
+        owner: Some(format!("10.0.{}.{}:7000", slice % 7, (slice as u64 + number) % 143).into()),
+        shares: vec![1.0, 1.0],
+        tries: 1,
+    };
+    let (mut book, mut history) = Book::open(path, limits)?;
+    let mut set: TableSet = (0..slices).map(|slice| (slice, table(slice, 0))).collect();
+    let mut took = Vec::new();
+    for number in 1..=versions {
+        for k in 0..changes {
+            let slice = (number as usize * changes + k) % slices;
+            set.insert(slice, table(slice, number));
+        }
+        let at = Duration::from_secs(number);
+        let delta = history.record(set.clone(), Author::Module, "elimination: 10 moves", at, number * 1000);
+        let began = Instant::now();
+        if let Some(delta) = delta {
+            book.keep(&mut history, &delta)?;
+        }
+        took.push(began.elapsed().as_micros() as u64);
+    }
+    drop(book);
+    took.sort_unstable();
+    let began = Instant::now();
+    let (_, found) = Book::open(path, limits)?;
+    let reopen_ms = began.elapsed().as_secs_f64() * 1e3;
+    if found.current() != history.current() {
+        return Err("the history found is not the one kept".into());
+    }
+    let at = |share: f64| took.get((took.len() as f64 * share) as usize).copied().unwrap_or(0);
+    let file_mb = std::fs::metadata(path)?.len() as f64 / 1e6;
+    Ok(HistoryFigures {
+        versions,
+        slices,
+        changes,
+        keep_us_p50: at(0.5),
+        keep_us_p99: at(0.99),
+        file_mb,
+        reopen_ms,
+    })
+}
+
 fn print(figures: &impl Serialize) -> Result<(), Failed> {
     let text = serde_json::to_string(figures).map_err(|error| Failed::Running(error.to_string()))?;
     println!("{text}");
