--- a/crates/whinhill-cli/src/proxy.rs
+++ b/crates/whinhill-cli/src/proxy.rs
@@ -1,14 +1,16 @@
 //! `whinhill proxy`: reads its configuration and runs it.
 
+use std::io::Write;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::Duration;
 
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use whinhill_assigner::{Fault, ServiceConfig};
-use whinhill_proxy::{Proxy, ProxyConfig, Sabotage};
+use whinhill_proxy::{Dial, Proxy, ProxyConfig, Sabotage};
+use whinhill_standins::running::ProxyFigures;
 use whinhill_transport::{Drivers, Limits, Workers};
 use whinhill_xds::Variant;
 
@@ -35,6 +37,9 @@
     pub drivers: usize,
     #[serde(default)]
     pub seed: u64,
+    /// A line of figures is written there five times a second.
+    #[serde(default)]
+    pub status_file: Option<PathBuf>,
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
@@ -86,6 +91,7 @@
         settle: Duration::from_millis(file.service.settle_ms),
         limits: Limits::default(),
         seed: file.seed,
+        dial: Dial::default(),
         sabotage: Sabotage::default(),
     };
     let proxy = Proxy::start(config, &drivers, &workers).map_err(|error| failed(&error))?;
@@ -93,6 +99,17 @@
         tracing::info!(id = proxy.id(), %addr, "proxy listens");
         until_stopped::say_ready(ready_file, addr)?;
     }
-    until_stopped::wait(&stop);
-    Ok(())
+    let Some(path) = file.status_file else {
+        until_stopped::wait(&stop);
+        return Ok(());
+    };
+    let mut status = std::fs::File::create(&path).map_err(|error| failed(&error))?;
+    loop {
+        let stopped = until_stopped::wait_for(&stop, Duration::from_millis(200));
+        let line = serde_json::to_string(&ProxyFigures::of(&proxy)).unwrap_or_default();
+        writeln!(status, "{line}").map_err(|error| failed(&error))?;
+        if stopped {
+            return Ok(());
+        }
+    }
 }
--- a/crates/whinhill-cli/src/until_stopped.rs
+++ b/crates/whinhill-cli/src/until_stopped.rs
@@ -26,6 +26,12 @@
     }
 }
 
+/// Waits for a while; whether it is told to end.
+pub fn wait_for(stop: &AtomicBool, span: Duration) -> bool {
+    std::thread::park_timeout(span);
+    stop.load(Ordering::Relaxed)
+}
+
 /// Writes an address, whole or not at all: whoever waits for it may look at any moment.
 pub fn say_ready(path: Option<&Path>, addr: SocketAddr) -> Result<(), Failed> {
     let Some(path) = path else { return Ok(()) };
--- a/crates/whinhill-cli/tests/days.rs
+++ b/crates/whinhill-cli/tests/days.rs
@@ -47,6 +47,23 @@
     }
 }
 
+#[test]
+fn links_of_every_kind_may_fail_without_a_broken_rule() {
+    let (outcome, code) = play(&day("links.json5"));
+    assert_eq!((broken(&outcome), code), (0, Some(0)), "{outcome}");
+    assert!(
+        outcome["handovers"].as_u64().unwrap() > 0 && outcome["rpcs"].as_u64().unwrap() > 1000,
+        "{outcome}"
+    );
+}
+
+#[test]
+fn assigners_and_proxies_as_processes_are_killed_without_a_broken_rule() {
+    let (outcome, code) = play(&day("processes.json5"));
+    assert_eq!((broken(&outcome), code), (0, Some(0)), "{outcome}");
+    assert!(outcome["reconnects"].as_u64().unwrap() > 0, "{outcome}");
+}
+
 /// Plays a day of handovers with a broken component; tells the breaks of the second rule.
 fn sabotaged(kind: &str) -> u64 {
     let text = fs::read_to_string(day("handovers.json5")).unwrap();
@@ -89,6 +106,12 @@
     let said = String::from_utf8_lossy(&output.stderr).to_string();
     assert_eq!(output.status.code(), Some(2));
     assert!(said.contains("seconds: over 0") && said.contains("assigners: 1 to 16"), "{said}");
+    let bad = r#"{ between: "assigners-store", near: { one: 7 }, fault: { down: {} } }"#;
+    let faults = format!("  faults: [{{ at_s: 1, what: {{ link: {bad} }} }}],\n}}");
+    let place = text.find("  faults").unwrap_or(text.rfind('}').unwrap());
+    fs::write(&path, format!("{}{faults}", &text[..place])).unwrap();
+    let said = String::from_utf8_lossy(&check(&path).stderr).to_string();
+    assert!(said.contains("faults[0].near: a part over 0 up to 1, or one below 2, is expected"), "{said}");
     fs::write(&path, text.replacen("seed: 1", "sead: 1", 1)).unwrap();
     let said = String::from_utf8_lossy(&check(&path).stderr).to_string();
     assert!(said.contains("sead") && said.contains("day.json5:"), "{said}");
--- a/crates/whinhill-proxy/src/forward.rs
+++ b/crates/whinhill-proxy/src/forward.rs
@@ -227,7 +227,16 @@
             if writes && !shared.read(|table| table.still(shared.now(), rpc.slice, rpc.method, version)) {
                 return Err(Attempt::Stopped);
             }
+            let heard = client.heard();
             match client.unary(path, &headers, message.clone(), within) {
+                // A write given up on may stand in a network that carries nothing now, and begin at a former owner
+                // once it carries again. Where not a byte came back since it was sent, its cancellation is not on
+                // its way either: the connection is broken off, and what stands in it is lost.
+                Err(error @ CallError::Deadline(_)) if writes && client.heard() == heard => {
+                    client.sever();
+                    self.pool.forget(server);
+                    return Err(Attempt::Failed(error));
+                }
                 // The connection was closed for idleness, by either end, as the RPC was on its way to it: with the
                 // proof that it never ran it goes to the same server once more, on a fresh connection.
                 Err(error) if !fresh && connection_ended(&error) => {
--- a/crates/whinhill-proxy/src/lib.rs
+++ b/crates/whinhill-proxy/src/lib.rs
@@ -12,6 +12,7 @@
 mod table;
 
 pub use forward::{ANSWERED_BY, KEY_HEADER, PUSHBACK_HEADER, REFUSED_HEADER};
+pub use pool::Dial;
 pub use proxy::{Proxy, ProxyConfig, ProxyError, Sabotage};
 pub use shared::Counts;
 pub use table::{Refusal, Route, Table};
--- a/crates/whinhill-proxy/src/pool.rs
+++ b/crates/whinhill-proxy/src/pool.rs
@@ -20,12 +20,23 @@
     limits: Limits,
     drivers: Drivers,
     most: usize,
+    dial: Dial,
+}
+
+/// Where to connect for a server, if not to its own address: a relay beside the proxy, for one.
+#[derive(Clone, Default)]
+pub struct Dial(pub Option<Arc<dyn Fn(SocketAddr) -> SocketAddr + Send + Sync>>);
+
+impl std::fmt::Debug for Dial {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(if self.0.is_some() { "Dial(elsewhere)" } else { "Dial(direct)" })
+    }
 }
 
 impl Pool {
     /// `most` bounds the servers connected to at a time.
-    pub fn new(limits: Limits, drivers: Drivers, most: usize) -> Self {
-        Pool { places: Mutex::default(), settled: Condvar::new(), limits, drivers, most }
+    pub fn new(limits: Limits, drivers: Drivers, most: usize, dial: Dial) -> Self {
+        Pool { places: Mutex::default(), settled: Condvar::new(), limits, drivers, most, dial }
     }
 
     /// A connection to a server, opened if there is none that lives. Others who want the same one wait for it.
@@ -57,6 +68,7 @@
         places.insert(server.clone(), Place::Opening);
         drop(places);
         let addr: Option<SocketAddr> = server.parse().ok();
+        let addr = addr.map(|addr| self.dial.0.as_ref().map_or(addr, |dial| dial(addr)));
         let opened =
             addr.ok_or(none).and_then(|addr| Client::connect(addr, self.limits.clone(), &self.drivers));
         let mut places = lock(&self.places);
--- a/crates/whinhill-proxy/src/proxy.rs
+++ b/crates/whinhill-proxy/src/proxy.rs
@@ -12,7 +12,7 @@
 use whinhill_xds::{proto, Variant};
 
 use crate::forward::{Forwarder, PUSHBACK_HEADER};
-use crate::pool::Pool;
+use crate::pool::{Dial, Pool};
 use crate::shared::{Counts, Shared};
 use crate::streams::Streams;
 
@@ -38,6 +38,7 @@
     pub settle: Duration,
     pub limits: Limits,
     pub seed: u64,
+    pub dial: Dial,
     pub sabotage: Sabotage,
 }
 
@@ -97,7 +98,7 @@
         let server_limits = Limits { handshake: Duration::from_millis(500), ..config.limits.clone() };
         let forwarder = Arc::new(Forwarder {
             shared: shared.clone(),
-            pool: Pool::new(server_limits, drivers.clone(), 4096),
+            pool: Pool::new(server_limits, drivers.clone(), 4096, config.dial.clone()),
             id: config.id.clone(),
             settle: config.settle,
         });
--- a/crates/whinhill-standins/src/audit/tests.rs
+++ b/crates/whinhill-standins/src/audit/tests.rs
@@ -110,6 +110,13 @@
         judge(vec![draining(), (2.0, connected(false)), (3.1, arrived("x", 0.1))]).rules.drains_kept,
         0
     );
+    // What a bad link held up may have been sent in time; one that was well again long before excuses nothing.
+    let hampered = |at: f64, hampered| (at, Seen::Hampered { proxy: name("p"), server: name("x"), hampered });
+    let held_up = |from: f64, to: f64| {
+        let day = vec![draining(), hampered(from, true), hampered(to, false), (4.0, arrived("x", 0.1))];
+        judge(day).rules.drains_kept
+    };
+    assert_eq!((held_up(1.5, 3.9), held_up(1.1, 1.2)), (0, 1));
     let died = Seen::Runs { assigner: name("a"), runs: false };
     assert_eq!(judge(vec![draining(), (2.0, died), (3.1, arrived("x", 0.1))]).rules.drains_kept, 0);
 }
--- a/crates/whinhill-standins/src/from_bench.rs
+++ b/crates/whinhill-standins/src/from_bench.rs
@@ -6,7 +6,8 @@
     ChannelConfig, CustodySettings, MethodConfig, MethodEffect, RulesConfig, ServiceConfig,
 };
 
-use crate::day::{Day, Load, Mix, Proxies, RosterBy, Scheduled, Servers, Speaks, Trouble};
+use crate::day::{Day, Load, Mix, Proxies, RosterBy, Run, Scheduled, Servers, Speaks, Trouble};
+use crate::hops::{Hop, LinkFault, Pick};
 use crate::link::Direction;
 
 #[derive(Debug, thiserror::Error)]
@@ -135,9 +136,12 @@
             ("balancer_crash", _) if trouble.on.len() <= 2 => Some(Trouble::KillAssigner { which: 0 }),
             ("balancer_crash" | "counter_down", _) => Some(Trouble::KillProxies { part: 0.3 }),
             ("balancer_stall", _) => Some(Trouble::StallAssigner { which: 0 }),
-            ("cut" | "zone_cut" | "reconnect", _) => {
-                Some(Trouble::CutProxies { part: 0.4, assigner: None, way: Direction::Both })
-            }
+            ("cut" | "zone_cut" | "reconnect", _) => Some(Trouble::Link {
+                between: Hop::ProxiesAssigners,
+                near: Pick::Part(0.4),
+                far: Pick::All,
+                fault: LinkFault::Cut { way: Direction::Both },
+            }),
             ("slow" | "ageing" | "neighbour" | "false_reports", _) => {
                 Some(Trouble::SlowServers { part: on_servers, times: trouble.size.clamp(2.0, 10.0) })
             }
@@ -165,6 +169,7 @@
     }
     let tier = bench.tiers.first();
     let day = Day {
+        run: Run::default(),
         seed: bench.noise,
         seconds: bench.length / 1e6,
         zones: bench.zones,
--- a/crates/whinhill-standins/src/link.rs
+++ b/crates/whinhill-standins/src/link.rs
@@ -197,6 +197,10 @@
                 }
             } else {
                 thread::park_timeout(Duration::from_millis(5));
+                // A sender that has broken off wants nothing of this delivered any more.
+                if let Some(error) = from.take_error()? {
+                    return Err(error);
+                }
             }
             while !way.stalled.load(Ordering::Relaxed)
                 && waiting.front().is_some_and(|(due, _)| *due <= Instant::now())
--- a/crates/whinhill-standins/src/record.rs
+++ b/crates/whinhill-standins/src/record.rs
@@ -64,6 +64,12 @@
         assigner: Arc<str>,
         cut: bool,
     },
+    /// A link between a proxy and a server carries badly, or well again.
+    Hampered {
+        proxy: Arc<str>,
+        server: Arc<str>,
+        hampered: bool,
+    },
     Connected {
         proxy: Arc<str>,
         assigner: Arc<str>,
--- a/crates/whinhill-transport/src/call.rs
+++ b/crates/whinhill-transport/src/call.rs
@@ -15,7 +15,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode};
 use tracing::{debug, warn};
 
-use crate::connection::{Counted, Handler};
+use crate::connection::{Counted, Handler, Line};
 use crate::error::{CallError, Code, NeverRan};
 use crate::limits::Limits;
 use crate::park::{wait, wait_for};
@@ -323,7 +323,7 @@
 #[derive(Clone)]
 pub struct Client {
     request: Arc<Mutex<SendRequest<Bytes>>>,
-    streams: Arc<AtomicUsize>,
+    line: Line,
     dead: Arc<AtomicBool>,
     addr: SocketAddr,
     most: usize,
@@ -387,12 +387,12 @@
         let no_connection = |_| CallError::NeverRan(NeverRan::NoConnection);
         let socket = TcpStream::connect_timeout(&addr, limits.handshake).map_err(no_connection)?;
         let (answer, opened) = bounded(1);
-        let streams = Arc::new(AtomicUsize::new(0));
+        let line = Line::default();
         let (most, within) = (limits.message_most, limits.handshake);
-        drivers.opened(socket, addr, limits, streams.clone(), answer).map_err(no_connection)?;
+        drivers.opened(socket, addr, limits, line.clone(), answer).map_err(no_connection)?;
         let request = opened.recv_timeout(within).map_err(|_| CallError::NeverRan(NeverRan::NoConnection))?;
         let request = request.map_err(|_| CallError::NeverRan(NeverRan::NoConnection))?;
-        Ok(Client { request: Arc::new(Mutex::new(request)), streams, dead: Arc::default(), addr, most })
+        Ok(Client { request: Arc::new(Mutex::new(request)), line, dead: Arc::default(), addr, most })
     }
 
     pub fn addr(&self) -> SocketAddr {
@@ -406,7 +406,19 @@
 
     /// Calls under way.
     pub fn streams(&self) -> usize {
-        self.streams.load(Ordering::Relaxed)
+        self.line.streams.load(Ordering::Relaxed)
+    }
+
+    /// Grows with whatever arrives on the connection, of any call.
+    pub fn heard(&self) -> u64 {
+        self.line.reads.load(Ordering::Relaxed)
+    }
+
+    /// Breaks the connection off, so that nothing of it that is still under way can arrive later. Every call on it
+    /// ends without an answer.
+    pub fn sever(&self) {
+        self.line.severed.store(true, Ordering::Relaxed);
+        self.dead.store(true, Ordering::Relaxed);
     }
 
     /// Opens a call. Until this returns nothing was sent.
@@ -433,7 +445,7 @@
             .ok_or(CallError::NeverRan(NeverRan::NeverWritten))?
             .map_err(failed)?;
         let (future, stream) = send.send_request(request, false).map_err(failed)?;
-        let counted = Counted::take(&self.streams, usize::MAX);
+        let counted = Counted::take(&self.line.streams, usize::MAX);
         let writer = MessageWriter { stream, _counted: counted };
         Ok((writer, PendingAnswer { future, most: self.most, dead: self.dead.clone() }))
     }
--- a/crates/whinhill-transport/src/connection.rs
+++ b/crates/whinhill-transport/src/connection.rs
@@ -3,7 +3,7 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Instant;
@@ -31,6 +31,17 @@
 
 type OpenedPair = Result<(Request, client::Connection<Socket, Bytes>), h2::Error>;
 
+/// What the handle of a client's connection shares with the connection.
+#[derive(Clone, Debug, Default)]
+pub struct Line {
+    /// Calls under way.
+    pub streams: Arc<AtomicUsize>,
+    /// Reads that brought something.
+    pub reads: Arc<AtomicU64>,
+    /// It is to be broken off.
+    pub severed: Arc<AtomicBool>,
+}
+
 /// Counts something that is alive for as long as this is.
 pub struct Counted(Arc<AtomicUsize>);
 
@@ -53,13 +64,12 @@
     role: Role,
     peer: SocketAddr,
     limits: Limits,
-    reads: Arc<AtomicU64>,
+    line: Line,
     seen: u64,
     born: Instant,
     heard: Instant,
     /// When the last stream was there.
     busy: Instant,
-    streams: Arc<AtomicUsize>,
     pings: Option<PingPong>,
     pinged: Option<Instant>,
     closing: bool,
@@ -84,15 +94,14 @@
             .max_concurrent_reset_streams(limits.streams_most as usize)
             .max_send_buffer_size(limits.message_most + (64 << 10));
         let role = Role::Accepting(builder.handshake(socket), handler);
-        Connection::new(role, peer, reads, limits, Arc::default(), Some(counted))
+        Connection::new(role, peer, limits, Line { reads, ..Line::default() }, Some(counted))
     }
 
     pub fn opened(
         socket: Socket,
         peer: SocketAddr,
-        reads: Arc<AtomicU64>,
         limits: Limits,
-        streams: Arc<AtomicUsize>,
+        line: Line,
         answer: Sender<Result<Request, h2::Error>>,
     ) -> Self {
         let mut builder = client::Builder::new();
@@ -103,28 +112,20 @@
             .initial_connection_window_size(limits.window.saturating_mul(16))
             .max_send_buffer_size(limits.message_most + (64 << 10));
         let opening = async move { builder.handshake(socket).await };
-        Connection::new(Role::Opening(Box::pin(opening), answer), peer, reads, limits, streams, None)
+        Connection::new(Role::Opening(Box::pin(opening), answer), peer, limits, line, None)
     }
 
-    fn new(
-        role: Role,
-        peer: SocketAddr,
-        reads: Arc<AtomicU64>,
-        limits: Limits,
-        streams: Arc<AtomicUsize>,
-        counted: Option<Counted>,
-    ) -> Self {
+    fn new(role: Role, peer: SocketAddr, limits: Limits, line: Line, counted: Option<Counted>) -> Self {
         let now = Instant::now();
         Connection {
             role,
             peer,
             limits,
-            reads,
+            line,
             seen: 0,
             born: now,
             heard: now,
             busy: now,
-            streams,
             pings: None,
             pinged: None,
             closing: false,
@@ -134,7 +135,7 @@
 
     /// Does all that can be done now. False once the connection has ended.
     pub fn poll(&mut self, cx: &mut Context<'_>) -> bool {
-        let reads = self.reads.load(Ordering::Relaxed);
+        let reads = self.line.reads.load(Ordering::Relaxed);
         loop {
             match &mut self.role {
                 Role::Accepting(handshake, handler) => match Pin::new(handshake).poll(cx) {
@@ -148,7 +149,7 @@
                 Role::Serving(connection, handler) => match connection.poll_accept(cx) {
                     Poll::Pending => break,
                     Poll::Ready(Some(Ok((request, respond)))) => {
-                        let counted = Counted::take(&self.streams, usize::MAX);
+                        let counted = Counted::take(&self.line.streams, usize::MAX);
                         handler(ServerCall::new(
                             request,
                             respond,
@@ -186,8 +187,8 @@
                 self.pinged = None;
             }
         }
-        if reads != self.seen || self.reads.load(Ordering::Relaxed) != self.seen {
-            self.seen = self.reads.load(Ordering::Relaxed);
+        if reads != self.seen || self.line.reads.load(Ordering::Relaxed) != self.seen {
+            self.seen = self.line.reads.load(Ordering::Relaxed);
             self.heard = Instant::now();
         }
         true
@@ -205,7 +206,11 @@
 
     /// Looks at the clocks. False if the connection must end.
     pub fn tick(&mut self, now: Instant) -> bool {
-        let streams = self.streams.load(Ordering::Relaxed);
+        let streams = self.line.streams.load(Ordering::Relaxed);
+        if self.line.severed.load(Ordering::Relaxed) {
+            warn!(peer = %self.peer, streams, "connection broken off: nothing was heard on it");
+            return false;
+        }
         if streams > 0 {
             self.busy = now;
         }
--- a/crates/whinhill-transport/src/driver.rs
+++ b/crates/whinhill-transport/src/driver.rs
@@ -15,7 +15,7 @@
 use mio::{Events, Interest, Poll, Token};
 use tracing::error;
 
-use crate::connection::{Connection, Counted, Handler};
+use crate::connection::{Connection, Counted, Handler, Line};
 use crate::limits::Limits;
 use crate::socket::Socket;
 
@@ -66,7 +66,7 @@
 
 enum Adopt {
     Accepted { socket: TcpStream, peer: SocketAddr, limits: Limits, handler: Handler, counted: Counted },
-    Opened { socket: TcpStream, peer: SocketAddr, limits: Limits, streams: Arc<AtomicUsize>, answer: Answer },
+    Opened { socket: TcpStream, peer: SocketAddr, limits: Limits, line: Line, answer: Answer },
     Stop,
 }
 
@@ -144,26 +144,26 @@
         socket: TcpStream,
         peer: SocketAddr,
         limits: Limits,
-        streams: Arc<AtomicUsize>,
+        line: Line,
         answer: Answer,
     ) -> io::Result<()> {
-        self.adopt(Adopt::Opened { socket, peer, limits, streams, answer })
+        self.adopt(Adopt::Opened { socket, peer, limits, line, answer })
     }
 }
 
 fn take_on(poll: &Poll, bell: &Arc<Bell>, key: usize, what: Adopt) -> io::Result<Option<Held>> {
-    let reads = Arc::new(AtomicU64::new(0));
     let (connection, fd) = match what {
         Adopt::Stop => return Ok(None),
         Adopt::Accepted { socket, peer, limits, handler, counted } => {
             let fd = prepare(poll, &socket, key)?;
-            let socket = Socket::new(Box::new(socket), reads.clone());
+            let reads = Arc::new(AtomicU64::new(0));
+            let socket = Socket::new(Box::new(socket), reads.clone(), Arc::default());
             (Connection::accepted(socket, peer, reads, limits, handler, counted), fd)
         }
-        Adopt::Opened { socket, peer, limits, streams, answer } => {
+        Adopt::Opened { socket, peer, limits, line, answer } => {
             let fd = prepare(poll, &socket, key)?;
-            let socket = Socket::new(Box::new(socket), reads.clone());
-            (Connection::opened(socket, peer, reads, limits, streams, answer), fd)
+            let socket = Socket::new(Box::new(socket), line.reads.clone(), line.severed.clone());
+            (Connection::opened(socket, peer, limits, line, answer), fd)
         }
     };
     let ring = Arc::new(Ring { bell: bell.clone(), key, queued: AtomicBool::new(true) });
--- a/crates/whinhill-transport/src/socket.rs
+++ b/crates/whinhill-transport/src/socket.rs
@@ -6,10 +6,12 @@
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, TcpStream};
 use std::pin::Pin;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
+use rustix::net::sockopt::set_socket_linger;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 /// What can carry a connection: a plain socket today, TLS over one later.
@@ -27,11 +29,22 @@
     wire: Box<dyn Wire>,
     /// Counts reads that brought something, for the connection's idea of a silent peer.
     reads: Arc<AtomicU64>,
+    severed: Arc<AtomicBool>,
 }
 
 impl Socket {
-    pub fn new(wire: Box<dyn Wire>, reads: Arc<AtomicU64>) -> Self {
-        Socket { wire, reads }
+    pub fn new(wire: Box<dyn Wire>, reads: Arc<AtomicU64>, severed: Arc<AtomicBool>) -> Self {
+        Socket { wire, reads, severed }
+    }
+}
+
+impl Drop for Socket {
+    fn drop(&mut self) {
+        if self.severed.load(Ordering::Relaxed) {
+            // An ordinary close leaves what was written to the system, which goes on trying to deliver it for
+            // minutes. An abortive one drops it: nothing of a severed connection may arrive later.
+            let _ = set_socket_linger(self.wire.socket(), Some(Duration::ZERO));
+        }
     }
 }
 
--- a/crates/whinhill-transport/tests/bad_peers.rs
+++ b/crates/whinhill-transport/tests/bad_peers.rs
@@ -1,7 +1,7 @@
 //! A peer that misbehaves is closed, and costs the others nothing.
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -165,3 +165,22 @@
     writer.finish().unwrap();
     assert_eq!(reading.join().unwrap(), 4);
 }
+
+#[test]
+fn a_severed_connection_is_reset_so_that_nothing_of_it_arrives_later() {
+    let drivers = Drivers::start("severed", 1).unwrap();
+    let silent = TcpListener::bind("127.0.0.1:0").unwrap();
+    let patient = Limits { handshake: WITHIN, ..Limits::default() };
+    let client = Client::connect(silent.local_addr().unwrap(), patient, &drivers).unwrap();
+    let (mut peer, _) = silent.accept().unwrap();
+    let (heard, brief) = (client.heard(), Duration::from_millis(20));
+    let answer = client.unary("/hold", &[], Bytes::from_static(b"write"), brief);
+    assert!(matches!(answer, Err(CallError::Deadline(_))), "{answer:?}");
+    assert_eq!(client.heard(), heard);
+    client.sever();
+    assert!(!client.alive());
+    // An ordinary close would end in good order, with whatever was still on its way delivered first.
+    peer.set_read_timeout(Some(WITHIN)).unwrap();
+    let ended = peer.read_to_end(&mut Vec::new()).unwrap_err();
+    assert_eq!(ended.kind(), std::io::ErrorKind::ConnectionReset);
+}
