--- a/crates/whinhill-assigner/src/assigner.rs
+++ b/crates/whinhill-assigner/src/assigner.rs
@@ -12,12 +12,16 @@
 use rand::Rng;
 use tracing::{error, info, warn};
 use whinhill::interface::{ProxyId, SettingsError, SliceId};
+use whinhill_history::{Book, BookError};
 use whinhill_store::{Custody, CustodyConfig, Identity, RespConfig, RespStore, Store};
 use whinhill_tables::PendingGrant;
-use whinhill_transport::{Drivers, Limits, Listener};
+use whinhill_transport::{Code, Drivers, Limits, Listener, ServerCall, Trailers, Workers};
 use whinhill_xds::{Entry, Kind};
 
+use crate::ask::{Answer, Ask, ProxyLine, ASK_PATH};
+use crate::book::Bookkeeper;
 use crate::channel::Channel;
+use crate::chronicle::Numbered;
 use crate::config::{AssignerConfig, Fault};
 use crate::core::{Core, Effects, Input};
 use crate::hub::{Hub, HubConfig};
@@ -31,6 +35,11 @@
 const INBOX: usize = 8192;
 /// Grants that may wait for the store's thread; more wait with the one that decides, one a slice.
 const GRANTS: usize = 4096;
+/// Pages that may wait for the file; what is over is folded into the next.
+const PAGES: usize = 64;
+/// Operators' questions in hand at a time, and how long one may take.
+const ASKS: usize = 16;
+const ASK_WITHIN: Duration = Duration::from_secs(10);
 /// The shortest time between two batches: what comes meanwhile is decided together.
 const ROUND: Duration = Duration::from_millis(2);
 const STACK: usize = 512 << 10;
@@ -43,6 +52,8 @@
     Settings(#[from] SettingsError),
     #[error("cannot listen on {addr}: {error}")]
     Listen { addr: SocketAddr, error: io::Error },
+    #[error("{path}: {error}")]
+    History { path: String, error: BookError },
     #[error("cannot start: {0}")]
     Io(#[from] io::Error),
 }
@@ -53,6 +64,7 @@
     stop: Arc<AtomicBool>,
     hub: Arc<Hub>,
     listener: Option<Listener>,
+    operators: Option<Listener>,
     threads: Vec<thread::JoinHandle<()>>,
 }
 
@@ -76,7 +88,31 @@
         let counters = Arc::new(Counters::default());
         let (inputs, inbox) = bounded(INBOX);
         let (grants, to_store) = bounded(GRANTS);
-        let core = Core::new(&config, seed)?;
+        let mut core = Core::new(&config, seed)?;
+        let mut keeping = None;
+        if let Some(dir) = &config.state_dir {
+            std::fs::create_dir_all(dir)?;
+            let path = dir.join("history.redb");
+            let limits = config.history.limits();
+            let failed = |error| StartError::History { path: path.display().to_string(), error };
+            let (book, history) = Book::open(&path, limits).map_err(failed)?;
+            let rollbacks = book.rollbacks().map_err(failed)?;
+            info!(
+                version = history.current().id().number,
+                kept = history.entries().count(),
+                rollbacks = rollbacks.iter().filter(|rollback| !rollback.finished()).count(),
+                "history taken up"
+            );
+            core.restore(history, rollbacks, PAST, unix_ms());
+            let (to_book, pages) = bounded(PAGES);
+            let (inputs, stop) = (inputs.clone(), stop.clone());
+            keeping = Some((to_book, Bookkeeper { path, limits, book: Some(book), pages, inputs, stop }));
+        }
+        let (asks, asked) = bounded(ASKS);
+        let operators = match config.operators {
+            Some(addr) => Some(listen_to_operators(&config.name, addr, &drivers, asks)?),
+            None => None,
+        };
         let service = core.service().clone();
         let ms = Duration::from_millis;
         let hub = Arc::new(Hub::new(
@@ -150,8 +186,20 @@
             node: config.name.clone(),
             listed,
         };
+        let (to_book, bookkeeper) = match keeping {
+            Some((to_book, bookkeeper)) => (Some(to_book), Some(bookkeeper)),
+            None => (None, None),
+        };
         let decider = Decider {
             core,
+            to_book,
+            page: None,
+            kept: 0,
+            asked,
+            asking: BTreeMap::new(),
+            answers: Vec::new(),
+            holdings: BTreeMap::new(),
+            next_look: Duration::ZERO,
             channel: Channel::new(config.channel.lines_per_s, config.channel.head),
             names: BTreeMap::new(),
             hub: hub.clone(),
@@ -169,8 +217,15 @@
         spawn("decide", Box::new(move || decider.run()))?;
         spawn("roster", Box::new(move || feed.run()))?;
         spawn("store", Box::new(move || steward.run()))?;
+        if let Some(bookkeeper) = bookkeeper {
+            spawn("history", Box::new(move || bookkeeper.run()))?;
+        }
+        if let (Some(listener), Some(dir)) = (&operators, &config.state_dir) {
+            std::fs::write(dir.join("operators"), listener.addr().to_string())?;
+            info!(addr = %listener.addr(), "operators are listened to");
+        }
         info!(%addr, "assigner listens");
-        Ok(Assigner { addr, stop, hub, listener: Some(listener), threads })
+        Ok(Assigner { addr, stop, hub, listener: Some(listener), operators, threads })
     }
 
     pub fn addr(&self) -> SocketAddr {
@@ -192,6 +247,7 @@
                 error!("a thread of the assigner had panicked");
             }
         }
+        self.operators = None;
         self.hub.close();
         // Streams say that they end; a proxy that does not read is not waited for.
         let until = Instant::now() + Duration::from_millis(500);
@@ -204,8 +260,74 @@
     }
 }
 
+/// An operator's question, and where its answer goes.
+type Question = (Ask, Sender<Answer>);
+
+fn listen_to_operators(
+    name: &str,
+    addr: SocketAddr,
+    drivers: &Drivers,
+    asks: Sender<Question>,
+) -> Result<Listener, StartError> {
+    let workers = Workers::new("operator", ASKS, 128 << 10);
+    let limits = Limits { connections_most: ASKS, message_most: 1 << 20, ..Limits::default() };
+    let handler = move |call: ServerCall| {
+        let asks = asks.clone();
+        let full =
+            |call: ServerCall| call.refuse(Code::ResourceExhausted, "too many questions", Trailers::new());
+        workers.hand(call, move |call| answer_operator(call, &asks), full);
+    };
+    Listener::start(&format!("{name}-operators"), addr, limits, drivers, handler)
+        .map_err(|error| StartError::Listen { addr, error })
+}
+
+fn answer_operator(mut call: ServerCall, asks: &Sender<Question>) {
+    if call.path() != ASK_PATH {
+        return call.refuse(Code::Unimplemented, "no such method", Trailers::new());
+    }
+    let asked = call.message(ASK_WITHIN).map_err(|error| error.to_string());
+    let asked = asked.and_then(|message| {
+        serde_json::from_slice::<Ask>(&message).map_err(|error| format!("not a question: {error}"))
+    });
+    let ask = match asked {
+        Ok(ask) => ask,
+        Err(why) => return call.refuse(Code::InvalidArgument, &why, Trailers::new()),
+    };
+    let (answer, answered) = bounded(1);
+    let told = asks.send_timeout((ask, answer), ASK_WITHIN).ok();
+    match told.and_then(|()| answered.recv_timeout(ASK_WITHIN).ok()) {
+        Some(answer) => {
+            let text = serde_json::to_vec(&answer).unwrap_or_default();
+            // An operator that has gone asks again.
+            let _ = call.answer(&text, Trailers::new(), ASK_WITHIN);
+        }
+        None => call.refuse(
+            Code::Unavailable,
+            "no answer in time; a rollback may have begun: look with `rollbacks`",
+            Trailers::new(),
+        ),
+    }
+}
+
+fn unix_ms() -> u64 {
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    now.map_or(0, |span| span.as_millis() as u64)
+}
+
 struct Decider {
     core: Core,
+    to_book: Option<Sender<Numbered>>,
+    /// A page that the file's queue had no room for.
+    page: Option<Numbered>,
+    /// The last page that is kept.
+    kept: u64,
+    asked: Receiver<Question>,
+    asking: BTreeMap<u64, Sender<Answer>>,
+    /// Answers that wait until the page of that number is kept.
+    answers: Vec<(u64, u64, Answer)>,
+    /// The newest version that each proxy has acknowledged whole, and when it was last seen to hold all.
+    holdings: BTreeMap<String, (u64, Duration)>,
+    next_look: Duration,
     channel: Channel,
     names: BTreeMap<ProxyId, String>,
     hub: Arc<Hub>,
@@ -246,6 +368,9 @@
                     let more: Vec<_> = self.inbox.try_iter().take(INBOX).collect();
                     for (input, acted) in std::iter::once(first).chain(more) {
                         self.remember(&input);
+                        if let Input::Kept { seq } = &input {
+                            self.kept = *seq;
+                        }
                         inputs.push(input);
                         done.extend(acted);
                     }
@@ -255,6 +380,13 @@
             }
             // The newest list stands for those before it, but a failure after it is told too.
             inputs.splice(0..0, self.roster.try_iter());
+            if self.to_book.is_none() && self.kept < self.core.chronicle().seq() {
+                // Without a file all is as kept as it will be.
+                self.kept = self.core.chronicle().seq();
+                inputs.push(Input::Kept { seq: self.kept });
+            }
+            self.take_questions(&mut inputs);
+            self.core.set_wall(unix_ms());
             let now = self.now();
             let began = Instant::now();
             let effects = self.core.handle(now, inputs);
@@ -263,11 +395,13 @@
             self.status.batch_us_sum += took;
             self.status.batch_us_most = self.status.batch_us_most.max(took);
             self.carry_out(effects);
+            self.give_answers();
             for acted in done {
                 // Whoever asked may have stopped waiting.
                 let _ = acted.try_send(());
             }
             due = self.core.wake().min(self.pump());
+            self.look_at_proxies();
             if Instant::now() >= next_status {
                 next_status += Duration::from_secs(1);
                 self.write_status(&mut file);
@@ -286,10 +420,92 @@
         }
     }
 
+    /// Hands a page to the file's thread, with what it had no room for before.
+    fn keep(&mut self, page: Option<Numbered>) {
+        let Some(to_book) = &self.to_book else { return };
+        let mut next = self.page.take();
+        if let Some(page) = page {
+            match &mut next {
+                Some(held) => {
+                    held.seq = page.seq;
+                    held.page.fold(page.page);
+                }
+                none => *none = Some(page),
+            }
+        }
+        self.page = next.and_then(|page| to_book.try_send(page).err()).map(|refused| refused.into_inner());
+    }
+
+    fn take_questions(&mut self, inputs: &mut Vec<Input>) {
+        for (ask, answer) in self.asked.try_iter().take(ASKS) {
+            if ask == Ask::Proxies {
+                // Whoever asked may have gone.
+                let _ = answer.try_send(self.proxies());
+                continue;
+            }
+            let id = self.asking.last_key_value().map_or(0, |(id, _)| id + 1);
+            self.asking.insert(id, answer);
+            inputs.push(Input::Asked { id, ask });
+        }
+    }
+
+    /// Gives the answers that wait for nothing more.
+    fn give_answers(&mut self) {
+        let kept = if self.to_book.is_some() { self.kept } else { u64::MAX };
+        let (ready, later) =
+            std::mem::take(&mut self.answers).into_iter().partition(|(_, seq, _)| *seq <= kept);
+        self.answers = later;
+        for (id, _, answer) in ready {
+            if let Some(asker) = self.asking.remove(&id) {
+                let _ = asker.try_send(answer);
+            }
+        }
+        // One that can't be answered in time has been told so.
+        self.answers.truncate(ASKS * 4);
+    }
+
+    /// Notes who has acknowledged all that there is, once in a while.
+    fn look_at_proxies(&mut self) {
+        let now = self.now();
+        if now < self.next_look {
+            return;
+        }
+        self.next_look = now + Duration::from_millis(250);
+        let current = self.core.chronicle().history().current().id().number;
+        // What is held back for the file has been told to nobody.
+        let told = self.core.chronicle().held_back() == 0;
+        let joined = self.core.joined();
+        let here: Vec<(String, bool)> = joined
+            .keys()
+            .filter_map(|id| Some((self.names.get(id)?.clone(), self.channel.waits(*id))))
+            .collect();
+        self.holdings.retain(|name, _| here.iter().any(|(known, _)| known == name));
+        for (name, waits) in here {
+            let settled = told && !waits && self.hub.settled(&name);
+            let held = self.holdings.entry(name).or_insert((0, now));
+            if settled {
+                *held = (current, now);
+            }
+        }
+    }
+
+    fn proxies(&self) -> Answer {
+        let (now, current) = (self.now(), self.core.chronicle().history().current().id().number);
+        let line = |(proxy, (acked, at)): (&String, &(u64, Duration))| ProxyLine {
+            proxy: proxy.clone(),
+            acked: (*acked > 0).then_some(*acked),
+            behind: current - acked,
+            behind_ms: if *acked == current { 0 } else { now.saturating_sub(*at).as_millis() as u64 },
+        };
+        Answer::Proxies { current, proxies: self.holdings.iter().map(line).collect() }
+    }
+
     fn carry_out(&mut self, effects: Effects) {
         effects.log.iter().for_each(|text| info!(target: "whinhill::module", "{text}"));
         effects.left.iter().for_each(|proxy| self.channel.left(*proxy));
         self.publish(&effects);
+        self.keep(effects.page);
+        self.answers.extend(effects.answers);
         if !effects.changed.is_empty() || effects.mark.is_some() {
             let joined = self.core.joined().keys().copied();
             self.channel.push(joined, &effects.changed, effects.mark, effects.lines, effects.safety);
--- a/crates/whinhill-assigner/src/channel.rs
+++ b/crates/whinhill-assigner/src/channel.rs
@@ -82,6 +82,11 @@
         Some(Ok((proxy, parcel)))
     }
 
+    /// Whether something waits for a proxy.
+    pub fn waits(&self, proxy: ProxyId) -> bool {
+        self.waiting.contains_key(&proxy)
+    }
+
     /// A proxy left: what waits for it is lost.
     pub fn left(&mut self, proxy: ProxyId) {
         self.waiting.remove(&proxy);
--- a/crates/whinhill-assigner/src/config.rs
+++ b/crates/whinhill-assigner/src/config.rs
@@ -60,6 +60,12 @@
     /// Where the last list of servers is kept.
     #[serde(default)]
     pub state_dir: Option<PathBuf>,
+    /// Where operators connect (`whinhill table`); nobody is listened to without it.
+    #[serde(default)]
+    pub operators: Option<SocketAddr>,
+    /// What is kept of the sets that were published, in `state_dir`, or in memory without one.
+    #[serde(default)]
+    pub history: HistoryConfig,
     /// Where a line of figures is written each second, as JSON.
     #[serde(default)]
     pub status_file: Option<PathBuf>,
@@ -83,6 +89,32 @@
     1024
 }
 
+/// Past any of these limits the oldest versions go; those marked good stay.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct HistoryConfig {
+    pub versions: usize,
+    pub bytes: usize,
+    /// In hours in which an assigner ran.
+    pub hours: u64,
+}
+
+impl Default for HistoryConfig {
+    fn default() -> Self {
+        HistoryConfig { versions: 20_000, bytes: 64 << 20, hours: 72 }
+    }
+}
+
+impl HistoryConfig {
+    pub fn limits(&self) -> whinhill_tables::Limits {
+        whinhill_tables::Limits {
+            entries: self.versions,
+            bytes: self.bytes,
+            age: Duration::from_secs(self.hours * 3600),
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
 pub struct Sabotage {
--- a/crates/whinhill-assigner/src/core.rs
+++ b/crates/whinhill-assigner/src/core.rs
@@ -7,13 +7,16 @@
 use hdrhistogram::Histogram;
 
 use whinhill::interface::{
-    Entry, Ep, Event, ListKind, Listed, LoadReport, Order, Probe, ProxyId, SettingsError, SliceId,
+    Entry, Ep, Event, Health, ListKind, Listed, LoadReport, Order, Probe, ProxyId, SettingsError, SliceId,
 };
 use whinhill_store::Told;
-use whinhill_tables::{Keeper, PendingGrant, ServerName};
+use whinhill_tables::rollback::{Fleet, Rollback, Standing};
+use whinhill_tables::{History, Keeper, PendingGrant, ServerName, TableSet};
 use whinhill_xds::mapping::Service;
 use whinhill_xds::proto;
 
+use crate::ask::{Answer, Ask};
+use crate::chronicle::{Batch, Chronicle, Numbered};
 use crate::config::AssignerConfig;
 use crate::intake::Intake;
 use crate::names::Names;
@@ -58,6 +61,15 @@
     Granted {
         grant: PendingGrant,
     },
+    /// The file holds every page up to that number.
+    Kept {
+        seq: u64,
+    },
+    /// An operator asks; the answer carries the same number.
+    Asked {
+        id: u64,
+        ask: Ask,
+    },
 }
 
 /// What is to be done, in this order: tables into the cache, removals told at once, changes and the mark to the
@@ -78,6 +90,10 @@
     pub probes: Vec<ServerName>,
     pub left: Vec<ProxyId>,
     pub ask_roster: bool,
+    /// What our own file must take.
+    pub page: Option<Numbered>,
+    /// Answers to operators, each to be given once the page of that number is kept.
+    pub answers: Vec<(u64, u64, Answer)>,
     pub log: Vec<String>,
 }
 
@@ -102,6 +118,32 @@
     early: Vec<Event>,
     moves: u64,
     strange: u64,
+    chronicle: Chronicle,
+    unix_ms: u64,
+    asked: Vec<(u64, Ask)>,
+}
+
+/// What the module knows of servers, for rollbacks.
+struct Eyes<'a> {
+    module: &'a whinhill::Assigner,
+    names: &'a Names,
+}
+
+impl Fleet for Eyes<'_> {
+    fn standing(&self, server: &str) -> Standing {
+        match self.names.known(server).map(|index| self.module.health(index)) {
+            None => Standing::Unknown,
+            Some(Health::Ready) => Standing::Ready,
+            Some(Health::Cold) => Standing::Cold,
+            Some(Health::Sick) => Standing::Sick,
+            Some(Health::Draining) => Standing::Draining,
+            Some(Health::Gone) => Standing::Gone,
+        }
+    }
+
+    fn moving(&self, slice: SliceId) -> bool {
+        self.module.moving(slice)
+    }
 }
 
 impl Core {
@@ -125,9 +167,31 @@
             early: Vec::new(),
             moves: 0,
             strange: 0,
+            chronicle: Chronicle::new(
+                History::new(config.history.limits(), 0, TableSet::new()),
+                Vec::new(),
+                Duration::ZERO,
+                0,
+            ),
+            unix_ms: 0,
+            asked: Vec::new(),
         })
     }
 
+    /// Takes up the history and the rollbacks that the file held.
+    pub fn restore(&mut self, history: History, rollbacks: Vec<Rollback>, now: Duration, unix_ms: u64) {
+        self.chronicle = Chronicle::new(history, rollbacks, now, unix_ms);
+    }
+
+    /// The time by the wall, for those who read the history.
+    pub fn set_wall(&mut self, unix_ms: u64) {
+        self.unix_ms = unix_ms;
+    }
+
+    pub fn chronicle(&self) -> &Chronicle {
+        &self.chronicle
+    }
+
     pub fn service(&self) -> &Arc<Service> {
         &self.service
     }
@@ -163,10 +227,37 @@
     /// Takes all that happened by `now` and says what is to be done.
     pub fn handle(&mut self, now: Duration, inputs: Vec<Input>) -> Effects {
         let mut effects = Effects::default();
+        let mut granted = BTreeSet::new();
         let mut events = std::mem::take(&mut self.early);
         for input in inputs {
-            self.take(now, input, &mut events, &mut effects);
+            self.take(now, input, &mut events, &mut effects, &mut granted);
+        }
+        self.decide(now, events, &mut effects);
+        self.remember(now, granted, &mut effects);
+        effects
+    }
+
+    /// Puts what changed into the history, holds back what must be kept first, and answers operators.
+    fn remember(&mut self, now: Duration, granted: BTreeSet<SliceId>, effects: &mut Effects) {
+        let mut touched: BTreeSet<SliceId> = granted.clone();
+        for of in [&effects.changed, &effects.given, &effects.taken] {
+            touched.extend(of);
+        }
+        // Before anyone is asked to keep it: who wished for a grant shows only until the next look.
+        let published = self.keeper.published();
+        let (unix_ms, cause) = (self.unix_ms, effects.log.first().cloned());
+        self.chronicle.record(Batch { now, unix_ms, published, touched, granted, cause });
+        let eyes = Eyes { module: &self.module, names: &self.names };
+        for (id, ask) in std::mem::take(&mut self.asked) {
+            let answer = crate::answers::answer(&mut self.chronicle, published, &eyes, now, ask);
+            effects.answers.push((id, self.chronicle.seq(), answer));
         }
+        let chronicle = &self.chronicle;
+        effects.changed.retain(|slice| !chronicle.holds_back(*slice));
+        effects.page = self.chronicle.take_page();
+    }
+
+    fn decide(&mut self, now: Duration, mut events: Vec<Event>, effects: &mut Effects) {
         let names = &self.names;
         let ep = |index: usize| {
             let stable = names.server(index).map_or(0, |name| xxhash_rust::xxh3::xxh3_64(name.as_bytes()));
@@ -181,17 +272,29 @@
         if !self.started {
             events.retain(|event| *event != Event::Timer);
             self.early = events;
-            return effects;
+            return;
+        }
+        let eyes = Eyes { module: &self.module, names };
+        let (wishes, ended) = self.chronicle.look(now, self.keeper.published(), &eyes);
+        effects.log.extend(ended);
+        for (slice, server) in wishes {
+            events.push(Event::Wished { slice, to: self.names.ep(&server) });
         }
         if events.is_empty() {
-            return effects;
+            return;
         }
         let orders = self.module.handle(now, &events);
-        self.carry_out(now, &orders, &mut effects);
-        effects
+        self.carry_out(now, &orders, effects);
     }
 
-    fn take(&mut self, now: Duration, input: Input, events: &mut Vec<Event>, effects: &mut Effects) {
+    fn take(
+        &mut self,
+        now: Duration,
+        input: Input,
+        events: &mut Vec<Event>,
+        effects: &mut Effects,
+        granted: &mut BTreeSet<SliceId>,
+    ) {
         match input {
             Input::Roster { kind, entries, unix_ms } => {
                 self.started = true;
@@ -241,9 +344,14 @@
             Input::Granted { grant } => {
                 let changed = self.keeper.granted(&grant);
                 effects.log.extend(changed.faults.iter().map(|fault| format!("not published: {fault}")));
-                effects.lines += changed.slices.len() as u32;
-                effects.changed.extend(changed.slices);
+                granted.extend(changed.slices);
+            }
+            Input::Kept { seq } => {
+                let told = self.chronicle.kept(seq);
+                effects.lines += told.len() as u32;
+                effects.changed.extend(told);
             }
+            Input::Asked { id, ask } => self.asked.push((id, ask)),
         }
     }
 
--- a/crates/whinhill-assigner/src/core/tests.rs
+++ b/crates/whinhill-assigner/src/core/tests.rs
@@ -108,7 +108,11 @@
     };
     assert_eq!((&*grant.owner, grant.epoch), ("10.0.0.2:7", 3));
     assert_ne!(core.keeper().published()[&0].owner.as_deref(), Some("10.0.0.2:7"));
+    // The store holds it; it is told only once our own file does too.
     let effects = core.handle(s(at + 0.1), vec![Input::Granted { grant }]);
+    assert!(!effects.changed.contains(&0));
+    let seq = effects.page.unwrap().seq;
+    let effects = core.handle(s(at + 0.2), vec![Input::Kept { seq }]);
     assert!(effects.changed.contains(&0) && effects.lines > 0);
     assert_eq!(core.keeper().published()[&0].owner.as_deref(), Some("10.0.0.2:7"));
 }
--- a/crates/whinhill-assigner/src/hub.rs
+++ b/crates/whinhill-assigner/src/hub.rs
@@ -385,6 +385,14 @@
         }
     }
 
+    /// Whether a proxy has acknowledged all that there is for it.
+    pub fn settled(&self, proxy: &str) -> bool {
+        let Some(stream) = self.streams().get(proxy).cloned() else { return false };
+        let cache = self.cache.read().unwrap_or_else(PoisonError::into_inner);
+        let holds = stream.state().holds_all(&cache);
+        holds
+    }
+
     pub fn connected(&self) -> usize {
         self.streams().len()
     }
--- a/crates/whinhill-assigner/src/lib.rs
+++ b/crates/whinhill-assigner/src/lib.rs
@@ -5,25 +5,33 @@
 //! cache, changes to the paced [`Channel`], grants to the store, probes to their threads. [`Core`], the channel and
 //! the intake of reports have no I/O and no clock; threads and sockets stand around them and hold no rule.
 
+mod answers;
+mod ask;
 mod assigner;
+mod book;
 mod channel;
+mod chronicle;
 mod config;
 mod core;
 mod hub;
 mod intake;
 mod names;
+mod operator;
 mod probes;
 mod roster;
 mod status;
 mod stewards;
 
 pub use crate::core::{Core, Effects, Input};
+pub use ask::{Answer, Ask, PlanLine, ProxyLine, RollbackLine, SliceLine, Target, VersionLine, ASK_PATH};
 pub use assigner::{Assigner, StartError};
 pub use channel::{Channel, Parcel};
+pub use chronicle::{Batch, Chronicle, Numbered, RollbackError};
 pub use config::{
-    AssignerConfig, ChannelConfig, CustodySettings, Fault, MethodConfig, MethodEffect, RosterConfig,
-    RulesConfig, Sabotage, ServiceConfig, StoreConfig,
+    AssignerConfig, ChannelConfig, CustodySettings, Fault, HistoryConfig, MethodConfig, MethodEffect,
+    RosterConfig, RulesConfig, Sabotage, ServiceConfig, StoreConfig,
 };
 pub use intake::Intake;
+pub use operator::{ask, AskError};
 pub use roster::{read_roster, RosterEntry, RosterFile, RosterState};
 pub use status::Status;
--- a/crates/whinhill-cli/src/bench.rs
+++ b/crates/whinhill-cli/src/bench.rs
@@ -8,7 +8,7 @@
 use whinhill_history::Book;
 use whinhill_standins::bench;
 use whinhill_standins::day::Day;
-use whinhill_tables::{Author, Limits, SliceTable, TableSet, Version};
+use whinhill_tables::{Author, Changes, Limits, SliceTable, Version};
 
 use crate::{config, Failed};
 
@@ -95,18 +95,15 @@
         tries: 1,
     };
     let (mut book, mut history) = Book::open(path, limits)?;
-    let mut set: TableSet = (0..slices).map(|slice| (slice, table(slice, 0))).collect();
     let mut took = Vec::new();
     for number in 1..=versions {
-        for k in 0..changes {
-            let slice = (number as usize * changes + k) % slices;
-            set.insert(slice, table(slice, number));
-        }
+        let touched = (0..changes).map(|k| (number as usize * changes + k) % slices);
+        let set: Changes = touched.map(|slice| (slice, Some(table(slice, number)))).collect();
         let at = Duration::from_secs(number);
-        let delta = history.record(set.clone(), Author::Module, "elimination: 10 moves", at, number * 1000);
+        let delta = history.advance(set, Author::Module, "elimination: 10 moves", at, number * 1000);
         let began = Instant::now();
         if let Some(delta) = delta {
-            book.keep(&mut history, &delta)?;
+            book.keep(&history.page(delta))?;
         }
         took.push(began.elapsed().as_micros() as u64);
     }
--- a/crates/whinhill-cli/src/main.rs
+++ b/crates/whinhill-cli/src/main.rs
@@ -5,7 +5,9 @@
 mod day;
 mod logging;
 mod proxy;
+mod soak;
 mod standin;
+mod table;
 mod until_stopped;
 
 use std::path::PathBuf;
@@ -61,6 +63,8 @@
         #[command(subcommand)]
         command: standin::StandinCommand,
     },
+    /// Versions of an assigner's tables, and the way back to an older one.
+    Table(table::TableArgs),
     /// Scripted days on loopback.
     Day {
         #[command(subcommand)]
@@ -142,6 +146,7 @@
         }
         Command::Proxy { config, ready_file } => proxy::run(&config, ready_file.as_deref()),
         Command::Standin { command } => standin::run(command),
+        Command::Table(args) => table::run(args),
         Command::Day { command } => day::run(command),
         Command::Bench { command } => bench::run(command),
         Command::Config { command: ConfigCommand::Check { file, kind } } => {
--- a/crates/whinhill-cli/tests/days.rs
+++ b/crates/whinhill-cli/tests/days.rs
@@ -64,6 +64,33 @@
     assert!(outcome["reconnects"].as_u64().unwrap() > 0, "{outcome}");
 }
 
+#[test]
+fn a_rollback_under_load_survives_an_assigner_that_is_killed_half_way() {
+    let (outcome, code) = play(&day("rollback.json5"));
+    assert_eq!((broken(&outcome), code), (0, Some(0)), "{outcome}");
+    let of = |what: &str| outcome["rollbacks"][what].as_u64().unwrap();
+    assert!(of("asked") >= 3 && of("slices_done") > 0, "{outcome}");
+    assert_eq!(of("ended"), of("asked"), "{outcome}");
+}
+
+#[test]
+fn tables_soaked_in_crashes_and_lost_messages_equal_a_full_rebuild() {
+    let output = whinhill(&["table", "soak", "--seed", "3", "--steps", "3000", "--proxies", "6", "--json"]);
+    let outcome = outcome(&output);
+    assert_eq!(output.status.code(), Some(0), "{outcome}");
+    for what in ["mismatches", "owner_order_breaks", "rollbacks_open"] {
+        assert_eq!(outcome[what], 0, "{what}: {outcome}");
+    }
+    for what in ["rollbacks", "crashes", "refused_deltas"] {
+        assert!(outcome[what].as_u64().unwrap() > 0, "{what}: {outcome}");
+    }
+    // An agent that hands slices back unasked must be found.
+    let broken = whinhill(&["table", "soak", "--steps", "3000", "--sabotage", "--json"]);
+    let said = String::from_utf8_lossy(&broken.stderr).to_string();
+    assert_eq!(broken.status.code(), Some(1));
+    assert!(said.contains("shortest failing prefix"), "{said}");
+}
+
 /// Plays a day of handovers with a broken component; tells the breaks of the second rule.
 fn sabotaged(kind: &str) -> u64 {
     let text = fs::read_to_string(day("handovers.json5")).unwrap();
--- a/crates/whinhill-history/src/lib.rs
+++ b/crates/whinhill-history/src/lib.rs
@@ -13,7 +13,7 @@
 //! let (mut book, mut history) = Book::open(&folder.path().join("history.redb"), limits)?;
 //! let set = history.current().set().clone();
 //! if let Some(delta) = history.record(set, Author::Recovery, "start", Duration::ZERO, 0) {
-//!     book.keep(&mut history, &delta)?;
+//!     book.keep(&history.page(delta))?;
 //! }
 //! # Ok::<(), Box<dyn std::error::Error>>(())
 //! ```
@@ -21,7 +21,8 @@
 use std::path::Path;
 
 use redb::{Database, Durability, ReadableDatabase, ReadableTable, StorageBackend, TableDefinition};
-use whinhill_tables::{Delta, Entry, Held, History, Limits, RestoreError, SliceTable, TableSet};
+use whinhill_tables::rollback::Rollback;
+use whinhill_tables::{Entry, Held, History, Limits, Page, RestoreError, SliceTable, TableSet};
 
 /// The form of the file. One with a greater number is of a later program and is not touched.
 pub const FORMAT: u64 = 1;
@@ -29,6 +30,8 @@
 const META: TableDefinition<&str, u64> = TableDefinition::new("meta");
 const ENTRIES: TableDefinition<u64, &[u8]> = TableDefinition::new("entries");
 const CURRENT: TableDefinition<u64, &[u8]> = TableDefinition::new("current");
+/// Rollbacks that are under way, by their number.
+const ROLLBACKS: TableDefinition<u64, &[u8]> = TableDefinition::new("rollbacks");
 const FORMAT_KEY: &str = "format";
 const NUMBER_KEY: &str = "number";
 
@@ -85,6 +88,7 @@
             }
             transaction.open_table(ENTRIES)?;
             transaction.open_table(CURRENT)?;
+            transaction.open_table(ROLLBACKS)?;
         }
         transaction.commit()?;
         let book = Book { database };
@@ -114,36 +118,25 @@
         Ok(History::restore(limits, Held::new(number, set), entries)?)
     }
 
-    /// Keeps what led to the newest version, and what was let go, rewritten or marked meanwhile. On disk when it
-    /// returns; after an error nothing of it is, and what it belongs to must not be published.
-    pub fn keep(&mut self, history: &mut History, delta: &Delta) -> Result<(), BookError> {
-        let touched = history.take_touched();
-        self.write(&touched, delta)
-    }
-
-    /// Keeps marks alone.
-    pub fn keep_marks(&mut self, history: &mut History) -> Result<(), BookError> {
-        let touched = history.take_touched();
-        let id = history.current().id();
-        self.write(&touched, &Delta { from: id, to: id, ..Delta::default() })
-    }
-
-    fn write(&mut self, touched: &[(u64, Option<Entry>)], delta: &Delta) -> Result<(), BookError> {
+    /// Keeps a page: the newest version, and what was let go, rewritten or marked meanwhile. On disk when it
+    /// returns; after an error nothing of it is, and what it belongs to must not be published. The same page may
+    /// be kept again.
+    pub fn keep(&mut self, page: &Page) -> Result<(), BookError> {
         let mut transaction = self.database.begin_write()?;
         transaction.set_durability(Durability::Immediate)?;
         {
             let mut current = transaction.open_table(CURRENT)?;
-            for (slice, table) in &delta.changed {
+            for (slice, table) in &page.changed {
                 let place = || format!("slice {slice}");
                 let bytes = serde_json::to_vec(table)
                     .map_err(|error| BookError::Content { place: place(), error })?;
                 current.insert(*slice as u64, bytes.as_slice())?;
             }
-            for slice in &delta.removed {
+            for slice in &page.removed {
                 current.remove(*slice as u64)?;
             }
             let mut entries = transaction.open_table(ENTRIES)?;
-            for (number, entry) in touched {
+            for (number, entry) in &page.touched {
                 let Some(entry) = entry else {
                     entries.remove(*number)?;
                     continue;
@@ -153,9 +146,33 @@
                     .map_err(|error| BookError::Content { place: place(), error })?;
                 entries.insert(*number, bytes.as_slice())?;
             }
-            transaction.open_table(META)?.insert(NUMBER_KEY, delta.to.number)?;
+            let mut rollbacks = transaction.open_table(ROLLBACKS)?;
+            for (id, rollback) in &page.rollbacks {
+                let Some(rollback) = rollback else {
+                    rollbacks.remove(*id)?;
+                    continue;
+                };
+                let place = || format!("rollback {id}");
+                let bytes = serde_json::to_vec(rollback)
+                    .map_err(|error| BookError::Content { place: place(), error })?;
+                rollbacks.insert(*id, bytes.as_slice())?;
+            }
+            transaction.open_table(META)?.insert(NUMBER_KEY, page.number)?;
         }
         transaction.commit()?;
         Ok(())
     }
+
+    /// The rollbacks that were under way, oldest first.
+    pub fn rollbacks(&self) -> Result<Vec<Rollback>, BookError> {
+        let mut found = Vec::new();
+        for row in self.database.begin_read()?.open_table(ROLLBACKS)?.iter()? {
+            let (id, bytes) = row?;
+            let (id, bytes) = (id.value(), bytes.value());
+            let rollback = serde_json::from_slice(bytes)
+                .map_err(|error| BookError::Content { place: format!("rollback {id}"), error })?;
+            found.push(rollback);
+        }
+        Ok(found)
+    }
 }
--- a/crates/whinhill-history/tests/crashes.rs
+++ b/crates/whinhill-history/tests/crashes.rs
@@ -117,7 +117,7 @@
             if rng.random_bool(0.1) {
                 // The disk fails at some write of this version, and the machine with it.
                 storage.0.lock().unwrap().left = Some(rng.random_range(0..12));
-                let kept = book.keep(&mut history, &delta).is_ok();
+                let kept = book.keep(&history.page(delta.clone())).is_ok();
                 let newest = if kept { delta.to } else { delta.from };
                 drop(book);
                 storage = storage.crashed(&mut rng);
@@ -129,7 +129,7 @@
                     "seed {seed}, step {step}: {found}, {newest}"
                 );
             } else {
-                book.keep(&mut history, &delta).unwrap();
+                book.keep(&history.page(delta)).unwrap();
             }
         }
         let numbers: Vec<u64> = history.entries().map(|entry| entry.id.number).collect();
@@ -143,10 +143,10 @@
     let mut rng = ChaCha8Rng::seed_from_u64(1);
     let (mut book, mut history) = Book::open_on(storage.clone(), LIMITS).unwrap();
     let good = change(&mut history, &mut rng, 1).unwrap();
-    book.keep(&mut history, &good).unwrap();
+    book.keep(&history.page(good.clone())).unwrap();
     storage.0.lock().unwrap().left = Some(0);
     let refused = change(&mut history, &mut rng, 2).unwrap();
-    let error = book.keep(&mut history, &refused).unwrap_err().to_string();
+    let error = book.keep(&history.page(refused)).unwrap_err().to_string();
     assert!(error.contains("no space left"), "{error}");
     drop(book);
     storage.0.lock().unwrap().left = None;
@@ -162,11 +162,11 @@
     let (mut book, mut history) = Book::open(&path, LIMITS).unwrap();
     for step in 1..80 {
         if let Some(delta) = change(&mut history, &mut rng, step) {
-            book.keep(&mut history, &delta).unwrap();
+            book.keep(&history.page(delta)).unwrap();
         }
         if step == 5 {
             assert!(history.pin_good(5));
-            book.keep_marks(&mut history).unwrap();
+            book.keep(&history.marks()).unwrap();
         }
     }
     let was: Vec<_> = history.entries().cloned().collect();
--- a/crates/whinhill-standins/src/day.rs
+++ b/crates/whinhill-standins/src/day.rs
@@ -202,6 +202,10 @@
     },
     /// The roster's file is left half written; one that is served by EDS ends its streams and refuses new ones.
     RosterDown {},
+    /// Operators have every assigner lead its owners back to where they were so long ago.
+    RollBack {
+        seconds: f64,
+    },
     /// The roster leaves that part of the servers out, though they serve.
     RosterDrops {
         part: f64,
--- a/crates/whinhill-standins/src/play.rs
+++ b/crates/whinhill-standins/src/play.rs
@@ -9,7 +9,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use hdrhistogram::Histogram;
 use rand::seq::SliceRandom;
@@ -18,7 +18,9 @@
 use rustix::process::Signal;
 use serde::Serialize;
 use tracing::{info, warn};
-use whinhill_assigner::{Assigner, AssignerConfig, RosterConfig, RosterState, Status, StoreConfig};
+use whinhill_assigner::{
+    Answer, Ask, Assigner, AssignerConfig, RosterConfig, RosterState, Status, StoreConfig, Target,
+};
 use whinhill_proxy::{Dial, Proxy, ProxyConfig, ProxyError};
 use whinhill_store::Record;
 use whinhill_transport::{Drivers, Limits, Workers};
@@ -78,6 +80,8 @@
     pub handovers: u64,
     pub nacks: u64,
     pub reconnects: u64,
+    /// Where the day has any.
+    pub rollbacks: Option<Rollbacks>,
     pub lines_sent: u64,
     pub backlog_most: u64,
     pub complete: bool,
@@ -92,6 +96,15 @@
     }
 }
 
+/// What became of a day's rollbacks.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct Rollbacks {
+    pub asked: u64,
+    pub ended: u64,
+    pub slices_done: u64,
+    pub slices_abandoned: u64,
+}
+
 /// What clients counted, and the times of their ok answers in microseconds.
 type Measured = (Arc<Totals>, Arc<Mutex<Histogram<u64>>>);
 
@@ -161,6 +174,8 @@
     fs::create_dir_all(out).map_err(io_at("the output folder"))?;
     let mut fleet = Fleet::start(day, program, out)?;
     let result = fleet.run();
+    let has_rollback = |fault: &crate::day::Scheduled| matches!(fault.what, Trouble::RollBack { .. });
+    let rollbacks = day.faults.iter().any(has_rollback).then(|| fleet.rollbacks());
     let (rejected, reconnects) = fleet.stop();
     let (totals, micros) = result?;
     let mut status: Vec<Status> = Vec::new();
@@ -196,6 +211,7 @@
         handovers: found.handovers,
         nacks: rejected,
         reconnects,
+        rollbacks,
         lines_sent: sum(|s| s.lines_sent),
         backlog_most,
         complete: !cut_short,
@@ -390,6 +406,8 @@
             proxies_most: 1024,
             state_dir: Some(dir.clone()),
             status_file: None,
+            operators: Some(loopback()),
+            history: whinhill_assigner::HistoryConfig::default(),
             seed: Some(self.rng.random()),
             sabotage: whinhill_assigner::Sabotage {
                 skips_the_wait: self.day.sabotage.contains(&Sabotage::AssignerSkipsWait),
@@ -717,6 +735,7 @@
                 self.hamper(*between, *fault, &near, &far, true);
                 return Ok(vec![(lasts, Act::Mend(*between, *fault, near, far))]);
             }
+            Trouble::RollBack { seconds } => self.roll_back(Duration::from_secs_f64(*seconds)),
             Trouble::StoreDown {} => self.store.set_down(true),
             Trouble::RejectTables { part } => {
                 for number in self.draw(*part, self.proxies.len()) {
@@ -765,6 +784,7 @@
                 self.roster.mend().map_err(io_at("the roster"))?;
             }
             Trouble::RosterDrops { .. } => self.list(on, false)?,
+            Trouble::RollBack { .. } => {}
             Trouble::Release { .. } | Trouble::Link { .. } | Trouble::RejectTables { .. } => {}
         }
         Ok(())
@@ -778,6 +798,52 @@
         self.record.note(Seen::Runs { assigner: slot.name.as_str().into(), runs });
     }
 
+    /// Has every assigner that answers lead its owners back to where they were so long ago.
+    fn roll_back(&self, ago: Duration) {
+        let then = SystemTime::now().checked_sub(ago).and_then(|then| then.duration_since(UNIX_EPOCH).ok());
+        let unix_ms = then.map_or(0, |then| then.as_millis() as u64);
+        for slot in &self.assigners {
+            let order = Ask::Rollback {
+                to: Target::UnixMs(unix_ms),
+                slices: None,
+                by: "the day's script".into(),
+                dry_run: false,
+                within_ms: 60_000,
+            };
+            let addr = fs::read_to_string(slot.dir.join("operators")).unwrap_or_default();
+            let Ok(addr) = addr.parse() else { continue };
+            match whinhill_assigner::ask(addr, &order, &self.drivers) {
+                Ok(Answer::Plan { id, to, slices, .. }) => {
+                    let moves = slices.iter().filter(|line| line.verdict == "moves").count();
+                    info!(name = %slot.name, ?id, to, moves, "rollback begun");
+                }
+                Ok(_) => {}
+                // One that is dead at the time can't be asked.
+                Err(error) => warn!(name = %slot.name, %error, "no rollback"),
+            }
+        }
+    }
+
+    /// How each assigner's rollbacks stand, at the day's end: done, abandoned, and those not ended.
+    fn rollbacks(&self) -> Rollbacks {
+        let mut sum = Rollbacks::default();
+        for slot in &self.assigners {
+            let addr = fs::read_to_string(slot.dir.join("operators")).unwrap_or_default();
+            let Ok(addr) = addr.parse() else { continue };
+            let Ok(Answer::Rollbacks(lines)) = whinhill_assigner::ask(addr, &Ask::Rollbacks, &self.drivers)
+            else {
+                continue;
+            };
+            for line in lines {
+                sum.asked += 1;
+                sum.ended += u64::from(line.finished);
+                sum.slices_done += line.progress.done as u64;
+                sum.slices_abandoned += line.progress.abandoned as u64;
+            }
+        }
+        sum
+    }
+
     fn pick(&mut self, pick: Pick, of: usize) -> Vec<usize> {
         match pick {
             Pick::All => (0..of).collect(),
--- a/crates/whinhill-tables/src/delta.rs
+++ b/crates/whinhill-tables/src/delta.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use whinhill::interface::SliceId;
 
-use crate::hash::set_hash;
+use crate::hash::{set_hash, slice_hash};
 use crate::table::{SliceTable, TableSet, Version};
 
 /// Names one set: its number in a history, and the hash of what it says. Two holders with the same name hold the
@@ -37,6 +37,9 @@
     pub removed: BTreeSet<SliceId>,
 }
 
+/// New tables by slice; `None`: the slice goes, or was not there.
+pub type Changes = BTreeMap<SliceId, Option<SliceTable>>;
+
 /// Why a delta was refused. The holder keeps what it had, and must be told the full set.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum DeltaError {
@@ -82,6 +85,42 @@
         }
     }
 
+    /// Takes slices' new tables, `None` for one that goes, as set `number`. Returns what leads there, and what each
+    /// slice was before. It costs what is changed, not what is held.
+    pub fn advance(&mut self, number: u64, changes: Changes) -> (Delta, Changes) {
+        let from = self.id;
+        let mut delta = Delta { from, ..Delta::default() };
+        let mut before = Changes::new();
+        for (slice, table) in changes {
+            if self.set.get(&slice) == table.as_ref() {
+                continue;
+            }
+            let was = self.put(slice, table.clone());
+            before.insert(slice, was);
+            match table {
+                Some(table) => drop(delta.changed.insert(slice, table)),
+                None => drop(delta.removed.insert(slice)),
+            }
+        }
+        if !before.is_empty() {
+            self.id.number = number;
+        }
+        delta.to = self.id;
+        (delta, before)
+    }
+
+    /// Replaces one slice's table and keeps the hash in step.
+    fn put(&mut self, slice: SliceId, table: Option<SliceTable>) -> Option<SliceTable> {
+        let added = table.as_ref().map_or(0, |table| slice_hash(slice, table));
+        let was = match table {
+            Some(table) => self.set.insert(slice, table),
+            None => self.set.remove(&slice),
+        };
+        let gone = was.as_ref().map_or(0, |table| slice_hash(slice, table));
+        self.id.hash = self.id.hash.wrapping_add(added).wrapping_sub(gone);
+        was
+    }
+
     /// Applies a delta that leads from exactly what is held. Applied a second time it changes nothing.
     pub fn apply(&mut self, delta: &Delta) -> Result<(), DeltaError> {
         if self.id == delta.to {
@@ -98,14 +137,17 @@
         if let Some(&slice) = delta.removed.iter().find(|slice| !self.set.contains_key(slice)) {
             return Err(DeltaError::NotHeld { slice });
         }
-        let mut next = self.set.clone();
-        next.extend(delta.changed.iter().map(|(slice, table)| (*slice, table.clone())));
-        delta.removed.iter().for_each(|slice| drop(next.remove(slice)));
-        let found = SetId::of(delta.to.number, &next);
+        let changed = delta.changed.iter().map(|(slice, table)| (*slice, Some(table.clone())));
+        let changes: Changes = changed.chain(delta.removed.iter().map(|slice| (*slice, None))).collect();
+        let (held, (_, before)) = (self.id, self.advance(delta.to.number, changes));
+        self.id.number = delta.to.number;
+        let found = self.id;
         if found != delta.to {
+            // Whole or not at all: what was changed is put back.
+            before.into_iter().for_each(|(slice, was)| drop(self.put(slice, was)));
+            self.id = held;
             return Err(DeltaError::OtherResult { found, wanted: delta.to });
         }
-        (self.id, self.set) = (found, next);
         Ok(())
     }
 }
--- a/crates/whinhill-tables/src/history.rs
+++ b/crates/whinhill-tables/src/history.rs
@@ -10,7 +10,8 @@
 use serde::{Deserialize, Serialize};
 use whinhill::interface::SliceId;
 
-use crate::delta::{Delta, Held, SetId};
+use crate::delta::{Changes, Delta, Held, SetId};
+use crate::rollback::Rollback;
 use crate::table::{SliceTable, TableSet};
 
 /// Who made a version.
@@ -79,6 +80,32 @@
     touched: BTreeSet<u64>,
 }
 
+/// What a file must take to hold the newest version: several may be folded into one.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Page {
+    pub changed: TableSet,
+    pub removed: BTreeSet<SliceId>,
+    /// The newest version's number.
+    pub number: u64,
+    /// Entries as they are now; `None`: let go.
+    pub touched: BTreeMap<u64, Option<Entry>>,
+    /// Rollbacks that are under way; `None`: finished.
+    pub rollbacks: BTreeMap<u64, Option<Rollback>>,
+}
+
+impl Page {
+    /// Takes a later page in. What the two hold together is bounded by the slices and the history's limits.
+    pub fn fold(&mut self, later: Page) {
+        self.removed.retain(|slice| !later.changed.contains_key(slice));
+        self.changed.retain(|slice, _| !later.removed.contains(slice));
+        self.changed.extend(later.changed);
+        self.removed.extend(later.removed);
+        self.touched.extend(later.touched);
+        self.rollbacks.extend(later.rollbacks);
+        self.number = later.number;
+    }
+}
+
 /// Why a history that was kept somewhere can't be taken up.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum RestoreError {
@@ -126,6 +153,24 @@
         touched.into_iter().map(|number| (number, entry(number))).collect()
     }
 
+    /// What is to be kept of the newest version beside its delta.
+    pub fn page(&mut self, delta: Delta) -> Page {
+        let touched = self.take_touched().into_iter().collect();
+        Page {
+            changed: delta.changed,
+            removed: delta.removed,
+            number: delta.to.number,
+            touched,
+            rollbacks: BTreeMap::new(),
+        }
+    }
+
+    /// The same of marks alone.
+    pub fn marks(&mut self) -> Page {
+        let id = self.current.id();
+        self.page(Delta { from: id, to: id, ..Delta::default() })
+    }
+
     pub fn current(&self) -> &Held {
         &self.current
     }
@@ -152,19 +197,30 @@
         at: Duration,
         unix_ms: u64,
     ) -> Option<Delta> {
-        let next = Held::new(self.current.id().number + 1, set);
-        let delta = self.current.delta(&next);
-        if delta.changed.is_empty() && delta.removed.is_empty() {
+        let gone = self.current.set().keys().filter(|slice| !set.contains_key(slice));
+        let mut changes: Changes = gone.map(|slice| (*slice, None)).collect();
+        changes.extend(set.into_iter().map(|(slice, table)| (slice, Some(table))));
+        self.advance(changes, author, cause, at, unix_ms)
+    }
+
+    /// Takes the slices that have changed; what says the same makes no version. Returns what leads to it.
+    pub fn advance(
+        &mut self,
+        changes: Changes,
+        author: Author,
+        cause: &str,
+        at: Duration,
+        unix_ms: u64,
+    ) -> Option<Delta> {
+        let (delta, before) = self.current.advance(self.current.id().number + 1, changes);
+        if before.is_empty() {
             return None;
         }
-        let touched = delta.changed.keys().chain(&delta.removed);
-        let before = touched.map(|slice| (*slice, self.current.set().get(slice).cloned())).collect();
         let cause = cause.chars().take(CAUSE_MOST).collect();
-        let entry = Entry { id: next.id(), author, at, unix_ms, cause, good: false, before };
+        let entry = Entry { id: delta.to, author, at, unix_ms, cause, good: false, before };
         self.bytes += entry.size();
         self.touched.insert(entry.id.number);
         self.entries.push_back(entry);
-        self.current = next;
         self.compact(at);
         Some(delta)
     }
--- a/crates/whinhill-tables/src/lib.rs
+++ b/crates/whinhill-tables/src/lib.rs
@@ -12,8 +12,8 @@
 mod table;
 
 pub use check::{check, Fault};
-pub use delta::{Delta, DeltaError, Held, SetId};
+pub use delta::{Changes, Delta, DeltaError, Held, SetId};
 pub use hash::set_hash;
-pub use history::{differing, Author, Entry, History, Limits, RestoreError};
+pub use history::{differing, Author, Entry, History, Limits, Page, RestoreError};
 pub use keeper::{Changed, Keeper, PendingGrant};
 pub use table::{ServerName, SliceTable, TableSet, Version, VersionError};
--- a/crates/whinhill-tables/src/rollback.rs
+++ b/crates/whinhill-tables/src/rollback.rs
@@ -10,12 +10,13 @@
 use std::fmt;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
 use whinhill::interface::SliceId;
 
 use crate::table::{ServerName, TableSet};
 
 /// How a server stands, as far as the assigner knows.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Standing {
     Ready,
     Cold,
@@ -34,7 +35,7 @@
 }
 
 /// Why a slice does not go back, or not now.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Reason {
     /// Custody of it is not ours; whoever is in charge must be asked.
     NotOurs,
@@ -83,7 +84,7 @@
 }
 
 /// What a rollback would do to a slice: the dry run.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Verdict {
     /// Its owner is the wanted one.
     Stands,
@@ -160,7 +161,7 @@
 }
 
 /// Where a wish stands.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 enum Wish {
     /// To be handed to the module as soon as nothing speaks against it.
     Open {
@@ -176,19 +177,22 @@
 
 /// One rollback until every slice of it is done or abandoned. After a restart it is taken up from the same words:
 /// what is done shows in the set, what is not is handed to the module once more.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Rollback {
     pub id: u64,
     /// The number of the set that it leads back to.
     pub to: u64,
     pub by: String,
+    /// On the clock of the life in which it was asked for or taken up.
     until: Duration,
     within: Duration,
+    /// Taken up after a restart: custody of its slices comes back one by one.
+    recovered: bool,
     wishes: BTreeMap<SliceId, Wish>,
 }
 
 /// How much of a rollback has come about.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Progress {
     pub open: usize,
     pub handed: usize,
@@ -212,7 +216,7 @@
             Verdict::Refused(why) => Wish::Abandoned(why),
         };
         let wishes = run.iter().map(|(slice, verdict)| (*slice, wish(verdict))).collect();
-        Rollback { id, to, by: by.to_string(), until: now + within, within, wishes }
+        Rollback { id, to, by: by.to_string(), until: now + within, within, recovered: false, wishes }
     }
 
     /// Looks at what stands now. Returns the wishes to hand to the module: each once, until it has come about or
@@ -226,6 +230,9 @@
             };
             let standing = fleet.standing(&to);
             let Some(table) = set.get(&slice) else {
+                if self.recovered && now < self.until {
+                    continue;
+                }
                 *wish = Wish::Abandoned(Reason::CustodyLost);
                 continue;
             };
@@ -244,6 +251,21 @@
         hand
     }
 
+    /// Custody of a slice was ours in this life and has ended.
+    pub fn taken(&mut self, slice: SliceId) {
+        if let Some(wish @ (Wish::Open { .. } | Wish::Handed { .. })) = self.wishes.get_mut(&slice) {
+            *wish = Wish::Abandoned(Reason::CustodyLost);
+        }
+    }
+
+    /// Where the module was told that a slice should go.
+    pub fn handed(&self) -> impl Iterator<Item = (SliceId, &ServerName)> {
+        self.wishes.iter().filter_map(|(slice, wish)| match wish {
+            Wish::Handed { to } => Some((*slice, to)),
+            _ => None,
+        })
+    }
+
     /// The module could not carry a wish out now: it is handed again at a later look.
     pub fn put_back(&mut self, slice: SliceId) {
         if let Some(wish) = self.wishes.get_mut(&slice) {
@@ -262,8 +284,10 @@
         }
     }
 
-    /// The assigner has started again: it knows of no wish that it was handed before.
-    pub fn recovered(&mut self) {
+    /// The assigner has started again, with another clock: it knows of no wish that it was handed before, and gives
+    /// what is left its whole time once more.
+    pub fn recovered(&mut self, now: Duration) {
+        (self.until, self.recovered) = (now + self.within, true);
         let slices: Vec<SliceId> = self.wishes.keys().copied().collect();
         slices.into_iter().for_each(|slice| self.put_back(slice));
     }
--- a/crates/whinhill-tables/src/rollback/tests.rs
+++ b/crates/whinhill-tables/src/rollback/tests.rs
@@ -105,12 +105,15 @@
     let fleet = known(&[("a", Standing::Ready)]);
     let mut rollback = one(&fleet);
     rollback.look(s(1), &set(&["b"]), &fleet);
-    rollback.recovered();
+    rollback.recovered(s(2));
+    // Until custody of the slice has come again nothing is known of it.
+    assert_eq!(rollback.look(s(2), &TableSet::new(), &fleet), []);
+    assert!(!rollback.finished());
     assert_eq!(rollback.look(s(2), &set(&["b"]), &fleet).len(), 1);
-    rollback.recovered();
+    rollback.recovered(s(3));
     assert_eq!(rollback.look(s(3), &set(&["a"]), &fleet), []);
     assert!(rollback.finished());
-    rollback.recovered();
+    rollback.recovered(s(4));
     assert_eq!(rollback.look(s(4), &set(&["b"]), &fleet), []);
 }
 
@@ -167,8 +170,8 @@
                 rollbacks.push(new);
             }
             for rollback in &mut rollbacks {
-                if rng.random_bool(0.05) {
-                    rollback.recovered();
+                if step < 50 && rng.random_bool(0.05) {
+                    rollback.recovered(at);
                 }
                 for (slice, to) in rollback.look(at, &now, &fleet) {
                     assert_eq!(newest[&slice], rollback.id, "seed {seed}, step {step}, slice {slice}");
--- a/crates/whinhill-xds/src/server.rs
+++ b/crates/whinhill-xds/src/server.rs
@@ -161,6 +161,11 @@
         self.marks.len()
     }
 
+    /// Whether the client has taken all that there is for it.
+    pub fn holds_all(&mut self, cache: &Cache) -> bool {
+        self.settled(cache) && self.topics.iter().all(|topic| topic.sent.is_empty())
+    }
+
     /// Whether all that is due has been sent, and the client has asked for every slice: one that has not may
     /// still follow a table of an earlier stream.
     fn settled(&mut self, cache: &Cache) -> bool {
--- a/crates/whinhill/src/assigner.rs
+++ b/crates/whinhill/src/assigner.rs
@@ -208,10 +208,30 @@
                 let owner = Some(server.ep.index);
                 (self.slices[*slice].owner, self.slices[*slice].handover) = (owner, None);
             }
+            Event::Wished { slice, to } => {
+                let to = self.server(*to).ep.index;
+                self.plan.wishes.insert(*slice, to);
+            }
             Event::Timer => {}
         }
     }
 
+    /// How a server stands, for whoever asks.
+    pub fn health(&self, server: usize) -> Health {
+        match self.servers.get(server) {
+            Some(s) if s.listed == Listed::Draining => Health::Draining,
+            Some(s) if s.listed == Listed::Ready && s.sick.is_some() => Health::Sick,
+            Some(s) if s.listed == Listed::Ready && self.ramp(s) < 1.0 => Health::Cold,
+            Some(s) if s.listed == Listed::Ready => Health::Ready,
+            _ => Health::Gone,
+        }
+    }
+
+    /// Whether a handover of the slice is under way.
+    pub fn moving(&self, slice: SliceId) -> bool {
+        self.slices.get(slice).is_some_and(|s| s.handover.is_some())
+    }
+
     // 1. List and health.
 
     fn server(&mut self, ep: Ep) -> &mut Server {
@@ -511,6 +531,14 @@
             return;
         }
         let view = self.view();
+        let wished = self.fitting_wishes(&view);
+        if !wished.is_empty() {
+            self.out.push(Order::Log { text: format!("wishes: {} moves", wished.len()) });
+            // An operator's word goes before the time that a moved slice stays.
+            wished.iter().for_each(|(id, _)| self.slices[*id].stays = self.now);
+            self.plan.batches = self.sequence(wished, &view);
+            return;
+        }
         let fit = || view.loads.iter().zip(&self.servers).filter(|(_, s)| usable(s) && s.proven);
         let hot = fit().any(|(load, _)| *load > THRESHOLD);
         let off = |load: f64| (load - view.average).abs() > SKEW * view.average;
@@ -529,6 +557,19 @@
         (self.plan.skewed, self.plan.batches) = (0, self.sequence(moves, &view));
     }
 
+    /// Wishes that fit now. What doesn't is let go: whoever wished may wish again.
+    fn fitting_wishes(&mut self, view: &View) -> Vec<Move> {
+        let (mut rooms, wishes) = (view.rooms.clone(), std::mem::take(&mut self.plan.wishes));
+        let fits = |(id, to): &Move| {
+            let (slice, server, add) = (&self.slices[*id], &self.servers[*to], self.add(view, *id, *to));
+            let free = slice.handover.is_none() && slice.owner.is_some_and(|owner| owner != *to);
+            let fits = free && usable(server) && server.proven && add <= rooms[*to];
+            rooms[*to] -= if fits { add } else { 0.0 };
+            fits
+        };
+        wishes.into_iter().filter(fits).collect()
+    }
+
     /// Sinks first; a cycle breaks at the server least loaded after its incoming moves.
     fn sequence(&self, mut moves: Vec<Move>, view: &View) -> VecDeque<Vec<Move>> {
         let mut batches = VecDeque::new();
--- a/crates/whinhill/src/assigner/tests.rs
+++ b/crates/whinhill/src/assigner/tests.rs
@@ -617,3 +617,36 @@
     a.out = vec![Order::Grant { slice: 0, ep: ep(0) }; 3000];
     assert!(!a.has_room(DRAIN_ROOM.1));
 }
+
+/// What a wish for slice 0 at server 1 comes to in the next plan.
+fn wished(mut a: Assigner) -> Option<Option<usize>> {
+    a.handle(s(100.0), &[Event::Wished { slice: 0, to: ep(1) }]);
+    a.handle(s(101.0), &[Event::Timer]);
+    assert!(a.plan.wishes.is_empty());
+    a.slices[0].handover.as_ref().map(|handover| handover.to)
+}
+
+#[test]
+fn a_wish_is_a_move_of_the_next_plan_even_for_a_slice_that_would_stay() {
+    let mut a = fleet(3, &[(0, 0.2), (0, 0.8), (1, 1.0), (2, 1.0)]);
+    a.slices[0].stays = s(500.0);
+    assert_eq!(wished(a), Some(Some(1)));
+}
+
+#[test]
+fn a_wish_without_room_or_for_a_server_that_is_not_well_is_let_go() {
+    let with = |act: &dyn Fn(&mut Assigner)| {
+        let mut a = fleet(3, &[(0, 0.2), (0, 0.8), (1, 1.0), (2, 1.0)]);
+        act(&mut a);
+        wished(a)
+    };
+    assert_eq!(with(&|a| a.servers[1].sick = Some(s(500.0))), None);
+    assert_eq!(with(&|a| a.servers[1].listed = Listed::Draining), None);
+    assert_eq!(with(&|a| a.servers[1].proven = false), None);
+    // It can do less than the slice brings.
+    let full = with(&|a| {
+        a.servers[1].limit = Some(0.5);
+        a.servers[1].limited = a.now;
+    });
+    assert_eq!(full, None);
+}
--- a/crates/whinhill/src/interface.rs
+++ b/crates/whinhill/src/interface.rs
@@ -136,9 +136,24 @@
         slice: SliceId,
         ep: Ep,
     },
+    /// Operators want the slice at another server: a plan's move, where there is room for it.
+    Wished {
+        slice: SliceId,
+        to: Ep,
+    },
     Timer,
 }
 
+/// How a server stands in the eyes of the decisions.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Health {
+    Ready,
+    Cold,
+    Sick,
+    Draining,
+    Gone,
+}
+
 impl Event {
     /// The stretch of time that a report covers.
     pub fn span(&self) -> Option<Duration> {
--- a/crates/whinhill/src/state.rs
+++ b/crates/whinhill/src/state.rs
@@ -170,6 +170,8 @@
     pub skewed: u32,
     pub batches: VecDeque<Vec<Move>>,
     pub batch: Vec<SliceId>,
+    /// Where operators want slices, until the next plan.
+    pub wishes: BTreeMap<SliceId, usize>,
 }
 
 /// What the channel is thought to hold.
