Share one encoding and one copy of names between streams; pace full sets; compare holdings

Mangling the history's file showed a panic of the embedded store.

Change: a resource is encoded once for each form and shared by all streams, names and versions are one copy each. Full sets keep to a pace of their own, wait while orders wait in the channel, and go at once where a safety order is in them. Our proxies tell, with every 16th ACK, one number of what they hold; where it differs the full set is told and counted.

--- a/crates/whinhill-assigner/src/assigner.rs
+++ b/crates/whinhill-assigner/src/assigner.rs
@@ -124,6 +124,7 @@
                 answer_within: ms(config.answer_within_ms),
                 proxies_most: config.proxies_most,
                 report_every: ms(config.report_period_ms),
+                full_lines_per_s: config.channel.full_lines_per_s(),
                 start,
                 base: PAST,
             },
@@ -132,7 +133,7 @@
             let mut cache = hub.cache.write().unwrap_or_else(PoisonError::into_inner);
             for (kind, name, entry) in service.static_resources() {
                 // Of another life it is another version, so that no renewal extends what a former life gave.
-                let version = format!("{life:x}-{}", entry.version);
+                let version = format!("{life:x}-{}", entry.version).into();
                 cache.set(kind, name, Entry { version, ..entry });
             }
         }
@@ -533,18 +534,18 @@
             let mut cache = self.hub.cache.write().unwrap_or_else(PoisonError::into_inner);
             for slice in &effects.taken {
                 for method in 0..service.methods.len() {
-                    let name = service.cluster_name(*slice, method);
-                    cache.remove(Kind::Cluster, &name);
-                    cache.remove(Kind::Endpoints, &name);
-                    moved.push(name);
+                    let name = self.hub.cluster(*slice, method);
+                    cache.remove(Kind::Cluster, name);
+                    cache.remove(Kind::Endpoints, name);
+                    moved.push(name.clone());
                 }
             }
             for slice in effects.given.iter().chain(&effects.changed) {
                 let Some(table) = self.core.keeper().published().get(slice) else { continue };
                 for method in 0..service.methods.len() {
-                    let name = service.cluster_name(*slice, method);
+                    let name = self.hub.cluster(*slice, method);
                     if effects.given.contains(slice) {
-                        cache.set(Kind::Cluster, name.clone(), service.cluster(*slice, method));
+                        cache.set(Kind::Cluster, name, service.cluster(*slice, method));
                         moved.push(name.clone());
                     }
                     let entry = service.endpoints(*slice, method, table);
@@ -561,6 +562,7 @@
     fn pump(&mut self) -> Duration {
         loop {
             let now = self.now();
+            self.hub.orders_wait(self.channel.fill() > 0);
             match self.channel.next(now) {
                 None => return Duration::MAX,
                 Some(Err(at)) => return at,
@@ -582,8 +584,12 @@
         self.status.nacks = get(&self.counters.nacks);
         self.status.streams = get(&self.counters.streams);
         self.status.stale_acks = get(&self.counters.stale);
+        self.status.differing = get(&self.counters.differing);
         self.status.lines_sent = self.channel.sent();
         self.status.backlog = self.channel.fill();
+        (self.status.full_lines_sent, self.status.full_sets_waited) = self.hub.full_sets();
+        self.status.versions = self.core.chronicle().history().current().id().number;
+        self.status.history_kb = (self.core.chronicle().history().bytes() / 1024) as u64;
         self.status.backlog_most = self.channel.most();
         self.status.grants_waiting = self.core.keeper().waiting() as u64;
         self.status.bytes_sent = get(&self.counters.bytes);
--- a/crates/whinhill-assigner/src/channel.rs
+++ b/crates/whinhill-assigner/src/channel.rs
@@ -15,7 +15,7 @@
     pub marks: Vec<u16>,
     /// Lines that it costs.
     pub lines: u32,
-    safety: bool,
+    pub safety: bool,
     /// Its place in the queue.
     turn: u64,
 }
--- a/crates/whinhill-assigner/src/config.rs
+++ b/crates/whinhill-assigner/src/config.rs
@@ -192,6 +192,15 @@
     pub backlog: f64,
     /// The longest time from the channel to a proxy, in milliseconds.
     pub way_most_ms: u64,
+    /// The pace of full sets, for proxies that join; ten times `lines_per_s` without it.
+    #[serde(default)]
+    pub full_lines_per_s: Option<f64>,
+}
+
+impl ChannelConfig {
+    pub fn full_lines_per_s(&self) -> f64 {
+        self.full_lines_per_s.unwrap_or(self.lines_per_s * 10.0)
+    }
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
@@ -324,6 +333,7 @@
         );
         c.must(r.grace_ms > self.channel.way_most_ms, "rules.grace_ms", "must be over channel.way_most_ms");
         let ch = &self.channel;
+        c.must(self.channel.full_lines_per_s() > 0.0, "channel.full_lines_per_s", "must be over 0");
         c.must(ch.lines_per_s.is_finite() && ch.lines_per_s > 0.0, "channel.lines_per_s", "must be over 0");
         c.must(
             ch.backlog.is_finite() && ch.backlog >= ch.lines_per_s / 10.0,
--- a/crates/whinhill-assigner/src/hub.rs
+++ b/crates/whinhill-assigner/src/hub.rs
@@ -11,10 +11,11 @@
 use tracing::{debug, info, warn};
 use whinhill_transport::{CallError, Code, MessageReader, MessageWriter, ServerCall, Trailers, Workers};
 use whinhill_xds::mapping::Service;
-use whinhill_xds::{proto, Cache, Heard, Kind, Request, Response, ServerStream, Variant, LRS_PATH};
+use whinhill_xds::{proto, Cache, Heard, Kind, Reply, Request, ServerStream, Variant, LRS_PATH};
 
 use crate::channel::Parcel;
 use crate::core::Input;
+use crate::joins::{Joins, FULL};
 use crate::status::Counters;
 use crate::stewards::Charge;
 
@@ -39,6 +40,8 @@
     state: Mutex<ServerStream>,
     wake: Sender<()>,
     closed: AtomicBool,
+    /// A safety order is among what is due: it waits for no pace.
+    urgent: AtomicBool,
 }
 
 impl Stream {
@@ -74,12 +77,19 @@
     proxies_most: usize,
     report_every: Duration,
     stop: AtomicBool,
+    /// The names of all clusters, by slice and method, in the one copy that all streams share.
+    clusters: Vec<Arc<str>>,
+    joins: Mutex<Joins>,
+    /// Whether orders wait in the channel.
+    orders_wait: AtomicBool,
 }
 
 pub struct HubConfig {
     pub answer_within: Duration,
     pub proxies_most: usize,
     pub report_every: Duration,
+    /// The pace of full sets.
+    pub full_lines_per_s: f64,
     pub start: Instant,
     pub base: Duration,
 }
@@ -94,7 +104,13 @@
     ) -> Self {
         // Reader and writer of a table stream, and one thread for load reports.
         let workers = Workers::new("stream", config.proxies_most * 3 + 8, 192 << 10);
+        let names = |slice| (0..service.methods.len()).map(move |method| (slice, method));
+        let all = (0..service.slices).flat_map(names);
+        let clusters = all.map(|(slice, method)| service.cluster_name(slice, method).into()).collect();
         Hub {
+            clusters,
+            joins: Mutex::new(Joins::new(config.full_lines_per_s)),
+            orders_wait: AtomicBool::new(false),
             service,
             cache: RwLock::default(),
             streams: Mutex::default(),
@@ -203,6 +219,7 @@
             state: Mutex::new(ServerStream::new(variant, &node.client_features)),
             wake,
             closed: AtomicBool::new(false),
+            urgent: AtomicBool::new(false),
         });
         Counters::add(&self.counters.streams, 1);
         // Of two streams of one proxy the older loses: only the newer can be the one that it reads.
@@ -285,6 +302,10 @@
                 Counters::add(&self.counters.nacks, 1);
                 warn!(%proxy, ?kind, nonce, resources = names.len(), first = names.first(), %reason, "tables rejected");
             }
+            Ok(Heard::Differs { kind, theirs, ours }) => {
+                Counters::add(&self.counters.differing, 1);
+                warn!(%proxy, ?kind, theirs = format!("{theirs:016x}"), ours = format!("{ours:016x}"), "a proxy holds other tables than it acknowledged: told the full set");
+            }
             Ok(Heard::Stale { .. }) => Counters::add(&self.counters.stale, 1),
             Ok(_) => {}
             Err(error) => {
@@ -308,9 +329,16 @@
         let gate = self.service.listener_name(true);
         let mut next_beat = Instant::now() + beat_every;
         let mut answered = Instant::now();
+        let mut full_set_in = LOOK;
         while !stream.closed.load(Ordering::Relaxed) && !self.stop.load(Ordering::Relaxed) {
-            let _ = woken.recv_timeout(LOOK.min(next_beat.saturating_duration_since(Instant::now())));
+            let until_beat = next_beat.saturating_duration_since(Instant::now());
+            let _ = woken.recv_timeout(LOOK.min(until_beat).min(full_set_in));
+            full_set_in = LOOK;
             loop {
+                if let Err(wait) = self.may_send(stream) {
+                    full_set_in = wait;
+                    break;
+                }
                 let (response, marks) = {
                     let cache = self.cache.read().unwrap_or_else(PoisonError::into_inner);
                     let mut state = stream.state();
@@ -329,7 +357,10 @@
                     (response, marks)
                 };
                 self.tell_acked(stream, marks);
-                let Some(response) = response else { break };
+                let Some(response) = response else {
+                    stream.urgent.store(false, Ordering::Relaxed);
+                    break;
+                };
                 if let Err(error) = self.send(&mut writer, &response) {
                     debug!(proxy = %stream.proxy, %error, "stream lost in a write");
                     return stream.close();
@@ -345,11 +376,32 @@
         let _ = writer.close(Code::Unavailable, "the stream ends here", Trailers::new());
     }
 
+    /// Whether what is due may be sent now: a full set keeps to its pace, unless a safety order is in it.
+    fn may_send(&self, stream: &Stream) -> Result<(), Duration> {
+        let due = stream.state().due();
+        if due < FULL || stream.urgent.load(Ordering::Relaxed) {
+            return Ok(());
+        }
+        let now = self.base + self.start.elapsed();
+        let mut joins = self.joins.lock().unwrap_or_else(PoisonError::into_inner);
+        joins.take(now, due, self.orders_wait.load(Ordering::Relaxed))
+    }
+
+    /// Tells streams with full sets whether orders wait in the channel.
+    pub fn orders_wait(&self, wait: bool) {
+        self.orders_wait.store(wait, Ordering::Relaxed);
+    }
+
+    /// Lines of full sets so far, and how often one waited.
+    pub fn full_sets(&self) -> (u64, u64) {
+        self.joins.lock().unwrap_or_else(PoisonError::into_inner).counts()
+    }
+
     fn charged(&self) -> bool {
         self.charge.holds(self.base + self.start.elapsed())
     }
 
-    fn send(&self, writer: &mut MessageWriter, response: &Response) -> Result<(), CallError> {
+    fn send(&self, writer: &mut MessageWriter, response: &Reply) -> Result<(), CallError> {
         let bytes = response.encode();
         Counters::add(&self.counters.bytes, bytes.len() as u64);
         writer.send(&bytes, WRITE_WITHIN)
@@ -358,11 +410,15 @@
     /// Hands a parcel to a proxy's stream. The stream reads the tables from the cache when it writes.
     pub fn deliver(&self, proxy: &str, parcel: &Parcel) {
         let Some(stream) = self.streams().get(proxy).cloned() else { return };
+        let methods = self.service.methods.len();
+        if parcel.safety {
+            stream.urgent.store(true, Ordering::Relaxed);
+        }
         {
             let mut state = stream.state();
             for &slice in &parcel.slices {
-                for method in 0..self.service.methods.len() {
-                    state.changed(Kind::Endpoints, &self.service.cluster_name(slice, method));
+                for method in 0..methods {
+                    state.changed(Kind::Endpoints, &self.clusters[slice * methods + method]);
                 }
             }
             parcel.marks.iter().for_each(|mark| state.mark(*mark));
@@ -370,8 +426,13 @@
         stream.wake();
     }
 
+    /// The name of a cluster, shared.
+    pub fn cluster(&self, slice: usize, method: usize) -> &Arc<str> {
+        &self.clusters[slice * self.service.methods.len() + method]
+    }
+
     /// Tells every stream at once of names that have come or gone with custody.
-    pub fn announce(&self, names: &[String]) {
+    pub fn announce(&self, names: &[Arc<str>]) {
         let streams: Vec<Arc<Stream>> = self.streams().values().cloned().collect();
         for stream in streams {
             {
--- a/crates/whinhill-assigner/src/lib.rs
+++ b/crates/whinhill-assigner/src/lib.rs
@@ -15,6 +15,7 @@
 mod core;
 mod hub;
 mod intake;
+mod joins;
 mod names;
 mod operator;
 mod probes;
--- a/crates/whinhill-assigner/src/status.rs
+++ b/crates/whinhill-assigner/src/status.rs
@@ -15,9 +15,17 @@
     pub nacks: u64,
     pub streams: u64,
     pub stale_acks: u64,
+    /// Proxies found to hold other tables than they had acknowledged.
+    pub differing: u64,
     pub lines_sent: u64,
     pub backlog: u64,
     pub backlog_most: u64,
+    /// Lines of full sets, and how often one waited for its pace.
+    pub full_lines_sent: u64,
+    pub full_sets_waited: u64,
+    /// Versions so far, and what the kept ones take.
+    pub versions: u64,
+    pub history_kb: u64,
     pub grants_waiting: u64,
     pub reports_waiting: u64,
     pub batches: u64,
@@ -56,6 +64,7 @@
     pub nacks: AtomicU64,
     pub streams: AtomicU64,
     pub stale: AtomicU64,
+    pub differing: AtomicU64,
     pub bytes: AtomicU64,
     pub store_failures: AtomicU64,
     pub slices: AtomicU64,
--- a/crates/whinhill-history/src/lib.rs
+++ b/crates/whinhill-history/src/lib.rs
@@ -18,6 +18,7 @@
 //! # Ok::<(), Box<dyn std::error::Error>>(())
 //! ```
 
+use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::path::Path;
 
 use redb::{Database, Durability, ReadableDatabase, ReadableTable, StorageBackend, TableDefinition};
@@ -43,6 +44,8 @@
     Content { place: String, error: serde_json::Error },
     #[error("the history does not fit together: {0}")]
     Restore(#[from] RestoreError),
+    #[error("the history's file is damaged; move it away to start without a past")]
+    Damaged,
     #[error("the history's file: {0}")]
     Storage(Box<redb::Error>),
 }
@@ -60,6 +63,12 @@
 
 from_redb!(DatabaseError, TransactionError, TableError, StorageError, CommitError, SetDurabilityError);
 
+/// The embedded store checks what it reads, but some damage it meets with a panic: found by mangling files
+/// (`tests/mangled.rs`). To whoever opens the file that is one more way of being refused.
+fn guarded<T>(open: impl FnOnce() -> Result<T, BookError>) -> Result<T, BookError> {
+    catch_unwind(AssertUnwindSafe(open)).unwrap_or(Err(BookError::Damaged))
+}
+
 /// The open file.
 pub struct Book {
     database: Database,
@@ -68,15 +77,17 @@
 impl Book {
     /// Opens the file or begins one, and rebuilds the history that it holds.
     pub fn open(path: &Path, limits: Limits) -> Result<(Self, History), BookError> {
-        Self::begin(Database::create(path)?, limits)
+        guarded(|| Self::begin(Database::create(path)?, limits))
     }
 
     /// The same on any storage: for tests that let it fail.
     pub fn open_on(storage: impl StorageBackend, limits: Limits) -> Result<(Self, History), BookError> {
-        Self::begin(Database::builder().create_with_backend(storage)?, limits)
+        guarded(|| Self::begin(Database::builder().create_with_backend(storage)?, limits))
     }
 
-    fn begin(database: Database, limits: Limits) -> Result<(Self, History), BookError> {
+    fn begin(mut database: Database, limits: Limits) -> Result<(Self, History), BookError> {
+        // Every page against its checksum: what a disk has changed since must not be taken for a table.
+        database.check_integrity()?;
         let transaction = database.begin_write()?;
         {
             let mut meta = transaction.open_table(META)?;
--- a/crates/whinhill-proxy/src/streams.rs
+++ b/crates/whinhill-proxy/src/streams.rs
@@ -56,6 +56,7 @@
     /// Follows tables until the proxy stops.
     pub fn follow(self) {
         let mut client = ClientStream::new(self.variant, self.node.clone());
+        client.tell_holdings();
         client.subscribe(Kind::Cluster, true, BTreeSet::new());
         let service = self.shared.service.clone();
         let listeners: BTreeSet<String> = [false, true].map(|writes| service.listener_name(writes)).into();
--- a/crates/whinhill-standins/src/play.rs
+++ b/crates/whinhill-standins/src/play.rs
@@ -97,12 +97,15 @@
 }
 
 /// What became of a day's rollbacks.
-#[derive(Clone, Copy, Debug, Default, Serialize)]
+#[derive(Clone, Debug, Default, Serialize)]
 pub struct Rollbacks {
     pub asked: u64,
     pub ended: u64,
     pub slices_done: u64,
     pub slices_abandoned: u64,
+    /// From the command until all of it had ended and every proxy had acknowledged it; the assigner looks once a
+    /// second.
+    pub took_ms: Vec<f64>,
 }
 
 /// What clients counted, and the times of their ok answers in microseconds.
@@ -156,6 +159,8 @@
     front: Front,
     rate: Arc<AtomicU64>,
     rng: ChaCha8Rng,
+    /// Milliseconds that each rollback took.
+    rolled_back: Arc<Mutex<Vec<f64>>>,
 }
 
 /// Something to do at a time, and to undo at another.
@@ -307,6 +312,7 @@
             front: Front::default(),
             rate: Arc::new(AtomicU64::new(1000)),
             rng: ChaCha8Rng::seed_from_u64(day.seed),
+            rolled_back: Arc::default(),
         };
         for number in 0..day.servers.count {
             let zone = day.zones[number % day.zones.len()].clone();
@@ -822,11 +828,34 @@
                 Err(error) => warn!(name = %slot.name, %error, "no rollback"),
             }
         }
+        self.time_rollback();
+    }
+
+    /// Watches, beside the day, how long a rollback takes until it has ended everywhere and every proxy has
+    /// acknowledged what came of it.
+    fn time_rollback(&self) {
+        let paths: Vec<PathBuf> = self.assigners.iter().map(|slot| slot.dir.join("operators")).collect();
+        let (drivers, took, began) = (self.drivers.clone(), self.rolled_back.clone(), Instant::now());
+        let watch = move || {
+            while began.elapsed() < ms(120_000) {
+                let done = paths.iter().all(|path| rolled_back(path, &drivers));
+                if done {
+                    let ms = began.elapsed().as_secs_f64() * 1e3;
+                    return took.lock().unwrap_or_else(PoisonError::into_inner).push(ms);
+                }
+                thread::sleep(ms(50));
+            }
+        };
+        if let Err(error) = thread::Builder::new().name("rollback".into()).stack_size(256 << 10).spawn(watch)
+        {
+            warn!(%error, "the rollback is not timed");
+        }
     }
 
     /// How each assigner's rollbacks stand, at the day's end: done, abandoned, and those not ended.
     fn rollbacks(&self) -> Rollbacks {
-        let mut sum = Rollbacks::default();
+        let took_ms = self.rolled_back.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        let mut sum = Rollbacks { took_ms, ..Rollbacks::default() };
         for slot in &self.assigners {
             let addr = fs::read_to_string(slot.dir.join("operators")).unwrap_or_default();
             let Ok(addr) = addr.parse() else { continue };
@@ -987,6 +1016,21 @@
     }
 }
 
+/// Whether an assigner's rollbacks have all ended and no proxy is behind. One that is dead is not.
+fn rolled_back(operators: &Path, drivers: &Drivers) -> bool {
+    let addr = fs::read_to_string(operators).unwrap_or_default();
+    let Ok(addr) = addr.parse() else { return false };
+    let ended = match whinhill_assigner::ask(addr, &Ask::Rollbacks, drivers) {
+        Ok(Answer::Rollbacks(lines)) => lines.iter().all(|line| line.finished),
+        _ => false,
+    };
+    ended
+        && match whinhill_assigner::ask(addr, &Ask::Proxies, drivers) {
+            Ok(Answer::Proxies { proxies, .. }) => proxies.iter().all(|proxy| proxy.behind == 0),
+            _ => false,
+        }
+}
+
 fn loopback() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
--- a/crates/whinhill-standins/src/roster.rs
+++ b/crates/whinhill-standins/src/roster.rs
@@ -50,7 +50,7 @@
         let endpoints = roster.servers.iter().map(line).collect();
         let assignment =
             proto::ClusterLoadAssignment { cluster_name: RESOURCE.to_string(), endpoints, policy: None };
-        let version = self.version.fetch_add(1, Ordering::Relaxed).to_string();
+        let version = self.version.fetch_add(1, Ordering::Relaxed).to_string().into();
         let entry = Entry { version, body: assignment.encode_to_vec().into(), ttl: None };
         self.cache.write().unwrap_or_else(PoisonError::into_inner).set(Kind::Endpoints, RESOURCE, entry);
     }
@@ -75,7 +75,7 @@
             let replies: Vec<Vec<u8>> = {
                 let cache = self.cache.read().unwrap_or_else(PoisonError::into_inner);
                 if std::mem::replace(&mut told, cache.revision()) != cache.revision() {
-                    stream.changed(Kind::Endpoints, RESOURCE);
+                    stream.changed(Kind::Endpoints, &RESOURCE.into());
                 }
                 std::iter::from_fn(|| stream.next(&cache)).map(|reply| reply.encode()).collect()
             };
--- a/crates/whinhill-xds/src/client.rs
+++ b/crates/whinhill-xds/src/client.rs
@@ -7,6 +7,7 @@
 use prost::Message;
 
 use crate::cache::{Kind, WRAPPER_URL};
+use crate::holding::{holding_hash, telling};
 use crate::proto::{self, read_span, Any, DeltaDiscoveryRequest, DiscoveryRequest, Node, Status};
 use crate::{Request, Response, Variant};
 
@@ -54,6 +55,8 @@
     set_version: String,
     nonce: String,
     asked: bool,
+    /// Updates taken since the number of what is held was last told.
+    untold: u32,
 }
 
 /// One client. It outlives its streams: [`ClientStream::open`] begins a new one with what is held.
@@ -63,14 +66,23 @@
     node: Node,
     topics: [Topic; 4],
     opened: bool,
+    tells: bool,
 }
 
+/// Updates after which an ACK tells what is held.
+const TELL_EVERY: u32 = 16;
+
 impl ClientStream {
     pub fn new(variant: Variant, mut node: Node) -> Self {
         if variant == Variant::StateOfTheWorld && !node.client_features.iter().any(|f| f == FEATURE_WRAPPED) {
             node.client_features.push(FEATURE_WRAPPED.to_string());
         }
-        ClientStream { variant, node, topics: Default::default(), opened: false }
+        ClientStream { variant, node, topics: Default::default(), opened: false, tells: false }
+    }
+
+    /// Has some ACKs tell the number of what is held (`holding.rs`), so that the other end can compare.
+    pub fn tell_holdings(&mut self) {
+        self.tells = true;
     }
 
     pub fn variant(&self) -> Variant {
@@ -204,7 +216,20 @@
         }
         update.removed.iter().for_each(|name| drop(topic.versions.remove(name)));
         topic.set_version.clone_from(&update.set_version);
-        self.answer(update, None)
+        topic.untold += 1;
+        let tells = self.tells && update.kind == Kind::Endpoints && topic.untold >= TELL_EVERY;
+        let mut answer = self.answer(update, None);
+        if tells {
+            let topic = &mut self.topics[update.kind.place()];
+            topic.untold = 0;
+            let held = topic.versions.iter().map(|(name, version)| (name.as_str(), version.as_str()));
+            let node = Some(telling(&self.node.id, holding_hash(held)));
+            match &mut answer {
+                Request::Incremental(request) => request.node = node,
+                Request::StateOfTheWorld(request) => request.node = node,
+            }
+        }
+        answer
     }
 
     /// The update can't be used: the NACK to send. What was held stays.
--- a/crates/whinhill-xds/src/lib.rs
+++ b/crates/whinhill-xds/src/lib.rs
@@ -6,13 +6,15 @@
 
 pub mod cache;
 pub mod client;
+pub mod holding;
 pub mod mapping;
 pub mod proto;
-pub mod server;
+mod server;
 
-pub use cache::{Cache, Entry, Kind};
+pub use cache::{Cache, Entry, Kind, Stored};
 pub use client::{ClientStream, Update, UpdateError};
-pub use server::{Heard, ServerStream, StreamError};
+pub use holding::holding_hash;
+pub use server::{Heard, Reply, ServerStream, StreamError};
 
 /// Which of the two variants of the protocol a stream speaks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/whinhill-xds/src/mapping.rs
+++ b/crates/whinhill-xds/src/mapping.rs
@@ -195,7 +195,11 @@
             endpoints,
             policy,
         };
-        Entry { version: table.version.to_string(), body: assignment.encode_to_vec().into(), ttl: None }
+        Entry {
+            version: table.version.to_string().into(),
+            body: assignment.encode_to_vec().into(),
+            ttl: None,
+        }
     }
 }
 
@@ -211,7 +215,7 @@
 /// A resource whose version is the hash of what it says.
 fn encoded(message: &impl Message, ttl: Option<Duration>) -> Entry {
     let body: Bytes = message.encode_to_vec().into();
-    Entry { version: format!("{:016x}", xxh3_64(&body)), body, ttl }
+    Entry { version: format!("{:016x}", xxh3_64(&body)).into(), body, ttl }
 }
 
 pub fn address(server: &str) -> proto::Address {
--- a/crates/whinhill-xds/src/server.rs
+++ b/crates/whinhill-xds/src/server.rs
@@ -4,10 +4,15 @@
 //! of a resource takes the place of an older one that was not sent yet, and a slow reader costs a set of names.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
 
-use crate::cache::{Cache, Entry, Kind, WRAPPER_URL};
-use crate::proto::{self, Any, DeltaDiscoveryRequest, DiscoveryRequest};
-use crate::{Request, Response, Variant};
+use bytes::Bytes;
+use prost::Message;
+
+use crate::cache::{Cache, Form, Kind};
+use crate::holding::{holding_hash, told};
+use crate::proto::{self, DeltaDiscoveryRequest, DiscoveryRequest};
+use crate::{Request, Variant};
 
 /// Replies of one type that may be unanswered at a time.
 const UNANSWERED: usize = 8;
@@ -27,6 +32,8 @@
     Acked { kind: Kind, nonce: u64 },
     /// A reply was rejected: the client holds what it had. Its resources go out once more.
     Nacked { kind: Kind, nonce: u64, names: Vec<String>, reason: String },
+    /// A reply was taken, but the client holds something else than was acknowledged: it is told everything anew.
+    Differs { kind: Kind, theirs: u64, ours: u64 },
     /// The nonce is older than the last reply's, or none of ours.
     Stale { kind: Kind, nonce: String },
 }
@@ -45,24 +52,24 @@
 }
 
 /// A resource as it was last sent: its version, or `None` where the client was told that there is none.
-type SentVersion = Option<String>;
+type SentVersion = Option<Arc<str>>;
 
 #[derive(Debug)]
 struct Sent {
     nonce: u64,
-    items: Vec<(String, SentVersion)>,
+    items: Vec<(Arc<str>, SentVersion)>,
 }
 
 #[derive(Debug, Default)]
 struct Topic {
     started: bool,
     wildcard: bool,
-    names: BTreeSet<String>,
+    names: BTreeSet<Arc<str>>,
     /// What the client holds once it has taken all that was sent, and the reply that told it (0: the client).
-    holds: BTreeMap<String, (SentVersion, u64)>,
-    dirty: BTreeSet<String>,
+    holds: BTreeMap<Arc<str>, (SentVersion, u64)>,
+    dirty: BTreeSet<Arc<str>>,
     sent: VecDeque<Sent>,
-    rejected: BTreeMap<String, SentVersion>,
+    rejected: BTreeMap<Arc<str>, SentVersion>,
     /// The last reply's nonce.
     newest: u64,
     /// A reply is owed even if it names nothing: what a client of the whole state holds may all be gone.
@@ -119,18 +126,47 @@
 
     /// Takes one request.
     pub fn hear(&mut self, request: &Request, cache: &Cache) -> Result<Heard, StreamError> {
-        match (request, self.variant) {
-            (Request::Incremental(request), Variant::Incremental) => self.hear_incremental(request, cache),
-            (Request::StateOfTheWorld(request), Variant::StateOfTheWorld) => self.hear_whole(request, cache),
-            _ => Err(StreamError::WrongVariant),
+        let heard = match (request, self.variant) {
+            (Request::Incremental(request), Variant::Incremental) => self.hear_incremental(request, cache)?,
+            (Request::StateOfTheWorld(request), Variant::StateOfTheWorld) => {
+                self.hear_whole(request, cache)?
+            }
+            _ => return Err(StreamError::WrongVariant),
+        };
+        match (&heard, request.node().and_then(told)) {
+            (Heard::Acked { kind, .. }, Some(theirs)) => Ok(self.compare(*kind, theirs).unwrap_or(heard)),
+            _ => Ok(heard),
         }
     }
 
+    /// Compares what the client says that it holds with what it has acknowledged. While anything is on its way, or
+    /// rejected, the two may differ rightly.
+    fn compare(&mut self, kind: Kind, theirs: u64) -> Option<Heard> {
+        let topic = &mut self.topics[kind.place()];
+        // A name that was given up and asked for again is due here while the client may hold it from before.
+        if !topic.sent.is_empty()
+            || !topic.dirty.is_empty()
+            || topic.holds.values().any(|(version, _)| version.as_deref() == Some(""))
+        {
+            return None;
+        }
+        let held = topic.holds.iter().filter_map(|(name, (version, _))| Some((&**name, version.as_deref()?)));
+        let ours = holding_hash(held);
+        if ours == theirs {
+            return None;
+        }
+        // What it holds is unknown: everything that it may hold or wants is due, gone or not.
+        let names: BTreeSet<Arc<str>> = topic.holds.keys().chain(&topic.names).cloned().collect();
+        topic.holds = names.iter().map(|name| (name.clone(), (Some("".into()), 0))).collect();
+        topic.dirty.extend(names);
+        Some(Heard::Differs { kind, theirs, ours })
+    }
+
     /// The cache has a new version of a name, or has it no longer.
-    pub fn changed(&mut self, kind: Kind, name: &str) {
+    pub fn changed(&mut self, kind: Kind, name: &Arc<str>) {
         let topic = &mut self.topics[kind.place()];
         if topic.started && topic.wants(name) {
-            topic.dirty.insert(name.to_string());
+            topic.dirty.insert(name.clone());
         }
     }
 
@@ -156,6 +192,11 @@
         self.marks.drain(..done).map(|mark| mark.mark).collect()
     }
 
+    /// Names of which the client is still to hear.
+    pub fn due(&self) -> usize {
+        self.topics.iter().map(|topic| topic.dirty.len()).sum()
+    }
+
     /// Marks without an answer.
     pub fn marks_open(&self) -> usize {
         self.marks.len()
@@ -196,7 +237,12 @@
         let topic = &mut self.topics[kind.place()];
         topic.started = true;
         if first {
-            let named = |(name, version): (&String, &String)| (name.clone(), (Some(version.clone()), 0));
+            let named = |(name, version): (&String, &String)| {
+                // What the client holds of us is mostly what we have: then both share one copy.
+                let stored = cache.get(kind, name).filter(|stored| *stored.version == **version);
+                let version = stored.map_or_else(|| version.as_str().into(), |s| s.version.clone());
+                (cache.shared(kind, name), (Some(version), 0))
+            };
             topic.holds = request.initial_resource_versions.iter().map(named).collect();
             // The legacy form: a first request without names asks for all there is.
             topic.wildcard = request.resource_names_subscribe.is_empty() && kind.whole();
@@ -204,16 +250,16 @@
         for name in &request.resource_names_subscribe {
             if name == "*" {
                 topic.wildcard = true;
-            } else if !topic.names.insert(name.clone()) || !first {
+            } else if !topic.names.insert(cache.shared(kind, name)) || !first {
                 // Asked for again, or anew: it must be sent even if it was sent before.
-                topic.holds.remove(name);
+                topic.holds.remove(name.as_str());
             }
         }
         for name in &request.resource_names_unsubscribe {
             if name == "*" {
                 topic.wildcard = false;
             } else {
-                topic.names.remove(name);
+                topic.names.remove(name.as_str());
             }
         }
         if !request.resource_names_unsubscribe.is_empty() {
@@ -240,7 +286,8 @@
         self.complete = None;
         let topic = &mut self.topics[kind.place()];
         let first = !std::mem::replace(&mut topic.started, true);
-        let names: BTreeSet<String> = request.resource_names.iter().filter(|n| *n != "*").cloned().collect();
+        let named = request.resource_names.iter().filter(|name| *name != "*");
+        let names: BTreeSet<Arc<str>> = named.map(|name| cache.shared(kind, name)).collect();
         let star = names.len() < request.resource_names.len();
         topic.wildcard = star || kind.whole() && names.is_empty() && (first || topic.wildcard);
         let fresh = names.iter().any(|name| !topic.names.contains(name));
@@ -260,10 +307,10 @@
     /// Finds every name of a type that the client must still hear of.
     fn refresh(&mut self, kind: Kind, cache: &Cache) {
         let topic = &mut self.topics[kind.place()];
-        let there = cache.names(kind).map(str::to_string);
-        let all: BTreeSet<String> =
+        let there = cache.all(kind).map(|stored| stored.name().clone());
+        let all: BTreeSet<Arc<str>> =
             there.chain(topic.holds.keys().cloned()).chain(topic.names.iter().cloned()).collect();
-        let due: Vec<String> = all.into_iter().filter(|name| topic.due(kind, name, cache)).collect();
+        let due: Vec<Arc<str>> = all.into_iter().filter(|name| topic.due(kind, name, cache)).collect();
         topic.dirty.extend(due);
     }
 
@@ -311,23 +358,23 @@
         let mut names = Vec::new();
         for (name, version) in sent.items {
             if topic.rejected.get(&name) == Some(&version) {
-                let version = version.unwrap_or_default();
-                return Err(StreamError::RejectedTwice { kind, name, version, reason });
+                let version = version.as_deref().unwrap_or_default().to_string();
+                return Err(StreamError::RejectedTwice { kind, name: name.to_string(), version, reason });
             }
             topic.rejected.insert(name.clone(), version.clone());
             // What was sent after it is judged by itself; only what still stands as this reply told goes out again.
             if topic.holds.get(&name).is_some_and(|held| held.1 == sent.nonce) {
                 // Whatever the client held before it holds still: unknown to us, and to be told even if it is gone.
-                topic.holds.insert(name.clone(), (Some(String::new()), 0));
+                topic.holds.insert(name.clone(), (Some("".into()), 0));
                 topic.dirty.insert(name.clone());
             }
-            names.push(name);
+            names.push(name.to_string());
         }
         Ok(Heard::Nacked { kind, nonce: sent.nonce, names, reason })
     }
 
     /// The next reply to write, in make-before-break order; `None` when nothing is due or too much is unanswered.
-    pub fn next(&mut self, cache: &Cache) -> Option<Response> {
+    pub fn next(&mut self, cache: &Cache) -> Option<Reply> {
         // Clusters first but without the removed ones, which go last.
         let clusters = self.reply(Kind::Cluster, cache, false);
         clusters.or_else(|| Kind::ALL[1..].iter().find_map(|kind| self.reply(*kind, cache, true))).or_else(
@@ -342,7 +389,7 @@
         )
     }
 
-    fn reply(&mut self, kind: Kind, cache: &Cache, with_removed: bool) -> Option<Response> {
+    fn reply(&mut self, kind: Kind, cache: &Cache, with_removed: bool) -> Option<Reply> {
         let variant = self.variant;
         let topic = &mut self.topics[kind.place()];
         // Of routes one at a time: the lease of the client that reads them rests on it.
@@ -355,9 +402,9 @@
             return None;
         }
         let whole = variant == Variant::StateOfTheWorld && kind.whole();
-        let mut items: Vec<(String, SentVersion)> = Vec::new();
+        let mut items: Vec<(Arc<str>, SentVersion)> = Vec::new();
         let mut bytes = 0;
-        let names: Vec<String> = topic.dirty.iter().cloned().collect();
+        let names: Vec<Arc<str>> = topic.dirty.iter().cloned().collect();
         for name in names {
             let entry = cache.get(kind, &name);
             if entry.is_none() && !with_removed {
@@ -379,9 +426,9 @@
         topic.owed = false;
         if whole {
             // All that is wanted and there is goes along: what is left out counts as gone.
-            let there = cache.names(kind).filter(|name| topic.wants(name)).map(str::to_string);
             items.retain(|(_, version)| version.is_none());
-            items.extend(there.map(|name| (name.clone(), cache.get(kind, &name).map(|e| e.version.clone()))));
+            let there = cache.all(kind).filter(|stored| topic.wants(stored.name()));
+            items.extend(there.map(|stored| (stored.name().clone(), Some(stored.version.clone()))));
             topic.dirty.clear();
         }
         for (name, version) in &items {
@@ -394,17 +441,13 @@
                 return None;
             }
         }
-        let beats: Vec<(&str, &Entry, bool)> = items
-            .iter()
-            .filter_map(|(name, version)| {
-                version.as_ref()?;
-                Some((name.as_str(), cache.get(kind, name)?.as_ref(), true))
-            })
-            .collect();
+        let form = self.form();
+        let told = items.iter().filter(|(_, version)| version.is_some());
+        let frames = told.filter_map(|(name, _)| Some(cache.get(kind, name)?.frame(form))).collect();
         let removed: Vec<String> =
-            items.iter().filter(|(_, v)| v.is_none()).map(|(name, _)| name.clone()).collect();
+            items.iter().filter(|(_, v)| v.is_none()).map(|(name, _)| name.to_string()).collect();
         self.nonces += 1;
-        let reply = build(variant, self.wrapped, kind, self.nonces, cache.revision(), &beats, removed);
+        let reply = build(variant, kind, self.nonces, cache.revision(), frames, removed);
         let topic = &mut self.topics[kind.place()];
         topic.newest = self.nonces;
         topic.sent.push_back(Sent { nonce: self.nonces, items });
@@ -414,8 +457,8 @@
     /// Renews the TTL of a resource that the client holds. `None` while any reply of the type is unanswered, or
     /// anything is due that was not sent: so a renewal is sent by an end that has heard the answer to the last
     /// one, and confirms all that was said before. The client's lease rests on both (`docs/xds.md`, the lease).
-    pub fn heartbeat(&mut self, kind: Kind, name: &str, cache: &Cache) -> Option<Response> {
-        let (variant, wrapped) = (self.variant, self.wrapped);
+    pub fn heartbeat(&mut self, kind: Kind, name: &str, cache: &Cache) -> Option<Reply> {
+        let (variant, form) = (self.variant, self.form());
         if self.topics.iter().any(|topic| !topic.dirty.is_empty() || topic.owed) {
             return None;
         }
@@ -428,15 +471,15 @@
         self.nonces += 1;
         topic.newest = self.nonces;
         topic.sent.push_back(Sent { nonce: self.nonces, items: Vec::new() });
-        Some(build(
-            variant,
-            wrapped,
-            kind,
-            self.nonces,
-            cache.revision(),
-            &[(name, entry.as_ref(), false)],
-            Vec::new(),
-        ))
+        Some(build(variant, kind, self.nonces, cache.revision(), vec![entry.beat(form)], Vec::new()))
+    }
+
+    fn form(&self) -> Form {
+        match (self.variant, self.wrapped) {
+            (Variant::Incremental, _) => Form::Incremental,
+            (Variant::StateOfTheWorld, true) => Form::Wrapped,
+            (Variant::StateOfTheWorld, false) => Form::Plain,
+        }
     }
 
     /// Replies that wait for an answer.
@@ -449,47 +492,56 @@
     Kind::of_type_url(url).ok_or_else(|| StreamError::UnknownType(url.chars().take(120).collect()))
 }
 
-/// Writes a reply; the flag of each resource tells whether its body goes along or only its TTL is renewed.
+/// A reply: its own fields, and its resources in the encoding that all streams share.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    head: Vec<u8>,
+    frames: Vec<Bytes>,
+}
+
+impl Reply {
+    /// Resources that it carries.
+    pub fn resources(&self) -> usize {
+        self.frames.len()
+    }
+
+    /// The message, in one piece. Fields of a message may stand in any order.
+    pub fn encode(&self) -> Vec<u8> {
+        let mut bytes =
+            Vec::with_capacity(self.head.len() + self.frames.iter().map(Bytes::len).sum::<usize>());
+        bytes.extend_from_slice(&self.head);
+        self.frames.iter().for_each(|frame| bytes.extend_from_slice(frame));
+        bytes
+    }
+}
+
 fn build(
     variant: Variant,
-    wrapped: bool,
     kind: Kind,
     nonce: u64,
     revision: u64,
-    resources: &[(&str, &Entry, bool)],
+    frames: Vec<Bytes>,
     removed: Vec<String>,
-) -> Response {
-    let any = |entry: &Entry| Any { type_url: kind.type_url().to_string(), value: entry.body.to_vec() };
-    let wrap = |(name, entry, body): &(&str, &Entry, bool)| proto::Resource {
-        version: entry.version.clone(),
-        resource: body.then(|| any(entry)),
-        name: name.to_string(),
-        ttl: entry.ttl.map(proto::span),
-    };
-    match variant {
-        Variant::Incremental => Response::Incremental(proto::DeltaDiscoveryResponse {
-            system_version_info: revision.to_string(),
-            resources: resources.iter().map(wrap).collect(),
-            type_url: kind.type_url().to_string(),
-            nonce: nonce.to_string(),
+) -> Reply {
+    let (type_url, nonce, version) = (kind.type_url().to_string(), nonce.to_string(), revision.to_string());
+    let head = match variant {
+        Variant::Incremental => proto::DeltaDiscoveryResponse {
+            system_version_info: version,
+            resources: Vec::new(),
+            type_url,
+            nonce,
             removed_resources: removed,
             control_plane: None,
-        }),
-        Variant::StateOfTheWorld => {
-            let plain = |resource: &(&str, &Entry, bool)| match wrapped {
-                true => {
-                    let value = prost::Message::encode_to_vec(&wrap(resource));
-                    Any { type_url: WRAPPER_URL.to_string(), value }
-                }
-                false => any(resource.1),
-            };
-            Response::StateOfTheWorld(proto::DiscoveryResponse {
-                version_info: revision.to_string(),
-                resources: resources.iter().map(plain).collect(),
-                type_url: kind.type_url().to_string(),
-                nonce: nonce.to_string(),
-                control_plane: None,
-            })
         }
-    }
+        .encode_to_vec(),
+        Variant::StateOfTheWorld => proto::DiscoveryResponse {
+            version_info: version,
+            resources: Vec::new(),
+            type_url,
+            nonce,
+            control_plane: None,
+        }
+        .encode_to_vec(),
+    };
+    Reply { head, frames }
 }
--- a/crates/whinhill-xds/tests/schedules.rs
+++ b/crates/whinhill-xds/tests/schedules.rs
@@ -7,7 +7,7 @@
 use rand_chacha::ChaCha8Rng;
 use whinhill_xds::proto::Node;
 use whinhill_xds::{
-    Cache, ClientStream, Entry, Heard, Kind, Request, Response, ServerStream, Update, Variant,
+    Cache, ClientStream, Entry, Heard, Kind, Reply, Request, Response, ServerStream, Update, Variant,
 };
 
 type Held = BTreeMap<(Kind, String), String>;
@@ -29,16 +29,20 @@
     beats: u64,
     rejections: u64,
     acked: u64,
+    /// The client has forgotten something that it acknowledged; how often that was found.
+    lost_some: bool,
+    differing: u64,
 }
 
 fn entry(number: u64) -> Entry {
-    Entry { version: number.to_string(), body: vec![number as u8; 3].into(), ttl: None }
+    Entry { version: number.to_string().into(), body: vec![number as u8; 3].into(), ttl: None }
 }
 
 impl World {
     fn new(variant: Variant, seed: u64) -> Self {
         let node = Node { id: "p1".into(), ..Default::default() };
         let mut client = ClientStream::new(variant, node);
+        client.tell_holdings();
         client.subscribe(Kind::Cluster, true, BTreeSet::new());
         client.subscribe(Kind::Route, false, ["gate".to_string()].into());
         let mut world = World {
@@ -57,6 +61,8 @@
             beats: 0,
             rejections: 0,
             acked: 0,
+            lost_some: false,
+            differing: 0,
         };
         world.cache.set(Kind::Route, "gate", entry(1));
         (0..6).for_each(|name| world.change(name));
@@ -65,7 +71,7 @@
 
     fn told(&mut self, kind: Kind, name: &str) {
         if let Some(server) = &mut self.server {
-            server.changed(kind, name);
+            server.changed(kind, &name.into());
         }
     }
 
@@ -127,7 +133,8 @@
 
     fn write(&mut self) {
         let Some(server) = &mut self.server else { return };
-        self.down.extend(server.next(&self.cache));
+        let decoded = |reply: Reply| Response::decode(self.variant, &reply.encode()).unwrap();
+        self.down.extend(server.next(&self.cache).map(decoded));
         self.check_marks();
     }
 
@@ -135,13 +142,18 @@
         let Some(server) = &mut self.server else { return };
         let beat = server.heartbeat(Kind::Route, "gate", &self.cache);
         self.beats += u64::from(beat.is_some());
-        self.down.extend(beat);
+        let decoded = |reply: Reply| Response::decode(self.variant, &reply.encode()).unwrap();
+        self.down.extend(beat.map(decoded));
     }
 
     fn deliver_up(&mut self) {
         let (Some(server), Some(request)) = (&mut self.server, self.up.pop_front()) else { return };
         match server.hear(&request, &self.cache).unwrap() {
             Heard::Nacked { .. } => self.rejections += 1,
+            Heard::Differs { theirs, ours, .. } => {
+                assert!(self.lost_some, "the client holds {theirs:x}, {ours:x} was acknowledged");
+                self.differing += 1;
+            }
             // In the state of the world a request that only asks for other names repeats an older nonce.
             Heard::Stale { nonce, .. } if self.variant == Variant::Incremental => {
                 panic!("nonce {nonce} is stale")
@@ -217,7 +229,10 @@
         let mut there = Held::new();
         for kind in Kind::ALL {
             for name in self.cache.names(kind) {
-                there.insert((kind, name.to_string()), self.cache.get(kind, name).unwrap().version.clone());
+                there.insert(
+                    (kind, name.to_string()),
+                    self.cache.get(kind, name).unwrap().version.to_string(),
+                );
             }
         }
         assert_eq!(self.held, there);
@@ -315,3 +330,31 @@
     assert_eq!(sent, ["2"]);
     assert!(removed.iter().all(|name| name == "4") && removed.len() == 2, "{removed:?}");
 }
+
+/// A client that loses a table after it acknowledged it is found by the number that it tells, and told it again.
+#[test]
+fn a_client_that_holds_something_else_is_told_everything_again() {
+    for variant in [Variant::Incremental, Variant::StateOfTheWorld] {
+        for seed in 0..40 {
+            let mut world = World::new(variant, seed);
+            (0..100).for_each(|_| world.step());
+            world.settle();
+            let name = world.client.versions(Kind::Endpoints).keys().next().cloned().unwrap();
+            world.lost_some = true;
+            world.client.forget(Kind::Endpoints, &name);
+            world.held.remove(&(Kind::Endpoints, name.clone()));
+            // Only others change: the protocol alone would never tell of this one again.
+            for _ in 0..40 {
+                let other = (0..9).find(|other| other.to_string() != name).unwrap();
+                world.change(other);
+                for _ in 0..6 {
+                    world.write();
+                    world.deliver_up();
+                    world.deliver_down(false);
+                }
+            }
+            assert!(world.differing > 0, "{variant:?}: seed {seed}");
+            world.settle();
+        }
+    }
+}
