Decide what follows a try in a machine without I/O; take no proof after an answer began

Change: trial.rs decides, from how a try ended, whether the RPC is done, goes by the table again or to the same server on a fresh connection, and whether a connection that swallowed a write is severed; proof for the last try no longer excuses one before it that may have run.

--- a/crates/whinhill-proxy/src/forward.rs
+++ b/crates/whinhill-proxy/src/forward.rs
@@ -9,15 +9,15 @@
 use prost::Message;
 use whinhill::interface::{MethodId, SliceId};
 use whinhill_tables::Version;
-use whinhill_transport::{grpc_timeout, CallError, Code, NeverRan, ServerCall, Trailers};
-use whinhill_xds::mapping::Effect;
+use whinhill_transport::{grpc_timeout, CallError, Client, Code, NeverRan, ServerCall, Trailers};
 use whinhill_xds::proto::OrcaLoadReport;
 use whinhill_xds::ORCA_TRAILER;
 
 use crate::pool::Pool;
-use crate::report::Ended;
+use crate::report;
 use crate::shared::{lock, Shared};
 use crate::table::{Refusal, Route};
+use crate::trial::{Ended, Next, Trial};
 
 /// Carries the key by whose hash an RPC finds its slice.
 pub const KEY_HEADER: &str = "whinhill-key";
@@ -142,7 +142,8 @@
         let shared = &self.shared;
         let holds = Instant::now() + shared.service.hold;
         let level = shared.draw();
-        let (mut left_tries, mut tried) = (None, 0u8);
+        let method = &shared.service.methods[rpc.method];
+        let mut trial = Trial::new(method.effect, method.writes);
         loop {
             let seen = shared.changes();
             let route =
@@ -161,93 +162,98 @@
                     shared.await_change(seen, until);
                 }
                 Route::Send { server, tries, version } => {
-                    let allowed = *left_tries.get_or_insert(tries);
+                    trial.begins(tries);
                     let began = Instant::now();
-                    let result = self.attempt(rpc, message, &server, version);
-                    if !matches!(result, Err(Attempt::Stopped)) {
-                        let ended = if result.is_ok() { Ended::Ok } else { Ended::Lost };
+                    let (ended, next, answer) =
+                        self.attempt(rpc, message, &server, version, &mut trial, call);
+                    if ended != Ended::NotSent {
+                        let told = if answer.is_ok() { report::Ended::Ok } else { report::Ended::Lost };
                         let wait = began.elapsed();
                         self.note(rpc, |met, source| {
-                            met.tried(source, (rpc.slice, rpc.method), &server, ended, wait);
+                            met.tried(source, (rpc.slice, rpc.method), &server, told, wait);
                         });
                     }
-                    match result {
+                    match answer {
                         Ok((message, trailers)) => {
                             self.note_load(&server, &trailers);
                             return Done::Answered { server, message, trailers };
                         }
-                        // The table changed between draw and send: look again.
-                        Err(Attempt::Stopped) => {}
-                        Err(Attempt::Failed(error)) => {
-                            self.pool.forget(&server);
-                            if !self.again(rpc, allowed, tried, &error) || call.cancelled() {
-                                return failed(&error);
-                            }
-                            tried += 1;
-                        }
+                        Err(error) if next == Next::Finish => return failed(&error),
+                        Err(_) => {}
                     }
                 }
             }
         }
     }
 
-    /// Whether a try may follow one that failed. Where nothing is said, none does.
-    fn again(&self, rpc: &Rpc, allowed: u8, tried: u8, error: &CallError) -> bool {
-        let effect = self.shared.service.methods[rpc.method].effect;
-        let more = match allowed {
-            0 => false,
-            1 => tried < 1 && error.never_ran().is_some(),
-            // After any failure, but never what may have run and must not run twice.
-            most => tried < most - 1 && (effect == Effect::Idempotent || error.never_ran().is_some()),
-        };
-        more && Instant::now() < rpc.until
-    }
-
+    /// One try, with its second sending to the same server where the first met a closed connection.
     fn attempt(
         &self,
         rpc: &Rpc,
         message: &Bytes,
         server: &Arc<str>,
         version: Version,
-    ) -> Result<(Bytes, Trailers), Attempt> {
-        let shared = &self.shared;
-        let writes = shared.service.methods[rpc.method].writes;
-        let path = &shared.service.methods[rpc.method].path;
-        let mut fresh = false;
+        trial: &mut Trial,
+        call: &mut ServerCall,
+    ) -> (Ended, Next, Result<(Bytes, Trailers), CallError>) {
         loop {
-            let client = self.pool.get(server, rpc.until).map_err(Attempt::Failed)?;
-            let left = rpc.until.saturating_duration_since(Instant::now());
-            let within = if writes { left.min(self.settle) } else { left };
-            let mut headers = rpc.headers.clone();
-            headers.push(("grpc-timeout", grpc_timeout(within.min(rpc.budget))));
-            headers.push((SLICE_HEADER, rpc.slice.to_string()));
-            headers.push((EPOCH_HEADER, version.epoch.to_string()));
-            headers.push(("whinhill-proxy", self.id.clone()));
-            // The last look before the first byte: a lease that ends now keeps the write here.
-            if writes && !shared.read(|table| table.still(shared.now(), rpc.slice, rpc.method, version)) {
-                return Err(Attempt::Stopped);
-            }
-            let heard = client.heard();
-            match client.unary(path, &headers, message.clone(), within) {
+            let mut client = None;
+            let answer = self.send(rpc, message, server, version, &mut client);
+            let ended = match &answer {
+                Ok(_) => Ended::Answered,
+                Err(Attempt::Stopped) => Ended::NotSent,
+                Err(Attempt::Failed { error, heard }) => Ended::failed(error, *heard),
+            };
+            let answer = answer.map_err(|failed| match failed {
+                Attempt::Stopped => CallError::NeverRan(NeverRan::NeverWritten),
+                Attempt::Failed { error, .. } => error,
+            });
+            if let (true, Some(client)) = (trial.severs(ended), &client) {
                 // A write given up on may stand in a network that carries nothing now, and begin at a former owner
                 // once it carries again. Where not a byte came back since it was sent, its cancellation is not on
                 // its way either: the connection is broken off, and what stands in it is lost.
-                Err(error @ CallError::Deadline(_)) if writes && client.heard() == heard => {
-                    client.sever();
-                    self.pool.forget(server);
-                    return Err(Attempt::Failed(error));
-                }
-                // The connection was closed for idleness, by either end, as the RPC was on its way to it: with the
-                // proof that it never ran it goes to the same server once more, on a fresh connection.
-                Err(error) if !fresh && connection_ended(&error) => {
-                    fresh = true;
-                    self.pool.forget(server);
-                }
-                other => return other.map_err(Attempt::Failed),
+                client.sever();
+            }
+            if answer.is_err() {
+                self.pool.forget(server);
+            }
+            let left = rpc.until.saturating_duration_since(Instant::now());
+            let next = trial.ended(ended, left, !call.cancelled());
+            if next != Next::SameServer {
+                return (ended, next, answer);
             }
         }
     }
 
+    fn send(
+        &self,
+        rpc: &Rpc,
+        message: &Bytes,
+        server: &Arc<str>,
+        version: Version,
+        used: &mut Option<Client>,
+    ) -> Result<(Bytes, Trailers), Attempt> {
+        let shared = &self.shared;
+        let writes = shared.service.methods[rpc.method].writes;
+        let path = &shared.service.methods[rpc.method].path;
+        let unsent = |error| Attempt::Failed { error, heard: true };
+        let client = used.insert(self.pool.get(server, rpc.until).map_err(unsent)?);
+        let left = rpc.until.saturating_duration_since(Instant::now());
+        let within = if writes { left.min(self.settle) } else { left };
+        let mut headers = rpc.headers.clone();
+        headers.push(("grpc-timeout", grpc_timeout(within.min(rpc.budget))));
+        headers.push((SLICE_HEADER, rpc.slice.to_string()));
+        headers.push((EPOCH_HEADER, version.epoch.to_string()));
+        headers.push(("whinhill-proxy", self.id.clone()));
+        // The last look before the first byte: a lease that ends now keeps the write here.
+        if writes && !shared.read(|table| table.still(shared.now(), rpc.slice, rpc.method, version)) {
+            return Err(Attempt::Stopped);
+        }
+        let before = client.heard();
+        let answer = client.unary(path, &headers, message.clone(), within);
+        answer.map_err(|error| Attempt::Failed { error, heard: client.heard() != before })
+    }
+
     fn note(&self, rpc: &Rpc, act: impl FnOnce(&mut crate::report::Met, usize)) {
         if let Some(source) = self.shared.read(|table| table.source_of(rpc.slice, rpc.method)) {
             act(&mut lock(&self.shared.met), source);
@@ -263,14 +269,14 @@
     }
 }
 
-fn connection_ended(error: &CallError) -> bool {
-    matches!(error.never_ran(), Some(NeverRan::NeverWritten | NeverRan::AboveGoAway))
-}
-
 enum Attempt {
     /// Nothing was sent: the table no longer allows it.
     Stopped,
-    Failed(CallError),
+    Failed {
+        error: CallError,
+        /// Something came back on the connection after it was sent.
+        heard: bool,
+    },
 }
 
 fn failed(error: &CallError) -> Done {
--- a/crates/whinhill-proxy/src/lib.rs
+++ b/crates/whinhill-proxy/src/lib.rs
@@ -1,7 +1,7 @@
 //! A plain proxy: it looks up a key's slice, obeys the slice's table and level, and reports what it met.
 //!
 //! [`Table`] decides, without I/O or clock, what may be sent where; `streams.rs` feeds it over xDS from every
-//! assigner, `forward.rs` carries RPCs by it, `report.rs` tells what they met.
+//! assigner, [`Trial`] decides what may follow a try; `forward.rs` carries RPCs by both, `report.rs` tells what they met.
 
 mod forward;
 mod pool;
@@ -10,9 +10,11 @@
 mod shared;
 mod streams;
 mod table;
+mod trial;
 
 pub use forward::{ANSWERED_BY, KEY_HEADER, PUSHBACK_HEADER, REFUSED_HEADER};
 pub use pool::Dial;
 pub use proxy::{Proxy, ProxyConfig, ProxyError, Sabotage};
 pub use shared::Counts;
 pub use table::{Refusal, Route, Table};
+pub use trial::{Ended, Next, Trial};
--- a/crates/whinhill-transport/src/call.rs
+++ b/crates/whinhill-transport/src/call.rs
@@ -362,6 +362,15 @@
     }
 }
 
+/// What fails after the answer's head has come did run, whatever the server says of it: found by drawing what a
+/// server may send (`tests/ends.rs`).
+fn begun(error: CallError) -> CallError {
+    match error {
+        CallError::NeverRan(said) => CallError::Reset(format!("{said:?}, though it had begun to answer")),
+        other => other,
+    }
+}
+
 fn check(headers: &HeaderMap) -> Result<(), CallError> {
     let Some(value) = headers.get("grpc-status") else { return Ok(()) };
     let number = value.to_str().ok().and_then(|text| text.parse().ok());
@@ -468,8 +477,8 @@
                 Err(error @ CallError::Deadline(_)) => return Err(error),
                 _ => pending.head(left())?,
             };
-            let answer = opened.reader.recv(left())?;
-            let trailers = opened.reader.trailers(left())?;
+            let answer = opened.reader.recv(left()).map_err(begun)?;
+            let trailers = opened.reader.trailers(left()).map_err(begun)?;
             check(&trailers)?;
             Ok((answer.ok_or(CallError::Malformed("no message before the status"))?, trailers))
         })();
