Let a proxy pick by weight, evenly or the less loaded of two; hold its table to a model

Change: pick.rs decides from lines, draws and the proxy's own work out; a plain model that looks up all that ever happened answers the same schedules as the table.

--- a/crates/whinhill-cli/src/proxy.rs
+++ b/crates/whinhill-cli/src/proxy.rs
@@ -9,7 +9,7 @@
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use whinhill_assigner::{Fault, ServiceConfig};
-use whinhill_proxy::{Dial, Proxy, ProxyConfig, Sabotage};
+use whinhill_proxy::{Dial, Pick, Proxy, ProxyConfig, Sabotage};
 use whinhill_standins::running::ProxyFigures;
 use whinhill_transport::{Drivers, Limits, Workers};
 use whinhill_xds::Variant;
@@ -29,6 +29,9 @@
     /// Whether tables come as state of the world; incremental otherwise.
     #[serde(default)]
     pub state_of_the_world: bool,
+    /// How it picks among a slice's lines.
+    #[serde(default)]
+    pub pick: Pick,
     /// RPCs in hand at a time; what is over is pushed back at once.
     #[serde(default = "in_hand_most")]
     pub in_hand_most: usize,
@@ -92,6 +95,7 @@
         limits: Limits::default(),
         seed: file.seed,
         dial: Dial::default(),
+        pick: file.pick,
         sabotage: Sabotage::default(),
     };
     let proxy = Proxy::start(config, &drivers, &workers).map_err(|error| failed(&error))?;
--- a/crates/whinhill-proxy/src/forward.rs
+++ b/crates/whinhill-proxy/src/forward.rs
@@ -13,6 +13,7 @@
 use whinhill_xds::proto::OrcaLoadReport;
 use whinhill_xds::ORCA_TRAILER;
 
+use crate::pick::Draws;
 use crate::pool::Pool;
 use crate::report;
 use crate::shared::{lock, Shared};
@@ -146,8 +147,10 @@
         let mut trial = Trial::new(method.effect, method.writes);
         loop {
             let seen = shared.changes();
-            let route =
-                shared.read(|table| table.route(shared.now(), rpc.slice, rpc.method, level, shared.draw()));
+            let route = shared.read(|table| {
+                let draws = Draws { level, first: shared.draw(), second: shared.draw() };
+                table.route(shared.now(), rpc.slice, rpc.method, draws, |server| shared.out.of(server))
+            });
             match route {
                 Route::Refuse(why) => {
                     self.note(rpc, |met, source| met.dropped(source, rpc.slice, rpc.method));
@@ -164,6 +167,7 @@
                 Route::Send { server, tries, version } => {
                     trial.begins(tries);
                     let began = Instant::now();
+                    let _out = shared.out.begin(&server);
                     let (ended, next, answer) =
                         self.attempt(rpc, message, &server, version, &mut trial, call);
                     if ended != Ended::NotSent {
--- a/crates/whinhill-proxy/src/lib.rs
+++ b/crates/whinhill-proxy/src/lib.rs
@@ -4,6 +4,7 @@
 //! assigner, [`Trial`] decides what may follow a try; `forward.rs` carries RPCs by both, `report.rs` tells what they met.
 
 mod forward;
+mod pick;
 mod pool;
 mod proxy;
 mod report;
@@ -13,6 +14,7 @@
 mod trial;
 
 pub use forward::{ANSWERED_BY, KEY_HEADER, PUSHBACK_HEADER, REFUSED_HEADER};
+pub use pick::{Draws, Pick};
 pub use pool::Dial;
 pub use proxy::{Proxy, ProxyConfig, ProxyError, Sabotage};
 pub use shared::Counts;
--- a/crates/whinhill-proxy/src/proxy.rs
+++ b/crates/whinhill-proxy/src/proxy.rs
@@ -12,6 +12,7 @@
 use whinhill_xds::{proto, Variant};
 
 use crate::forward::{Forwarder, PUSHBACK_HEADER};
+use crate::pick::Pick;
 use crate::pool::{Dial, Pool};
 use crate::shared::{Counts, Shared};
 use crate::streams::Streams;
@@ -39,6 +40,7 @@
     pub limits: Limits,
     pub seed: u64,
     pub dial: Dial,
+    pub pick: Pick,
     pub sabotage: Sabotage,
 }
 
@@ -62,7 +64,8 @@
 impl Proxy {
     /// Starts one; `workers` carry its RPCs, `drivers` its connections. Both may serve many proxies.
     pub fn start(config: ProxyConfig, drivers: &Drivers, workers: &Workers) -> Result<Self, ProxyError> {
-        let shared = Arc::new(Shared::new(config.service.clone(), config.assigners.len(), config.seed));
+        let shared =
+            Arc::new(Shared::new(config.service.clone(), config.assigners.len(), config.seed, config.pick));
         let reject = Arc::new(AtomicU64::new(0));
         let locality = proto::Locality { zone: config.zone.clone(), ..Default::default() };
         let node = proto::Node {
--- a/crates/whinhill-proxy/src/shared.rs
+++ b/crates/whinhill-proxy/src/shared.rs
@@ -8,6 +8,7 @@
 use rand_chacha::ChaCha8Rng;
 use whinhill_xds::mapping::Service;
 
+use crate::pick::{Out, Pick};
 use crate::report::Met;
 use crate::table::Table;
 
@@ -30,6 +31,8 @@
     changes: Mutex<u64>,
     changed: Condvar,
     pub met: Mutex<Met>,
+    /// Tries that are out, by server.
+    pub out: Out,
     pub counts: Counts,
     pub stop: AtomicBool,
     chance: Mutex<ChaCha8Rng>,
@@ -41,9 +44,10 @@
 }
 
 impl Shared {
-    pub fn new(service: Arc<Service>, sources: usize, seed: u64) -> Self {
+    pub fn new(service: Arc<Service>, sources: usize, seed: u64, pick: Pick) -> Self {
         Shared {
-            table: RwLock::new(Table::new(service.clone(), sources)),
+            table: RwLock::new(Table::new(service.clone(), sources, pick)),
+            out: Out::default(),
             met: Mutex::new(Met::new(sources)),
             service,
             start: Instant::now(),
--- a/crates/whinhill-proxy/src/table.rs
+++ b/crates/whinhill-proxy/src/table.rs
@@ -13,6 +13,8 @@
 use whinhill_tables::Version;
 use whinhill_xds::mapping::{Assignment, Service};
 
+use crate::pick::{pick, Draws, Pick};
+
 /// An assigner, counted in the order of the configuration.
 pub type Source = usize;
 
@@ -93,13 +95,14 @@
     epochs: Vec<u64>,
     leases: Vec<Lease>,
     older: u64,
+    pick: Pick,
 }
 
 impl Table {
-    pub fn new(service: Arc<Service>, sources: usize) -> Self {
+    pub fn new(service: Arc<Service>, sources: usize, pick: Pick) -> Self {
         let slots = vec![None; service.slices * service.methods.len()];
         let epochs = vec![0; service.slices];
-        Table { service, slots, epochs, leases: vec![Lease::default(); sources], older: 0 }
+        Table { service, slots, epochs, leases: vec![Lease::default(); sources], older: 0, pick }
     }
 
     fn slot(&self, slice: SliceId, method: MethodId) -> usize {
@@ -167,24 +170,26 @@
         self.leases[source].until
     }
 
-    /// Where an RPC goes now. `level` and `pick` are drawn evenly from 0 to 1.
-    pub fn route(&self, now: Duration, slice: SliceId, method: MethodId, level: f64, pick: f64) -> Route {
+    /// Where an RPC goes now; `out` tells this proxy's own work out at a server.
+    pub fn route(
+        &self,
+        now: Duration,
+        slice: SliceId,
+        method: MethodId,
+        draws: Draws,
+        out: impl Fn(&str) -> u32,
+    ) -> Route {
         let Some(held) = &self.slots[self.slot(slice, method)] else { return Route::Wait(Refusal::NoLine) };
-        if level >= held.share {
+        if draws.level >= held.share {
             return Route::Refuse(Refusal::Level);
         }
         if self.service.methods[method].writes && !self.may_write(now, held) {
             return Route::Wait(Refusal::NoLease);
         }
-        let all: u64 = held.lines.iter().map(|(_, weight)| u64::from(*weight)).sum();
-        let mut left = (pick * all as f64) as u64;
-        for (server, weight) in &held.lines {
-            if left < u64::from(*weight) {
-                return Route::Send { server: server.clone(), tries: held.tries, version: held.version };
-            }
-            left -= u64::from(*weight);
+        match pick(self.pick, &held.lines, draws, out) {
+            Some(server) => Route::Send { server: server.clone(), tries: held.tries, version: held.version },
+            None => Route::Wait(Refusal::NoLine),
         }
-        Route::Wait(Refusal::NoLine)
     }
 
     fn may_write(&self, now: Duration, held: &Held) -> bool {
@@ -218,5 +223,7 @@
     }
 }
 
+#[cfg(test)]
+mod model;
 #[cfg(test)]
 mod tests;
--- a/crates/whinhill-proxy/src/table/tests.rs
+++ b/crates/whinhill-proxy/src/table/tests.rs
@@ -4,11 +4,11 @@
 
 const TTL: Duration = Duration::from_secs(4);
 
-fn s(seconds: f64) -> Duration {
+pub fn s(seconds: f64) -> Duration {
     Duration::from_secs_f64(seconds)
 }
 
-fn service() -> Arc<Service> {
+pub fn service() -> Arc<Service> {
     let method = |name: &str, writes, effect| Method {
         name: name.into(),
         path: format!("/t/{name}"),
@@ -26,6 +26,10 @@
     })
 }
 
+fn draws(level: f64, first: f64) -> Draws {
+    Draws { level, first, second: 0.0 }
+}
+
 fn told(method: usize, epoch: u64, number: u64, server: &str) -> Assignment {
     let lines = if server.is_empty() { vec![] } else { vec![(server.to_string(), 1)] };
     Assignment { slice: 1, method, version: Version { epoch, number }, lines, share: 1.0, tries: 0 }
@@ -33,7 +37,7 @@
 
 /// A table with slice 1 at server a, epoch 5, from assigner 0, whose lease began at 10 s.
 fn table() -> Table {
-    let mut t = Table::new(service(), 2);
+    let mut t = Table::new(service(), 2, Pick::ByWeight);
     (0..2).for_each(|method| assert_eq!(t.apply(0, &told(method, 5, 1, "a")), Applied::New));
     t.lease_asked(0, s(10.0));
     t.lease_renewed(0, TTL);
@@ -41,7 +45,7 @@
 }
 
 fn to(t: &Table, now: f64, method: usize) -> Option<String> {
-    match t.route(s(now), 1, method, 0.5, 0.5) {
+    match t.route(s(now), 1, method, draws(0.5, 0.5), |_| 0) {
         Route::Send { server, .. } => Some(server.to_string()),
         _ => None,
     }
@@ -51,7 +55,7 @@
 fn writes_end_with_the_lease_and_reads_go_on() {
     let t = table();
     assert_eq!((to(&t, 13.9, 1), to(&t, 14.0, 1)), (Some("a".into()), None));
-    assert_eq!(t.route(s(14.0), 1, 1, 0.5, 0.5), Route::Wait(Refusal::NoLease));
+    assert_eq!(t.route(s(14.0), 1, 1, draws(0.5, 0.5), |_| 0), Route::Wait(Refusal::NoLease));
     assert_eq!(to(&t, 99.0, 0), Some("a".into()));
 }
 
@@ -69,10 +73,10 @@
 
 #[test]
 fn a_proxy_that_has_just_started_sends_no_writes_before_it_has_read() {
-    let mut t = Table::new(service(), 2);
-    assert_eq!(t.route(s(0.0), 1, 1, 0.0, 0.0), Route::Wait(Refusal::NoLine));
+    let mut t = Table::new(service(), 2, Pick::ByWeight);
+    assert_eq!(t.route(s(0.0), 1, 1, draws(0.0, 0.0), |_| 0), Route::Wait(Refusal::NoLine));
     t.apply(0, &told(1, 5, 1, "a"));
-    assert_eq!(t.route(s(0.0), 1, 1, 0.0, 0.0), Route::Wait(Refusal::NoLease));
+    assert_eq!(t.route(s(0.0), 1, 1, draws(0.0, 0.0), |_| 0), Route::Wait(Refusal::NoLease));
 }
 
 #[test]
@@ -110,11 +114,11 @@
 fn levels_concern_one_method_and_no_line_is_not_a_level() {
     let mut t = table();
     t.apply(0, &Assignment { share: 0.0, ..told(1, 5, 2, "a") });
-    assert_eq!(t.route(s(11.0), 1, 1, 0.0, 0.0), Route::Refuse(Refusal::Level));
+    assert_eq!(t.route(s(11.0), 1, 1, draws(0.0, 0.0), |_| 0), Route::Refuse(Refusal::Level));
     assert!(!t.still(s(11.0), 1, 1, Version { epoch: 5, number: 2 }));
     assert_eq!(to(&t, 11.0, 0), Some("a".into()));
     t.apply(0, &told(0, 5, 3, ""));
-    assert_eq!(t.route(s(11.0), 1, 0, 0.0, 0.0), Route::Wait(Refusal::NoLine));
+    assert_eq!(t.route(s(11.0), 1, 0, draws(0.0, 0.0), |_| 0), Route::Wait(Refusal::NoLine));
 }
 
 #[test]
@@ -122,7 +126,7 @@
     let mut t = table();
     let lines = vec![("a".to_string(), 1), ("b".to_string(), 3)];
     t.apply(0, &Assignment { lines, ..told(0, 5, 2, "") });
-    let pick = |p: f64| match t.route(s(11.0), 1, 0, 0.0, p) {
+    let pick = |p: f64| match t.route(s(11.0), 1, 0, draws(0.0, p), |_| 0) {
         Route::Send { server, .. } => server.to_string(),
         other => panic!("{other:?}"),
     };
@@ -131,5 +135,5 @@
         ("a".into(), "a".into(), "b".into(), "b".into())
     );
     t.apply(0, &Assignment { lines: vec![("a".to_string(), 0)], ..told(0, 5, 3, "") });
-    assert_eq!(t.route(s(11.0), 1, 0, 0.0, 0.0), Route::Wait(Refusal::NoLine));
+    assert_eq!(t.route(s(11.0), 1, 0, draws(0.0, 0.0), |_| 0), Route::Wait(Refusal::NoLine));
 }
--- a/crates/whinhill-standins/src/play.rs
+++ b/crates/whinhill-standins/src/play.rs
@@ -549,6 +549,7 @@
             },
             seed,
             dial,
+            pick: whinhill_proxy::Pick::default(),
             sabotage: whinhill_proxy::Sabotage {
                 ignores_stops: self.day.sabotage.contains(&Sabotage::ProxyIgnoresStops),
             },
