--- a/crates/whinhill-cli/src/main.rs
+++ b/crates/whinhill-cli/src/main.rs
@@ -3,6 +3,7 @@
 mod bench;
 mod config;
 mod day;
+mod load;
 mod logging;
 mod proxy;
 mod soak;
@@ -63,6 +64,8 @@
         #[command(subcommand)]
         command: standin::StandinCommand,
     },
+    /// Send RPCs at a set rate and measure how long they take.
+    Load(load::LoadArgs),
     /// Versions of an assigner's tables, and the way back to an older one.
     Table(table::TableArgs),
     /// Scripted days on loopback.
@@ -146,6 +149,7 @@
         }
         Command::Proxy { config, ready_file } => proxy::run(&config, ready_file.as_deref()),
         Command::Standin { command } => standin::run(command),
+        Command::Load(args) => load::run(&args),
         Command::Table(args) => table::run(args),
         Command::Day { command } => day::run(command),
         Command::Bench { command } => bench::run(command),
--- /dev/null
+++ b/crates/whinhill-cli/tests/load.rs
@@ -0,0 +1,76 @@
+//! The load tool against servers whose answers are known.
+
+use std::process::Command;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use whinhill_transport::{Code, Drivers, Limits, Listener, ServerCall, Trailers};
+
+const WITHIN: Duration = Duration::from_secs(10);
+
+fn server(drivers: &Drivers, answer: impl Fn(ServerCall) + Clone + Send + Sync + 'static) -> Listener {
+    let handler = move |call: ServerCall| {
+        let answer = answer.clone();
+        thread::spawn(move || answer(call));
+    };
+    Listener::start("test", "127.0.0.1:0".parse().unwrap(), Limits::default(), drivers, handler).unwrap()
+}
+
+fn echo(mut call: ServerCall) {
+    if let Ok(message) = call.message(WITHIN) {
+        let _ = call.answer(&message, Trailers::new(), WITHIN);
+    }
+}
+
+fn load(args: &[&str]) -> (serde_json::Value, Option<i32>) {
+    let output = Command::new(env!("CARGO_BIN_EXE_whinhill"))
+        .args(["--log-level", "error", "load", "--path", "/t.S/Look", "--json"])
+        .args(args)
+        .output()
+        .unwrap();
+    let text = String::from_utf8_lossy(&output.stdout).to_string();
+    (
+        text.lines().last().and_then(|line| serde_json::from_str(line).ok()).unwrap_or_default(),
+        output.status.code(),
+    )
+}
+
+#[test]
+fn both_targets_get_every_other_rpc_and_answers_are_told_apart() {
+    let drivers = Drivers::start("test", 1).unwrap();
+    let good = server(&drivers, echo);
+    let full = server(&drivers, |call| call.refuse(Code::Unavailable, "full", Trailers::new()));
+    let (to, against) = (good.addr().to_string(), full.addr().to_string());
+    let args = ["--to", &to, "--against", &against, "--rate", "300", "--seconds", "1", "--warm-up", "0.2"];
+    let (figures, code) = load(&args);
+    assert_eq!(code, Some(0), "{figures}");
+    let [first, second] = [&figures["targets"][0], &figures["targets"][1]];
+    assert!(first["ok"].as_u64().unwrap() > 80 && first["ok"] == first["sent"], "{figures}");
+    assert!(second["pushed_back"].as_u64().unwrap() > 80 && second["ok"] == 0, "{figures}");
+    assert_eq!(figures["not_sent"], 0);
+}
+
+/// One answer that takes 400 ms, at one RPC in hand: all that came due meanwhile waited too, and must show it.
+#[test]
+fn a_target_that_stands_still_is_seen_by_all_who_would_have_come() {
+    let drivers = Drivers::start("test", 1).unwrap();
+    let stalled = Arc::new(AtomicBool::new(false));
+    let slow_once = server(&drivers, move |mut call: ServerCall| {
+        let message = call.message(WITHIN).unwrap_or_default();
+        if !stalled.swap(true, Ordering::Relaxed) {
+            thread::park_timeout(Duration::from_millis(400));
+        }
+        let _ = call.answer(&message, Trailers::new(), WITHIN);
+    });
+    let to = slow_once.addr().to_string();
+    let args = ["--to", &to, "--rate", "200", "--seconds", "1", "--warm-up", "0", "--in-hand", "1"];
+    let (figures, _) = load(&args);
+    assert!(figures["targets"][0]["p90_us"].as_u64().unwrap() > 100_000, "{figures}");
+}
+
+#[test]
+fn what_makes_no_sense_is_refused_in_one_line() {
+    assert_eq!(load(&["--to", "127.0.0.1:1", "--rate", "0"]).1, Some(2));
+}
