Name what failed under load, and send what servers want

Need: a run in which all RPCs failed said only how many. Change: reasons are counted, the first eight told apart; headers may be given.

--- a/crates/whinhill-cli/src/load.rs
+++ b/crates/whinhill-cli/src/load.rs
@@ -1,6 +1,7 @@
 //! `whinhill load`: RPCs at a set rate, open loop. An RPC's time counts from when it was due, not from when a thread
 //! was free to send it, so that a target that stands still is seen by all who would have come meanwhile.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -52,11 +53,21 @@
     connections: usize,
     #[arg(long, default_value_t = 1)]
     seed: u64,
+    /// A header to send along, as `name=value`: what a server wants that a proxy would add.
+    #[arg(long = "header", value_parser = header)]
+    headers: Vec<(String, String)>,
     /// Only the object.
     #[arg(long)]
     json: bool,
 }
 
+fn header(text: &str) -> Result<(String, String), String> {
+    let (name, value) = text.split_once('=').ok_or("name=value is expected")?;
+    Ok((name.to_ascii_lowercase(), value.to_string()))
+}
+
+/// Reasons of failures that are told apart; the rest are counted together.
+const REASONS_MOST: usize = 8;
 /// Up to a minute in microseconds, to three digits.
 const LONGEST_US: u64 = 60_000_000;
 /// RPCs that may be due and unsent before the run gives up on more: ten seconds of a high rate.
@@ -71,6 +82,7 @@
     pushed_back: AtomicU64,
     late: AtomicU64,
     failed: AtomicU64,
+    reasons: Mutex<BTreeMap<String, u64>>,
     micros: Mutex<Histogram<u64>>,
 }
 
@@ -78,6 +90,7 @@
     at: Instant,
     target: usize,
     key: u64,
+    number: u64,
     connection: usize,
     counts: bool,
 }
@@ -91,6 +104,8 @@
     /// Not answered by the deadline.
     late: u64,
     failed: u64,
+    /// What failed, by the first words of the reason.
+    reasons: BTreeMap<String, u64>,
     p50_us: u64,
     p90_us: u64,
     p99_us: u64,
@@ -127,6 +142,7 @@
             pushed_back: AtomicU64::new(0),
             late: AtomicU64::new(0),
             failed: AtomicU64::new(0),
+            reasons: Mutex::default(),
             micros: Mutex::new(micros.map_err(|error| Failed::Running(error.to_string()))?),
         })
     }
@@ -144,6 +160,13 @@
         Ok(client)
     }
 
+    fn note(&self, reason: &str) {
+        let mut reasons = self.reasons.lock().unwrap_or_else(PoisonError::into_inner);
+        let short: String = reason.chars().take(60).collect();
+        let fits = reasons.len() < REASONS_MOST || reasons.contains_key(&short);
+        *reasons.entry(if fits { short } else { "others".to_string() }).or_insert(0) += 1;
+    }
+
     fn read(&self) -> TargetFigures {
         let get = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
         let micros = self.micros.lock().unwrap_or_else(PoisonError::into_inner);
@@ -155,6 +178,7 @@
             pushed_back: get(&self.pushed_back),
             late: get(&self.late),
             failed: get(&self.failed),
+            reasons: self.reasons.lock().unwrap_or_else(PoisonError::into_inner).clone(),
             p50_us: at(0.5),
             p90_us: at(0.9),
             p99_us: at(0.99),
@@ -170,6 +194,7 @@
     drivers: Drivers,
     path: String,
     message: Vec<u8>,
+    headers: Vec<(&'static str, String)>,
     deadline: Duration,
 }
 
@@ -190,7 +215,10 @@
                 Err(CallError::Deadline(_) | CallError::Status { code: Code::DeadlineExceeded, .. }) => {
                     &target.late
                 }
-                Err(_) => &target.failed,
+                Err(error) => {
+                    target.note(&error.to_string());
+                    &target.failed
+                }
             };
             counter.fetch_add(1, Ordering::Relaxed);
             if result.is_ok() {
@@ -206,7 +234,12 @@
             return Err(CallError::Deadline(self.deadline));
         }
         let client = target.client(due.connection, &self.drivers)?;
-        let headers = [("whinhill-key", format!("key-{}", due.key)), ("grpc-timeout", grpc_timeout(left))];
+        let mut headers = vec![
+            ("whinhill-key", format!("key-{}", due.key)),
+            ("whinhill-rpc", due.number.to_string()),
+            ("grpc-timeout", grpc_timeout(left)),
+        ];
+        headers.extend(self.headers.iter().cloned());
         client.unary(&self.path, &headers, self.message.clone().into(), left).map(drop)
     }
 }
@@ -225,6 +258,10 @@
     let targets =
         all.iter().map(|addr| Target::new(*addr, args.connections)).collect::<Result<Vec<_>, _>>()?;
     let targets = Arc::new(targets);
+    // Few, once a run, and wanted to its end.
+    let named =
+        |(name, value): &(String, String)| (&*Box::leak(name.clone().into_boxed_str()), value.clone());
+    let headers: Vec<(&'static str, String)> = args.headers.iter().map(named).collect();
     let (give, take) = bounded(DUE_MOST);
     let mut threads = Vec::new();
     for number in 0..args.in_hand {
@@ -234,6 +271,7 @@
             drivers: drivers.clone(),
             path: args.path.clone(),
             message: vec![b'x'; args.bytes],
+            headers: headers.clone(),
             deadline: Duration::from_millis(args.deadline_ms),
         };
         let thread = thread::Builder::new().name(format!("load-{number}")).stack_size(STACK);
@@ -253,7 +291,14 @@
         number += 1;
         let counts = at >= counted_from && at < end;
         let (target, connection) = (number % targets.len(), rng.random_range(0..args.connections));
-        let one = Due { at: due, target, key: rng.random_range(0..args.keys), connection, counts };
+        let one = Due {
+            at: due,
+            target,
+            key: rng.random_range(0..args.keys),
+            number: number as u64,
+            connection,
+            counts,
+        };
         not_sent += u64::from(give.try_send(one).is_err() && counts);
     }
     drop(give);
--- a/crates/whinhill-cli/tests/load.rs
+++ b/crates/whinhill-cli/tests/load.rs
@@ -50,6 +50,10 @@
     assert!(first["ok"].as_u64().unwrap() > 80 && first["ok"] == first["sent"], "{figures}");
     assert!(second["pushed_back"].as_u64().unwrap() > 80 && second["ok"] == 0, "{figures}");
     assert_eq!(figures["not_sent"], 0);
+    let broken = server(&drivers, |call| call.refuse(Code::Internal, "no such luck", Trailers::new()));
+    let to = broken.addr().to_string();
+    let (figures, _) = load(&["--to", &to, "--rate", "100", "--seconds", "0.3", "--warm-up", "0"]);
+    assert!(figures["targets"][0]["reasons"]["status 13: no such luck"].as_u64().unwrap() > 0, "{figures}");
 }
 
 /// One answer that takes 400 ms, at one RPC in hand: all that came due meanwhile waited too, and must show it.
