--- a/crates/whinhill-assigner/src/hub.rs
+++ b/crates/whinhill-assigner/src/hub.rs
@@ -15,7 +15,7 @@
 
 use crate::channel::Parcel;
 use crate::core::Input;
-use crate::joins::{Joins, FULL};
+use crate::joins::{Due, Joins};
 use crate::status::Counters;
 use crate::stewards::Charge;
 
@@ -329,13 +329,13 @@
         let gate = self.service.listener_name(true);
         let mut next_beat = Instant::now() + beat_every;
         let mut answered = Instant::now();
-        let mut full_set_in = LOOK;
+        let (mut full_set_in, mut waits_since) = (LOOK, None);
         while !stream.closed.load(Ordering::Relaxed) && !self.stop.load(Ordering::Relaxed) {
             let until_beat = next_beat.saturating_duration_since(Instant::now());
             let _ = woken.recv_timeout(LOOK.min(until_beat).min(full_set_in));
             full_set_in = LOOK;
             loop {
-                if let Err(wait) = self.may_send(stream) {
+                if let Err(wait) = self.may_send(stream, &mut waits_since) {
                     full_set_in = wait;
                     break;
                 }
@@ -351,16 +351,16 @@
                         next_beat = Instant::now() + if response.is_some() { beat_every } else { AGAIN };
                     }
                     let marks = state.take_acked(&cache);
+                    if state.due() == 0 {
+                        stream.urgent.store(false, Ordering::Relaxed);
+                    }
                     if state.marks_open() == 0 {
                         answered = Instant::now();
                     }
                     (response, marks)
                 };
                 self.tell_acked(stream, marks);
-                let Some(response) = response else {
-                    stream.urgent.store(false, Ordering::Relaxed);
-                    break;
-                };
+                let Some(response) = response else { break };
                 if let Err(error) = self.send(&mut writer, &response) {
                     debug!(proxy = %stream.proxy, %error, "stream lost in a write");
                     return stream.close();
@@ -376,15 +376,20 @@
         let _ = writer.close(Code::Unavailable, "the stream ends here", Trailers::new());
     }
 
-    /// Whether what is due may be sent now: a full set keeps to its pace, unless a safety order is in it.
-    fn may_send(&self, stream: &Stream) -> Result<(), Duration> {
-        let due = stream.state().due();
-        if due < FULL || stream.urgent.load(Ordering::Relaxed) {
-            return Ok(());
-        }
+    /// Whether what is due on a stream may be sent now. `since` is when it began to wait, if it does.
+    fn may_send(&self, stream: &Stream, since: &mut Option<Duration>) -> Result<(), Duration> {
         let now = self.base + self.start.elapsed();
-        let mut joins = self.joins.lock().unwrap_or_else(PoisonError::into_inner);
-        joins.take(now, due, self.orders_wait.load(Ordering::Relaxed))
+        let due = Due {
+            lines: stream.state().due(),
+            urgent: stream.urgent.load(Ordering::Relaxed),
+            since: *since.get_or_insert(now),
+            orders_wait: self.orders_wait.load(Ordering::Relaxed),
+        };
+        let may = self.joins.lock().unwrap_or_else(PoisonError::into_inner).take(now, due);
+        if may.is_ok() {
+            *since = None;
+        }
+        may
     }
 
     /// Tells streams with full sets whether orders wait in the channel.
@@ -411,11 +416,12 @@
     pub fn deliver(&self, proxy: &str, parcel: &Parcel) {
         let Some(stream) = self.streams().get(proxy).cloned() else { return };
         let methods = self.service.methods.len();
-        if parcel.safety {
-            stream.urgent.store(true, Ordering::Relaxed);
-        }
         {
             let mut state = stream.state();
+            // Under the stream's lock, as its end is: else a writer that finds nothing due yet would undo it.
+            if parcel.safety {
+                stream.urgent.store(true, Ordering::Relaxed);
+            }
             for &slice in &parcel.slices {
                 for method in 0..methods {
                     state.changed(Kind::Endpoints, &self.clusters[slice * methods + method]);
