Read and write the history's tables in one place

Cause: three tables were read and written by the same lines three times over. Change: rows and put serve all of them.

--- a/crates/whinhill-history/src/lib.rs
+++ b/crates/whinhill-history/src/lib.rs
@@ -21,18 +21,23 @@
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::path::Path;
 
-use redb::{Database, Durability, ReadableDatabase, ReadableTable, StorageBackend, TableDefinition};
+use redb::{
+    Database, Durability, ReadTransaction, ReadableDatabase, ReadableTable, StorageBackend, TableDefinition,
+    WriteTransaction,
+};
+use serde::de::DeserializeOwned;
+use serde::Serialize;
 use whinhill_tables::rollback::Rollback;
-use whinhill_tables::{Entry, Held, History, Limits, Page, RestoreError, SliceTable, TableSet};
+use whinhill_tables::{Held, History, Limits, Page, RestoreError, SliceTable, TableSet};
 
 /// The form of the file. One with a greater number is of a later program and is not touched.
 pub const FORMAT: u64 = 1;
 
 const META: TableDefinition<&str, u64> = TableDefinition::new("meta");
-const ENTRIES: TableDefinition<u64, &[u8]> = TableDefinition::new("entries");
-const CURRENT: TableDefinition<u64, &[u8]> = TableDefinition::new("current");
+const ENTRIES: Table = TableDefinition::new("entries");
+const CURRENT: Table = TableDefinition::new("current");
 /// Rollbacks that are under way, by their number.
-const ROLLBACKS: TableDefinition<u64, &[u8]> = TableDefinition::new("rollbacks");
+const ROLLBACKS: Table = TableDefinition::new("rollbacks");
 const FORMAT_KEY: &str = "format";
 const NUMBER_KEY: &str = "number";
 
@@ -109,22 +114,9 @@
 
     fn load(&self, limits: Limits) -> Result<History, BookError> {
         let transaction = self.database.begin_read()?;
-        let content = |place: String| move |error| BookError::Content { place, error };
-        let mut set = TableSet::new();
-        for row in transaction.open_table(CURRENT)?.iter()? {
-            let (slice, bytes) = row?;
-            let (slice, bytes) = (slice.value() as usize, bytes.value());
-            let table: SliceTable =
-                serde_json::from_slice(bytes).map_err(content(format!("slice {slice}")))?;
-            set.insert(slice, table);
-        }
-        let mut entries = Vec::new();
-        for row in transaction.open_table(ENTRIES)?.iter()? {
-            let (number, bytes) = row?;
-            let (number, bytes) = (number.value(), bytes.value());
-            let entry: Entry = serde_json::from_slice(bytes).map_err(content(format!("version {number}")))?;
-            entries.push(entry);
-        }
+        let set = rows(&transaction, CURRENT, "slice")?;
+        let set: TableSet = set.into_iter().map(|(slice, table)| (slice as usize, table)).collect();
+        let entries = rows(&transaction, ENTRIES, "version")?.into_iter().map(|(_, entry)| entry).collect();
         let number = transaction.open_table(META)?.get(NUMBER_KEY)?.map_or(0, |value| value.value());
         Ok(History::restore(limits, Held::new(number, set), entries)?)
     }
@@ -136,38 +128,13 @@
         let mut transaction = self.database.begin_write()?;
         transaction.set_durability(Durability::Immediate)?;
         {
-            let mut current = transaction.open_table(CURRENT)?;
-            for (slice, table) in &page.changed {
-                let place = || format!("slice {slice}");
-                let bytes = serde_json::to_vec(table)
-                    .map_err(|error| BookError::Content { place: place(), error })?;
-                current.insert(*slice as u64, bytes.as_slice())?;
-            }
-            for slice in &page.removed {
-                current.remove(*slice as u64)?;
-            }
-            let mut entries = transaction.open_table(ENTRIES)?;
-            for (number, entry) in &page.touched {
-                let Some(entry) = entry else {
-                    entries.remove(*number)?;
-                    continue;
-                };
-                let place = || format!("version {number}");
-                let bytes = serde_json::to_vec(entry)
-                    .map_err(|error| BookError::Content { place: place(), error })?;
-                entries.insert(*number, bytes.as_slice())?;
-            }
-            let mut rollbacks = transaction.open_table(ROLLBACKS)?;
-            for (id, rollback) in &page.rollbacks {
-                let Some(rollback) = rollback else {
-                    rollbacks.remove(*id)?;
-                    continue;
-                };
-                let place = || format!("rollback {id}");
-                let bytes = serde_json::to_vec(rollback)
-                    .map_err(|error| BookError::Content { place: place(), error })?;
-                rollbacks.insert(*id, bytes.as_slice())?;
-            }
+            let changed = page.changed.iter().map(|(slice, table)| (*slice as u64, Some(table)));
+            let removed = page.removed.iter().map(|slice| (*slice as u64, None::<&SliceTable>));
+            put(&transaction, CURRENT, "slice", changed.chain(removed))?;
+            let touched = page.touched.iter().map(|(number, entry)| (*number, entry.as_ref()));
+            put(&transaction, ENTRIES, "version", touched)?;
+            let rollbacks = page.rollbacks.iter().map(|(id, rollback)| (*id, rollback.as_ref()));
+            put(&transaction, ROLLBACKS, "rollback", rollbacks)?;
             transaction.open_table(META)?.insert(NUMBER_KEY, page.number)?;
         }
         transaction.commit()?;
@@ -176,14 +143,44 @@
 
     /// The rollbacks that were under way, oldest first.
     pub fn rollbacks(&self) -> Result<Vec<Rollback>, BookError> {
-        let mut found = Vec::new();
-        for row in self.database.begin_read()?.open_table(ROLLBACKS)?.iter()? {
-            let (id, bytes) = row?;
-            let (id, bytes) = (id.value(), bytes.value());
-            let rollback = serde_json::from_slice(bytes)
-                .map_err(|error| BookError::Content { place: format!("rollback {id}"), error })?;
-            found.push(rollback);
-        }
-        Ok(found)
+        let found = rows(&self.database.begin_read()?, ROLLBACKS, "rollback")?;
+        Ok(found.into_iter().map(|(_, rollback)| rollback).collect())
+    }
+}
+
+type Table = TableDefinition<'static, u64, &'static [u8]>;
+
+/// All rows of a table, in the order of their keys; `what` names a row that can't be read.
+fn rows<T: DeserializeOwned>(
+    transaction: &ReadTransaction,
+    table: Table,
+    what: &str,
+) -> Result<Vec<(u64, T)>, BookError> {
+    let mut found = Vec::new();
+    for row in transaction.open_table(table)?.iter()? {
+        let (key, bytes) = row?;
+        let (key, read) = (key.value(), serde_json::from_slice(bytes.value()));
+        let content = |error| BookError::Content { place: format!("{what} {key}"), error };
+        found.push((key, read.map_err(content)?));
+    }
+    Ok(found)
+}
+
+/// Writes rows, and takes those away that have no value.
+fn put<'a, T: Serialize + 'a>(
+    transaction: &WriteTransaction,
+    table: Table,
+    what: &str,
+    rows: impl Iterator<Item = (u64, Option<&'a T>)>,
+) -> Result<(), BookError> {
+    let mut table = transaction.open_table(table)?;
+    for (key, value) in rows {
+        let Some(value) = value else {
+            table.remove(key)?;
+            continue;
+        };
+        let content = |error| BookError::Content { place: format!("{what} {key}"), error };
+        table.insert(key, serde_json::to_vec(value).map_err(content)?.as_slice())?;
     }
+    Ok(())
 }
