Sever a connection by its silence in the later half of a write's wait

Cause, found in a review: a byte that came just after a write was sent, answering an earlier RPC over a path that was dead the other way, kept the connection; the write could still arrive at a former owner. Change: what counts is how long nothing has come; trial.rs decides.

--- a/crates/whinhill-proxy/src/forward.rs
+++ b/crates/whinhill-proxy/src/forward.rs
@@ -206,7 +206,7 @@
             let ended = match &answer {
                 Ok(_) => Ended::Answered,
                 Err(Attempt::Stopped) => Ended::NotSent,
-                Err(Attempt::Failed { error, heard }) => Ended::failed(error, *heard),
+                Err(Attempt::Failed { error, silent }) => Ended::failed(error, *silent),
             };
             let answer = answer.map_err(|failed| match failed {
                 Attempt::Stopped => CallError::NeverRan(NeverRan::NeverWritten),
@@ -214,8 +214,8 @@
             });
             if let (true, Some(client)) = (trial.severs(ended), &client) {
                 // A write given up on may stand in a network that carries nothing now, and begin at a former owner
-                // once it carries again. Where not a byte came back since it was sent, its cancellation is not on
-                // its way either: the connection is broken off, and what stands in it is lost.
+                // once it carries again. Where the connection is silent its cancellation is not on its way either:
+                // it is broken off, and what stands in it is lost.
                 client.sever();
             }
             if answer.is_err() {
@@ -240,7 +240,7 @@
         let shared = &self.shared;
         let writes = shared.service.methods[rpc.method].writes;
         let path = &shared.service.methods[rpc.method].path;
-        let unsent = |error| Attempt::Failed { error, heard: true };
+        let unsent = |error| Attempt::Failed { error, silent: Duration::ZERO };
         let client = used.insert(self.pool.get(server, rpc.until).map_err(unsent)?);
         let left = rpc.until.saturating_duration_since(Instant::now());
         let within = if writes { left.min(self.settle) } else { left };
@@ -253,9 +253,8 @@
         if writes && !shared.read(|table| table.still(shared.now(), rpc.slice, rpc.method, version)) {
             return Err(Attempt::Stopped);
         }
-        let before = client.heard();
         let answer = client.unary(path, &headers, message.clone(), within);
-        answer.map_err(|error| Attempt::Failed { error, heard: client.heard() != before })
+        answer.map_err(|error| Attempt::Failed { error, silent: client.silent_for() })
     }
 
     fn note(&self, rpc: &Rpc, act: impl FnOnce(&mut crate::report::Met, usize)) {
@@ -278,8 +277,8 @@
     Stopped,
     Failed {
         error: CallError,
-        /// Something came back on the connection after it was sent.
-        heard: bool,
+        /// How long nothing had come on the connection.
+        silent: Duration,
     },
 }
 
--- a/crates/whinhill-proxy/src/trial.rs
+++ b/crates/whinhill-proxy/src/trial.rs
@@ -18,16 +18,20 @@
     NeverRan(NeverRan),
     /// It may have run, and may run still.
     MayHaveRun {
-        /// It ran out of time, and nothing was heard on its connection since it was sent.
+        /// It ran out of time, and its connection had been silent for too long to count as one that carries.
         swallowed: bool,
     },
 }
 
 impl Ended {
-    pub fn failed(error: &CallError, heard: bool) -> Self {
-        match error.never_ran() {
-            Some(proof) => Ended::NeverRan(proof),
-            None => Ended::MayHaveRun { swallowed: matches!(error, CallError::Deadline(_)) && !heard },
+    /// `silent`: how long nothing had come on the connection. What came soon after the sending may answer earlier
+    /// RPCs and says nothing of the way there, so the later half of the wait counts: a path that is dead one way
+    /// falls silent both ways once what was under way has been answered.
+    pub fn failed(error: &CallError, silent: Duration) -> Self {
+        match (error.never_ran(), error) {
+            (Some(proof), _) => Ended::NeverRan(proof),
+            (None, CallError::Deadline(within)) => Ended::MayHaveRun { swallowed: silent >= *within / 2 },
+            (None, _) => Ended::MayHaveRun { swallowed: false },
         }
     }
 }
@@ -213,7 +217,10 @@
         assert!(!trial(Effect::Idempotent, 1).severs(swallowed));
         assert!(!trial(Effect::NonIdempotent, 1).severs(Ended::MayHaveRun { swallowed: false }));
         let late = CallError::Deadline(LEFT);
-        assert_eq!(Ended::failed(&late, true), Ended::MayHaveRun { swallowed: false });
-        assert_eq!(Ended::failed(&late, false), swallowed);
+        // Others were answered in the first half; in the second nobody was.
+        assert_eq!(Ended::failed(&late, LEFT * 2 / 3), swallowed);
+        assert_eq!(Ended::failed(&late, LEFT / 3), Ended::MayHaveRun { swallowed: false });
+        let reset = CallError::Reset("closed".into());
+        assert_eq!(Ended::failed(&reset, LEFT), Ended::MayHaveRun { swallowed: false });
     }
 }
--- a/crates/whinhill-standins/src/hops.rs
+++ b/crates/whinhill-standins/src/hops.rs
@@ -93,12 +93,14 @@
     pub fn dial(&self, proxy: usize) -> Dial {
         let pairs = self.0.clone();
         Dial(Some(Arc::new(move |server| {
-            let mut pairs = pairs.lock().unwrap_or_else(PoisonError::into_inner);
-            if let Some(link) = pairs.links.get(&(proxy, server)) {
+            let lock = || pairs.lock().unwrap_or_else(PoisonError::into_inner);
+            if let Some(link) = lock().links.get(&(proxy, server)) {
                 return link.addr();
             }
+            // A proxy connects to a server once at a time, so nobody else makes the same link meanwhile.
             match Link::start(server, |_| {}) {
                 Ok(link) => {
+                    let mut pairs = lock();
                     if let Some(fault) = pairs.faults.get(&(proxy, server)) {
                         fault.apply(&link, true, Duration::ZERO);
                     }
--- a/crates/whinhill-transport/src/call.rs
+++ b/crates/whinhill-transport/src/call.rs
@@ -15,7 +15,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode};
 use tracing::{debug, warn};
 
-use crate::connection::{Counted, Handler, Line};
+use crate::connection::{micros_now, Counted, Handler, Line};
 use crate::error::{CallError, Code, NeverRan};
 use crate::limits::Limits;
 use crate::park::{wait, wait_for};
@@ -418,9 +418,10 @@
         self.line.streams.load(Ordering::Relaxed)
     }
 
-    /// Grows with whatever arrives on the connection, of any call.
-    pub fn heard(&self) -> u64 {
-        self.line.reads.load(Ordering::Relaxed)
+    /// How long nothing has arrived on the connection, of any call.
+    pub fn silent_for(&self) -> Duration {
+        let last = self.line.read_at.load(Ordering::Relaxed);
+        Duration::from_micros(micros_now().saturating_sub(last))
     }
 
     /// Breaks the connection off, so that nothing of it that is still under way can arrive later. Every call on it
--- a/crates/whinhill-transport/src/connection.rs
+++ b/crates/whinhill-transport/src/connection.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::task::{Context, Poll};
 use std::time::Instant;
 
@@ -36,12 +36,19 @@
 pub struct Line {
     /// Calls under way.
     pub streams: Arc<AtomicUsize>,
-    /// Reads that brought something.
+    /// Reads that brought something, and when the last did, in microseconds after the process's first look.
     pub reads: Arc<AtomicU64>,
+    pub read_at: Arc<AtomicU64>,
     /// It is to be broken off.
     pub severed: Arc<AtomicBool>,
 }
 
+/// The process's own clock, in microseconds.
+pub fn micros_now() -> u64 {
+    static START: OnceLock<Instant> = OnceLock::new();
+    START.get_or_init(Instant::now).elapsed().as_micros() as u64
+}
+
 /// Counts something that is alive for as long as this is.
 pub struct Counted(Arc<AtomicUsize>);
 
@@ -190,6 +197,7 @@
         if reads != self.seen || self.line.reads.load(Ordering::Relaxed) != self.seen {
             self.seen = self.line.reads.load(Ordering::Relaxed);
             self.heard = Instant::now();
+            self.line.read_at.store(micros_now(), Ordering::Relaxed);
         }
         true
     }
--- a/crates/whinhill-transport/tests/bad_peers.rs
+++ b/crates/whinhill-transport/tests/bad_peers.rs
@@ -173,10 +173,10 @@
     let patient = Limits { handshake: WITHIN, ..Limits::default() };
     let client = Client::connect(silent.local_addr().unwrap(), patient, &drivers).unwrap();
     let (mut peer, _) = silent.accept().unwrap();
-    let (heard, brief) = (client.heard(), Duration::from_millis(20));
+    let brief = Duration::from_millis(20);
     let answer = client.unary("/hold", &[], Bytes::from_static(b"write"), brief);
     assert!(matches!(answer, Err(CallError::Deadline(_))), "{answer:?}");
-    assert_eq!(client.heard(), heard);
+    assert!(client.silent_for() >= brief);
     client.sever();
     assert!(!client.alive());
     // An ordinary close would end in good order, with whatever was still on its way delivered first.
