--- a/crates/whinhill-transport/src/call.rs
+++ b/crates/whinhill-transport/src/call.rs
@@ -396,7 +396,7 @@
         let no_connection = |_| CallError::NeverRan(NeverRan::NoConnection);
         let socket = TcpStream::connect_timeout(&addr, limits.handshake).map_err(no_connection)?;
         let (answer, opened) = bounded(1);
-        let line = Line::default();
+        let line = Line::new(Arc::default());
         let (most, within) = (limits.message_most, limits.handshake);
         drivers.opened(socket, addr, limits, line.clone(), answer).map_err(no_connection)?;
         let request = opened.recv_timeout(within).map_err(|_| CallError::NeverRan(NeverRan::NoConnection))?;
--- a/crates/whinhill-transport/src/connection.rs
+++ b/crates/whinhill-transport/src/connection.rs
@@ -32,7 +32,7 @@
 type OpenedPair = Result<(Request, client::Connection<Socket, Bytes>), h2::Error>;
 
 /// What the handle of a client's connection shares with the connection.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Line {
     /// Calls under way.
     pub streams: Arc<AtomicUsize>,
@@ -43,6 +43,19 @@
     pub severed: Arc<AtomicBool>,
 }
 
+impl Line {
+    /// A connection on which nothing was read yet is silent since now: neither since the process's start, which
+    /// would sever a fresh connection, nor since somebody's first look at the clock.
+    pub fn new(reads: Arc<AtomicU64>) -> Self {
+        Line {
+            streams: Arc::default(),
+            reads,
+            read_at: Arc::new(AtomicU64::new(micros_now())),
+            severed: Arc::default(),
+        }
+    }
+}
+
 /// The process's own clock, in microseconds.
 pub fn micros_now() -> u64 {
     static START: OnceLock<Instant> = OnceLock::new();
@@ -101,7 +114,7 @@
             .max_concurrent_reset_streams(limits.streams_most as usize)
             .max_send_buffer_size(limits.message_most + (64 << 10));
         let role = Role::Accepting(builder.handshake(socket), handler);
-        Connection::new(role, peer, limits, Line { reads, ..Line::default() }, Some(counted))
+        Connection::new(role, peer, limits, Line::new(reads), Some(counted))
     }
 
     pub fn opened(
--- a/crates/whinhill-transport/tests/bad_peers.rs
+++ b/crates/whinhill-transport/tests/bad_peers.rs
@@ -173,6 +173,8 @@
     let patient = Limits { handshake: WITHIN, ..Limits::default() };
     let client = Client::connect(silent.local_addr().unwrap(), patient, &drivers).unwrap();
     let (mut peer, _) = silent.accept().unwrap();
+    // Silence is reckoned from the connection's birth where nothing was read yet, whatever the process's age.
+    assert!(client.silent_for() < WITHIN);
     let brief = Duration::from_millis(20);
     let answer = client.unary("/hold", &[], Bytes::from_static(b"write"), brief);
     assert!(matches!(answer, Err(CallError::Deadline(_))), "{answer:?}");
