Pass calls on piece by piece, and let callers write what they have just handed over

Streaming bodies need both directions of a call turned at once, each at the pace of its slower end. A passage does so in one ordinary thread: a piece leaves one side's window when the other side had room for the one before; requests are kept up to a bound for another try; gRPC messages are measured as they go by; cancellation, cuts and ends are carried on.

A call used to wake a driver thread for each write. Within a turn the caller's thread now writes by itself; what never rests goes back to its driver.

--- a/crates/whinhill-transport/src/call.rs
+++ b/crates/whinhill-transport/src/call.rs
@@ -12,19 +12,21 @@
 use h2::client::{ResponseFuture, SendRequest};
 use h2::server::SendResponse;
 use h2::{Reason, RecvStream, SendStream};
-use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode};
+use http::uri::Authority;
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, Uri};
 use tracing::{debug, warn};
 
 use crate::connection::{micros_now, Counted, Handler, Line};
 use crate::error::{CallError, Code, NeverRan};
 use crate::limits::Limits;
 use crate::park::{wait, wait_for};
+use crate::turning::Turn;
 use crate::Drivers;
 
 /// The header map that ends a call.
 pub type Trailers = HeaderMap;
 
-const PREFIX: usize = 5;
+pub(crate) const PREFIX: usize = 5;
 
 /// Reads messages of one direction of a call.
 pub struct MessageReader {
@@ -137,7 +139,7 @@
     }
 }
 
-fn status(code: Code, message: &str, mut extra: Trailers) -> HeaderMap {
+pub(crate) fn status(code: Code, message: &str, mut extra: Trailers) -> HeaderMap {
     extra.insert(HeaderName::from_static("grpc-status"), HeaderValue::from(code.number()));
     if !message.is_empty() {
         let plain: String =
@@ -154,8 +156,8 @@
     pub head: http::request::Parts,
     pub peer: SocketAddr,
     pub came: Instant,
-    body: RecvStream,
-    respond: SendResponse<Bytes>,
+    pub(crate) body: RecvStream,
+    pub(crate) respond: SendResponse<Bytes>,
     most: usize,
     counted: Option<Counted>,
 }
@@ -182,6 +184,7 @@
 
     /// Answers with a status alone, without waiting for anything.
     pub fn refuse(mut self, code: Code, message: &str, extra: Trailers) {
+        let _turn = Turn::begin();
         let mut response = Response::new(());
         *response.headers_mut() = status(code, message, extra);
         response.headers_mut().insert("content-type", HeaderValue::from_static("application/grpc"));
@@ -233,6 +236,7 @@
 
     /// Answers a unary call whole.
     pub fn answer(self, message: &[u8], extra: Trailers, within: Duration) -> Result<(), CallError> {
+        let _turn = Turn::begin();
         let (_, mut writer) = self.open()?;
         writer.send(message, within)?;
         writer.close(Code::Ok, "", extra)
@@ -326,6 +330,7 @@
     line: Line,
     dead: Arc<AtomicBool>,
     addr: SocketAddr,
+    authority: Authority,
     most: usize,
 }
 
@@ -362,23 +367,21 @@
     }
 }
 
-/// What fails after the answer's head has come did run, whatever the server says of it: found by drawing what a
-/// server may send (`tests/ends.rs`).
-fn begun(error: CallError) -> CallError {
-    match error {
-        CallError::NeverRan(said) => CallError::Reset(format!("{said:?}, though it had begun to answer")),
-        other => other,
-    }
+/// The status that headers or trailers hold, if they hold one.
+pub(crate) fn read_status(headers: &HeaderMap) -> Result<Option<Code>, CallError> {
+    let Some(value) = headers.get("grpc-status") else { return Ok(None) };
+    let number = value.to_str().ok().and_then(|text| text.parse().ok());
+    number
+        .map(|number| Some(Code::from_number(number)))
+        .ok_or(CallError::Malformed("grpc-status is no number"))
 }
 
 fn check(headers: &HeaderMap) -> Result<(), CallError> {
-    let Some(value) = headers.get("grpc-status") else { return Ok(()) };
-    let number = value.to_str().ok().and_then(|text| text.parse().ok());
-    match number.ok_or(CallError::Malformed("grpc-status is no number"))? {
-        0 => Ok(()),
-        code => {
+    match read_status(headers)? {
+        None | Some(Code::Ok) => Ok(()),
+        Some(code) => {
             let message = headers.get("grpc-message").and_then(|m| m.to_str().ok()).unwrap_or_default();
-            Err(CallError::Status { code: Code::from_number(code), message: message.to_string() })
+            Err(CallError::Status { code, message: message.to_string() })
         }
     }
 }
@@ -401,7 +404,9 @@
         drivers.opened(socket, addr, limits, line.clone(), answer).map_err(no_connection)?;
         let request = opened.recv_timeout(within).map_err(|_| CallError::NeverRan(NeverRan::NoConnection))?;
         let request = request.map_err(|_| CallError::NeverRan(NeverRan::NoConnection))?;
-        Ok(Client { request: Arc::new(Mutex::new(request)), line, dead: Arc::default(), addr, most })
+        let authority = addr.to_string().parse().map_err(|_| CallError::NeverRan(NeverRan::NoConnection))?;
+        let request = Arc::new(Mutex::new(request));
+        Ok(Client { request, line, dead: Arc::default(), addr, authority, most })
     }
 
     pub fn addr(&self) -> SocketAddr {
@@ -438,13 +443,31 @@
         headers: &[(&'static str, String)],
         within: Duration,
     ) -> Result<(MessageWriter, PendingAnswer), CallError> {
-        let uri = format!("http://{}{path}", self.addr);
-        let mut builder = Request::builder().method(Method::POST).uri(uri);
-        builder = builder.header("content-type", "application/grpc").header("te", "trailers");
+        let mut map = HeaderMap::with_capacity(headers.len() + 2);
+        map.insert("content-type", HeaderValue::from_static("application/grpc"));
+        map.insert("te", HeaderValue::from_static("trailers"));
         for (name, value) in headers {
-            builder = builder.header(*name, value);
+            let value = HeaderValue::from_str(value).map_err(|_| CallError::Malformed("a header's value"))?;
+            map.insert(*name, value);
         }
-        let request = builder.body(()).map_err(|_| CallError::Malformed("a header's value"))?;
+        let (stream, future, counted) = self.begin(path, map, within)?;
+        let writer = MessageWriter { stream, _counted: counted };
+        Ok((writer, PendingAnswer { future, most: self.most, dead: self.dead.clone() }))
+    }
+
+    pub(crate) fn begin(
+        &self,
+        path: &str,
+        headers: HeaderMap,
+        within: Duration,
+    ) -> Result<(SendStream<Bytes>, ResponseFuture, Option<Counted>), CallError> {
+        let mut uri = http::uri::Parts::default();
+        uri.scheme = Some(http::uri::Scheme::HTTP);
+        uri.authority = Some(self.authority.clone());
+        uri.path_and_query = Some(path.parse().map_err(|_| CallError::Malformed("a path"))?);
+        let uri = Uri::from_parts(uri).map_err(|_| CallError::Malformed("a path"))?;
+        let mut request = Request::new(());
+        (*request.method_mut(), *request.uri_mut(), *request.headers_mut()) = (Method::POST, uri, headers);
         let mut send = self.request.lock().unwrap_or_else(PoisonError::into_inner).clone();
         let until = Instant::now() + within;
         let failed = |error: h2::Error| {
@@ -455,9 +478,15 @@
             .ok_or(CallError::NeverRan(NeverRan::NeverWritten))?
             .map_err(failed)?;
         let (future, stream) = send.send_request(request, false).map_err(failed)?;
-        let counted = Counted::take(&self.line.streams, usize::MAX);
-        let writer = MessageWriter { stream, _counted: counted };
-        Ok((writer, PendingAnswer { future, most: self.most, dead: self.dead.clone() }))
+        Ok((stream, future, Counted::take(&self.line.streams, usize::MAX)))
+    }
+
+    /// What an ended call says, and of the connection with it.
+    pub(crate) fn failed(&self, error: h2::Error) -> CallError {
+        if error.is_io() || error.is_go_away() {
+            self.dead.store(true, Ordering::Relaxed);
+        }
+        CallError::of(error, true)
     }
 
     /// One message there, one back, and the trailers.
@@ -468,6 +497,7 @@
         message: Bytes,
         within: Duration,
     ) -> Result<(Bytes, Trailers), CallError> {
+        let _turn = Turn::begin();
         let until = Instant::now() + within;
         let left = || until.saturating_duration_since(Instant::now());
         let (mut writer, pending) = self.call(path, headers, within)?;
@@ -478,8 +508,8 @@
                 Err(error @ CallError::Deadline(_)) => return Err(error),
                 _ => pending.head(left())?,
             };
-            let answer = opened.reader.recv(left()).map_err(begun)?;
-            let trailers = opened.reader.trailers(left()).map_err(begun)?;
+            let answer = opened.reader.recv(left()).map_err(CallError::begun)?;
+            let trailers = opened.reader.trailers(left()).map_err(CallError::begun)?;
             check(&trailers)?;
             Ok((answer.ok_or(CallError::Malformed("no message before the status"))?, trailers))
         })();
--- a/crates/whinhill-transport/src/driver.rs
+++ b/crates/whinhill-transport/src/driver.rs
@@ -1,5 +1,5 @@
 //! The threads that turn connections. Each holds some of them, sleeps until one has something to do, and
-//! polls just that one.
+//! polls just that one. A thread that hands a call something to send may turn that connection itself: see `turning.rs`.
 
 use std::io;
 use std::net::{SocketAddr, TcpStream};
@@ -18,6 +18,7 @@
 use crate::connection::{Connection, Counted, Handler, Line};
 use crate::limits::Limits;
 use crate::socket::Socket;
+use crate::turning::{Turn, Turned};
 
 const STACK: usize = 256 << 10;
 /// How often clocks are looked at: the grain of every limit in time.
@@ -50,20 +51,56 @@
     }
 }
 
+/// One connection, as whoever turns it finds it.
 struct Ring {
     bell: Arc<Bell>,
     key: usize,
     queued: AtomicBool,
+    /// Held for one poll, which never blocks: sockets are non-blocking. Taken out once it has ended, since it keeps
+    /// wakers that hold this.
+    connection: Mutex<Option<Connection>>,
+    /// It ended in another thread's hands; its driver takes it down.
+    ended: AtomicBool,
 }
 
 impl Wake for Ring {
     fn wake(self: Arc<Self>) {
         if !self.queued.swap(true, Ordering::AcqRel) {
-            self.bell.ring(Some(self.key));
+            if let Err(ring) = Turn::later(self) {
+                ring.bell.ring(Some(ring.key));
+            }
         }
     }
 }
 
+impl Ring {
+    fn poll(self: &Arc<Self>, connection: &mut Connection) -> bool {
+        self.queued.store(false, Ordering::Release);
+        let waker = Waker::from(self.clone());
+        connection.poll(&mut Context::from_waker(&waker))
+    }
+}
+
+impl Turned for Ring {
+    fn turn(self: Arc<Self>) {
+        let polled = match self.connection.try_lock() {
+            Ok(mut connection) => connection.as_mut().map(|connection| self.poll(connection)),
+            // Its driver, or another caller, is at it: it may be past what we have added.
+            Err(_) => None,
+        };
+        if polled == Some(false) {
+            self.ended.store(true, Ordering::Release);
+        }
+        if polled != Some(true) {
+            self.hand_back();
+        }
+    }
+
+    fn hand_back(self: Arc<Self>) {
+        self.bell.ring(Some(self.key));
+    }
+}
+
 enum Adopt {
     Accepted { socket: TcpStream, peer: SocketAddr, limits: Limits, handler: Handler, counted: Counted },
     Opened { socket: TcpStream, peer: SocketAddr, limits: Limits, line: Line, answer: Answer },
@@ -73,12 +110,30 @@
 type Answer = Sender<Result<h2::client::SendRequest<bytes::Bytes>, h2::Error>>;
 
 struct Held {
-    connection: Connection,
     ring: Arc<Ring>,
-    waker: Waker,
     fd: RawFd,
 }
 
+impl Held {
+    /// Turns it. False once it has ended.
+    fn turn(&self, ticked: Option<Instant>) -> bool {
+        let mut connection = self.ring.connection.lock().unwrap_or_else(PoisonError::into_inner);
+        let Some(connection) = connection.as_mut().filter(|_| !self.ring.ended.load(Ordering::Acquire))
+        else {
+            return false;
+        };
+        let in_time = ticked.is_none_or(|now| connection.tick(now));
+        in_time && !connection.may_drop() && self.ring.poll(connection)
+    }
+
+    /// Closes it.
+    fn close(self) {
+        let taken = self.ring.connection.lock().unwrap_or_else(PoisonError::into_inner).take();
+        // Outside of the lock: what waits on its streams is woken by this, and may wake it in turn.
+        drop(taken);
+    }
+}
+
 /// The driver threads of a process. Dropping the last handle ends them and every connection they hold.
 #[derive(Clone)]
 pub struct Drivers(Arc<Inner>);
@@ -166,8 +221,14 @@
             (Connection::opened(socket, peer, limits, line, answer), fd)
         }
     };
-    let ring = Arc::new(Ring { bell: bell.clone(), key, queued: AtomicBool::new(true) });
-    Ok(Some(Held { connection, waker: ring.clone().into(), ring, fd }))
+    let ring = Ring {
+        bell: bell.clone(),
+        key,
+        queued: AtomicBool::new(true),
+        connection: Mutex::new(Some(connection)),
+        ended: AtomicBool::new(false),
+    };
+    Ok(Some(Held { ring: Arc::new(ring), fd }))
 }
 
 fn prepare(poll: &Poll, socket: &TcpStream, key: usize) -> io::Result<RawFd> {
@@ -196,6 +257,7 @@
         bell.take(&mut due);
         while let Ok(what) = inbox.try_recv() {
             if matches!(what, Adopt::Stop) {
+                held.into_iter().flatten().for_each(Held::close);
                 return Ok(());
             }
             let key = free.pop().unwrap_or(held.len());
@@ -215,14 +277,11 @@
         due.sort_unstable();
         due.dedup();
         for key in due.drain(..) {
-            let Some(one) = held.get_mut(key).and_then(Option::as_mut) else { continue };
-            one.ring.queued.store(false, Ordering::Release);
-            let clocks = !ticked || one.connection.tick(now);
-            let alive = clocks && !one.connection.may_drop();
-            if !alive || !one.connection.poll(&mut Context::from_waker(&one.waker)) {
+            let Some(one) = held.get(key).and_then(Option::as_ref) else { continue };
+            if !one.turn(ticked.then_some(now)) {
                 // Deregister before the socket closes, so that a later one of the same number is not confused with it.
                 let _ = poll.registry().deregister(&mut SourceFd(&one.fd));
-                held[key] = None;
+                held[key].take().into_iter().for_each(Held::close);
                 free.push(key);
             }
         }
--- a/crates/whinhill-transport/src/error.rs
+++ b/crates/whinhill-transport/src/error.rs
@@ -100,6 +100,20 @@
         }
     }
 
+    /// What fails after the answer's head has come did run, whatever the server says of it: found by drawing what a
+    /// server may send (`tests/ends.rs`).
+    pub(crate) fn begun(self) -> Self {
+        match self {
+            CallError::NeverRan(said) => CallError::Reset(format!("{said:?}, though it had begun to answer")),
+            other => other,
+        }
+    }
+
+    /// Reads what `h2` says of a stream that ended after its answer's head.
+    pub(crate) fn broken(error: h2::Error) -> Self {
+        CallError::of(error, true).begun()
+    }
+
     pub fn never_ran(&self) -> Option<NeverRan> {
         match self {
             CallError::NeverRan(proof) => Some(*proof),
--- a/crates/whinhill-transport/src/lib.rs
+++ b/crates/whinhill-transport/src/lib.rs
@@ -19,9 +19,12 @@
 mod connection;
 mod driver;
 mod error;
+mod framing;
 mod limits;
 mod park;
+mod relay;
 mod socket;
+mod turning;
 mod workers;
 
 pub use call::{
@@ -29,5 +32,7 @@
 };
 pub use driver::Drivers;
 pub use error::{CallError, Code, NeverRan};
+pub use framing::BodyLimits;
 pub use limits::Limits;
+pub use relay::{Answering, Passage, RelayError, Try};
 pub use workers::{AllBusy, Workers};
--- a/crates/whinhill-transport/src/park.rs
+++ b/crates/whinhill-transport/src/park.rs
@@ -7,6 +7,8 @@
 use std::thread::{self, Thread};
 use std::time::{Duration, Instant};
 
+use crate::turning::Turn;
+
 struct Unpark(Thread);
 
 impl Wake for Unpark {
@@ -27,6 +29,8 @@
             if let Poll::Ready(value) = poll(&mut cx) {
                 return Some(value);
             }
+            // What is waited for may need what was just handed over to be written first.
+            Turn::flush();
             let left = until.saturating_duration_since(Instant::now());
             if left.is_zero() {
                 return None;
