Carry streaming RPCs, pool connections with slow start, stop reads at level 0

Cluster names hold the number of slices: proxies that reckon by another find no table of theirs and reject the rest by name.

--- a/crates/whinhill-assigner/src/config.rs
+++ b/crates/whinhill-assigner/src/config.rs
@@ -137,6 +137,13 @@
     /// The way of trying again: 0 none; 1 one after proof that the first never ran; 2 one and 3 two after any failure.
     #[serde(default)]
     pub tries: u8,
+    /// With 2 and 3 a try that may be followed by another waits so many soft deadlines for its answer.
+    #[serde(default = "try_factor")]
+    pub try_factor: f64,
+}
+
+fn try_factor() -> f64 {
+    1.0
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
@@ -271,6 +278,7 @@
             methods: self.methods.iter().map(method).collect(),
             write_lease: ms(self.write_lease_ms),
             hold: ms(self.hold_ms),
+            try_factor: self.try_factor,
         }
     }
 }
@@ -300,6 +308,11 @@
         c.must((1..=65_534).contains(&s.slices), "service.slices", "1 to 65534 are expected");
         c.must((1..=32).contains(&s.methods.len()), "service.methods", "1 to 32 are expected");
         c.must(s.tries <= 3, "service.tries", "0 to 3 is expected");
+        c.must(
+            s.try_factor > 0.0 && s.try_factor <= 100.0,
+            "service.try_factor",
+            "over 0 up to 100 is expected",
+        );
         c.must(s.hold_ms < s.write_lease_ms, "service.hold_ms", "must be under write_lease_ms");
         for (k, m) in s.methods.iter().enumerate() {
             let at = |field: &str| format!("service.methods[{k}].{field}");
--- a/crates/whinhill-assigner/src/core/tests.rs
+++ b/crates/whinhill-assigner/src/core/tests.rs
@@ -204,7 +204,7 @@
             ..Default::default()
         };
         let cluster = proto::ClusterStats {
-            cluster_name: "t/0/look".into(),
+            cluster_name: "t/0.2/look".into(),
             upstream_locality_stats: vec![locality],
             load_report_interval: Some(proto::span(Duration::from_millis(500))),
             total_dropped_requests: 2,
@@ -243,7 +243,7 @@
     assert!(late > Duration::from_secs(1), "{late:?}");
     // A server that no list has named is nobody: a peer can't fill our books with names.
     assert_eq!(intake.take(s(30.0), 0, &report(99, 3), &service, &names), 1);
-    let strange = proto::ClusterStats { cluster_name: "other/9/look".into(), ..Default::default() };
+    let strange = proto::ClusterStats { cluster_name: "other/9.2/look".into(), ..Default::default() };
     let strange = proto::LoadStatsRequest { node: None, cluster_stats: vec![strange] };
     assert_eq!(intake.take(s(30.0), 0, &strange, &service, &names), 1);
 }
--- a/crates/whinhill-assigner/src/intake.rs
+++ b/crates/whinhill-assigner/src/intake.rs
@@ -73,6 +73,11 @@
                 strange += 1;
                 continue;
             };
+            // A cluster may be told of for the work that is out alone: that nothing came is no news of its demand.
+            let issued = cluster.upstream_locality_stats.iter().map(|l| l.total_issued_requests).sum::<u64>();
+            if issued + cluster.total_dropped_requests == 0 {
+                continue;
+            }
             let told = cluster.load_report_interval.as_ref().and_then(proto::read_span);
             let span = told.unwrap_or(self.period).clamp(Duration::from_millis(1), self.span_most);
             let came = self.sums.entry(Key::Came { slice, method }).or_default();
@@ -82,7 +87,8 @@
                 came.tries += locality.total_issued_requests;
                 came.lost += locality.total_error_requests;
             }
-            for server in cluster.upstream_locality_stats.iter().flat_map(|l| &l.upstream_endpoint_stats) {
+            let servers = cluster.upstream_locality_stats.iter().flat_map(|l| &l.upstream_endpoint_stats);
+            for server in servers.filter(|server| server.total_issued_requests > 0) {
                 let name = server.address.as_ref().and_then(server_name);
                 let Some(server_index) = name.and_then(|name| names.known(&name)) else {
                     strange += 1;
--- a/crates/whinhill-cli/src/proxy.rs
+++ b/crates/whinhill-cli/src/proxy.rs
@@ -9,7 +9,7 @@
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use whinhill_assigner::{Fault, ServiceConfig};
-use whinhill_proxy::{Dial, Pick, Proxy, ProxyConfig, Sabotage};
+use whinhill_proxy::{Dial, Pick, PoolLimits, Proxy, ProxyConfig, Sabotage};
 use whinhill_standins::running::ProxyFigures;
 use whinhill_transport::{Drivers, Limits, Workers};
 use whinhill_xds::Variant;
@@ -32,6 +32,18 @@
     /// How it picks among a slice's lines.
     #[serde(default)]
     pub pick: Pick,
+    /// Connections to one server.
+    #[serde(default)]
+    pub pool: PoolLimits,
+    /// Bytes of one message.
+    #[serde(default = "message_most")]
+    pub message_most: usize,
+    /// Bytes of a request's or an answer's body, all messages together.
+    #[serde(default = "body_most")]
+    pub body_most: u64,
+    /// Bytes of an RPC's headers, as HTTP/2 counts them.
+    #[serde(default = "headers_most")]
+    pub headers_most: u32,
     /// RPCs in hand at a time; what is over is pushed back at once.
     #[serde(default = "in_hand_most")]
     pub in_hand_most: usize,
@@ -52,6 +64,18 @@
     pub addr: SocketAddr,
 }
 
+fn message_most() -> usize {
+    4 << 20
+}
+
+fn body_most() -> u64 {
+    64 << 20
+}
+
+fn headers_most() -> u32 {
+    16 << 10
+}
+
 fn in_hand_most() -> usize {
     2048
 }
@@ -73,6 +97,29 @@
         must((1..=65_534).contains(&self.service.slices), "service.slices", "1 to 65534 are expected");
         must(!self.service.methods.is_empty(), "service.methods", "one at least is expected");
         must((1..=65_536).contains(&self.in_hand_most), "in_hand_most", "1 to 65536 is expected");
+        must((1..=1 << 30).contains(&self.message_most), "message_most", "1 to 1073741824 is expected");
+        must(self.body_most >= self.message_most as u64, "body_most", "must not be under message_most");
+        must((1024..=1 << 20).contains(&self.headers_most), "headers_most", "1024 to 1048576 is expected");
+        let pool = &self.pool;
+        let places = 1..=1024;
+        must(places.contains(&pool.connections_most), "pool.connections_most", "1 to 1024 is expected");
+        must(places.contains(&pool.streams_most), "pool.streams_most", "1 to 1024 is expected");
+        must(
+            (1..=pool.streams_most).contains(&pool.streams_first),
+            "pool.streams_first",
+            "1 to streams_most is expected",
+        );
+        must(
+            (1..=60_000).contains(&pool.connect_within_ms),
+            "pool.connect_within_ms",
+            "1 to 60000 is expected",
+        );
+        must(pool.idle_ms >= 100, "pool.idle_ms", "100 at least is expected");
+        must(
+            pool.again_after_ms >= 1 && pool.again_after_ms <= pool.again_after_most_ms,
+            "pool.again_after_ms",
+            "1 to again_after_most_ms is expected",
+        );
         must((1..=64).contains(&self.drivers), "drivers", "1 to 64 is expected");
         faults
     }
@@ -92,9 +139,15 @@
         assigners: file.assigners.into_iter().map(|a| (a.name, a.addr)).collect(),
         variant: if file.state_of_the_world { Variant::StateOfTheWorld } else { Variant::Incremental },
         settle: Duration::from_millis(file.service.settle_ms),
-        limits: Limits::default(),
+        limits: Limits {
+            message_most: file.message_most,
+            headers_most: file.headers_most,
+            ..Limits::default()
+        },
         seed: file.seed,
         dial: Dial::default(),
+        pool: file.pool,
+        body_most: file.body_most,
         pick: file.pick,
         sabotage: Sabotage::default(),
     };
--- a/crates/whinhill-proxy/src/proxy.rs
+++ b/crates/whinhill-proxy/src/proxy.rs
@@ -7,10 +7,11 @@
 use std::thread;
 use std::time::Duration;
 
-use whinhill_transport::{Code, Drivers, Limits, Listener, ServerCall, Trailers, Workers};
+use whinhill_transport::{BodyLimits, Code, Drivers, Limits, Listener, ServerCall, Trailers, Workers};
 use whinhill_xds::mapping::Service;
 use whinhill_xds::{proto, Variant};
 
+use crate::connections::PoolLimits;
 use crate::forward::{Forwarder, PUSHBACK_HEADER};
 use crate::pick::Pick;
 use crate::pool::{Dial, Pool};
@@ -40,6 +41,9 @@
     pub limits: Limits,
     pub seed: u64,
     pub dial: Dial,
+    pub pool: PoolLimits,
+    /// Bytes of a request's or an answer's body, all messages together.
+    pub body_most: u64,
     pub pick: Pick,
     pub sabotage: Sabotage,
 }
@@ -56,6 +60,7 @@
 pub struct Proxy {
     id: String,
     shared: Arc<Shared>,
+    forwarder: Arc<Forwarder>,
     listener: Option<Listener>,
     threads: Vec<thread::JoinHandle<()>>,
     reject: Arc<AtomicU64>,
@@ -98,16 +103,17 @@
             threads.push(spawn("ads", Box::new(move || follow.follow()))?);
             threads.push(spawn("lrs", Box::new(move || report.report()))?);
         }
-        let server_limits = Limits { handshake: Duration::from_millis(500), ..config.limits.clone() };
         let forwarder = Arc::new(Forwarder {
             shared: shared.clone(),
-            pool: Pool::new(server_limits, drivers.clone(), 4096, config.dial.clone()),
+            pool: Pool::new(config.limits.clone(), config.pool, drivers.clone(), config.dial.clone()),
             id: config.id.clone(),
             settle: config.settle,
+            body: BodyLimits { message_most: config.limits.message_most, body_most: config.body_most },
         });
         let workers = workers.clone();
+        let carries = forwarder.clone();
         let handler = move |call: ServerCall| {
-            let forwarder = forwarder.clone();
+            let forwarder = carries.clone();
             // What no worker can take is pushed back at once: a queue would only grow old.
             let full = |call: ServerCall| {
                 let mut trailers = Trailers::new();
@@ -122,7 +128,7 @@
             addr: config.listen,
             error,
         })?;
-        Ok(Proxy { id: config.id, shared, listener: Some(listener), threads, reject })
+        Ok(Proxy { id: config.id, shared, forwarder, listener: Some(listener), threads, reject })
     }
 
     pub fn id(&self) -> &str {
@@ -142,6 +148,11 @@
         self.shared.read(|table| (table.versions().len(), table.older()))
     }
 
+    /// Connections to servers, and RPCs in hand on them.
+    pub fn standing(&self) -> (usize, usize) {
+        self.forwarder.pool.standing()
+    }
+
     /// Tells its threads to end, without waiting: many can then be dropped in the time of one.
     pub fn begin_stop(&self) {
         self.shared.stop.store(true, Ordering::Relaxed);
--- a/crates/whinhill-proxy/src/shared.rs
+++ b/crates/whinhill-proxy/src/shared.rs
@@ -8,6 +8,7 @@
 use rand_chacha::ChaCha8Rng;
 use whinhill_xds::mapping::Service;
 
+use crate::in_hand::InHand;
 use crate::pick::{Out, Pick};
 use crate::report::Met;
 use crate::table::Table;
@@ -21,6 +22,10 @@
     pub forwarded: AtomicU64,
     pub refused: AtomicU64,
     pub aborted: AtomicU64,
+    /// Reads in hand that a level of 0 stopped.
+    pub stopped: AtomicU64,
+    /// The longest time for which a change of the table kept RPCs from looking at it.
+    pub pause_us_most: AtomicU64,
 }
 
 pub struct Shared {
@@ -33,6 +38,7 @@
     pub met: Mutex<Met>,
     /// Tries that are out, by server.
     pub out: Out,
+    pub in_hand: InHand,
     pub counts: Counts,
     pub stop: AtomicBool,
     chance: Mutex<ChaCha8Rng>,
@@ -48,6 +54,7 @@
         Shared {
             table: RwLock::new(Table::new(service.clone(), sources, pick)),
             out: Out::default(),
+            in_hand: InHand::default(),
             met: Mutex::new(Met::new(sources)),
             service,
             start: Instant::now(),
@@ -70,7 +77,13 @@
 
     /// Changes the table in one step, and wakes what waits for a change.
     pub fn change<T>(&self, act: impl FnOnce(&mut Table) -> T) -> T {
-        let result = act(&mut self.table.write().unwrap_or_else(PoisonError::into_inner));
+        let result = {
+            let mut table = self.table.write().unwrap_or_else(PoisonError::into_inner);
+            let began = Instant::now();
+            let result = act(&mut table);
+            self.counts.pause_us_most.fetch_max(began.elapsed().as_micros() as u64, Ordering::Relaxed);
+            result
+        };
         *lock(&self.changes) += 1;
         self.changed.notify_all();
         result
--- a/crates/whinhill-proxy/src/streams.rs
+++ b/crates/whinhill-proxy/src/streams.rs
@@ -16,7 +16,7 @@
 
 use crate::proxy::Sabotage;
 use crate::shared::{lock, Shared};
-use crate::table::Source;
+use crate::table::{Applied, Source};
 
 const BACK_OFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(2));
 /// How often a waiting thread looks whether it must stop.
@@ -158,7 +158,8 @@
                 {
                     return Err("rejected by order of the day's script".to_string());
                 }
-                shared.change(|table| {
+                let shut = shared.change(|table| {
+                    let mut shut = Vec::new();
                     for assignment in &assignments {
                         table.check(source, assignment).map_err(|conflict| conflict.to_string())?;
                     }
@@ -168,17 +169,32 @@
                         {
                             continue;
                         }
-                        table.apply(source, assignment);
+                        if table.apply(source, assignment) == Applied::Shut {
+                            shut.push((assignment.slice, assignment.method));
+                        }
                     }
                     for name in &update.removed {
                         if let Some((slice, method)) = service.of_cluster_name(name) {
                             table.withdrawn(source, slice, method);
                         }
                     }
-                    Ok(())
-                })
+                    Ok::<_, String>(shut)
+                })?;
+                // After the change: what is let in by a later table is not concerned.
+                let stopped: usize = shut.into_iter().map(|about| shared.in_hand.stop(about)).sum();
+                shared.counts.stopped.fetch_add(stopped as u64, Ordering::Relaxed);
+                Ok(())
             }
             Kind::Cluster => {
+                for resource in &update.resources {
+                    if service.of_cluster_name(&resource.name).is_none() {
+                        let slices = service.slices;
+                        return Err(format!(
+                            "{}: names no slice and method of {slices} slices",
+                            resource.name
+                        ));
+                    }
+                }
                 shared.change(|table| {
                     for (slice, method) in
                         update.removed.iter().filter_map(|name| service.of_cluster_name(name))
@@ -246,8 +262,17 @@
             if Instant::now() >= next {
                 next += every;
                 let now = self.shared.now();
-                let report = lock(&self.shared.met).take(self.source, now, &self.shared.service);
-                writer.send(&report.encode_to_vec(), WRITE_WITHIN)?;
+                let (taken, report) = {
+                    let mut met = lock(&self.shared.met);
+                    let taken = met.take(self.source, now);
+                    let report = met.report(&taken, &self.shared.service);
+                    (taken, report)
+                };
+                if let Err(error) = writer.send(&report.encode_to_vec(), WRITE_WITHIN) {
+                    // A part of a message tells nothing: none of it has been told.
+                    lock(&self.shared.met).put_back(taken);
+                    return Err(error.into());
+                }
             }
         }
     }
--- a/crates/whinhill-proxy/src/table.rs
+++ b/crates/whinhill-proxy/src/table.rs
@@ -54,6 +54,8 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Applied {
     New,
+    /// It lets nothing in any more, which the one before did: what waits or can be stopped is to end.
+    Shut,
     /// A newer epoch is held: it binds nobody here.
     Older {
         held: Version,
@@ -134,8 +136,13 @@
         self.epochs[new.slice] = new.version.epoch;
         let lines = new.lines.iter().map(|(server, weight)| (Arc::from(server.as_str()), *weight)).collect();
         let (version, share, tries) = (new.version, new.share, new.tries);
+        let open = self.slots[slot].as_ref().is_some_and(|held| held.share > 0.0);
         self.slots[slot] = Some(Held { source, version, lines, share, tries, frozen: None });
-        Applied::New
+        if open && share <= 0.0 {
+            Applied::Shut
+        } else {
+            Applied::New
+        }
     }
 
     /// The assigner no longer tells of a slice and method. Reads go on by what is held until another table comes;
@@ -226,4 +233,4 @@
 #[cfg(test)]
 mod model;
 #[cfg(test)]
-mod tests;
+pub mod tests;
--- a/crates/whinhill-proxy/src/table/tests.rs
+++ b/crates/whinhill-proxy/src/table/tests.rs
@@ -23,6 +23,7 @@
         methods: vec![method("look", false, Effect::Idempotent), method("book", true, Effect::NonIdempotent)],
         write_lease: TTL,
         hold: s(0.2),
+        try_factor: 1.0,
     })
 }
 
@@ -113,7 +114,8 @@
 #[test]
 fn levels_concern_one_method_and_no_line_is_not_a_level() {
     let mut t = table();
-    t.apply(0, &Assignment { share: 0.0, ..told(1, 5, 2, "a") });
+    assert_eq!(t.apply(0, &Assignment { share: 0.0, ..told(1, 5, 2, "a") }), Applied::Shut);
+    assert_eq!(t.apply(0, &Assignment { share: 0.0, ..told(1, 5, 2, "a") }), Applied::New);
     assert_eq!(t.route(s(11.0), 1, 1, draws(0.0, 0.0), |_| 0), Route::Refuse(Refusal::Level));
     assert!(!t.still(s(11.0), 1, 1, Version { epoch: 5, number: 2 }));
     assert_eq!(to(&t, 11.0, 0), Some("a".into()));
--- a/crates/whinhill-proxy/src/trial.rs
+++ b/crates/whinhill-proxy/src/trial.rs
@@ -1,7 +1,8 @@
 //! What follows a try, until an RPC has its one final answer. No I/O, no clock: how a try ended in, what next out.
 //!
 //! A try follows another only where the slice's table allows it, time is left and the client still wants it; and
-//! never where the effect could come twice: past a try that may have run only an idempotent RPC goes again.
+//! never where the effect could come twice: past a try that may have run only an idempotent RPC goes again. Nothing
+//! follows once a part of an answer was passed on, or while the request can't be sent again from its first byte.
 
 use std::time::Duration;
 
@@ -21,6 +22,27 @@
         /// It ran out of time, and its connection had been silent for too long to count as one that carries.
         swallowed: bool,
     },
+    /// Its answer broke off after a part of it was passed on: the client has been told.
+    BrokenOff,
+    /// It was to end here: its client has gone or sent what can't be passed on, or its level became 0.
+    CutShort,
+}
+
+/// What the moment allows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Chances {
+    /// Until the RPC's deadline.
+    pub left: Duration,
+    /// The client is still there.
+    pub wanted: bool,
+    /// The request can be sent again from its first byte.
+    pub whole: bool,
+}
+
+impl Chances {
+    fn any(self) -> bool {
+        !self.left.is_zero() && self.wanted && self.whole
+    }
 }
 
 impl Ended {
@@ -73,32 +95,40 @@
         self.fresh = false;
     }
 
+    /// Whether another try may follow the one that begins now if it isn't answered in time: it then waits for less
+    /// than the whole deadline.
+    pub fn may_be_followed(&self) -> bool {
+        let most = self.allowed.unwrap_or(0);
+        most >= 2 && self.effect == Effect::Idempotent && self.failed + 1 < most
+    }
+
     /// Whether a connection that swallowed a write must be broken off, so that the write can't arrive later.
     pub fn severs(&self, ended: Ended) -> bool {
         self.writes && ended == Ended::MayHaveRun { swallowed: true }
     }
 
-    /// What follows. `left` is the time until the RPC's deadline; `wanted` whether the client is still there.
-    pub fn ended(&mut self, ended: Ended, left: Duration, wanted: bool) -> Next {
-        let in_time = !left.is_zero() && wanted;
+    /// What follows a try that ended so.
+    pub fn ended(&mut self, ended: Ended, chances: Chances) -> Next {
         match ended {
-            Ended::Answered => Next::Finish,
+            Ended::Answered | Ended::BrokenOff | Ended::CutShort => Next::Finish,
             Ended::NotSent => Next::Route,
             // The connection was closed for idleness, by either end, as the RPC was on its way to it: with that
             // proof it goes to the same server once more, and is no failure of the server.
-            Ended::NeverRan(NeverRan::NeverWritten | NeverRan::AboveGoAway) if !self.fresh && in_time => {
+            Ended::NeverRan(NeverRan::NeverWritten | NeverRan::AboveGoAway)
+                if !self.fresh && chances.any() =>
+            {
                 self.fresh = true;
                 Next::SameServer
             }
-            Ended::NeverRan(_) => self.again(true, in_time),
+            Ended::NeverRan(_) => self.again(true, chances),
             Ended::MayHaveRun { .. } => {
                 self.may_have_run = true;
-                self.again(false, in_time)
+                self.again(false, chances)
             }
         }
     }
 
-    fn again(&mut self, proof: bool, in_time: bool) -> Next {
+    fn again(&mut self, proof: bool, chances: Chances) -> Next {
         self.failed += 1;
         // Proof for the last try says nothing of one before it.
         let safe = self.effect == Effect::Idempotent || proof && !self.may_have_run;
@@ -107,7 +137,7 @@
             1 => self.failed <= 1 && proof,
             most => self.failed < most,
         };
-        if more && safe && in_time {
+        if more && safe && chances.any() {
             Next::Route
         } else {
             Next::Finish
@@ -124,7 +154,10 @@
     use super::*;
 
     const LEFT: Duration = Duration::from_secs(1);
-    const ENDS: [Ended; 8] = [
+    const GOOD: Chances = Chances { left: LEFT, wanted: true, whole: true };
+    const ENDS: [Ended; 10] = [
+        Ended::BrokenOff,
+        Ended::CutShort,
         Ended::NotSent,
         Ended::Answered,
         Ended::NeverRan(NeverRan::NoConnection),
@@ -164,15 +197,20 @@
                         sent += 1;
                         assert!(effect == Effect::Idempotent || may_have_run == 0, "{context}");
                     }
-                    may_have_run += u64::from(matches!(ended, Ended::Answered | Ended::MayHaveRun { .. }));
-                    let left = if rng.random_bool(0.05) { Duration::ZERO } else { LEFT };
-                    let next = trial.ended(ended, left, rng.random_bool(0.95));
+                    may_have_run += u64::from(!matches!(ended, Ended::NotSent | Ended::NeverRan(_)));
+                    let chances = Chances {
+                        left: if rng.random_bool(0.05) { Duration::ZERO } else { LEFT },
+                        wanted: rng.random_bool(0.95),
+                        whole: rng.random_bool(0.95),
+                    };
+                    let next = trial.ended(ended, chances);
+                    assert!(chances.any() || ended == Ended::NotSent || next == Next::Finish, "{context}");
                     assert!(
-                        left > Duration::ZERO || ended == Ended::NotSent || next == Next::Finish,
+                        !matches!(ended, Ended::BrokenOff | Ended::CutShort) || next == Next::Finish,
                         "{context}"
                     );
                     if next != Next::SameServer {
-                        failures += u64::from(!matches!(ended, Ended::NotSent | Ended::Answered));
+                        failures += u64::from(matches!(ended, Ended::NeverRan(_) | Ended::MayHaveRun { .. }));
                         break next;
                     }
                     same += 1;
@@ -192,22 +230,46 @@
     fn the_default_is_one_more_try_after_proof_alone() {
         let refused = Ended::NeverRan(NeverRan::RefusedStream);
         let mut write = trial(Effect::NonIdempotent, 1);
-        assert_eq!(write.ended(refused, LEFT, true), Next::Route);
-        assert_eq!(write.ended(refused, LEFT, true), Next::Finish);
+        assert_eq!(write.ended(refused, GOOD), Next::Route);
+        assert_eq!(write.ended(refused, GOOD), Next::Finish);
         let lost = Ended::MayHaveRun { swallowed: false };
-        assert_eq!(trial(Effect::Idempotent, 1).ended(lost, LEFT, true), Next::Finish);
-        assert_eq!(trial(Effect::Idempotent, 2).ended(lost, LEFT, true), Next::Route);
-        assert_eq!(trial(Effect::Tokened, 3).ended(lost, LEFT, true), Next::Finish);
-        assert_eq!(trial(Effect::NonIdempotent, 0).ended(refused, LEFT, true), Next::Finish);
+        assert_eq!(trial(Effect::Idempotent, 1).ended(lost, GOOD), Next::Finish);
+        assert_eq!(trial(Effect::Idempotent, 2).ended(lost, GOOD), Next::Route);
+        assert_eq!(trial(Effect::Tokened, 3).ended(lost, GOOD), Next::Finish);
+        assert_eq!(trial(Effect::NonIdempotent, 0).ended(refused, GOOD), Next::Finish);
+        // What was let go of the request can't be sent again, whatever the proof.
+        let let_go = Chances { whole: false, ..GOOD };
+        assert_eq!(trial(Effect::Idempotent, 3).ended(refused, let_go), Next::Finish);
+    }
+
+    #[test]
+    fn only_a_try_that_may_be_followed_waits_for_less_than_the_deadline() {
+        let lost = Ended::MayHaveRun { swallowed: false };
+        for (allowed, wanted) in
+            [(0, [false; 3]), (1, [false; 3]), (2, [true, false, false]), (3, [true, true, false])]
+        {
+            let mut read = trial(Effect::Idempotent, allowed);
+            let found = [(); 3].map(|()| {
+                let may = read.may_be_followed();
+                read.ended(lost, GOOD);
+                may
+            });
+            assert_eq!(found, wanted, "{allowed}");
+        }
+        assert!(!trial(Effect::NonIdempotent, 3).may_be_followed());
+        assert!(!trial(Effect::Tokened, 3).may_be_followed());
     }
 
     #[test]
     fn a_closed_idle_connection_is_no_failure_of_its_server() {
         let mut write = trial(Effect::NonIdempotent, 0);
         let idle = Ended::NeverRan(NeverRan::AboveGoAway);
-        assert_eq!(write.ended(idle, LEFT, true), Next::SameServer);
-        assert_eq!(write.ended(idle, LEFT, true), Next::Finish);
-        assert_eq!(trial(Effect::NonIdempotent, 0).ended(idle, Duration::ZERO, true), Next::Finish);
+        assert_eq!(write.ended(idle, GOOD), Next::SameServer);
+        assert_eq!(write.ended(idle, GOOD), Next::Finish);
+        assert_eq!(
+            trial(Effect::NonIdempotent, 0).ended(idle, Chances { left: Duration::ZERO, ..GOOD }),
+            Next::Finish
+        );
     }
 
     #[test]
--- a/crates/whinhill-standins/src/from_bench.rs
+++ b/crates/whinhill-standins/src/from_bench.rs
@@ -181,6 +181,7 @@
             settle_ms: ms(bench.fam.settle),
             hold_ms: ms(bench.fam.hold),
             tries: bench.fam.usual_how,
+            try_factor: 1.0,
         },
         rules: RulesConfig {
             empty_ms: ms(bench.fam.bare),
--- a/crates/whinhill-standins/src/play.rs
+++ b/crates/whinhill-standins/src/play.rs
@@ -549,6 +549,8 @@
             },
             seed,
             dial,
+            pool: whinhill_proxy::PoolLimits::default(),
+            body_most: 64 << 20,
             pick: whinhill_proxy::Pick::default(),
             sabotage: whinhill_proxy::Sabotage {
                 ignores_stops: self.day.sabotage.contains(&Sabotage::ProxyIgnoresStops),
--- a/crates/whinhill-standins/src/running.rs
+++ b/crates/whinhill-standins/src/running.rs
@@ -22,14 +22,32 @@
     /// Replies that it rejected, and streams that it opened again.
     pub rejected: u64,
     pub reconnects: u64,
+    /// RPCs: answered by a server, pushed back by itself, failed; reads that a level of 0 stopped.
+    pub forwarded: u64,
+    pub refused: u64,
+    pub aborted: u64,
+    pub stopped: u64,
+    /// Connections to servers, and RPCs in hand on them.
+    pub connections: usize,
+    pub in_hand: usize,
+    /// The longest time for which a change of the table held RPCs up, in microseconds.
+    pub pause_us_most: u64,
 }
 
 impl ProxyFigures {
     pub fn of(proxy: &Proxy) -> Self {
         let get = |counter: &std::sync::atomic::AtomicU64| counter.load(std::sync::atomic::Ordering::Relaxed);
         let counts = proxy.counts();
+        let (connections, in_hand) = proxy.standing();
         ProxyFigures {
             held: proxy.held().0,
+            forwarded: get(&counts.forwarded),
+            refused: get(&counts.refused),
+            aborted: get(&counts.aborted),
+            stopped: get(&counts.stopped),
+            connections,
+            in_hand,
+            pause_us_most: get(&counts.pause_us_most),
             rejected: get(&counts.rejected),
             reconnects: get(&counts.reconnects),
         }
--- a/crates/whinhill-xds/src/mapping.rs
+++ b/crates/whinhill-xds/src/mapping.rs
@@ -66,6 +66,8 @@
     pub write_lease: Duration,
     /// How long an RPC may wait for a slice's owner.
     pub hold: Duration,
+    /// A try that may be followed by another waits so many soft deadlines for its answer.
+    pub try_factor: f64,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
@@ -75,16 +77,19 @@
 }
 
 impl Service {
+    /// The name holds the number of slices: where that number changes, the same slice number stands for other keys,
+    /// and whoever still reckons by the former must find none of its names among the new.
     pub fn cluster_name(&self, slice: SliceId, method: MethodId) -> String {
-        format!("{}/{slice}/{}", self.name, self.methods[method].name)
+        format!("{}/{slice}.{}/{}", self.name, self.slices, self.methods[method].name)
     }
 
     /// The slice and method of a cluster's name.
     pub fn of_cluster_name(&self, name: &str) -> Option<(SliceId, MethodId)> {
         let (slice, method) = name.strip_prefix(&self.name)?.strip_prefix('/')?.split_once('/')?;
         let method = self.methods.iter().position(|m| m.name == method)?;
+        let (slice, of) = slice.split_once('.')?;
         let slice = slice.parse().ok().filter(|slice| *slice < self.slices)?;
-        Some((slice, method))
+        (of.parse() == Ok(self.slices)).then_some((slice, method))
     }
 
     /// The published rule: the slice of a key is its XXH3 hash modulo the number of slices.
--- a/crates/whinhill-xds/tests/rubbish.rs
+++ b/crates/whinhill-xds/tests/rubbish.rs
@@ -24,6 +24,7 @@
         methods: vec![method("look", false), method("book", true)],
         write_lease: Duration::from_secs(2),
         hold: Duration::from_millis(200),
+        try_factor: 1.0,
     }
 }
 
@@ -58,7 +59,7 @@
 }
 
 fn word(rng: &mut ChaCha8Rng) -> String {
-    ["*", "", "t/0/look", "t/9/look", "t/reads", "7", "999", "\u{0}"][rng.random_range(0..8)].to_string()
+    ["*", "", "t/0.4/look", "t/9.4/look", "t/reads", "7", "999", "\u{0}"][rng.random_range(0..8)].to_string()
 }
 
 fn words(rng: &mut ChaCha8Rng) -> Vec<String> {
@@ -154,6 +155,6 @@
         }
         let mut noise = vec![0; rng.random_range(0..200)];
         rng.fill_bytes(&mut noise);
-        assert!(read_assignment(&service, "t/0/look", "x", &noise).is_err());
+        assert!(read_assignment(&service, "t/0.4/look", "x", &noise).is_err());
     }
 }
