--- a/crates/whinhill-assigner/src/lib.rs
+++ b/crates/whinhill-assigner/src/lib.rs
@@ -36,4 +36,4 @@
 pub use intake::Intake;
 pub use operator::{ask, AskError};
 pub use roster::{read_roster, RosterEntry, RosterFile, RosterState};
-pub use status::Status;
+pub use status::{process_figures_of, Status};
--- a/crates/whinhill-assigner/src/status.rs
+++ b/crates/whinhill-assigner/src/status.rs
@@ -45,14 +45,19 @@
 
 /// Processor time in milliseconds and resident memory in KiB, as Linux tells them; 0 where it does not.
 pub fn process_figures() -> (u64, u64) {
-    let stat = std::fs::read_to_string("/proc/self/stat").unwrap_or_default();
+    process_figures_of("self")
+}
+
+/// The same of another process, by its id.
+pub fn process_figures_of(process: &str) -> (u64, u64) {
+    let stat = std::fs::read_to_string(format!("/proc/{process}/stat")).unwrap_or_default();
     // The fields after the name in brackets: 14 and 15 of all are the user's and the system's ticks, of 10 ms.
     let fields: Vec<u64> = stat
         .rsplit_once(')')
         .map(|(_, rest)| rest.split_whitespace().map(|field| field.parse().unwrap_or(0)).collect())
         .unwrap_or_default();
     let ticks = fields.get(11).copied().unwrap_or(0) + fields.get(12).copied().unwrap_or(0);
-    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let status = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
     let rss =
         status.lines().find_map(|line| line.strip_prefix("VmRSS:")?.split_whitespace().next()?.parse().ok());
     (ticks * 10, rss.unwrap_or(0))
--- a/crates/whinhill-cli/src/bench.rs
+++ b/crates/whinhill-cli/src/bench.rs
@@ -10,6 +10,7 @@
 use whinhill_standins::day::Day;
 use whinhill_tables::{Author, Changes, Limits, SliceTable, Version};
 
+use crate::bench_proxy::{self, ProxyBench};
 use crate::{config, Failed};
 
 #[derive(Subcommand)]
@@ -32,15 +33,9 @@
         #[arg(long, default_value_t = 10)]
         changes: usize,
     },
-    /// RPCs a second and latency through one proxy, against the server direct.
-    Proxy {
-        #[arg(default_value = "days/quiet.json5")]
-        file: PathBuf,
-        #[arg(long, default_value_t = 32)]
-        callers: usize,
-        #[arg(long, default_value_t = 5.0)]
-        seconds: f64,
-    },
+    /// One proxy's process against its server direct: RPCs a second a core, what it adds at half load, what a full
+    /// set of tables costs meanwhile, and memory by RPCs in hand.
+    Proxy(ProxyBench),
 }
 
 pub fn run(command: BenchCommand) -> Result<(), Failed> {
@@ -60,12 +55,7 @@
                 history(&path, versions, slices.max(1), changes.max(1)).map_err(|error| failed(&error))?;
             print(&figures)
         }
-        BenchCommand::Proxy { file, callers, seconds } => {
-            let day: Day = config::read(&file, Day::check)?;
-            let figures =
-                bench::proxy(&day, &program, scratch.path(), callers.max(1), seconds.clamp(0.1, 600.0));
-            figures.map_err(|error| failed(&error))?.iter().try_for_each(print)
-        }
+        BenchCommand::Proxy(args) => print(&bench_proxy::measure(&args, &program, scratch.path())?),
     }
 }
 
--- a/crates/whinhill-cli/src/load.rs
+++ b/crates/whinhill-cli/src/load.rs
@@ -22,43 +22,43 @@
 pub struct LoadArgs {
     /// Where RPCs go: a proxy, or a server direct.
     #[arg(long)]
-    to: SocketAddr,
+    pub to: SocketAddr,
     /// A second target, sent every other RPC in the same run: what the first adds is told against it.
     #[arg(long)]
-    against: Option<SocketAddr>,
+    pub against: Option<SocketAddr>,
     /// The method's path.
     #[arg(long)]
-    path: String,
+    pub path: String,
     /// RPCs a second, in all.
     #[arg(long, default_value_t = 200.0)]
-    rate: f64,
+    pub rate: f64,
     #[arg(long, default_value_t = 10.0)]
-    seconds: f64,
+    pub seconds: f64,
     /// What is sent in the first seconds is not counted.
     #[arg(long, default_value_t = 1.0)]
-    warm_up: f64,
+    pub warm_up: f64,
     /// Keys, drawn evenly, in the header `whinhill-key`.
     #[arg(long, default_value_t = 1000)]
-    keys: u64,
+    pub keys: u64,
     /// Bytes of a message.
     #[arg(long, default_value_t = 64)]
-    bytes: usize,
+    pub bytes: usize,
     #[arg(long, default_value_t = 2000)]
-    deadline_ms: u64,
+    pub deadline_ms: u64,
     /// RPCs in hand at a time; those due beyond wait, and their wait counts.
     #[arg(long, default_value_t = 256)]
-    in_hand: usize,
+    pub in_hand: usize,
     /// Connections to each target.
     #[arg(long, default_value_t = 4)]
-    connections: usize,
+    pub connections: usize,
     #[arg(long, default_value_t = 1)]
-    seed: u64,
+    pub seed: u64,
     /// A header to send along, as `name=value`: what a server wants that a proxy would add.
     #[arg(long = "header", value_parser = header)]
-    headers: Vec<(String, String)>,
+    pub headers: Vec<(String, String)>,
     /// Only the object.
     #[arg(long)]
-    json: bool,
+    pub json: bool,
 }
 
 fn header(text: &str) -> Result<(String, String), String> {
@@ -96,39 +96,39 @@
 }
 
 #[derive(Debug, Serialize)]
-struct TargetFigures {
-    to: SocketAddr,
-    sent: u64,
-    ok: u64,
-    pushed_back: u64,
+pub struct TargetFigures {
+    pub to: SocketAddr,
+    pub sent: u64,
+    pub ok: u64,
+    pub pushed_back: u64,
     /// Not answered by the deadline.
-    late: u64,
-    failed: u64,
+    pub late: u64,
+    pub failed: u64,
     /// What failed, by the first words of the reason.
-    reasons: BTreeMap<String, u64>,
-    p50_us: u64,
-    p90_us: u64,
-    p99_us: u64,
-    p999_us: u64,
-    max_us: u64,
+    pub reasons: BTreeMap<String, u64>,
+    pub p50_us: u64,
+    pub p90_us: u64,
+    pub p99_us: u64,
+    pub p999_us: u64,
+    pub max_us: u64,
 }
 
 #[derive(Debug, Serialize)]
-struct Added {
-    p50_us: i64,
-    p99_us: i64,
-    p999_us: i64,
+pub struct Added {
+    pub p50_us: i64,
+    pub p99_us: i64,
+    pub p999_us: i64,
 }
 
 #[derive(Debug, Serialize)]
-struct Figures {
-    rate: f64,
-    seconds: f64,
+pub struct Figures {
+    pub rate: f64,
+    pub seconds: f64,
     /// Due but never sent, since too many were waiting.
-    not_sent: u64,
-    targets: Vec<TargetFigures>,
+    pub not_sent: u64,
+    pub targets: Vec<TargetFigures>,
     /// What the first target adds to the second.
-    added: Option<Added>,
+    pub added: Option<Added>,
 }
 
 impl Target {
@@ -245,6 +245,21 @@
 }
 
 pub fn run(args: &LoadArgs) -> Result<(), Failed> {
+    let figures = measure(args)?;
+    if !args.json {
+        for t in &figures.targets {
+            println!(
+                "{}: {} sent, {} ok, {} pushed back, {} late, {} failed; p50 {} us, p99 {} us, p99.9 {} us, most {} us",
+                t.to, t.sent, t.ok, t.pushed_back, t.late, t.failed, t.p50_us, t.p99_us, t.p999_us, t.max_us
+            );
+        }
+    }
+    let text = serde_json::to_string(&figures).map_err(|error| Failed::Running(error.to_string()))?;
+    println!("{text}");
+    Ok(())
+}
+
+pub fn measure(args: &LoadArgs) -> Result<Figures, Failed> {
     let sane = args.rate > 0.0 && args.rate <= 200_000.0 && args.seconds > 0.0 && args.warm_up >= 0.0;
     let bounded_by = (1..=10_000).contains(&args.in_hand) && (1..=1000).contains(&args.connections);
     if !sane || !bounded_by || args.keys == 0 || !args.path.starts_with('/') {
@@ -318,15 +333,5 @@
         }
         _ => None,
     };
-    let figures = Figures { rate: args.rate, seconds: args.seconds, not_sent, targets, added };
-    if !args.json {
-        for t in &figures.targets {
-            println!(
-                "{}: {} sent, {} ok, {} pushed back, {} late, {} failed; p50 {} us, p99 {} us, p99.9 {} us, most {} us",
-                t.to, t.sent, t.ok, t.pushed_back, t.late, t.failed, t.p50_us, t.p99_us, t.p999_us, t.max_us
-            );
-        }
-    }
-    println!("{}", serde_json::to_string(&figures).map_err(|error| failed(&error))?);
-    Ok(())
+    Ok(Figures { rate: args.rate, seconds: args.seconds, not_sent, targets, added })
 }
--- a/crates/whinhill-proxy/src/forward.rs
+++ b/crates/whinhill-proxy/src/forward.rs
@@ -10,6 +10,7 @@
 use whinhill_tables::Version;
 use whinhill_transport::{
     grpc_timeout, Answering, BodyLimits, CallError, Client, Code, Passage, RelayError, ServerCall, Trailers,
+    Turn,
 };
 use whinhill_xds::proto::OrcaLoadReport;
 
@@ -101,6 +102,9 @@
 impl Forwarder {
     /// Answers one call; runs on a worker's thread.
     pub fn carry(&self, call: ServerCall) {
+        // All that the RPC writes and drops on its way is written by this thread.
+        let _turn = Turn::begin();
+        let call = call;
         let grpc = call.header("content-type").is_some_and(|kind| kind.starts_with("application/grpc"));
         if !grpc {
             return call.refuse_http(http::StatusCode::UNSUPPORTED_MEDIA_TYPE);
@@ -195,6 +199,7 @@
                         return Err(Refused::PushedBack(why));
                     }
                     drop(held);
+                    Turn::flush();
                     shared.await_change(seen, until);
                 }
                 Route::Send { server, tries, version } => {
--- a/crates/whinhill-proxy/src/pool.rs
+++ b/crates/whinhill-proxy/src/pool.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use whinhill_transport::{CallError, Client, Drivers, Limits, NeverRan};
+use whinhill_transport::{CallError, Client, Drivers, Limits, NeverRan, Turn};
 
 use crate::connections::{ConnectionId, Connections, PoolLimits, Take};
 use crate::shared::lock;
@@ -95,6 +95,8 @@
     /// A place on a connection to a server: on one that stands, a new one, or one that comes free in time.
     pub fn get(&self, server: &Arc<str>, until: Instant) -> Result<Lease<'_>, CallError> {
         let none = || CallError::NeverRan(NeverRan::NoConnection);
+        // Getting one may take a while: what this thread has handed to other connections must not wait with it.
+        Turn::flush();
         let mut state = lock(&self.state);
         if state.swept.elapsed() >= SWEEP {
             state = self.sweep(state);
--- a/crates/whinhill-standins/src/bench.rs
+++ b/crates/whinhill-standins/src/bench.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Mutex, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -11,12 +11,10 @@
 use hdrhistogram::Histogram;
 use serde::Serialize;
 use whinhill_proxy::KEY_HEADER;
-use whinhill_transport::{Client, Drivers, Limits, Workers};
+use whinhill_transport::{Client, Drivers, Limits};
 
 use crate::day::{Day, Proxies, Speaks};
-use crate::play::{play, with_fleet, Outcome, PlayError};
-use crate::record::Recorder;
-use crate::server::{Server, ServerConfig};
+use crate::play::{play, Outcome, PlayError};
 
 /// A day of a grown fleet, in each variant of the protocol.
 #[derive(Debug, Serialize)]
@@ -101,53 +99,6 @@
     Call(#[from] whinhill_transport::CallError),
 }
 
-/// Calls a server direct, in a closed loop of `callers` threads for `seconds`.
-pub fn direct(day: &Day, callers: usize, seconds: f64) -> Result<CallFigures, BenchError> {
-    let record = Recorder::default();
-    let (drivers, workers) = (Drivers::start("bench", 2)?, Workers::new("bench", 1024, 96 << 10));
-    let service = Arc::new(day.service.service());
-    let config = ServerConfig {
-        listen: ([127, 0, 0, 1], 0).into(),
-        cores: 64,
-        speed: 1.0,
-        cold: false,
-        cold_from: 1.0,
-        warm_after: Duration::from_secs(1),
-        queue_most: 1024,
-        work: vec![0.0; service.methods.len()],
-        service: service.clone(),
-        seed: 1,
-    };
-    let server = Server::start(config, &workers, &record)?;
-    let addr = server.name().parse().map_err(io::Error::other)?;
-    let headers = [("whinhill-slice", "0".to_string())];
-    closed_loop("direct", addr, &service.methods[0].path, &headers, &drivers, callers, seconds)
-}
-
-/// Calls through one proxy of a day's fleet, and the server direct, one after the other in one run.
-pub fn proxy(
-    day: &Day,
-    program: &Path,
-    out: &Path,
-    callers: usize,
-    seconds: f64,
-) -> Result<[CallFigures; 2], BenchError> {
-    let mut day =
-        Day { proxies: Proxies { count: 1, ..day.proxies.clone() }, faults: Vec::new(), ..day.clone() };
-    // Work so small that the way is what is measured.
-    day.load.mix.iter_mut().for_each(|mix| mix.work_ms = 0.001);
-    day.servers.cores = 64;
-    // One server: nothing is to be decided about it.
-    day.servers.count = 1;
-    let path = day.service.methods[0].path.clone();
-    let through = with_fleet(&day, program, out, |front| {
-        let drivers = Drivers::start("bench", 2)?;
-        let (_, addr) = front.first().ok_or_else(|| io::Error::other("no proxy"))?;
-        closed_loop("through the proxy", *addr, &path, &[], &drivers, callers, seconds)
-    })??;
-    Ok([direct(&day, callers, seconds)?, through])
-}
-
 /// Calls `path` at `addr` over one connection for every eight callers.
 pub fn closed_loop(
     name: &'static str,
--- a/crates/whinhill-transport/src/call.rs
+++ b/crates/whinhill-transport/src/call.rs
@@ -183,12 +183,11 @@
     }
 
     /// Answers with a status alone, without waiting for anything.
-    pub fn refuse(mut self, code: Code, message: &str, extra: Trailers) {
+    pub fn refuse(self, code: Code, message: &str, extra: Trailers) {
         let _turn = Turn::begin();
-        let mut response = Response::new(());
-        *response.headers_mut() = status(code, message, extra);
-        response.headers_mut().insert("content-type", HeaderValue::from_static("application/grpc"));
-        let _ = self.respond.send_response(response, true);
+        // Within the turn: what a call drops wakes its connection too.
+        let mut call = self;
+        call.answer_alone(StatusCode::OK, status(code, message, extra));
     }
 
     /// Resets the stream with REFUSED_STREAM: proof for the client that nothing ran.
--- a/crates/whinhill-transport/src/relay.rs
+++ b/crates/whinhill-transport/src/relay.rs
@@ -430,7 +430,7 @@
         self.answer_alone(code, HeaderMap::new());
     }
 
-    fn answer_alone(&mut self, code: StatusCode, mut headers: HeaderMap) {
+    pub(crate) fn answer_alone(&mut self, code: StatusCode, mut headers: HeaderMap) {
         let _turn = Turn::begin();
         if code == StatusCode::OK {
             headers.insert("content-type", HeaderValue::from_static("application/grpc"));
--- a/crates/whinhill-transport/src/turning.rs
+++ b/crates/whinhill-transport/src/turning.rs
@@ -24,8 +24,8 @@
     static WOKEN: RefCell<Option<Vec<Arc<dyn Turned>>>> = const { RefCell::new(None) };
 }
 
-/// While it lives, connections that this thread wakes are turned by it. Nothing but waits of this crate may block
-/// meanwhile, or what was woken would wait too.
+/// While it lives, connections that this thread wakes are turned by it. Waits of this crate flush it by themselves;
+/// whoever blocks otherwise meanwhile calls [`Turn::flush`] first, or what was woken would wait too.
 pub struct Turn {
     /// One inside another leaves all to the outer one.
     outer: bool,
