--- a/crates/whinhill-proxy/src/forward.rs
+++ b/crates/whinhill-proxy/src/forward.rs
@@ -416,15 +416,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_timeout_has_up_to_eight_digits_and_a_unit() {
-        assert_eq!(parse_timeout("250m"), Some(Duration::from_millis(250)));
-        assert_eq!(parse_timeout("99999999u"), Some(Duration::from_micros(99_999_999)));
-        for bad in ["", "m", "123456789m", "5", "-1m", "+1m", "1é"] {
-            assert_eq!(parse_timeout(bad), None, "{bad}");
-        }
-    }
-}
+mod tests;
