--- a/crates/whinhill-proxy/src/forward/tests.rs
+++ b/crates/whinhill-proxy/src/forward/tests.rs
@@ -128,6 +128,15 @@
     (Listener::start("server", addr, Limits::default(), drivers, serve).unwrap(), told)
 }
 
+/// For what is done just after its client has heard: it must come.
+fn eventually(holds: impl Fn() -> bool) {
+    let until = Instant::now() + WITHIN;
+    while !holds() {
+        assert!(Instant::now() < until, "it never came");
+        thread::yield_now();
+    }
+}
+
 fn answered_by(result: &Result<(Bytes, Trailers), CallError>) -> String {
     let (_, trailers) = result.as_ref().unwrap();
     trailers[ANSWERED_BY].to_str().unwrap().to_string()
@@ -271,11 +280,7 @@
     let (write, _) = (rig.calls(WRITE, s(2.0)), at_owner.recv_timeout(WITHIN).unwrap());
     let read = rig.calls(READ, s(2.0));
     // Its thread is at its try once the server has it, or waits for the server's one hand: either way it is held.
-    let until = Instant::now() + WITHIN;
-    while rig.forwarder.pool.standing().1 < 2 {
-        assert!(Instant::now() < until);
-        thread::yield_now();
-    }
+    eventually(|| rig.forwarder.pool.standing().1 == 2);
     let shut = |method| {
         rig.shared.change(|table| {
             let zero = |slice| Assignment {
@@ -359,7 +364,7 @@
         // Answered by a status alone: no message, and no failure of the RPC.
         assert!(matches!(result, Err(CallError::Malformed(_))), "{result:?}");
     }
-    assert_eq!(rig.shared.counts.forwarded.load(Ordering::Relaxed), 2);
+    eventually(|| rig.shared.counts.forwarded.load(Ordering::Relaxed) == 2);
     drop(kept);
 }
 
@@ -407,12 +412,7 @@
     }
     let counts = &rig.shared.counts;
     let read = |counter: &std::sync::atomic::AtomicU64| counter.load(Ordering::Relaxed);
-    // The client hears of the end before it is counted.
-    let until = Instant::now() + WITHIN;
-    while read(&counts.forwarded) + read(&counts.aborted) < 200 {
-        assert!(Instant::now() < until);
-        thread::yield_now();
-    }
+    eventually(|| read(&counts.forwarded) + read(&counts.aborted) >= 200);
     assert_eq!((read(&counts.forwarded), read(&counts.aborted)), (ok, late));
 }
 
