Take load reports in by when they happened, whom they come from, and what they change

The intake reckoned by arrival, believed everybody and gave what came first: a cut third or a liar moved shares by half, a silent tenth was idle. whinhill-reports, without I/O, puts each stretch where it happened by our clock, believes a proxy as far as peers and its own past bear it out, thins long reports with a known error, waits a period for the late, makes up for the unheard, and gives lines by age and by what they change. Proxies that lag are asked for fewer reports; whinhill reports show tells all of it; one log line when too little is heard.

--- a/crates/whinhill-assigner/src/answers.rs
+++ b/crates/whinhill-assigner/src/answers.rs
@@ -55,6 +55,7 @@
             result.unwrap_or_else(Answer::Refused)
         }
         Ask::Rollbacks => rollbacks(chronicle),
+        Ask::Reports => Answer::Refused("reports are told of by the intake".into()),
         Ask::Proxies => Answer::Refused("proxies are told of by the streams".into()),
     }
 }
--- a/crates/whinhill-assigner/src/ask.rs
+++ b/crates/whinhill-assigner/src/ask.rs
@@ -50,6 +50,48 @@
     Rollbacks,
     /// Who holds what.
     Proxies,
+    /// What is known of load, and by whom.
+    Reports,
+}
+
+/// The intake of load reports. Counts are of tries since the start, but for reports, lines and strange ones.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ReportsAnswer {
+    pub reports: u64,
+    pub offered: u64,
+    pub given: u64,
+    pub waiting: u64,
+    pub late: u64,
+    pub repeated: u64,
+    pub doubted: u64,
+    pub foreign: u64,
+    pub strange: u64,
+    pub mended: u64,
+    pub thinned: u64,
+    /// Whether all that was offered is in one of these places.
+    pub conserved: bool,
+    /// At the last turn: lines with something to give, given, and waiting since they are known too badly.
+    pub lines_ready: usize,
+    pub lines_given: usize,
+    pub lines_unsure: usize,
+    /// The greatest standard error of a line given, as a share of its tries.
+    pub error_most: f64,
+    /// The part of the expected load that was heard.
+    pub heard: f64,
+    pub blind: bool,
+    pub lag_ms_middle: u64,
+    pub lag_ms_most: u64,
+    /// The worst first.
+    pub proxies: Vec<ReportsLine>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ReportsLine {
+    pub proxy: String,
+    /// heard, quiet, silent or cut.
+    pub hearing: String,
+    pub late_ms: u64,
+    pub tries_per_s: f64,
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -133,6 +175,7 @@
         current: u64,
         proxies: Vec<ProxyLine>,
     },
+    Reports(Box<ReportsAnswer>),
     /// It can't be; in one line.
     Refused(String),
 }
--- a/crates/whinhill-assigner/src/assigner.rs
+++ b/crates/whinhill-assigner/src/assigner.rs
@@ -492,6 +492,9 @@
     fn carry_out(&mut self, effects: Effects) {
         effects.log.iter().for_each(|text| info!(target: "whinhill::module", "{text}"));
         effects.left.iter().for_each(|proxy| self.channel.left(*proxy));
+        for (proxy, every) in &effects.paces {
+            self.hub.set_pace(self.core.proxy_name(*proxy), *every);
+        }
         self.publish(&effects);
         self.keep(effects.page);
         self.answers.extend(effects.answers);
--- a/crates/whinhill-assigner/src/core.rs
+++ b/crates/whinhill-assigner/src/core.rs
@@ -9,17 +9,18 @@
 use whinhill::interface::{
     Entry, Ep, Event, Health, ListKind, Listed, LoadReport, Order, Probe, ProxyId, SettingsError, SliceId,
 };
+use whinhill_reports::{Hearing, Intake, Shown};
 use whinhill_store::Told;
 use whinhill_tables::rollback::{Fleet, Rollback, Standing};
 use whinhill_tables::{History, Keeper, PendingGrant, ServerName, TableSet};
 use whinhill_xds::mapping::Service;
 use whinhill_xds::proto;
 
-use crate::ask::{Answer, Ask};
+use crate::ask::{Answer, Ask, ReportsAnswer, ReportsLine};
 use crate::chronicle::{Batch, Chronicle, Numbered};
 use crate::config::AssignerConfig;
-use crate::intake::Intake;
 use crate::names::Names;
+use crate::reports::{event, read_report};
 use crate::roster::{RosterEntry, RosterState};
 
 /// One thing that happened.
@@ -46,9 +47,18 @@
         mark: u16,
     },
     Report {
+        proxy: String,
         zone: String,
         report: proto::LoadStatsRequest,
     },
+    /// A stream of reports opened, and ended: who has one is expected to report.
+    Reporting {
+        proxy: String,
+        zone: String,
+    },
+    NoLongerReporting {
+        proxy: String,
+    },
     Probed {
         server: ServerName,
         result: Probe,
@@ -89,6 +99,8 @@
     pub grants: Vec<PendingGrant>,
     pub probes: Vec<ServerName>,
     pub left: Vec<ProxyId>,
+    /// Proxies that are to report this often from now on.
+    pub paces: Vec<(ProxyId, Duration)>,
     pub ask_roster: bool,
     /// What our own file must take.
     pub page: Option<Numbered>,
@@ -117,7 +129,10 @@
     /// What came before the first list: the module is told of it with that list.
     early: Vec<Event>,
     moves: u64,
-    strange: u64,
+    /// How often proxies that are not to report at the ordinary pace were told to.
+    paces: BTreeMap<ProxyId, Duration>,
+    /// Too little is heard for anything to be decided on.
+    blind: bool,
     chronicle: Chronicle,
     unix_ms: u64,
     asked: Vec<(u64, Ask)>,
@@ -154,7 +169,16 @@
             module: whinhill::Assigner::new(&config.settings(), seed)?,
             names: Names::new(&config.zones),
             keeper: Keeper::new(service.slices, writes, config.service.tries),
-            intake: Intake::new(config.report_lines_per_s, Duration::from_millis(config.report_period_ms)),
+            intake: Intake::new(
+                whinhill_reports::Limits {
+                    period: Duration::from_millis(config.report_period_ms),
+                    lines_per_s: config.report_lines_per_s,
+                    ..whinhill_reports::Limits::default()
+                },
+                seed,
+            ),
+            paces: BTreeMap::new(),
+            blind: false,
             service,
             joined: BTreeMap::new(),
             wake: Duration::ZERO,
@@ -166,7 +190,6 @@
             started: false,
             early: Vec::new(),
             moves: 0,
-            strange: 0,
             chronicle: Chronicle::new(
                 History::new(config.history.limits(), 0, TableSet::new()),
                 Vec::new(),
@@ -211,7 +234,7 @@
 
     /// Figures of reports that could not be made out.
     pub fn strange(&self) -> u64 {
-        self.strange
+        self.intake.ledger().strange
     }
 
     /// When to call [`Core::handle`] next even if nothing happens.
@@ -224,6 +247,10 @@
         self.names.proxy(name)
     }
 
+    pub fn proxy_name(&self, id: ProxyId) -> &str {
+        self.names.proxy_name(id)
+    }
+
     /// Takes all that happened by `now` and says what is to be done.
     pub fn handle(&mut self, now: Duration, inputs: Vec<Input>) -> Effects {
         let mut effects = Effects::default();
@@ -251,7 +278,10 @@
         for (id, ask) in std::mem::take(&mut self.asked) {
             // Only what an order changed must be kept before it is answered: a full disk hides no history.
             let orders = matches!(ask, Ask::Rollback { dry_run: false, .. } | Ask::PinGood { .. });
-            let answer = crate::answers::answer(&mut self.chronicle, published, &eyes, now, ask);
+            let answer = match ask {
+                Ask::Reports => self.reports(now),
+                ask => crate::answers::answer(&mut self.chronicle, published, &eyes, now, ask),
+            };
             let after = if orders { self.chronicle.seq() } else { 0 };
             effects.answers.push((id, after, answer));
         }
@@ -267,7 +297,12 @@
             Ep { index, stable }
         };
         if self.started {
-            events.extend(self.intake.give(now, names, ep));
+            let given = self.intake.give(now);
+            events.extend(given.iter().map(|given| event(given, ep)));
+            let blind = self.intake.blind();
+            if blind != std::mem::replace(&mut self.blind, blind) {
+                effects.log.push(reports_mode(blind, self.intake.shown()));
+            }
         }
         if now >= self.wake {
             events.push(Event::Timer);
@@ -332,9 +367,23 @@
                     self.follow(id, Some((mark, now)));
                 }
             }
-            Input::Report { zone, report } => {
-                let zone = self.names.zone(&zone);
-                self.strange += self.intake.take(now, zone, &report, &self.service, &self.names) as u64;
+            Input::Report { proxy, zone, report } => {
+                let (id, zone) = (self.names.proxy(&proxy), self.names.zone(&zone));
+                let told = read_report(id, zone, &report, &self.service, &self.names);
+                self.intake.take(now, told);
+                let pace = self.intake.interval(id);
+                if self.paces.insert(id, pace).is_some_and(|before| before != pace) {
+                    effects.paces.push((id, pace));
+                }
+            }
+            Input::Reporting { proxy, zone } => {
+                let (id, zone) = (self.names.proxy(&proxy), self.names.zone(&zone));
+                self.intake.opened(now, id, zone);
+                self.paces.remove(&id);
+            }
+            Input::NoLongerReporting { proxy } => {
+                let id = self.names.proxy(&proxy);
+                self.intake.closed(now, id);
             }
             Input::Probed { server, result, load } => {
                 events.push(Event::Probed { ep: self.names.ep(&server), result, load });
@@ -358,6 +407,40 @@
         }
     }
 
+    /// What is known of load, and by whom.
+    fn reports(&self, now: Duration) -> Answer {
+        let (ledger, shown) = (*self.intake.ledger(), *self.intake.shown());
+        let line = |(id, hearing, late, rate): (ProxyId, Hearing, Duration, Option<f64>)| ReportsLine {
+            proxy: self.names.proxy_name(id).to_string(),
+            hearing: hearing.name().to_string(),
+            late_ms: late.as_millis() as u64,
+            tries_per_s: rate.unwrap_or(0.0),
+        };
+        Answer::Reports(Box::new(ReportsAnswer {
+            reports: ledger.reports,
+            offered: ledger.offered,
+            given: ledger.given,
+            waiting: self.intake.waiting(),
+            late: ledger.late,
+            repeated: ledger.repeated,
+            doubted: ledger.doubted,
+            foreign: ledger.foreign,
+            strange: ledger.strange,
+            mended: ledger.mended,
+            thinned: ledger.thinned,
+            conserved: ledger.conserved(self.intake.waiting()),
+            lines_ready: shown.ready,
+            lines_given: shown.given,
+            lines_unsure: shown.unsure,
+            error_most: shown.error_most,
+            heard: shown.heard,
+            blind: self.blind,
+            lag_ms_middle: shown.lag_middle.as_millis() as u64,
+            lag_ms_most: shown.lag_most.as_millis() as u64,
+            proxies: self.intake.proxies(now).into_iter().map(line).collect(),
+        }))
+    }
+
     /// A proxy answered a mark, or left: for the measure of how long a mark takes until the last has answered.
     fn follow(&mut self, proxy: ProxyId, answered: Option<(u16, Duration)>) {
         let Some((mark, ordered, awaited)) = &mut self.followed else { return };
@@ -408,7 +491,7 @@
             }
             Told::Taken { slice } => {
                 self.keeper.take(slice);
-                self.intake.forget(slice);
+                self.intake.drop_slice(slice);
                 events.push(Event::Taken { slice });
                 effects.given.remove(&slice);
                 effects.changed.remove(&slice);
@@ -466,6 +549,16 @@
     Histogram::new_with_bounds(1, 60_000_000, 2).unwrap_or_else(|_| unreachable!("the bounds are constants"))
 }
 
+/// The line for a change of what is known of load.
+fn reports_mode(blind: bool, shown: &Shown) -> String {
+    let [heard, quiet, silent, cut] = shown.proxies;
+    let state = if blind { "too little is heard: nothing is decided on it" } else { "enough is heard again" };
+    format!(
+        "load reports: {state}; {:.0}% of the expected load, {heard} proxies heard, {quiet} quiet, {silent} silent, {cut} cut",
+        shown.heard * 100.0
+    )
+}
+
 /// The module names servers by number, in the order in which it met them; staff know them by address.
 fn name_servers(text: &str, names: &Names) -> String {
     let Some(rest) = text.strip_prefix("server ") else { return text.to_string() };
--- a/crates/whinhill-assigner/src/hub.rs
+++ b/crates/whinhill-assigner/src/hub.rs
@@ -76,6 +76,8 @@
     answer_within: Duration,
     proxies_most: usize,
     report_every: Duration,
+    /// Proxies that are to report at another pace.
+    paces: Mutex<BTreeMap<String, Duration>>,
     stop: AtomicBool,
     /// The names of all clusters, by slice and method, in the one copy that all streams share.
     clusters: Vec<Arc<str>>,
@@ -125,6 +127,7 @@
             answer_within: config.answer_within,
             proxies_most: config.proxies_most,
             report_every: config.report_every,
+            paces: Mutex::default(),
             stop: AtomicBool::new(false),
         }
     }
@@ -166,18 +169,23 @@
         let bad = |_| CallError::Malformed("a message that is none of the protocol's");
         let first = reader.recv(FIRST_WITHIN)?.ok_or(CallError::Malformed("no first message"))?;
         let first = proto::LoadStatsRequest::decode(first).map_err(bad)?;
-        let zone = first.node.and_then(|node| node.locality).map(|l| l.zone).unwrap_or_default();
-        if zone.len() > NAME_MOST {
-            return Err(CallError::Malformed("a zone's name that is too long"));
+        let node = first.node.unwrap_or_default();
+        let (proxy, zone) = (node.id, node.locality.map(|l| l.zone).unwrap_or_default());
+        if proxy.is_empty() || proxy.len() > NAME_MOST || zone.len() > NAME_MOST {
+            let what = "the first message must name a node";
+            return writer.close(Code::InvalidArgument, what, Trailers::new());
         }
-        let asked = proto::LoadStatsResponse {
-            clusters: Vec::new(),
-            load_reporting_interval: Some(proto::span(self.report_every)),
-            report_endpoint_granularity: true,
-            send_all_clusters: true,
-        };
-        writer.send(&asked.encode_to_vec(), WRITE_WITHIN)?;
+        if !self.admits(&proxy) {
+            return writer.close(Code::ResourceExhausted, "too many names of proxies", Trailers::new());
+        }
+        let _expected = Reporting::begin(self, &proxy, &zone);
+        let mut asked = self.report_every;
+        writer.send(&report_every(asked).encode_to_vec(), WRITE_WITHIN)?;
         while !self.stop.load(Ordering::Relaxed) {
+            let wanted = self.pace(&proxy);
+            if wanted != std::mem::replace(&mut asked, wanted) {
+                writer.send(&report_every(asked).encode_to_vec(), WRITE_WITHIN)?;
+            }
             let message = match reader.recv(LOOK) {
                 Err(CallError::Deadline(_)) => continue,
                 other => match other? {
@@ -186,7 +194,7 @@
                 },
             };
             let report = proto::LoadStatsRequest::decode(message).map_err(bad)?;
-            let input = Input::Report { zone: zone.clone(), report };
+            let input = Input::Report { proxy: proxy.clone(), zone: zone.clone(), report };
             if self.inputs.send_timeout((input, None), WRITE_WITHIN).is_err() {
                 break;
             }
@@ -194,6 +202,22 @@
         writer.close(Code::Ok, "", Trailers::new())
     }
 
+    /// How often a proxy is to report now.
+    fn pace(&self, proxy: &str) -> Duration {
+        let paces = self.paces.lock().unwrap_or_else(PoisonError::into_inner);
+        paces.get(proxy).copied().unwrap_or(self.report_every)
+    }
+
+    /// Has a proxy report this often; it is told with its next report. Bounded by the names of proxies.
+    pub fn set_pace(&self, proxy: &str, every: Duration) {
+        let mut paces = self.paces.lock().unwrap_or_else(PoisonError::into_inner);
+        if every == self.report_every {
+            paces.remove(proxy);
+        } else {
+            paces.insert(proxy.to_string(), every);
+        }
+    }
+
     fn tables(self: &Arc<Self>, call: ServerCall, variant: Variant) -> Result<(), CallError> {
         let (mut reader, mut writer) = call.open()?;
         let bad = |_| CallError::Malformed("a message that is none of the protocol's");
@@ -471,3 +495,31 @@
         streams.iter().for_each(|stream| stream.close());
     }
 }
+
+fn report_every(every: Duration) -> proto::LoadStatsResponse {
+    proto::LoadStatsResponse {
+        clusters: Vec::new(),
+        load_reporting_interval: Some(proto::span(every)),
+        report_endpoint_granularity: true,
+        send_all_clusters: true,
+    }
+}
+
+/// A stream of reports that stands. Its end is told however it ends.
+struct Reporting<'a> {
+    hub: &'a Hub,
+    proxy: &'a str,
+}
+
+impl<'a> Reporting<'a> {
+    fn begin(hub: &'a Hub, proxy: &'a str, zone: &str) -> Self {
+        hub.tell(Input::Reporting { proxy: proxy.to_string(), zone: zone.to_string() });
+        Reporting { hub, proxy }
+    }
+}
+
+impl Drop for Reporting<'_> {
+    fn drop(&mut self) {
+        self.hub.tell(Input::NoLongerReporting { proxy: self.proxy.to_string() });
+    }
+}
--- a/crates/whinhill-assigner/src/lib.rs
+++ b/crates/whinhill-assigner/src/lib.rs
@@ -15,17 +15,20 @@
 mod core;
 mod holdings;
 mod hub;
-mod intake;
 mod joins;
 mod names;
 mod operator;
 mod probes;
+mod reports;
 mod roster;
 mod status;
 mod stewards;
 
 pub use crate::core::{Core, Effects, Input};
-pub use ask::{Answer, Ask, PlanLine, ProxyLine, RollbackLine, SliceLine, Target, VersionLine, ASK_PATH};
+pub use ask::{
+    Answer, Ask, PlanLine, ProxyLine, ReportsAnswer, ReportsLine, RollbackLine, SliceLine, Target,
+    VersionLine, ASK_PATH,
+};
 pub use assigner::{Assigner, StartError};
 pub use channel::{Channel, Parcel};
 pub use chronicle::{Batch, Chronicle, Numbered, RollbackError};
@@ -33,7 +36,8 @@
     AssignerConfig, ChannelConfig, CustodySettings, Fault, HistoryConfig, MethodConfig, MethodEffect,
     RosterConfig, RulesConfig, Sabotage, ServiceConfig, StoreConfig,
 };
-pub use intake::Intake;
+pub use names::Names;
 pub use operator::{ask, AskError};
+pub use reports::{event, read_report};
 pub use roster::{read_roster, RosterEntry, RosterFile, RosterState};
 pub use status::{process_figures_of, Status};
--- a/crates/whinhill-assigner/src/names.rs
+++ b/crates/whinhill-assigner/src/names.rs
@@ -76,6 +76,10 @@
         id
     }
 
+    pub fn proxy_name(&self, id: ProxyId) -> &str {
+        self.proxies.get(id as usize).map_or("?", String::as_str)
+    }
+
     /// When a server started, on our clock, from the roster's wall clock; `None`: long ago.
     pub fn started(
         &mut self,
--- a/crates/whinhill-assigner/src/probes.rs
+++ b/crates/whinhill-assigner/src/probes.rs
@@ -14,7 +14,7 @@
 use whinhill_xds::{unbase64, HEALTH_PATH, ORCA_TRAILER};
 
 use crate::core::Input;
-use crate::intake::read_load;
+use crate::reports::read_load;
 
 const WITHIN: Duration = Duration::from_millis(800);
 /// Probes under way at a time.
--- a/crates/whinhill-cli/src/main.rs
+++ b/crates/whinhill-cli/src/main.rs
@@ -7,6 +7,7 @@
 mod load;
 mod logging;
 mod proxy;
+mod reports;
 mod soak;
 mod standin;
 mod table;
@@ -69,6 +70,8 @@
     Load(load::LoadArgs),
     /// Versions of an assigner's tables, and the way back to an older one.
     Table(table::TableArgs),
+    /// Look at what is known of load, or soak the intake of load reports.
+    Reports(reports::ReportsArgs),
     /// Scripted days on loopback.
     Day {
         #[command(subcommand)]
@@ -152,6 +155,7 @@
         Command::Standin { command } => standin::run(command),
         Command::Load(args) => load::run(&args),
         Command::Table(args) => table::run(args),
+        Command::Reports(args) => reports::run(args),
         Command::Day { command } => day::run(command),
         Command::Bench { command } => bench::run(command),
         Command::Config { command: ConfigCommand::Check { file, kind } } => {
--- a/crates/whinhill-assigner/src/intake.rs
+++ b/crates/whinhill-cli/src/reports/former.rs
@@ -1,4 +1,5 @@
-//! Load reports in, a bounded number of lines a second out to the module. No I/O, no clock.
+//! The intake as it was before: the baseline of the soak. It reckons by arrival, believes everybody, and gives what
+//! came first.
 //!
 //! What is over the cap is not dropped but waits and adds up, each line for the stretch that it then covers;
 //! the oldest go first.
@@ -10,15 +11,12 @@
 use whinhill_xds::mapping::{server_name, Service};
 use whinhill_xds::proto;
 
-use crate::names::Names;
+use whinhill_assigner::Names;
 
 #[derive(Clone, Debug, Default)]
 struct Sum {
     tries: u64,
     lost: u64,
-    oks: u64,
-    wait_ms: f64,
-    load: LoadReport,
     /// When the first figure in it came, and the stretch that the first report covered.
     since: Option<Duration>,
     first: Duration,
@@ -99,9 +97,6 @@
                 met.begin(now, span);
                 met.tries += server.total_issued_requests;
                 met.lost += server.total_error_requests.min(server.total_issued_requests);
-                for metric in &server.load_metric_stats {
-                    read_metric(met, metric);
-                }
             }
         }
         strange
@@ -127,55 +122,18 @@
                 }
                 Key::Met { server, zone } => {
                     debug_assert!(server < names.servers());
-                    let wait = if sum.oks > 0 { sum.wait_ms / sum.oks as f64 } else { 0.0 };
-                    let wait = Duration::try_from_secs_f64(wait / 1e3).unwrap_or_default();
                     Event::Met {
                         ep: ep(server),
                         zone,
                         tries: sum.tries,
                         lost: sum.lost,
-                        wait,
+                        wait: Duration::ZERO,
                         span,
-                        load: sum.load,
+                        load: LoadReport::default(),
                     }
                 }
             });
         }
         events
     }
-
-    /// A slice is no longer ours: what was told of it is another's to use.
-    pub fn forget(&mut self, slice: SliceId) {
-        self.sums.retain(|key, _| !matches!(key, Key::Came { slice: s, .. } if *s == slice));
-    }
-
-    /// Lines that wait.
-    pub fn waiting(&self) -> usize {
-        self.sums.len()
-    }
-}
-
-fn read_metric(met: &mut Sum, metric: &proto::EndpointLoadMetricStats) {
-    let count = metric.num_requests_finished_with_metric;
-    let value = metric.total_metric_value;
-    if count == 0 || !value.is_finite() || value < 0.0 {
-        return;
-    }
-    if metric.metric_name == "wait_ms" {
-        met.oks += count;
-        met.wait_ms += value;
-    } else {
-        read_load(&mut met.load, &metric.metric_name, value / count as f64);
-    }
-}
-
-/// A figure that a server tells of itself; names that we do not know are passed over.
-pub fn read_load(load: &mut LoadReport, name: &str, value: f64) {
-    match name {
-        "cpu" => load.cpu = Some(value),
-        "in_hand" => load.in_hand = Some(value),
-        "queue" => load.waiting = Some(value),
-        "service_ms" => load.service = Duration::try_from_secs_f64(value / 1e3).ok(),
-        _ => {}
-    }
 }
--- a/crates/whinhill-cli/src/table.rs
+++ b/crates/whinhill-cli/src/table.rs
@@ -219,6 +219,8 @@
                 println!("{} holds {acked}, {} versions and {} ms behind", p.proxy, p.behind, p.behind_ms);
             }
         }
+        // Asked for by `whinhill reports` alone.
+        Answer::Reports(answer) => println!("{} reports", answer.reports),
         Answer::Refused(why) => println!("{why}"),
     }
 }
