--- a/crates/whinhill-standins/src/play.rs
+++ b/crates/whinhill-standins/src/play.rs
@@ -586,7 +586,9 @@
             },
             seed,
             dial,
-            pool: whinhill_proxy::PoolLimits::default(),
+            // A whole fleet shares one process's file descriptors here: 208 proxies and 143 servers that keep their
+            // connections for a minute run out of them (seen: one RPC in nine never ran).
+            pool: whinhill_proxy::PoolLimits { idle_ms: 3000, ..Default::default() },
             body_most: 64 << 20,
             pick: whinhill_proxy::Pick::default(),
             sabotage: whinhill_proxy::Sabotage {
