--- a/crates/whinhill-cli/src/proxy.rs
+++ b/crates/whinhill-cli/src/proxy.rs
@@ -103,6 +103,11 @@
         let pool = &self.pool;
         let places = 1..=1024;
         must(places.contains(&pool.connections_most), "pool.connections_most", "1 to 1024 is expected");
+        must(
+            (pool.connections_most..=1_000_000).contains(&pool.all_most),
+            "pool.all_most",
+            "connections_most to 1000000 is expected",
+        );
         must(places.contains(&pool.streams_most), "pool.streams_most", "1 to 1024 is expected");
         must(
             (1..=pool.streams_most).contains(&pool.streams_first),
--- a/crates/whinhill-proxy/src/connections.rs
+++ b/crates/whinhill-proxy/src/connections.rs
@@ -21,6 +21,9 @@
 pub struct PoolLimits {
     /// Connections to one server, those being opened among them.
     pub connections_most: usize,
+    /// Connections to all servers; past it the one that was idle longest is closed for a new one. The process's
+    /// limit of file descriptors must leave room for them beside its clients' connections.
+    pub all_most: usize,
     /// RPCs in hand on one connection.
     pub streams_most: usize,
     /// RPCs in hand on a new one that has not answered yet.
@@ -38,6 +41,7 @@
     fn default() -> Self {
         PoolLimits {
             connections_most: 4,
+            all_most: 600,
             streams_most: 100,
             streams_first: 16,
             connect_within_ms: 500,
@@ -86,12 +90,14 @@
     servers: HashMap<Arc<str>, Server>,
     servers_most: usize,
     last: ConnectionId,
+    /// Let go to make room, and not yet closed.
+    let_go: Vec<ConnectionId>,
 }
 
 impl Connections {
     /// `servers_most` bounds the servers that are connected to at a time.
     pub fn new(limits: PoolLimits, servers_most: usize) -> Self {
-        Connections { limits, servers: HashMap::new(), servers_most, last: 0 }
+        Connections { limits, servers: HashMap::new(), servers_most, last: 0, let_go: Vec::new() }
     }
 
     /// The fullest connection that has room: the others may then fall idle and end. `opens` where the RPC may open
@@ -122,10 +128,36 @@
         if one.opening > 0 && one.open.is_empty() {
             return Take::Wait;
         }
-        one.opening += 1;
+        if !self.make_room() {
+            return Take::Wait;
+        }
+        self.servers.entry(server.clone()).or_default().opening += 1;
         Take::Open
     }
 
+    /// Room for one more connection; false while each carries an RPC.
+    fn make_room(&mut self) -> bool {
+        let all: usize = self.servers.values().map(|server| server.open.len() + server.opening).sum();
+        if all < self.limits.all_most {
+            return true;
+        }
+        let idle = self.servers.iter().flat_map(|(name, server)| {
+            let idle = server.open.iter().filter(|one| one.in_hand == 0);
+            idle.map(move |one| (one.idle_since, one.id, name))
+        });
+        let Some((_, id, name)) = idle.min().map(|(since, id, name)| (since, id, name.clone())) else {
+            return false;
+        };
+        self.ended(&name, id);
+        self.let_go.push(id);
+        true
+    }
+
+    /// Connections that were let go for others since this was asked last: to be closed.
+    pub fn let_go(&mut self) -> Vec<ConnectionId> {
+        std::mem::take(&mut self.let_go)
+    }
+
     /// One was opened; the RPC that did is in hand there.
     pub fn opened(&mut self, now: Duration, server: &Arc<str>) -> ConnectionId {
         self.last += 1;
@@ -215,6 +247,7 @@
             connections_most: 2,
             streams_most: 8,
             streams_first: 2,
+            all_most: 5,
             idle_ms: 1000,
             ..Default::default()
         };
@@ -277,6 +310,23 @@
         assert_eq!(pool.take(ms(1000), &a), Take::Open);
     }
 
+    #[test]
+    fn past_the_bound_on_all_the_longest_idle_makes_room_and_none_that_carries() {
+        let mut pool = Connections::new(PoolLimits { all_most: 2, ..Default::default() }, 10);
+        let names: Vec<Arc<str>> = ["a:1", "b:1", "c:1"].map(Arc::from).into();
+        let ids: Vec<ConnectionId> = (0..2)
+            .map(|k| {
+                assert_eq!(pool.take(ms(k), &names[k as usize]), Take::Open);
+                pool.opened(ms(k), &names[k as usize])
+            })
+            .collect();
+        assert_eq!((pool.take(ms(5), &names[2]), pool.let_go()), (Take::Wait, vec![]));
+        pool.done(ms(6), &names[1], ids[1], true);
+        pool.done(ms(7), &names[0], ids[0], true);
+        assert_eq!((pool.take(ms(8), &names[2]), pool.let_go()), (Take::Open, vec![ids[1]]));
+        assert_eq!(pool.take(ms(9), &names[0]), Take::Use(ids[0]));
+    }
+
     /// Any order of events: no connection is over its bound, no server over its number, and every RPC that was let on
     /// a connection is let off again.
     #[test]
@@ -293,7 +343,14 @@
                 match rng.random_range(0..9) {
                     0..=3 => match pool.take(ms(now), server) {
                         Take::Use(id) => out.push((server.clone(), id)),
-                        Take::Open => opening.push(server.clone()),
+                        Take::Open => {
+                            opening.push(server.clone());
+                            for gone in pool.let_go() {
+                                let used = out.iter().any(|(_, id)| *id == gone);
+                                assert!(!used, "seed {seed}, step {step}: let go under an RPC");
+                                open.retain(|(_, id)| *id != gone);
+                            }
+                        }
                         Take::Wait | Take::Refused => {}
                     },
                     4 if !opening.is_empty() => {
@@ -328,6 +385,8 @@
                     }
                 }
                 assert!(pool.servers.len() <= 3, "seed {seed}, step {step}");
+                let all: usize = pool.servers.values().map(|s| s.open.len() + s.opening).sum();
+                assert!(all <= 5, "seed {seed}, step {step}: {all} connections");
             }
         }
     }
--- a/crates/whinhill-proxy/src/pool.rs
+++ b/crates/whinhill-proxy/src/pool.rs
@@ -125,7 +125,10 @@
                 }
             }
         }
+        let let_go: Vec<Client> =
+            state.decides.let_go().iter().filter_map(|id| state.clients.remove(id)).collect();
         drop(state);
+        drop(let_go);
         let addr: Option<SocketAddr> = server.parse().ok();
         let addr = addr.map(|addr| self.dial.0.as_ref().map_or(addr, |dial| dial(addr)));
         let opened =
--- a/crates/whinhill-proxy/src/streams.rs
+++ b/crates/whinhill-proxy/src/streams.rs
@@ -277,3 +277,82 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use whinhill_xds::mapping::Service;
+    use whinhill_xds::Received;
+
+    use super::*;
+    use crate::pick::{Draws, Pick};
+    use crate::table::tests::{s, service};
+    use crate::table::{Refusal, Route};
+
+    fn streams() -> Streams {
+        Streams {
+            shared: Arc::new(Shared::new(service(), 1, 1, Pick::ByWeight)),
+            source: 0,
+            assigner: "a".into(),
+            addr: ([127, 0, 0, 1], 9).into(),
+            node: proto::Node::default(),
+            variant: Variant::Incremental,
+            limits: Limits::default(),
+            drivers: Drivers::start("streams", 1).unwrap(),
+            sabotage: Sabotage::default(),
+            reject: Arc::default(),
+        }
+    }
+
+    /// Every table of a service of so many slices, with one owner.
+    fn tables(slices: usize, kind: Kind) -> Update {
+        let service = Service { slices, ..(*service()).clone() };
+        let table = whinhill_tables::SliceTable {
+            version: whinhill_tables::Version { epoch: 5, number: 1 },
+            owner: Some("127.0.0.1:7000".into()),
+            shares: vec![1.0, 1.0],
+            tries: 0,
+        };
+        let one = |(slice, method)| {
+            let entry = match kind {
+                Kind::Cluster => service.cluster(slice, method),
+                _ => service.endpoints(slice, method, &table),
+            };
+            let (name, version) = (service.cluster_name(slice, method), entry.version.to_string());
+            Received { name, version, ttl: None, body: Some(entry.body) }
+        };
+        let all = (0..slices).flat_map(|slice| [(slice, 0), (slice, 1)]);
+        let resources = all.map(one).collect();
+        let (nonce, set_version) = ("1".to_string(), "1".to_string());
+        Update { kind, nonce, set_version, resources, removed: Vec::new(), fault: None }
+    }
+
+    fn look(streams: &Streams) -> Route {
+        let draws = Draws { level: 0.0, first: 0.0, second: 0.0 };
+        streams.shared.read(|table| table.route(s(1.0), 1, 0, draws, |_| 0))
+    }
+
+    #[test]
+    fn tables_by_another_slice_count_are_rejected_by_name_and_the_former_stand() {
+        let streams = streams();
+        for kind in [Kind::Cluster, Kind::Endpoints] {
+            let reason = streams.apply(&tables(3, kind)).unwrap_err();
+            assert!(reason.contains("t/0.3/look"), "{reason}");
+        }
+        assert_eq!(look(&streams), Route::Wait(Refusal::NoLine));
+        streams.apply(&tables(2, Kind::Cluster)).unwrap();
+        streams.apply(&tables(2, Kind::Endpoints)).unwrap();
+        assert!(matches!(look(&streams), Route::Send { .. }));
+        assert!(streams.apply(&tables(3, Kind::Endpoints)).is_err());
+        assert!(matches!(look(&streams), Route::Send { .. }));
+    }
+
+    #[test]
+    fn a_reply_with_one_bad_table_changes_nothing() {
+        let streams = streams();
+        let mut half = tables(2, Kind::Endpoints);
+        half.resources[3].body = Some(bytes::Bytes::from_static(b"\xff"));
+        let reason = streams.apply(&half).unwrap_err();
+        assert!(reason.contains("t/1.2/book"), "{reason}");
+        assert_eq!(look(&streams), Route::Wait(Refusal::NoLine));
+    }
+}
--- a/crates/whinhill-xds/src/lib.rs
+++ b/crates/whinhill-xds/src/lib.rs
@@ -12,7 +12,7 @@
 mod server;
 
 pub use cache::{Cache, Entry, Kind, Stored};
-pub use client::{ClientStream, Update, UpdateError};
+pub use client::{ClientStream, Received, Update, UpdateError};
 pub use holding::holding_hash;
 pub use server::{Heard, Reply, ServerStream, StreamError};
 
