Give every thread that uses calls the same stack, with room for turning a connection

A caller now turns connections by itself: 48 KiB of stack in a build without optimization, 16 KiB with (200 calls of 40 KB each at given sizes); probes had 64. CALL_STACK, 128 KiB, stands beside what needs it and is used by probes, operators' questions, RPCs, load and stand-ins.

--- a/crates/whinhill-assigner/src/assigner.rs
+++ b/crates/whinhill-assigner/src/assigner.rs
@@ -272,7 +272,7 @@
     drivers: &Drivers,
     asks: Sender<Question>,
 ) -> Result<Listener, StartError> {
-    let workers = Workers::new("operator", ASKS, 128 << 10);
+    let workers = Workers::new("operator", ASKS, whinhill_transport::CALL_STACK);
     let limits = Limits { connections_most: ASKS, message_most: 1 << 20, ..Limits::default() };
     let handler = move |call: ServerCall| {
         let asks = asks.clone();
--- a/crates/whinhill-assigner/src/probes.rs
+++ b/crates/whinhill-assigner/src/probes.rs
@@ -31,7 +31,12 @@
 
 impl Prober {
     pub fn new(drivers: Drivers, inputs: Sender<(Input, Option<Sender<()>>)>) -> Self {
-        Prober { workers: Workers::new("probe", MOST, 64 << 10), drivers, clients: Arc::default(), inputs }
+        Prober {
+            workers: Workers::new("probe", MOST, whinhill_transport::CALL_STACK),
+            drivers,
+            clients: Arc::default(),
+            inputs,
+        }
     }
 
     /// Probes a server soon; where too many are under way it is left for the next period.
--- a/crates/whinhill-cli/src/load.rs
+++ b/crates/whinhill-cli/src/load.rs
@@ -72,7 +72,7 @@
 const LONGEST_US: u64 = 60_000_000;
 /// RPCs that may be due and unsent before the run gives up on more: ten seconds of a high rate.
 const DUE_MOST: usize = 100_000;
-const STACK: usize = 96 << 10;
+const STACK: usize = whinhill_transport::CALL_STACK;
 
 struct Target {
     addr: SocketAddr,
--- a/crates/whinhill-cli/src/proxy.rs
+++ b/crates/whinhill-cli/src/proxy.rs
@@ -135,7 +135,7 @@
     let stop = until_stopped::listen()?;
     let failed = |error: &dyn std::fmt::Display| Failed::Running(error.to_string());
     let drivers = Drivers::start(&file.id, file.drivers).map_err(|error| failed(&error))?;
-    let workers = Workers::new("rpc", file.in_hand_most, 128 << 10);
+    let workers = Workers::new("rpc", file.in_hand_most, whinhill_transport::CALL_STACK);
     let config = ProxyConfig {
         id: file.id,
         zone: file.zone,
--- a/crates/whinhill-cli/src/standin.rs
+++ b/crates/whinhill-cli/src/standin.rs
@@ -63,7 +63,8 @@
                 seed: day.seed,
             };
             let server =
-                Server::start(config, &Workers::new("rpc", 1024, 96 << 10), &record).map_err(failed)?;
+                Server::start(config, &Workers::new("rpc", 1024, whinhill_transport::CALL_STACK), &record)
+                    .map_err(failed)?;
             let addr: SocketAddr = server.name().parse().map_err(|_| Failed::Running("no address".into()))?;
             tracing::info!(%addr, "server listens");
             until_stopped::say_ready(ready_file.as_deref(), addr)?;
--- a/crates/whinhill-proxy/src/proxy.rs
+++ b/crates/whinhill-proxy/src/proxy.rs
@@ -18,7 +18,7 @@
 use crate::shared::{Counts, Shared};
 use crate::streams::Streams;
 
-const STACK: usize = 128 << 10;
+const STACK: usize = whinhill_transport::CALL_STACK;
 
 /// Faults put in on purpose, so that an audit can be shown to find them.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/crates/whinhill-standins/src/play.rs
+++ b/crates/whinhill-standins/src/play.rs
@@ -325,7 +325,7 @@
         let service = Arc::new(day.service.service());
         let record = Recorder::default();
         let drivers = Drivers::start("day", 3).map_err(io_at("driver threads"))?;
-        let workers = Workers::new("day", 6000, 96 << 10);
+        let workers = Workers::new("day", 6000, whinhill_transport::CALL_STACK);
         let store = StoreStandIn::start(loopback(), &record).map_err(io_at("the store"))?;
         let mut roster = RosterStandIn::new(&out.join("roster.json5"), &record);
         let roster_addr = match day.roster {
@@ -643,7 +643,7 @@
             front: self.front.clone(),
             record: self.record.clone(),
             drivers: Drivers::start("clients", 1).map_err(io_at("driver threads"))?,
-            workers: Workers::new("clients", 4000, 96 << 10),
+            workers: Workers::new("clients", 4000, whinhill_transport::CALL_STACK),
             seed: self.day.seed ^ 0x9e37_79b9,
             rate: self.rate.clone(),
             stop: stop.clone(),
--- a/crates/whinhill-transport/src/lib.rs
+++ b/crates/whinhill-transport/src/lib.rs
@@ -35,5 +35,5 @@
 pub use framing::BodyLimits;
 pub use limits::Limits;
 pub use relay::{Answering, Passage, RelayError, Try};
-pub use turning::Turn;
+pub use turning::{Turn, CALL_STACK};
 pub use workers::{AllBusy, Workers};
--- a/crates/whinhill-transport/src/turning.rs
+++ b/crates/whinhill-transport/src/turning.rs
@@ -19,6 +19,10 @@
 /// Connections turned one after the other by one call at most; what is left after that goes to the drivers.
 const ROUNDS: usize = 8;
 
+/// The stack, in bytes, of a thread that uses calls: it may turn a whole connection, which takes 48 KiB in a build
+/// without optimization (16 KiB in one with), before anything is logged.
+pub const CALL_STACK: usize = 128 << 10;
+
 thread_local! {
     /// What was woken within the turn; `None` outside of one.
     static WOKEN: RefCell<Option<Vec<Arc<dyn Turned>>>> = const { RefCell::new(None) };
