Write what is known of load into the status file

reports_waiting stood in every status line and was never set. The figures of the intake now stand beside it: tries offered, given, waiting, late, doubted, the part of the expected load that was heard, the longest lag, silent and cut proxies.

--- a/crates/whinhill-assigner/src/assigner.rs
+++ b/crates/whinhill-assigner/src/assigner.rs
@@ -585,6 +585,16 @@
         self.status.grants_waiting = self.core.keeper().waiting() as u64;
         self.status.bytes_sent = get(&self.counters.bytes);
         self.status.store_failures = get(&self.counters.store_failures);
+        let (ledger, waiting, shown) = self.core.load();
+        self.status.reports_offered = ledger.offered;
+        self.status.reports_given = ledger.given;
+        self.status.reports_waiting = waiting;
+        self.status.reports_late = ledger.late;
+        self.status.reports_doubted = ledger.doubted;
+        self.status.reports_heard_percent = (shown.heard * 1000.0).round() / 10.0;
+        self.status.reports_lag_ms_most = shown.lag_most.as_millis() as u64;
+        let [_, _, silent, cut] = shown.proxies;
+        (self.status.proxies_silent, self.status.proxies_cut) = (silent as u64, cut as u64);
         let (answers, rounds) = self.core.ways();
         let quantile = |of: &hdrhistogram::Histogram<u64>, q: f64| of.value_at_quantile(q);
         (self.status.answer_us_p50, self.status.answer_us_p99) =
--- a/crates/whinhill-assigner/src/core.rs
+++ b/crates/whinhill-assigner/src/core.rs
@@ -9,7 +9,7 @@
 use whinhill::interface::{
     Entry, Ep, Event, Health, ListKind, Listed, LoadReport, Order, Probe, ProxyId, SettingsError, SliceId,
 };
-use whinhill_reports::{Hearing, Intake, Shown};
+use whinhill_reports::{Hearing, Intake, Ledger, Shown};
 use whinhill_store::Told;
 use whinhill_tables::rollback::{Fleet, Rollback, Standing};
 use whinhill_tables::{History, Keeper, PendingGrant, ServerName, TableSet};
@@ -407,6 +407,11 @@
         }
     }
 
+    /// Where the tries that were told went, how many wait, and what staff can look at.
+    pub fn load(&self) -> (&Ledger, u64, &Shown) {
+        (self.intake.ledger(), self.intake.waiting(), self.intake.shown())
+    }
+
     /// What is known of load, and by whom.
     fn reports(&self, now: Duration) -> Answer {
         let (ledger, shown) = (*self.intake.ledger(), *self.intake.shown());
--- a/crates/whinhill-assigner/src/status.rs
+++ b/crates/whinhill-assigner/src/status.rs
@@ -27,7 +27,18 @@
     pub versions: u64,
     pub history_kb: u64,
     pub grants_waiting: u64,
+    /// Tries told by load reports: in all, given to the decisions, waiting, and of the kinds that move nothing.
+    pub reports_offered: u64,
+    pub reports_given: u64,
     pub reports_waiting: u64,
+    pub reports_late: u64,
+    pub reports_doubted: u64,
+    /// The part of the expected load that was heard, in percent, and the longest lag of a proxy that is heard.
+    pub reports_heard_percent: f64,
+    pub reports_lag_ms_most: u64,
+    /// Proxies whose report stream stands and says nothing, and those whose is gone.
+    pub proxies_silent: u64,
+    pub proxies_cut: u64,
     pub batches: u64,
     pub batch_us_most: u64,
     pub batch_us_sum: u64,
