--- a/crates/whinhill-reports/src/intake.rs
+++ b/crates/whinhill-reports/src/intake.rs
@@ -610,11 +610,6 @@
     pub fn recount(&self) -> u64 {
         self.windows.values().map(Window::held).sum()
     }
-
-    /// The keys that hold something.
-    pub fn held_keys(&self) -> BTreeSet<Key> {
-        self.windows.iter().filter(|(_, window)| window.held() > 0).map(|(key, _)| *key).collect()
-    }
 }
 
 impl Window {
