--- a/crates/whinhill-transport/src/relay.rs
+++ b/crates/whinhill-transport/src/relay.rs
@@ -58,6 +58,20 @@
 }
 
 impl Spool {
+    fn new(limits: BodyLimits, keep_most: usize) -> Self {
+        Spool {
+            pieces: VecDeque::new(),
+            sent: 0,
+            bytes: 0,
+            keep_most,
+            let_go: false,
+            ended: false,
+            trailers: None,
+            owed: 0,
+            framing: Framing::new(limits),
+        }
+    }
+
     fn push(&mut self, piece: Bytes) {
         self.bytes += piece.len();
         self.owed += piece.len();
@@ -149,17 +163,7 @@
 impl Passage {
     /// `keep_most` bytes of the request are kept for another try.
     pub fn new(call: ServerCall, limits: BodyLimits, keep_most: usize) -> Self {
-        let spool = Spool {
-            pieces: VecDeque::new(),
-            sent: 0,
-            bytes: 0,
-            keep_most,
-            let_go: false,
-            ended: false,
-            trailers: None,
-            owed: 0,
-            framing: Framing::new(limits),
-        };
+        let spool = Spool::new(limits, keep_most);
         Passage { call, spool, answered: false }
     }
 
@@ -447,18 +451,7 @@
     use super::*;
 
     fn spool(keep_most: usize) -> Spool {
-        let limits = BodyLimits { message_most: 1 << 20, body_most: 1 << 20 };
-        Spool {
-            pieces: VecDeque::new(),
-            sent: 0,
-            bytes: 0,
-            keep_most,
-            let_go: false,
-            ended: false,
-            trailers: None,
-            owed: 0,
-            framing: Framing::new(limits),
-        }
+        Spool::new(BodyLimits { message_most: 1 << 20, body_most: 1 << 20 }, keep_most)
     }
 
     fn drain(spool: &mut Spool, step: usize) -> Vec<u8> {
