Bring a proxy that reports late back to the ordinary interval on a new stream too

Found on reading the change: the core forgot on a new stream what interval its proxy had been told, and the hub did not, so the proxy stayed at the longer one until it lagged again. What was told last now stands over its streams. The test fails on the former text and passes on this one; the other tests of both packages and clippy: green.

--- a/crates/whinhill-assigner/src/core.rs
+++ b/crates/whinhill-assigner/src/core.rs
@@ -372,14 +372,15 @@
                 let told = read_report(id, zone, &report, &self.service, &self.names);
                 self.intake.take(now, told);
                 let pace = self.intake.interval(id);
-                if self.paces.insert(id, pace).is_some_and(|before| before != pace) {
+                // What it was told last stands over its streams: the hub tells it again on each new one.
+                let before = self.paces.insert(id, pace).unwrap_or(self.intake.period());
+                if before != pace {
                     effects.paces.push((id, pace));
                 }
             }
             Input::Reporting { proxy, zone } => {
                 let (id, zone) = (self.names.proxy(&proxy), self.names.zone(&zone));
                 self.intake.opened(now, id, zone);
-                self.paces.remove(&id);
             }
             Input::NoLongerReporting { proxy } => {
                 let id = self.names.proxy(&proxy);
--- a/crates/whinhill-assigner/src/core/tests.rs
+++ b/crates/whinhill-assigner/src/core/tests.rs
@@ -247,6 +247,27 @@
     assert!(paces.len() >= 2 && paces[0] > 500 && paces.last() == Some(&500), "{paces:?}");
 }
 
+/// Found on reading: a new stream forgot what its proxy had been told, which then stayed at the longer interval.
+#[test]
+fn a_longer_interval_ends_though_the_stream_was_opened_anew() {
+    let mut core = running();
+    let reporting = || Input::Reporting { proxy: "p".into(), zone: "z".into() };
+    core.handle(s(10.0), vec![reporting()]);
+    let mut tries = 0;
+    let mut tell = |core: &mut Core, now: f64| {
+        tries += 1;
+        let report = report("t/0.2/look", "10.0.0.1:7", tries);
+        let told = Input::Report { proxy: "p".into(), zone: "z".into(), report };
+        core.handle(s(now), vec![told]).paces.iter().map(|(_, every)| every.as_millis()).collect::<Vec<_>>()
+    };
+    (1..=10).for_each(|turn| assert!(tell(&mut core, 10.0 + f64::from(turn) * 0.5).is_empty()));
+    let longer = tell(&mut core, 21.0);
+    assert!(longer.first().is_some_and(|every| *every > 500), "{longer:?}");
+    core.handle(s(21.1), vec![Input::NoLongerReporting { proxy: "p".into() }, reporting()]);
+    let after: Vec<u128> = (1..=30).flat_map(|turn| tell(&mut core, 21.1 + f64::from(turn) * 0.5)).collect();
+    assert_eq!(after.last(), Some(&500), "{after:?}");
+}
+
 #[test]
 fn a_roster_cut_short_is_refused_whole_and_faults_are_named() {
     let whole = r#"{"servers":[{"addr":"10.0.0.1:7","zone":"z","state":"ready"}]}"#;
--- a/crates/whinhill-reports/src/intake.rs
+++ b/crates/whinhill-reports/src/intake.rs
@@ -589,6 +589,11 @@
         self.open > 0 && self.shown.heard < self.limits.heard_least
     }
 
+    /// The ordinary time between reports.
+    pub fn period(&self) -> Duration {
+        self.limits.period
+    }
+
     pub fn ledger(&self) -> &Ledger {
         &self.ledger
     }
