--- a/crates/whinhill-cli/src/main.rs
+++ b/crates/whinhill-cli/src/main.rs
@@ -6,6 +6,7 @@
 mod day;
 mod load;
 mod logging;
+mod platform;
 mod proxy;
 mod reports;
 mod soak;
@@ -44,8 +45,11 @@
 enum Command {
     /// Run an assigner until SIGTERM or SIGINT.
     Assigner {
-        #[arg(long)]
-        config: PathBuf,
+        #[arg(long, required_unless_present = "platform")]
+        config: Option<PathBuf>,
+        /// Speak the operators' platform's protocol, as the file that BALANCER_CONFIG names tells.
+        #[arg(long, conflicts_with_all = ["config", "ready_file", "status_file"])]
+        platform: bool,
         /// The address that it listens on is written there once it does.
         #[arg(long)]
         ready_file: Option<PathBuf>,
@@ -146,7 +150,9 @@
 
 fn run(command: Command) -> Result<(), Failed> {
     match command {
-        Command::Assigner { config, ready_file, status_file } => {
+        Command::Assigner { platform: true, .. } => platform::run(),
+        Command::Assigner { config, ready_file, status_file, platform: false } => {
+            let config = config.ok_or_else(|| Failed::Usage("--config is missing".into()))?;
             let mut config: AssignerConfig = config::read(&config, AssignerConfig::check)?;
             config.status_file = status_file.or(config.status_file);
             assigner(config, ready_file)
--- /dev/null
+++ b/crates/whinhill-node/src/discovery.rs
@@ -0,0 +1,119 @@
+//! Asking discovery for the list and for its changes.
+
+use tracing::{debug, info, warn};
+use whinhill::interface::{Event, ListKind};
+use whinhill_platform::discovery::{self, Asking};
+use whinhill_platform::roster::Roster;
+
+use crate::connection::{Connection, Kind};
+use crate::deadlines::Due;
+use crate::limits::*;
+use crate::node::Node;
+
+impl Node {
+    /// The module wants to hear of changes.
+    pub fn watch(&mut self) {
+        if let Some(key) = self.watch_at {
+            // A watch that lives has told all; one that is coming up will answer.
+            if self.watch_lives(key) {
+                self.pending.push(Event::List { kind: ListKind::Changes, entries: Vec::new() });
+            }
+            return;
+        }
+        if !self.open_watch() {
+            self.push_failed();
+        }
+    }
+
+    fn watch_lives(&self, key: usize) -> bool {
+        matches!(self.connections.get(key).map(|c| &c.kind), Some(Kind::Asking(asking)) if asking.answered())
+    }
+
+    fn open_watch(&mut self) -> bool {
+        let addr = self.config.discovery;
+        let request = discovery::watch_request(addr, self.version.held());
+        self.watch_at = self.connect(addr, Kind::Asking(Asking::watch()), &request, DISCOVERY_WITHIN);
+        self.counts.watches += 1;
+        self.watch_at.is_some()
+    }
+
+    pub fn fetch(&mut self) {
+        let addr = self.config.discovery;
+        let request = discovery::fetch_request(addr);
+        if self.connect(addr, Kind::Asking(Asking::fetch()), &request, DISCOVERY_WITHIN).is_none() {
+            self.push_failed();
+        }
+    }
+
+    /// Discovery is at another address.
+    pub fn move_watch(&mut self) {
+        self.watch_at.take().into_iter().for_each(|key| drop(self.close(key)));
+        if !self.open_watch() {
+            self.push_failed();
+        }
+    }
+
+    fn push_failed(&mut self) {
+        self.counts.discovery_failed += 1;
+        self.pending.push(Event::List { kind: ListKind::Failed, entries: Vec::new() });
+    }
+
+    pub fn discovery_bytes(&mut self, key: usize, bytes: &[u8]) {
+        let Some(Connection { kind: Kind::Asking(asking), .. }) = self.connections.get_mut(key) else {
+            return;
+        };
+        let (watch, first) = (asking.is_watch(), !asking.answered());
+        match asking.take(bytes) {
+            Ok(lists) => {
+                if watch {
+                    self.deadlines.set(Due::Connection(key), self.clock.now() + WATCH_SILENT);
+                }
+                let done = !watch && !lists.is_empty();
+                if watch && first && !lists.is_empty() {
+                    debug!(version = self.version.held(), "the watch stands");
+                }
+                if !lists.iter().all(|list| self.take_list(list)) {
+                    return self.discovery_failed(key, "it went back in version");
+                }
+                if done {
+                    self.close(key);
+                }
+            }
+            Err(error) => self.discovery_failed(key, &error.to_string()),
+        }
+    }
+
+    /// False: it is older than what we hold.
+    fn take_list(&mut self, list: &Roster) -> bool {
+        let Some(kind) = self.version.take(list) else {
+            info!(held = self.version.held(), told = list.version, "an older list is not taken");
+            return false;
+        };
+        self.push_list(kind, list);
+        true
+    }
+
+    pub fn discovery_ended(&mut self, key: usize) {
+        let Some(Connection { kind: Kind::Asking(asking), .. }) = self.connections.get(key) else { return };
+        match asking.ended() {
+            Ok(lists) => {
+                self.close(key);
+                if !lists.iter().all(|list| self.take_list(list)) {
+                    self.push_failed();
+                }
+            }
+            Err(error) => self.discovery_failed(key, &error.to_string()),
+        }
+    }
+
+    pub fn discovery_failed(&mut self, key: usize, why: &str) {
+        let lived = self.watch_at == Some(key) && self.watch_lives(key);
+        self.close(key);
+        if lived {
+            warn!(version = self.version.held(), "the watch of discovery broke: {why}");
+        } else {
+            debug!("discovery did not answer: {why}");
+        }
+        self.push_failed();
+    }
+}
--- /dev/null
+++ b/crates/whinhill-node/src/limits.rs
@@ -0,0 +1,38 @@
+//! Time limits and bounds of the sockets. None decides owners, health or pace.
+
+use std::time::Duration;
+
+/// Whoever has not joined by then is closed; the platform allows that from 1 s on, and asks for it within 3 s.
+pub const JOIN_WITHIN: Duration = Duration::from_millis(1100);
+/// A connection comes up within two round trips of a few milliseconds; a machine that is cut off never answers.
+pub const CONNECT_WITHIN: Duration = Duration::from_millis(500);
+/// The relay answers within 50 ms or never; the rest is for a core that is shared.
+pub const CALL_WITHIN: Duration = Duration::from_millis(200);
+/// A calls' connection idle for longer is replaced before the next call: the relay closes it at 10 s or less.
+pub const CALL_IDLE: Duration = Duration::from_secs(3);
+/// First wait before news are asked for again, doubled up to the most. Shorter: a relay that is down is
+/// hammered; longer: answers and departures go unheard.
+pub const NEWS_AGAIN: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(500));
+/// Discovery answers one call after another, each within its own limit of a second.
+pub const DISCOVERY_WITHIN: Duration = Duration::from_millis(2500);
+/// A watch has a sign of life every 2 s; silence must be found well within the 6 s that the rules leave.
+pub const WATCH_SILENT: Duration = Duration::from_millis(3000);
+/// An answer to a probe that takes longer says that the server does not serve.
+pub const PROBE_WITHIN: Duration = Duration::from_millis(500);
+/// Reports come in pieces within milliseconds of each other: so long they are gathered for one batch.
+pub const GATHER: Duration = Duration::from_millis(5);
+/// Events that make a batch at once.
+pub const BATCH_MOST: usize = 8192;
+/// Probes under way at a time.
+pub const PROBES_MOST: usize = 48;
+/// Connections of one zone's collector: the newest is the real one, others may not have noticed their end.
+pub const COLLECTORS_MOST: usize = 3;
+/// Descriptors that nobody who connects may take: standard streams, poll, signals, listener, the configuration
+/// file (12), relay and discovery, each with one to replace it (8), and probes.
+pub const RESERVED: usize = 20 + PROBES_MOST;
+/// Descriptors ran out: accepting goes on after this, when some have been closed.
+pub const ACCEPT_AGAIN: Duration = Duration::from_millis(50);
+/// The state goes into the log this often.
+pub const STATUS_EVERY: Duration = Duration::from_secs(10);
+/// After SIGTERM, calls in line may still leave for this long; SIGKILL follows no sooner than 0.7 s.
+pub const END_WITHIN: Duration = Duration::from_millis(250);
--- /dev/null
+++ b/crates/whinhill-node/src/node.rs
@@ -0,0 +1,369 @@
+//! The loop: waits, takes what came, hands the module its events and carries out its orders.
+
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use mio::net::TcpListener;
+use mio::{Events, Interest, Poll, Token};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use signal_hook_mio::v1_0::Signals;
+use slab::Slab;
+use tracing::{info, warn};
+use whinhill::interface::{Entry, Event, ListKind, Order};
+use whinhill::Assigner;
+use whinhill_names::Names;
+use whinhill_platform::config::PlatformConfig;
+use whinhill_platform::discovery::Version;
+use whinhill_platform::relay::calls::Calls;
+use whinhill_platform::relay::news::News;
+use whinhill_platform::relay::orders::RelayOrder;
+use whinhill_platform::roster::Roster;
+
+use crate::clock::Clock;
+use crate::connection::{Connection, Kind};
+use crate::deadlines::{Deadlines, Due};
+use crate::limits::*;
+use crate::report::Counts;
+use crate::NodeError;
+
+const LISTENER: Token = Token(usize::MAX - 1);
+const SIGNALS: Token = Token(usize::MAX - 2);
+/// Bytes read at a time.
+const BUFFER: usize = 64 * 1024;
+
+pub(crate) struct Node {
+    pub poll: Poll,
+    pub listener: TcpListener,
+    signals: Signals,
+    pub clock: Clock,
+    pub deadlines: Deadlines,
+    pub connections: Slab<Connection>,
+    buffer: Vec<u8>,
+    path: PathBuf,
+    pub config: PlatformConfig,
+    pub names: Names,
+    /// Where each server listens, by its index.
+    pub addrs: Vec<Option<SocketAddr>>,
+    assigner: Assigner,
+    pub pending: Vec<Event>,
+    last_batch: Duration,
+    round: Duration,
+    pub calls: Calls,
+    pub calls_at: Option<usize>,
+    pub calls_used: Duration,
+    /// The connection for calls leads to a former address: it serves the call under way and no other.
+    pub calls_moved: bool,
+    pub news: News,
+    pub news_at: Option<usize>,
+    pub news_again: Duration,
+    pub version: Version,
+    pub watch_at: Option<usize>,
+    pub probing: usize,
+    pub strangers: usize,
+    pub peers_most: usize,
+    pub counts: Counts,
+    ending: bool,
+}
+
+impl Node {
+    pub fn start(path: &Path) -> Result<Self, NodeError> {
+        let config = crate::read(path)?;
+        let faulty = |source| NodeError::Settings { path: path.into(), source };
+        let assigner = Assigner::new(&config.settings, config.seed).map_err(faulty)?;
+        let round = config.settings.span("round").map_err(faulty)?;
+        let io = |what| move |source| NodeError::Io { what, source };
+        let poll = Poll::new().map_err(io("poll"))?;
+        let mut signals = Signals::new([SIGHUP, SIGTERM, SIGINT]).map_err(io("signals"))?;
+        poll.registry().register(&mut signals, SIGNALS, Interest::READABLE).map_err(io("signals"))?;
+        let addr = config.listen;
+        let listen = |source| NodeError::Listen { addr, source };
+        let mut listener = TcpListener::bind(addr).map_err(listen)?;
+        poll.registry().register(&mut listener, LISTENER, Interest::READABLE).map_err(listen)?;
+        let clock = Clock::start();
+        info!(
+            name = config.name,
+            %addr,
+            sockets = config.limits.sockets,
+            memory_mb = config.limits.memory_mb,
+            servers = config.known.servers.len(),
+            version = config.known.version,
+            "assigner starts"
+        );
+        let mut node = Node {
+            names: Names::new(&config.settings),
+            version: Version::new(config.known.version),
+            peers_most: config.limits.sockets.saturating_sub(RESERVED).max(8),
+            poll,
+            listener,
+            signals,
+            clock,
+            deadlines: Deadlines::default(),
+            connections: Slab::new(),
+            buffer: vec![0; BUFFER],
+            path: path.into(),
+            addrs: Vec::new(),
+            assigner,
+            pending: Vec::new(),
+            last_batch: Duration::ZERO,
+            round,
+            calls: Calls::default(),
+            calls_at: None,
+            calls_used: Duration::ZERO,
+            calls_moved: false,
+            news: News::default(),
+            news_at: None,
+            news_again: NEWS_AGAIN.0,
+            watch_at: None,
+            probing: 0,
+            strangers: 0,
+            counts: Counts::default(),
+            ending: false,
+            config,
+        };
+        let known = std::mem::replace(
+            &mut node.config.known,
+            Roster { version: 0, whole: true, servers: Vec::new() },
+        );
+        node.push_list(ListKind::Stored, &known);
+        node.open_news();
+        node.deadlines.set(Due::Status, node.clock.now() + STATUS_EVERY);
+        Ok(node)
+    }
+
+    pub fn serve(mut self) -> Result<(), NodeError> {
+        let mut events = Events::with_capacity(256);
+        loop {
+            self.advance();
+            if self.ending && self.calls.waiting() == 0 && !self.calls.under_way() {
+                info!("ends");
+                return Ok(());
+            }
+            let now = self.clock.now();
+            let wait = self.deadlines.next_at().map(|at| at.saturating_sub(now));
+            match self.poll.poll(&mut events, wait) {
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
+                Err(source) => return Err(NodeError::Io { what: "poll", source }),
+                Ok(()) => {}
+            }
+            for event in &events {
+                match event.token() {
+                    LISTENER => self.accept(),
+                    SIGNALS => self.take_signals(),
+                    Token(key) => {
+                        if event.is_writable() {
+                            self.writable(key);
+                        }
+                        if event.is_readable() || event.is_read_closed() || event.is_error() {
+                            self.readable(key);
+                        }
+                    }
+                }
+            }
+            let now = self.clock.now();
+            while let Some(due) = self.deadlines.pop(now) {
+                if due == Due::End {
+                    info!(waiting = self.calls.waiting(), "ends with calls in line");
+                    return Ok(());
+                }
+                self.due(due);
+            }
+        }
+    }
+
+    /// Hands over a batch and starts a call where they are due.
+    fn advance(&mut self) {
+        if self.ending {
+            self.deadlines.clear(Due::Batch);
+        } else if !self.pending.is_empty() {
+            let now = self.clock.now();
+            let full = self.pending.len() >= BATCH_MOST;
+            self.deadlines
+                .set_by(Due::Batch, if full { now } else { now + GATHER }.max(self.last_batch + self.round));
+        }
+        self.start_call();
+    }
+
+    fn due(&mut self, due: Due) {
+        match due {
+            Due::Batch => self.batch(),
+            Due::Wake => {
+                self.pending.push(Event::Timer);
+                self.deadlines.set(Due::Batch, self.clock.now().max(self.last_batch + self.round));
+            }
+            Due::News => self.news_passed(),
+            Due::OpenNews => self.open_news(),
+            Due::Call => {}
+            Due::Accept => self.accept(),
+            Due::Status => self.report(),
+            Due::Connection(key) => self.timed_out(key),
+            Due::End => {}
+        }
+    }
+
+    fn batch(&mut self) {
+        let now = self.clock.now();
+        self.last_batch = now;
+        let events = std::mem::take(&mut self.pending);
+        if events.is_empty() {
+            return;
+        }
+        self.counts.batches += 1;
+        let mut relay = Vec::new();
+        for order in self.assigner.handle(now, &events) {
+            match order {
+                Order::Watch => self.watch(),
+                Order::Fetch => self.fetch(),
+                Order::Probe { ep } => self.probe(ep),
+                Order::Wake { after } => self.deadlines.set_by(Due::Wake, now + after),
+                Order::Log { text } => info!("{text}"),
+                other => relay.extend(RelayOrder::of(&other, &self.names)),
+            }
+        }
+        self.calls.push(now, relay);
+    }
+
+    fn take_signals(&mut self) {
+        let signals: Vec<i32> = self.signals.pending().collect();
+        for signal in signals {
+            if signal == SIGHUP {
+                self.read_again();
+            } else if !self.ending {
+                info!(waiting = self.calls.waiting(), "told to end");
+                self.ending = true;
+                self.deadlines.set(Due::End, self.clock.now() + END_WITHIN);
+            }
+        }
+    }
+
+    /// A new configuration moves discovery and relay; a bad one leaves the old in force.
+    fn read_again(&mut self) {
+        let new = match crate::read(&self.path) {
+            Ok(new) => new,
+            Err(error) => return warn!("the configuration in force stays: {error}"),
+        };
+        info!(discovery = %new.discovery, relay = %new.relay, "new configuration");
+        if new.discovery != self.config.discovery {
+            self.config.discovery = new.discovery;
+            self.move_watch();
+        }
+        if new.relay != self.config.relay {
+            self.config.relay = new.relay;
+            self.move_relay();
+        }
+    }
+
+    /// A list for the module.
+    pub fn push_list(&mut self, kind: ListKind, list: &Roster) {
+        let mut entries = Vec::with_capacity(list.servers.len());
+        for server in &list.servers {
+            let ep = self.names.ep(&server.name);
+            self.addrs.resize(self.addrs.len().max(ep.index + 1), None);
+            self.addrs[ep.index] = Some(server.addr);
+            let started = Some(Duration::from_millis(server.started_ms)).filter(|at| !at.is_zero());
+            let zone = self.names.zone(&server.zone);
+            entries.push(Entry { ep, zone, listed: server.listed, size: server.size, started });
+        }
+        self.pending.push(Event::List { kind, entries });
+    }
+
+    // Connections of every kind.
+
+    /// Connects; `None` where that fails at once.
+    pub fn connect(&mut self, addr: SocketAddr, kind: Kind, first: &[u8], within: Duration) -> Option<usize> {
+        let now = self.clock.now();
+        let connected = Connection::connect(addr, kind, first, now);
+        let key = match connected {
+            Ok(connection) => self.connections.insert(connection),
+            Err(error) => {
+                self.counts.connects_failed += 1;
+                tracing::debug!(%addr, "connect: {error}");
+                return None;
+            }
+        };
+        if self.connections[key].register(self.poll.registry(), Token(key)).is_err() {
+            self.connections.remove(key);
+            return None;
+        }
+        self.deadlines.set(Due::Connection(key), now + within);
+        Some(key)
+    }
+
+    /// Closes a connection without a word to whoever it belonged to.
+    pub fn close(&mut self, key: usize) -> Option<Connection> {
+        let mut connection = self.connections.try_remove(key)?;
+        connection.deregister(self.poll.registry());
+        self.deadlines.clear(Due::Connection(key));
+        match &connection.kind {
+            Kind::Peer(peer) if !peer.joined() => self.strangers -= 1,
+            Kind::Probe { .. } => self.probing -= 1,
+            _ => {}
+        }
+        for at in [&mut self.calls_at, &mut self.news_at, &mut self.watch_at] {
+            *at = at.filter(|at| *at != key);
+        }
+        Some(connection)
+    }
+
+    fn writable(&mut self, key: usize) {
+        let Some(connection) = self.connections.get_mut(key) else { return };
+        if connection.flush().is_err() {
+            self.ended(key);
+        }
+    }
+
+    fn readable(&mut self, key: usize) {
+        let mut buffer = std::mem::take(&mut self.buffer);
+        while let Some(connection) = self.connections.get_mut(key) {
+            let opened = connection.opened;
+            match connection.read(&mut buffer) {
+                Ok(None) => break,
+                Ok(Some(0)) | Err(_) => {
+                    self.ended(key);
+                    break;
+                }
+                Ok(Some(n)) => self.bytes(key, &buffer[..n]),
+            }
+            // The key may have been given to another connection meanwhile.
+            if self.connections.get(key).is_none_or(|c| c.opened != opened) {
+                break;
+            }
+        }
+        self.buffer = buffer;
+    }
+
+    fn bytes(&mut self, key: usize, bytes: &[u8]) {
+        let Some(connection) = self.connections.get_mut(key) else { return };
+        match &mut connection.kind {
+            Kind::Peer(_) => self.peer_bytes(key, bytes),
+            Kind::News => self.news_bytes(key, bytes),
+            Kind::Calls(_) => self.call_bytes(key, bytes),
+            Kind::Asking(_) => self.discovery_bytes(key, bytes),
+            Kind::Probe { .. } => self.probe_bytes(key, bytes),
+        }
+    }
+
+    /// The other side closed or reset a connection, or it never came up.
+    fn ended(&mut self, key: usize) {
+        let Some(connection) = self.connections.get(key) else { return };
+        match &connection.kind {
+            Kind::Peer(_) => drop(self.close(key)),
+            Kind::News => self.news_lost("broken"),
+            Kind::Calls(_) => self.call_lost("broken"),
+            Kind::Asking(_) => self.discovery_ended(key),
+            Kind::Probe { .. } => self.probe_ended(key),
+        }
+    }
+
+    fn timed_out(&mut self, key: usize) {
+        let Some(connection) = self.connections.get(key) else { return };
+        match &connection.kind {
+            Kind::Peer(_) => self.refuse(key, "silent"),
+            Kind::News => self.news_lost("never came up"),
+            Kind::Calls(_) => self.call_lost("silent"),
+            Kind::Asking(_) => self.discovery_failed(key, "silent"),
+            Kind::Probe { .. } => self.probe_ended(key),
+        }
+    }
+}
--- /dev/null
+++ b/crates/whinhill-node/src/relay.rs
@@ -0,0 +1,225 @@
+//! The relay's two connections: one for calls, one for news.
+
+use tracing::{info, warn};
+use whinhill::interface::{Entry, Event, ListKind, Listed};
+use whinhill_platform::lines::Lines;
+use whinhill_platform::relay::calls::Outcome;
+use whinhill_platform::relay::news::{self, Told};
+use whinhill_platform::relay::orders::RelayOrder;
+
+use crate::connection::{Connection, Kind};
+use crate::deadlines::Due;
+use crate::limits::*;
+use crate::node::Node;
+
+/// Bytes of an answer to a call.
+const ANSWER_MOST: usize = 256;
+
+impl Node {
+    // News.
+
+    pub fn open_news(&mut self) {
+        if self.news_at.is_some() {
+            return;
+        }
+        self.news_at = self.connect(self.config.relay, Kind::News, news::REQUEST, CONNECT_WITHIN);
+        match self.news_at {
+            Some(_) => {
+                self.news.opened(self.clock.now());
+                self.watch_news();
+            }
+            None => self.news_lost("cannot connect"),
+        }
+    }
+
+    fn watch_news(&mut self) {
+        match self.news.due_at() {
+            Some(at) => self.deadlines.set(Due::News, at),
+            None => self.deadlines.clear(Due::News),
+        }
+    }
+
+    pub fn news_lost(&mut self, why: &str) {
+        let was_live = self.news.live();
+        self.counts.news_lost += u64::from(was_live);
+        if was_live {
+            warn!(
+                proxies = self.news.proxies(),
+                slices = self.news.slices(),
+                "news of the relay lost: {why}"
+            );
+        }
+        if let Some(key) = self.news_at.take() {
+            self.close(key);
+        }
+        self.news.closed();
+        self.deadlines.clear(Due::News);
+        self.deadlines.set(Due::OpenNews, self.clock.now() + self.news_again);
+        self.news_again = (self.news_again * 2).min(NEWS_AGAIN.1);
+    }
+
+    pub fn news_passed(&mut self) {
+        let (now, mut told) = (self.clock.now(), Vec::new());
+        let calls = &self.calls;
+        let alive = self.news.passed(now, |slice| calls.in_doubt(slice), &mut told);
+        self.take_news(told);
+        if alive {
+            self.watch_news();
+        } else {
+            self.news_lost("silent");
+        }
+    }
+
+    pub fn news_bytes(&mut self, key: usize, bytes: &[u8]) {
+        self.deadlines.clear(Due::Connection(key));
+        let (now, mut told) = (self.clock.now(), Vec::new());
+        let calls = &self.calls;
+        let taken = self.news.take(now, bytes, &mut self.names, |slice| calls.in_doubt(slice), &mut told);
+        self.take_news(told);
+        match taken {
+            Ok(()) => self.watch_news(),
+            Err(error) => self.news_lost(&error.to_string()),
+        }
+    }
+
+    fn take_news(&mut self, told: Vec<Told>) {
+        let now = self.clock.now();
+        for told in told {
+            match told {
+                Told::Event(event) => {
+                    if let Event::Taken { slice } | Event::Given { slice } = event {
+                        self.calls.forget(slice);
+                    }
+                    self.pending.push(event);
+                }
+                Told::Acked { proxy, mark, way } => {
+                    let way = self.calls.since_order(now, mark, way);
+                    self.pending.push(Event::Acked { proxy, mark, way });
+                }
+                Told::Differs { slice } => self.follow_store(slice),
+                Told::Settled { again } => {
+                    self.news_again = NEWS_AGAIN.0;
+                    let (proxies, slices) = (self.news.proxies(), self.news.slices());
+                    info!(proxies, slices, again, "news of the relay stand");
+                    if again {
+                        self.calls.mark_again(now);
+                    }
+                }
+            }
+        }
+    }
+
+    /// The store holds another line than we knew: the slice counts as given now, with all methods let in.
+    fn follow_store(&mut self, slice: usize) {
+        self.calls.forget(slice);
+        self.pending.push(Event::Given { slice });
+        if let Some(name) = self.news.line_of(slice) {
+            let ep = self.names.ep(name);
+            self.pending.push(Event::Stored { slice, ep });
+        }
+        let tries = self.config.settings.get("familyInfo.retryDefault").unwrap_or(0);
+        let open = RelayOrder::Level { slice, methods: 0, share: 1.0, tries };
+        self.calls.push(self.clock.now(), [open]);
+        self.counts.differing += 1;
+        info!(slice, "the store holds another line");
+    }
+
+    // Calls.
+
+    /// Starts a call if one is due and the news tell what is ours.
+    pub fn start_call(&mut self) {
+        let now = self.clock.now();
+        let Some(at) = self.calls.due_at() else { return };
+        if at > now {
+            return self.deadlines.set(Due::Call, at);
+        }
+        if !self.news.live() {
+            return;
+        }
+        if now > self.calls_used + CALL_IDLE || std::mem::take(&mut self.calls_moved) {
+            // The relay closes idle connections: an order must not be what finds that out.
+            self.calls_at.take().into_iter().for_each(|key| drop(self.close(key)));
+        }
+        let Some(text) = self.calls.next_call(now, &self.names) else { return };
+        self.calls_used = now;
+        self.counts.calls += 1;
+        if let Some(key) = self.calls_at {
+            if self.connections[key].send(text.as_bytes()).is_err() {
+                return self.call_lost("broken");
+            }
+            return self.deadlines.set(Due::Connection(key), now + CALL_WITHIN);
+        }
+        let kind = Kind::Calls(Lines::new(ANSWER_MOST));
+        self.calls_at = self.connect(self.config.relay, kind, text.as_bytes(), CONNECT_WITHIN);
+        if self.calls_at.is_none() {
+            self.call_lost("cannot connect");
+        }
+    }
+
+    pub fn call_bytes(&mut self, key: usize, bytes: &[u8]) {
+        let now = self.clock.now();
+        let Some(Connection { kind: Kind::Calls(lines), .. }) = self.connections.get_mut(key) else { return };
+        lines.push(bytes);
+        let line = match lines.next_line() {
+            Ok(None) => return,
+            Ok(Some(line)) => line.to_vec(),
+            Err(_) => Vec::new(),
+        };
+        if !self.calls.under_way() {
+            // An answer to nothing: what follows cannot be told apart any more.
+            return self.call_lost("out of step");
+        }
+        self.deadlines.clear(Due::Connection(key));
+        self.calls_used = now;
+        match self.calls.answered(now, &line) {
+            Outcome::Done => {}
+            Outcome::Short { dropped } => self.call_short(dropped),
+            Outcome::NotDone { reason } if reason == "throttled" => self.counts.throttled += 1,
+            Outcome::NotDone { reason } => warn!("the relay did not take a call: {reason}"),
+            Outcome::Unknown => {
+                info!(unknown = self.calls.unknown, "an answer of the relay cannot be read");
+                self.close(key);
+            }
+        }
+        for (slice, line) in self.calls.take_confirmed() {
+            self.news.confirmed(slice, line);
+        }
+    }
+
+    /// The relay stopped at an order. Of a server that it does not know, the module hears that it is gone.
+    fn call_short(&mut self, dropped: RelayOrder) {
+        warn!("the relay did not take {dropped:?}");
+        let RelayOrder::Line { server, on: true, .. } = dropped else { return };
+        let Some(ep) = self.names.known(&server) else { return };
+        let entry = Entry { ep, zone: 0, listed: Listed::Gone, size: 1.0, started: None };
+        self.pending.push(Event::List { kind: ListKind::Changes, entries: vec![entry] });
+    }
+
+    pub fn call_lost(&mut self, why: &str) {
+        let now = self.clock.now();
+        let whole =
+            self.calls_at.is_some_and(|key| self.connections.get(key).is_some_and(Connection::all_written));
+        if let Some(key) = self.calls_at.take() {
+            self.close(key);
+        }
+        match self.calls.lost(now, whole) {
+            Outcome::Unknown => info!(unknown = self.calls.unknown, "a call's outcome is unknown: {why}"),
+            Outcome::NotDone { .. } => {
+                self.counts.calls_not_sent += 1;
+                self.calls.pause(now);
+            }
+            _ => {}
+        }
+    }
+
+    /// The relay is at another address: news move at once, a call under way ends first.
+    pub fn move_relay(&mut self) {
+        if let Some(key) = self.news_at.take() {
+            self.close(key);
+        }
+        self.news.closed();
+        self.news_again = NEWS_AGAIN.0;
+        self.open_news();
+        self.calls_moved = true;
+    }
+}
--- /dev/null
+++ b/crates/whinhill-platform/src/probe.rs
@@ -0,0 +1,69 @@
+//! A probe of one server: its health and its own account of its load, in one answer.
+
+use std::net::SocketAddr;
+
+use whinhill::interface::{LoadReport, Probe};
+
+use crate::http::{self, Answer};
+use crate::reports::load_line;
+
+/// Bytes that a load report may have.
+const BODY_MOST: usize = 4 * 1024;
+
+pub fn request(server: SocketAddr) -> Vec<u8> {
+    http::get("/-/load", server)
+}
+
+#[derive(Debug, Default)]
+pub struct Probing {
+    answer: Answer,
+    body: Vec<u8>,
+}
+
+impl Probing {
+    /// Takes bytes; the result, once the answer is whole.
+    pub fn take(&mut self, bytes: &[u8]) -> Option<(Probe, LoadReport)> {
+        let read = self.answer.push(bytes, &mut self.body);
+        if read.is_err() || self.body.len() > BODY_MOST {
+            return Some((Probe::Unanswered, LoadReport::default()));
+        }
+        self.answer.done().then(|| self.result())
+    }
+
+    /// The connection ended.
+    pub fn ended(&self) -> (Probe, LoadReport) {
+        if self.answer.whole_at_end() {
+            self.result()
+        } else {
+            (Probe::Unanswered, LoadReport::default())
+        }
+    }
+
+    fn result(&self) -> (Probe, LoadReport) {
+        match self.answer.status() {
+            Some(200) => (Probe::Ok, load_line(&self.body)),
+            // It drains, or has too many probes at a time: no word on its health.
+            Some(503) => (Probe::PushedBack, load_line(&self.body)),
+            _ => (Probe::Aborted, LoadReport::default()),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn an_answer_is_told_by_its_status_and_a_broken_one_is_none() {
+        let probe = |input: &[u8]| {
+            let mut probing = Probing::default();
+            probing.take(input).unwrap_or_else(|| probing.ended())
+        };
+        let (result, load) = probe(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nutil=0.25");
+        assert_eq!((result, load.cpu), (Probe::Ok, Some(0.25)));
+        assert_eq!(probe(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n").0, Probe::PushedBack);
+        assert_eq!(probe(b"HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n").0, Probe::Aborted);
+        assert_eq!(probe(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nutil").0, Probe::Unanswered);
+        assert_eq!(probe(b"\x16\x03").0, Probe::Unanswered);
+    }
+}
--- /dev/null
+++ b/crates/whinhill-platform/src/relay/orders.rs
@@ -0,0 +1,99 @@
+//! The module's orders in the relay's words.
+
+use std::fmt::Write;
+
+use whinhill::interface::{MethodMask, Order, SliceId};
+use whinhill_names::Names;
+
+/// An order that the relay carries out.
+#[derive(Clone, Debug, PartialEq)]
+pub enum RelayOrder {
+    /// The slice's one line: a server's, or taken away.
+    Line {
+        slice: SliceId,
+        server: String,
+        on: bool,
+    },
+    Level {
+        slice: SliceId,
+        methods: MethodMask,
+        share: f64,
+        tries: u8,
+    },
+    Mark(u16),
+}
+
+impl RelayOrder {
+    /// `None` for an order that is not the relay's.
+    pub fn of(order: &Order, names: &Names) -> Option<Self> {
+        let line = |slice: SliceId, index: usize, on| {
+            names.server(index).map(|name| RelayOrder::Line { slice, server: name.to_string(), on })
+        };
+        match order {
+            Order::Grant { slice, ep } => line(*slice, ep.index, true),
+            Order::Revoke { slice, ep } => line(*slice, ep.index, false),
+            Order::Level { slice, share, methods, tries } => {
+                Some(RelayOrder::Level { slice: *slice, methods: *methods, share: *share, tries: *tries })
+            }
+            Order::Mark { mark } => Some(RelayOrder::Mark(*mark)),
+            _ => None,
+        }
+    }
+
+    pub fn slice(&self) -> Option<SliceId> {
+        match self {
+            RelayOrder::Line { slice, .. } | RelayOrder::Level { slice, .. } => Some(*slice),
+            RelayOrder::Mark(_) => None,
+        }
+    }
+
+    pub fn write(&self, out: &mut String, names: &Names) {
+        let written = match self {
+            RelayOrder::Line { slice, server, on } => write!(out, "put,{slice},{server},{}", u8::from(*on)),
+            RelayOrder::Level { slice, methods, share, tries } => {
+                write!(out, "gate,{slice},{},{share:.3},{tries}", classes(*methods, names))
+            }
+            RelayOrder::Mark(mark) => write!(out, "fence,{mark},1"),
+        };
+        written.expect("writing to a string cannot fail");
+    }
+}
+
+fn classes(methods: MethodMask, names: &Names) -> String {
+    let named = (0..names.methods().min(32)).filter(|m| methods & (1 << m) != 0);
+    let words: Vec<&str> = named.filter_map(|m| names.method_name(m)).collect();
+    if words.is_empty() {
+        "*".to_string()
+    } else {
+        words.join("+")
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use whinhill::interface::Settings;
+
+    #[test]
+    fn orders_are_written_in_the_relays_words() {
+        let pairs = [("classes.count", "2"), ("classes.0.name", "look"), ("classes.1.name", "book")];
+        let mut names =
+            Names::new(&Settings(pairs.iter().map(|(k, v)| (k.to_string(), v.to_string())).collect()));
+        let ep = names.ep("s-1");
+        let level = |methods| Order::Level { slice: 4, share: 0.9, methods, tries: 1 };
+        for (order, wanted) in [
+            (Order::Grant { slice: 4, ep }, Some("put,4,s-1,1")),
+            (Order::Revoke { slice: 4, ep }, Some("put,4,s-1,0")),
+            (level(2), Some("gate,4,book,0.900,1")),
+            (level(3), Some("gate,4,look+book,0.900,1")),
+            (level(0), Some("gate,4,*,0.900,1")),
+            (Order::Mark { mark: 905 }, Some("fence,905,1")),
+            (Order::Watch, None),
+        ] {
+            let mut out = String::new();
+            let relay = RelayOrder::of(&order, &names);
+            relay.iter().for_each(|relay| relay.write(&mut out, &names));
+            assert_eq!(relay.is_some().then_some(out.as_str()), wanted);
+        }
+    }
+}
--- a/crates/whinhill-simhost/src/wire.rs
+++ b/crates/whinhill-simhost/src/wire.rs
@@ -1,14 +1,13 @@
 //! The wire's lines: taking them apart, and writing orders. The bench's words end here.
 
-use std::collections::HashMap;
 use std::fmt::{self, Write};
 use std::str::{FromStr, Split};
 use std::time::Duration;
 
 use whinhill::interface::{
     Entry, Ep, Event, ListKind, Listed, LoadReport, MethodId, Order, Probe, Settings, SettingsError, SliceId,
-    ZoneId,
 };
+use whinhill_names::{set_figure, Names};
 
 /// What is wrong with a line, in plain words.
 #[derive(Debug, PartialEq, Eq)]
@@ -85,63 +84,21 @@
     }
 }
 
-/// Maps the names that one instance meets to small indices and back.
-pub struct Door {
-    names: Vec<String>,
-    eps: HashMap<String, usize>,
-    zones: Vec<String>,
-    methods: Vec<String>,
-    slices: usize,
-    report: Vec<String>,
-}
+/// The lines of one instance, read and written by the names that it meets.
+pub struct Door(Names);
 
 impl Door {
     pub fn new(settings: &Settings) -> Self {
-        let text = |path: &str| settings.0.get(path).map(String::as_str).unwrap_or("");
-        let list = |path: &str| {
-            text(path).split(',').filter(|w| !w.is_empty()).map(str::to_string).collect::<Vec<_>>()
-        };
-        let methods = (0..settings.get("classes.count").unwrap_or(0))
-            .map(|k: usize| text(&format!("classes.{k}.name")).to_string())
-            .collect();
-        Door {
-            names: Vec::new(),
-            eps: HashMap::new(),
-            zones: list("zones"),
-            methods,
-            slices: settings.get("familyInfo.shards").unwrap_or(0),
-            report: list("report.fields"),
-        }
-    }
-
-    fn ep(&mut self, name: &str) -> Ep {
-        let index = match self.eps.get(name) {
-            Some(&index) => index,
-            None => {
-                self.names.push(name.to_string());
-                self.eps.insert(name.to_string(), self.names.len() - 1);
-                self.names.len() - 1
-            }
-        };
-        Ep { index, stable: fnv1a(name) }
-    }
-
-    fn zone(&mut self, name: &str) -> ZoneId {
-        self.zones.iter().position(|z| z == name).unwrap_or_else(|| {
-            self.zones.push(name.to_string());
-            self.zones.len() - 1
-        })
+        Door(Names::new(settings))
     }
 
     fn method(&self, name: &str) -> Result<MethodId, Malformed> {
-        let place = self.methods.iter().position(|m| m == name);
-        place.ok_or_else(|| Malformed(format!("unknown class {name:?}")))
+        self.0.method(name).ok_or_else(|| Malformed(format!("unknown class {name:?}")))
     }
 
     fn slice(&self, parts: &mut Parts) -> Result<SliceId, Malformed> {
         let slice = parts.value("table")?;
-        let known = Some(slice).filter(|s| *s < self.slices);
-        known.ok_or_else(|| Malformed(format!("there is no slice {slice}")))
+        self.0.slice(slice).ok_or_else(|| Malformed(format!("there is no slice {slice}")))
     }
 
     /// Values stand in the order of `report.fields`; names that we do not know are skipped.
@@ -150,19 +107,12 @@
         if row == "-" {
             return Ok(load);
         }
-        for (name, word) in self.report.iter().zip(row.split(',')) {
+        for (name, word) in self.0.report().zip(row.split(',')) {
             if word == "-" || word.is_empty() {
                 continue;
             }
-            let value: f64 =
-                word.parse().map_err(|_| Malformed(format!("cannot read {name} from {word:?}")))?;
-            match name.as_str() {
-                "cpu_share" => load.cpu = Some(value),
-                "busy_reqs" => load.in_hand = Some(value),
-                "pending" => load.waiting = Some(value),
-                "svc_ms" => load.service = Duration::try_from_secs_f64(value / 1e3).ok(),
-                _ => {}
-            }
+            let value = word.parse().map_err(|_| Malformed(format!("cannot read {name} from {word:?}")))?;
+            set_figure(&mut load, name, value);
         }
         Ok(load)
     }
@@ -173,8 +123,8 @@
         if parts.word("the verb")? != "m" {
             return Err(Malformed("an entry of the list was expected".into()));
         }
-        let ep = self.ep(parts.word("task")?);
-        let zone = self.zone(parts.word("campus")?);
+        let ep = self.0.ep(parts.word("task")?);
+        let zone = self.0.zone(parts.word("campus")?);
         parts.word("machine")?;
         parts.word("unitGroup")?;
         let listed = match parts.word("status")? {
@@ -194,8 +144,8 @@
             "roundup" => {
                 let wait = parts.time("waitTime")?;
                 let tries = parts.value("total")?;
-                let zone = self.zone(parts.word("campus")?);
-                let ep = self.ep(parts.word("task")?);
+                let zone = self.0.zone(parts.word("campus")?);
+                let ep = self.0.ep(parts.word("task")?);
                 let span = parts.time("span")?;
                 let lost = parts.value("lost")?;
                 let load = self.load(parts.word("serverStats")?)?;
@@ -209,7 +159,7 @@
                 Event::Demand { slice, method, rpcs, lost, span: parts.time("span")? }
             }
             "check_result" => {
-                let ep = self.ep(parts.word("task")?);
+                let ep = self.0.ep(parts.word("task")?);
                 let result = match parts.word("code")? {
                     "S" => Probe::Ok,
                     "E" => Probe::Aborted,
@@ -221,7 +171,7 @@
                 Event::Probed { ep, result, load: self.load(parts.word("serverStats")?)? }
             }
             "dialled_in" => {
-                Event::Joined { proxy: parts.value("clientLb")?, zone: self.zone(parts.word("campus")?) }
+                Event::Joined { proxy: parts.value("clientLb")?, zone: self.0.zone(parts.word("campus")?) }
             }
             "dropped_off" => Event::Left { proxy: parts.value("clientLb")? },
             "acked" => {
@@ -238,7 +188,7 @@
             }
             "on_record" => {
                 let weight: f64 = parts.value("size")?;
-                let ep = self.ep(parts.word("task")?);
+                let ep = self.0.ep(parts.word("task")?);
                 let slice = self.slice(&mut parts)?;
                 if weight <= 0.0 {
                     return Ok(None);
@@ -253,7 +203,7 @@
 
     /// Writes one order as a line of the reply.
     pub fn write(&self, out: &mut String, who: &str, order: &Order) {
-        let task = |ep: &Ep| self.names.get(ep.index).map(String::as_str).unwrap_or("-");
+        let task = |ep: &Ep| self.0.server(ep.index).unwrap_or("-");
         let written = match order {
             Order::Grant { slice, ep } => writeln!(out, "set_line {who} 1 {slice} {}", task(ep)),
             Order::Revoke { slice, ep } => writeln!(out, "set_line {who} 0 {slice} {}", task(ep)),
@@ -280,8 +230,3 @@
         _ => Err(Malformed(format!("unknown scope {word:?}"))),
     }
 }
-
-/// FNV-1a, 64 bits: a hash of a name that is the same in every process.
-fn fnv1a(name: &str) -> u64 {
-    name.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
-}
