--- /dev/null
+++ b/crates/whinhill-cli/tests/platform.rs
@@ -0,0 +1,226 @@
+//! The assigner on the platform as a process, with small stand-ins of relay, discovery and collector: it starts,
+//! grants, survives a cut relay and a new configuration, and ends in time.
+
+use std::fs;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use rustix::process::{kill_process, Pid, Signal};
+
+const WITHIN: Duration = Duration::from_secs(20);
+
+/// What the stand-ins saw.
+#[derive(Debug, PartialEq)]
+enum Saw {
+    Watch,
+    Orders(String),
+    List,
+}
+
+/// The relay: one slice in the assigner's charge, one proxy that answers every mark.
+struct Relay {
+    addr: SocketAddr,
+    streams: Arc<Mutex<Vec<TcpStream>>>,
+}
+
+impl Relay {
+    fn start(line: &'static str, saw: Sender<Saw>) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let addr = listener.local_addr().unwrap();
+        let streams: Arc<Mutex<Vec<TcpStream>>> = Arc::default();
+        let news: Arc<Mutex<Option<TcpStream>>> = Arc::default();
+        let kept = streams.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                kept.lock().unwrap().push(stream.try_clone().unwrap());
+                let (saw, news) = (saw.clone(), news.clone());
+                thread::spawn(move || serve(stream, line, &news, &saw));
+            }
+        });
+        Relay { addr, streams }
+    }
+
+    fn cut(&self) {
+        for stream in self.streams.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(std::net::Shutdown::Both);
+        }
+    }
+}
+
+fn serve(stream: TcpStream, line: &str, news: &Mutex<Option<TcpStream>>, saw: &Sender<Saw>) {
+    let mut out = stream.try_clone().unwrap();
+    for request in BufReader::new(stream).lines().map_while(Result::ok) {
+        if request == "WATCH" {
+            let _ = write!(out, "OK\r\n* hello 0 a 5 1\r\n* lease 0 1\r\n* line 0 {line} 1.0\r\n*\r\n");
+            *news.lock().unwrap() = Some(out.try_clone().unwrap());
+            let _ = saw.send(Saw::Watch);
+            continue;
+        }
+        let Some(orders) = request.strip_prefix("APPLY ") else { continue };
+        let _ = write!(out, "OK {}\r\n", orders.split(';').count());
+        for mark in orders.split(';').filter_map(|order| order.strip_prefix("fence,")) {
+            let mark = mark.split(',').next().unwrap_or_default();
+            if let Some(news) = news.lock().unwrap().as_mut() {
+                let _ = write!(news, "* ack 0 {mark} 1.0\r\n");
+            }
+        }
+        let _ = saw.send(Saw::Orders(orders.to_string()));
+    }
+}
+
+/// Discovery: two servers, both ready; each call is answered by the whole list, and a watch then stays open.
+fn discovery(saw: Sender<Saw>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        let mut open = Vec::new();
+        for mut stream in listener.incoming().flatten() {
+            let mut first = String::new();
+            let _ = BufReader::new(stream.try_clone().unwrap()).read_line(&mut first);
+            let list = format!("{}\n", list());
+            let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+            let _ = write!(stream, "{head}{:x}\r\n{list}\r\n", list.len());
+            let _ = saw.send(Saw::List);
+            open.push(stream);
+        }
+    });
+    addr
+}
+
+fn list() -> String {
+    let server = |name: &str| {
+        format!(
+            r#"{{"name":"{name}","address":"127.0.0.1:9","zone":"a","type":"m","group":0,"status":"SERVING","weight":1.0,"since_ms":0}}"#
+        )
+    };
+    format!(r#"{{"index":7,"snapshot":true,"endpoints":[{},{}]}}"#, server("s-1"), server("s-2"))
+}
+
+fn config(relay: SocketAddr, discovery: SocketAddr) -> String {
+    let settings = r#"{"discovery":"subscribe","round":1.0,"zones":["a"],"caps":{"mayProbe":false},
+        "classes":[{"name":"look","objective":1000.0,"points":1.0},{"name":"book","objective":800.0,"points":5.0}],
+        "rules":{"mustAskIn":9000.0,"stopSendingWithin":2000.0,"warmAfter":9000.0,"coldFrom":0.2,"fallMultiple":3.0},
+        "familyInfo":{"shards":2,"mutating":[false,true],"retryDefault":0,"period":200.0,"writeLease":100.0,
+            "inFlightMax":50.0,"transitMax":50.0,"overhead":8.0,"linesPerS":40000.0,"backlog":60000.0,
+            "messagesMost":0,"reloadSpan":10000.0}}"#;
+    format!(
+        r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"5","distributor":{{"address":"{relay}"}},
+        "limits":{{"cores":1.0,"memory_mb":64,"sockets":256}},
+        "known":{{"index":0,"snapshot":true,"endpoints":[]}},"settings":{settings}}}"#
+    )
+}
+
+/// The assigner, killed when the test is over.
+struct Running(Child);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+impl Running {
+    fn start(config: &Path) -> (Self, SocketAddr) {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_whinhill"));
+        command.args(["assigner", "--platform"]).env("BALANCER_CONFIG", config).stderr(Stdio::piped());
+        let mut child = command.spawn().unwrap();
+        let mut log = BufReader::new(child.stderr.take().unwrap());
+        let mut first = String::new();
+        log.read_line(&mut first).unwrap();
+        let addr = first.split(" addr=").nth(1).and_then(|rest| rest.split(' ').next()?.parse().ok());
+        // The log must be read on, or the assigner would stand still on a full pipe.
+        thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
+        (Running(child), addr.unwrap_or_else(|| panic!("no address in {first:?}")))
+    }
+
+    fn signal(&self, signal: Signal) {
+        kill_process(Pid::from_raw(self.0.id() as i32).unwrap(), signal).unwrap();
+    }
+}
+
+fn wait_for(saw: &Receiver<Saw>, what: &str, wanted: impl Fn(&Saw) -> bool) {
+    let until = Instant::now() + WITHIN;
+    loop {
+        let left = until.saturating_duration_since(Instant::now());
+        let next = saw.recv_timeout(left).unwrap_or_else(|_| panic!("never seen: {what}"));
+        if wanted(&next) {
+            return;
+        }
+    }
+}
+
+fn ask_alive(addr: SocketAddr) -> String {
+    let mut stream = TcpStream::connect(addr).unwrap();
+    stream.write_all(b"{\"@type\":\"probe\"}\n").unwrap();
+    let mut line = String::new();
+    BufReader::new(stream).read_line(&mut line).unwrap();
+    line
+}
+
+#[test]
+fn it_serves_through_a_cut_relay_and_a_new_configuration_and_ends_in_time() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("config.json");
+    let (sender, saw) = channel();
+    let discovery = discovery(sender.clone());
+    // The store names an owner that discovery does not list: the slice must be given another.
+    let relay = Relay::start("s-gone", sender.clone());
+    fs::write(&path, config(relay.addr, discovery)).unwrap();
+    let (mut running, addr) = Running::start(&path);
+    assert_eq!(ask_alive(addr), "{\"@type\":\"alive\"}\n");
+    let granted = |orders: &str| orders.contains("put,0,s-1,1") || orders.contains("put,0,s-2,1");
+    wait_for(&saw, "a grant", |saw| matches!(saw, Saw::Orders(orders) if granted(orders)));
+
+    // A collector's report is taken, a stranger's HTTP is answered by a close.
+    let mut collector = TcpStream::connect(addr).unwrap();
+    collector.write_all(b"{\"@type\":\"agent\",\"site\":\"a\"}\n").unwrap();
+    let mut stranger = TcpStream::connect(addr).unwrap();
+    stranger.write_all(b"GET / HTTP/1.1\r\n\r\n").unwrap();
+    let _ = stranger.set_read_timeout(Some(WITHIN));
+    let mut answer = Vec::new();
+    let _ = stranger.read_to_end(&mut answer);
+
+    // The news come back. They name the first owner again, so the slice is judged, and granted, anew.
+    relay.cut();
+    wait_for(&saw, "a watch of the relay after the cut", |saw| *saw == Saw::Watch);
+    wait_for(&saw, "a grant after the cut", |saw| matches!(saw, Saw::Orders(orders) if granted(orders)));
+
+    // A broken file changes nothing; a new one moves the relay.
+    fs::write(&path, "{").unwrap();
+    running.signal(Signal::HUP);
+    assert_eq!(ask_alive(addr), "{\"@type\":\"alive\"}\n");
+    let moved = Relay::start("s-gone", sender);
+    fs::write(&path, config(moved.addr, discovery)).unwrap();
+    running.signal(Signal::HUP);
+    wait_for(&saw, "a watch of the new relay", |saw| *saw == Saw::Watch);
+    wait_for(&saw, "a grant at the new relay", |saw| matches!(saw, Saw::Orders(orders) if granted(orders)));
+
+    running.signal(Signal::TERM);
+    assert!(running.0.wait().unwrap().success());
+}
+
+#[test]
+fn a_configuration_that_cannot_be_read_is_named_and_ends_with_2() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("config.json");
+    let whole = config("127.0.0.1:1".parse().unwrap(), "127.0.0.1:1".parse().unwrap());
+    for (text, wanted) in [
+        (whole.replace("\"writeLease\":100.0", "\"writeLease\":\"long\""), "familyInfo.writeLease"),
+        (whole.replace("\"seed\":\"5\"", "\"seed\":\"?\""), "seed"),
+        ("{".to_string(), "JSON"),
+    ] {
+        fs::write(&path, text).unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_whinhill"));
+        let output = command.args(["assigner", "--platform"]).env("BALANCER_CONFIG", &path).output().unwrap();
+        let log = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert_eq!((output.status.code(), log.lines().count()), (Some(2), 1), "{log}");
+        assert!(log.contains(wanted) && log.contains("config.json"), "{log}");
+    }
+}
--- a/crates/whinhill-node/src/node.rs
+++ b/crates/whinhill-node/src/node.rs
@@ -10,7 +10,7 @@
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook_mio::v1_0::Signals;
 use slab::Slab;
-use tracing::{info, warn};
+use tracing::{debug, info, trace, warn};
 use whinhill::interface::{Entry, Event, ListKind, Order};
 use whinhill::Assigner;
 use whinhill_names::Names;
@@ -30,6 +30,9 @@
 
 const LISTENER: Token = Token(usize::MAX - 1);
 const SIGNALS: Token = Token(usize::MAX - 2);
+/// The log target of all that the module hears and orders: `--log-level whinhill::trace=debug` without reports
+/// and probes, `=trace` with them. Servers are named by their indices, which the `server` lines explain.
+const TRACE: &str = "whinhill::trace";
 /// Bytes read at a time.
 const BUFFER: usize = 64 * 1024;
 
@@ -81,6 +84,7 @@
         let listen = |source| NodeError::Listen { addr, source };
         let mut listener = TcpListener::bind(addr).map_err(listen)?;
         poll.registry().register(&mut listener, LISTENER, Interest::READABLE).map_err(listen)?;
+        let addr = listener.local_addr().map_err(listen)?;
         let clock = Clock::start();
         info!(
             name = config.name,
@@ -210,6 +214,7 @@
             return;
         }
         self.counts.batches += 1;
+        events.iter().for_each(trace_event);
         let mut relay = Vec::new();
         for order in self.assigner.handle(now, &events) {
             match order {
@@ -218,7 +223,10 @@
                 Order::Probe { ep } => self.probe(ep),
                 Order::Wake { after } => self.deadlines.set_by(Due::Wake, now + after),
                 Order::Log { text } => info!("{text}"),
-                other => relay.extend(RelayOrder::of(&other, &self.names)),
+                other => {
+                    debug!(target: TRACE, "order {other:?}");
+                    relay.extend(RelayOrder::of(&other, &self.names));
+                }
             }
         }
         self.calls.push(now, relay);
@@ -259,6 +267,9 @@
         let mut entries = Vec::with_capacity(list.servers.len());
         for server in &list.servers {
             let ep = self.names.ep(&server.name);
+            if self.addrs.get(ep.index).copied().flatten() != Some(server.addr) {
+                debug!(target: TRACE, "server {} is {} at {}", ep.index, server.name, server.addr);
+            }
             self.addrs.resize(self.addrs.len().max(ep.index + 1), None);
             self.addrs[ep.index] = Some(server.addr);
             let started = Some(Duration::from_millis(server.started_ms)).filter(|at| !at.is_zero());
@@ -367,3 +378,12 @@
         }
     }
 }
+
+fn trace_event(event: &Event) {
+    match event {
+        Event::Met { .. } | Event::Demand { .. } | Event::Probed { .. } | Event::Timer => {
+            trace!(target: TRACE, "event {event:?}");
+        }
+        _ => debug!(target: TRACE, "event {event:?}"),
+    }
+}
--- a/crates/whinhill-platform/src/http.rs
+++ b/crates/whinhill-platform/src/http.rs
@@ -16,8 +16,6 @@
     Length,
     #[error("a chunk's length that cannot be read")]
     Chunk,
-    #[error("bytes after the end")]
-    Beyond,
 }
 
 #[derive(Debug)]
@@ -81,7 +79,8 @@
                 State::Trailer => {
                     self.line(bytes, |line| Ok(if line.is_empty() { State::Done } else { State::Trailer }))?
                 }
-                State::Done => return Err(HttpError::Beyond),
+                // The answer is whole: what follows it must not undo it, however the bytes are cut.
+                State::Done => &[],
             };
         }
         Ok(())
