Let a take-over wait for answers, not for a lease, where all proxies have joined

Ruled out: calls lost over SIGHUP (unknown 0, not sent 0), answers lost (ordinary handovers took 2.1 to 2.3 s across it), late lists.

At fault: stop() and Event::Given in assigner.rs waited a lease after each take-over, for proxies that may never have joined here. Where as many have joined as the settings tell there are, each one's answer says that it has read the store: the lease adds nothing. A slice given without an owner now asks for answers at once, a lease at most.

Two tests in the module.

--- a/crates/whinhill/src/assigner.rs
+++ b/crates/whinhill/src/assigner.rs
@@ -189,12 +189,14 @@
             }
             Event::Acked { proxy, mark, way } => self.acked(*proxy, *mark, *way),
             Event::Given { slice } => {
-                let quiet = self.now + self.cfg.lease;
+                let (ordered, quiet) = (self.now, self.unheard_until(self.now));
+                let joined = self.proxies.iter().filter(|(_, p)| p.joined);
+                let awaits = joined.map(|(id, _)| (*id, Some(u64::MAX))).collect();
                 self.slices[*slice] = Slice {
                     ours: true,
                     given: self.now,
-                    handover: Some(Handover { quiet, cut: true, ..Handover::default() }),
-                    stays: quiet + self.cfg.settle,
+                    handover: Some(Handover { awaits, ordered, quiet, cut: true, to: None }),
+                    stays: self.now + self.cfg.lease + self.cfg.settle,
                     told: vec![1.0; self.cfg.methods.len()],
                     ..Slice::default()
                 };
@@ -667,7 +669,7 @@
         (self.channel.mark_wanted, self.channel.due) = (true, self.channel.due + 1);
         let absent = self.proxies.values().filter(|p| !p.joined).map(|p| p.since + lease).max();
         let awaits = self.proxies.iter().filter(|(_, p)| p.joined).map(|(id, _)| (*id, Some(mark)));
-        let quiet = absent.unwrap_or_default().max(self.slices[id].given + lease);
+        let quiet = absent.unwrap_or_default().max(self.unheard_until(self.slices[id].given));
         let handover = Handover { awaits: awaits.collect(), ordered: self.now, quiet, cut: false, to };
         self.slices[id].handover = Some(handover);
         if cut {
@@ -675,6 +677,18 @@
         }
     }
 
+    /// Until when a proxy that never joined here may write by what a slice's former assigner told it. Once all
+    /// that there are have joined, each one's answer tells, which it gives after it has read the store. Guards
+    /// against a lease without an owner at each planned restart. Harm: none known while the count is true.
+    fn unheard_until(&self, given: Duration) -> Duration {
+        let joined = self.proxies.values().filter(|p| p.joined).count();
+        if joined >= self.cfg.proxies {
+            Duration::ZERO
+        } else {
+            given + self.cfg.lease
+        }
+    }
+
     fn cut(&mut self, id: SliceId) {
         let Slice { handover: Some(handover), owner: Some(owner), .. } = &mut self.slices[id] else { return };
         handover.cut = true;
@@ -725,7 +739,10 @@
             let slice = &self.slices[id];
             let Some(handover) = slice.handover.as_ref().filter(|_| open) else { continue };
             let waits = handover.awaits.values().any(Option::is_some);
-            if waits || self.now < handover.quiet + self.cfg.settle || !self.has_room(GRANT_ROOM.1) {
+            // One given without an owner waits for answers, but a lease at most: then nobody writes by old word.
+            let most = if slice.owner.is_none() { slice.given + self.cfg.lease } else { Duration::MAX };
+            let quiet = if waits { most } else { handover.quiet.min(most) };
+            if self.now < quiet.saturating_add(self.cfg.settle) || !self.has_room(GRANT_ROOM.1) {
                 continue;
             }
             let wanted = handover.to.filter(|to| usable(&self.servers[*to]));
--- a/crates/whinhill/src/assigner/tests.rs
+++ b/crates/whinhill/src/assigner/tests.rs
@@ -162,6 +162,29 @@
     assert_eq!(grants(&a.handle(s(105.3), &[Event::Timer])).len(), 1);
 }
 
+/// At a planned restart a slice without an owner would wait a lease twice, at each assigner that takes it over.
+#[test]
+fn a_slice_given_without_an_owner_waits_for_answers_where_all_proxies_are_known() {
+    for (all, granted) in [(2, true), (3, false)] {
+        let mut a = fleet(2, &[(0, 1.0)]);
+        a.cfg.proxies = all;
+        assert!(a.handle(s(100.0), &[Event::Given { slice: 0 }]).contains(&Order::Mark { mark: 1 }));
+        a.handle(s(100.5), &[ack(0, 1)]);
+        assert_eq!(grants(&a.handle(s(101.9), &[Event::Timer])), [], "one has not answered");
+        assert_eq!(grants(&a.handle(s(102.0), &[ack(1, 1)])).len() == 1, granted, "of {all} proxies");
+    }
+}
+
+#[test]
+fn a_moves_take_over_needs_no_lease_where_all_proxies_answer() {
+    let mut a = fleet(2, &[(0, 1.0)]);
+    a.cfg.proxies = 2;
+    a.handle(s(100.0), &[Event::Given { slice: 0 }, Event::Stored { slice: 0, ep: ep(0) }]);
+    a.handle(s(100.1), &[list(vec![entry(0, Listed::Gone)])]);
+    assert_eq!(grants(&a.handle(s(101.0), &[ack(0, 1), ack(1, 1)])), []);
+    assert_eq!(grants(&a.handle(s(102.3), &[Event::Timer])), [(0, 1)]);
+}
+
 #[test]
 fn after_a_restart_a_stored_owner_stays_and_its_move_waits_a_lease() {
     let mut a = fleet(2, &[(0, 1.0)]);
--- a/crates/whinhill/src/settings.rs
+++ b/crates/whinhill/src/settings.rs
@@ -24,6 +24,8 @@
     pub tries: u8,
     pub period: Duration,
     pub lease: Duration,
+    /// All that there are, across all assigners.
+    pub proxies: usize,
     pub settle: Duration,
     pub grace: Duration,
     pub way_most: Duration,
@@ -66,6 +68,8 @@
             tries: settings.get("familyInfo.retryDefault")?,
             period: settings.span("familyInfo.period")?.max(Duration::from_millis(1)),
             lease: settings.span("familyInfo.writeLease")?,
+            // Absent where nobody counts them: then some may always be unheard of.
+            proxies: settings.get("familyInfo.dataPlaneSize").unwrap_or(usize::MAX),
             settle: settings.span("familyInfo.inFlightMax")?,
             grace: settings.span("rules.stopSendingWithin")?,
             way_most: settings.span("familyInfo.transitMax")?,
