Try a probe whose connection was reset once more; let servers go that are gone for good

Ruled out: slow answers (all others within milliseconds). probes.rs took a reset for silence.

Also: names, addresses and the module's servers grew with each server replaced under a new name.

--- a/crates/whinhill-names/src/lib.rs
+++ b/crates/whinhill-names/src/lib.rs
@@ -23,6 +23,8 @@
 pub struct Names {
     servers: Vec<String>,
     eps: HashMap<String, usize>,
+    /// Indices that were let go.
+    free: Vec<usize>,
     zones: Vec<String>,
     methods: Vec<String>,
     slices: usize,
@@ -41,6 +43,7 @@
         Names {
             servers: Vec::new(),
             eps: HashMap::new(),
+            free: Vec::new(),
             zones: list("zones"),
             methods,
             slices: settings.get("familyInfo.shards").unwrap_or(0),
@@ -53,9 +56,11 @@
         let index = match self.eps.get(name) {
             Some(&index) => index,
             None => {
-                self.servers.push(name.to_string());
-                self.eps.insert(name.to_string(), self.servers.len() - 1);
-                self.servers.len() - 1
+                let index = self.free.pop().unwrap_or(self.servers.len());
+                self.servers.resize(self.servers.len().max(index + 1), String::new());
+                self.servers[index] = name.to_string();
+                self.eps.insert(name.to_string(), index);
+                index
             }
         };
         Ep { index, stable: fnv1a(name) }
@@ -67,7 +72,20 @@
     }
 
     pub fn server(&self, index: usize) -> Option<&str> {
-        self.servers.get(index).map(String::as_str)
+        self.servers.get(index).map(String::as_str).filter(|name| !name.is_empty())
+    }
+
+    /// Lets a server's name and index go; the index is given to the next one met.
+    pub fn let_go(&mut self, index: usize) {
+        let name = self.servers.get_mut(index).map(std::mem::take).unwrap_or_default();
+        if self.eps.remove(&name).is_some() {
+            self.free.push(index);
+        }
+    }
+
+    /// The servers that have a name now.
+    pub fn servers(&self) -> impl Iterator<Item = usize> + '_ {
+        (0..self.servers.len()).filter(|index| !self.servers[*index].is_empty())
     }
 
     /// A zone, met now if not before.
@@ -126,3 +144,21 @@
 fn fnv1a(name: &str) -> u64 {
     name.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn an_index_let_go_is_given_once_to_the_next() {
+        let mut names = Names::default();
+        let (a, b) = (names.ep("a"), names.ep("b"));
+        names.let_go(a.index);
+        names.let_go(a.index);
+        names.let_go(99);
+        assert_eq!((names.known("a"), names.server(a.index), names.servers().count()), (None, None, 1));
+        let (c, d) = (names.ep("c"), names.ep("d"));
+        assert_eq!((c.index, d.index, names.ep("b")), (a.index, 2, b));
+        assert_ne!(c.stable, a.stable);
+    }
+}
--- a/crates/whinhill-node/src/node.rs
+++ b/crates/whinhill-node/src/node.rs
@@ -1,5 +1,6 @@
 //! The loop: waits, takes what came, hands the module its events and carries out its orders.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -11,7 +12,7 @@
 use signal_hook_mio::v1_0::Signals;
 use slab::Slab;
 use tracing::{debug, info, trace, warn};
-use whinhill::interface::{Entry, Event, ListKind, Order};
+use whinhill::interface::{Entry, Event, ListKind, Listed, Order};
 use whinhill::Assigner;
 use whinhill_names::Names;
 use whinhill_platform::config::PlatformConfig;
@@ -49,6 +50,9 @@
     pub names: Names,
     /// Where each server listens, by its index.
     pub addrs: Vec<Option<SocketAddr>>,
+    /// Servers that no list names any more, and since when.
+    gone: BTreeMap<usize, Duration>,
+    listed: BTreeSet<usize>,
     assigner: Assigner,
     pub pending: Vec<Event>,
     last_batch: Duration,
@@ -108,6 +112,8 @@
             buffer: vec![0; BUFFER],
             path: path.into(),
             addrs: Vec::new(),
+            gone: BTreeMap::new(),
+            listed: BTreeSet::new(),
             assigner,
             pending: Vec::new(),
             last_batch: Duration::ZERO,
@@ -265,6 +271,9 @@
     /// A list for the module.
     pub fn push_list(&mut self, kind: ListKind, list: &Roster) {
         let mut entries = Vec::with_capacity(list.servers.len());
+        if list.whole {
+            self.listed.clear();
+        }
         for server in &list.servers {
             let ep = self.names.ep(&server.name);
             if self.addrs.get(ep.index).copied().flatten() != Some(server.addr) {
@@ -272,6 +281,10 @@
             }
             self.addrs.resize(self.addrs.len().max(ep.index + 1), None);
             self.addrs[ep.index] = Some(server.addr);
+            match server.listed {
+                Listed::Gone => self.listed.remove(&ep.index),
+                _ => self.listed.insert(ep.index),
+            };
             let started = Some(Duration::from_millis(server.started_ms)).filter(|at| !at.is_zero());
             let zone = self.names.zone(&server.zone);
             entries.push(Entry { ep, zone, listed: server.listed, size: server.size, started });
@@ -279,6 +292,23 @@
         self.pending.push(Event::List { kind, entries });
     }
 
+    /// Lets servers go that have been off the list for long and that nothing names any more: where each server
+    /// is replaced under a new name, those that are gone would pile up.
+    pub fn let_go(&mut self) {
+        let now = self.clock.now();
+        let unlisted: BTreeSet<usize> = self.names.servers().filter(|i| !self.listed.contains(i)).collect();
+        self.gone.retain(|index, _| unlisted.contains(index));
+        for index in unlisted {
+            let since = *self.gone.entry(index).or_insert(now);
+            if now >= since + LET_GO_AFTER && self.assigner.is_done_with(index) {
+                self.names.let_go(index);
+                self.gone.remove(&index);
+                self.addrs.get_mut(index).into_iter().for_each(|addr| *addr = None);
+                self.counts.let_go += 1;
+            }
+        }
+    }
+
     // Connections of every kind.
 
     /// Connects; `None` where that fails at once.
@@ -374,7 +404,7 @@
             Kind::News => self.news_lost("never came up"),
             Kind::Calls(_) => self.call_lost("silent"),
             Kind::Asking(_) => self.discovery_failed(key, "silent"),
-            Kind::Probe { .. } => self.probe_ended(key),
+            Kind::Probe { .. } => self.probe_timed_out(key),
         }
     }
 }
--- a/crates/whinhill-node/src/probes.rs
+++ b/crates/whinhill-node/src/probes.rs
@@ -1,5 +1,8 @@
 //! Probes of servers, bounded in number and time.
 
+use std::net::SocketAddr;
+use std::time::Duration;
+
 use whinhill::interface::{Ep, Event, LoadReport, Probe};
 use whinhill_platform::probe::{self, Probing};
 
@@ -15,10 +18,14 @@
             self.counts.probes_left += 1;
             return;
         }
-        self.probing += 1;
         self.counts.probes += 1;
-        let kind = Kind::Probe { ep, probing: Probing::default() };
-        if self.connect(addr, kind, &probe::request(addr), PROBE_WITHIN).is_none() {
+        self.open_probe(ep, addr, Probing::default(), PROBE_WITHIN);
+    }
+
+    fn open_probe(&mut self, ep: Ep, addr: SocketAddr, probing: Probing, within: Duration) {
+        self.probing += 1;
+        let kind = Kind::Probe { ep, probing };
+        if self.connect(addr, kind, &probe::request(addr), within).is_none() {
             // Nothing is known of the server: it is ours that failed.
             self.probing -= 1;
         }
@@ -34,13 +41,34 @@
         }
     }
 
-    /// Its connection ended, or its time did.
+    /// Its connection ended.
     pub fn probe_ended(&mut self, key: usize) {
-        let Some(Connection { kind: Kind::Probe { ep, probing }, .. }) = self.connections.get(key) else {
+        let now = self.clock.now();
+        let Some(Connection { kind: Kind::Probe { ep, probing }, opened, .. }) =
+            self.connections.get_mut(key)
+        else {
             return;
         };
-        let (ep, (result, load)) = (*ep, probing.ended());
-        self.probed(key, ep, result, load);
+        let (ep, left) = (*ep, PROBE_WITHIN.saturating_sub(now.saturating_sub(*opened)));
+        if let Some((result, load)) = probing.ended() {
+            return self.probed(key, ep, result, load);
+        }
+        let probing = std::mem::take(probing);
+        match self.addrs.get(ep.index).copied().flatten().filter(|_| !left.is_zero()) {
+            Some(addr) => {
+                self.close(key);
+                self.counts.probes_again += 1;
+                self.open_probe(ep, addr, probing, left);
+            }
+            None => self.probed(key, ep, Probe::Unanswered, LoadReport::default()),
+        }
+    }
+
+    /// Its time ended.
+    pub fn probe_timed_out(&mut self, key: usize) {
+        if let Some(Connection { kind: Kind::Probe { ep, .. }, .. }) = self.connections.get(key) {
+            self.probed(key, *ep, Probe::Unanswered, LoadReport::default());
+        }
     }
 
     fn probed(&mut self, key: usize, ep: Ep, result: Probe, load: LoadReport) {
--- a/crates/whinhill-node/src/report.rs
+++ b/crates/whinhill-node/src/report.rs
@@ -27,15 +27,18 @@
     pub probes: u64,
     pub probes_left: u64,
     pub probes_unanswered: u64,
+    pub probes_again: u64,
+    pub let_go: u64,
 }
 
 impl Node {
     pub fn report(&mut self) {
+        self.let_go();
         let c = &self.counts;
         info!(
             proxies = self.news.proxies(),
             slices = self.news.slices(),
-            servers = self.addrs.len(),
+            servers = self.names.servers().count(),
             connections = self.connections.len(),
             strangers = self.strangers,
             waiting = self.calls.waiting(),
--- a/crates/whinhill-platform/src/probe.rs
+++ b/crates/whinhill-platform/src/probe.rs
@@ -18,6 +18,8 @@
 pub struct Probing {
     answer: Answer,
     body: Vec<u8>,
+    /// On the second connection, after the first was reset.
+    again: bool,
 }
 
 impl Probing {
@@ -30,13 +32,14 @@
         self.answer.done().then(|| self.result())
     }
 
-    /// The connection ended.
-    pub fn ended(&self) -> (Probe, LoadReport) {
+    /// The connection ended or was reset; `None`: the server is to be asked once more, within the same time. One
+    /// reset may be chance, by the path or a full backlog; a server that is dead resets the second as well.
+    pub fn ended(&mut self) -> Option<(Probe, LoadReport)> {
         if self.answer.whole_at_end() {
-            self.result()
-        } else {
-            (Probe::Unanswered, LoadReport::default())
+            return Some(self.result());
         }
+        let asked_again = std::mem::replace(self, Probing { again: true, ..Probing::default() }).again;
+        asked_again.then_some((Probe::Unanswered, LoadReport::default()))
     }
 
     fn result(&self) -> (Probe, LoadReport) {
@@ -56,8 +59,8 @@
     #[test]
     fn an_answer_is_told_by_its_status_and_a_broken_one_is_none() {
         let probe = |input: &[u8]| {
-            let mut probing = Probing::default();
-            probing.take(input).unwrap_or_else(|| probing.ended())
+            let mut probing = Probing { again: true, ..Probing::default() };
+            probing.take(input).unwrap_or_else(|| probing.ended().unwrap())
         };
         let (result, load) = probe(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nutil=0.25");
         assert_eq!((result, load.cpu), (Probe::Ok, Some(0.25)));
@@ -66,4 +69,15 @@
         assert_eq!(probe(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nutil").0, Probe::Unanswered);
         assert_eq!(probe(b"\x16\x03").0, Probe::Unanswered);
     }
+
+    /// A healthy server was held sick after two probes whose connections the path had reset.
+    #[test]
+    fn a_connection_that_was_reset_is_tried_once_more() {
+        let mut probing = Probing::default();
+        assert_eq!(probing.take(b"HTTP/1.1 200 OK\r\nContent-Le"), None);
+        assert_eq!(probing.ended(), None);
+        assert_eq!(probing.take(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").unwrap().0, Probe::Ok);
+        let mut probing = Probing::default();
+        assert_eq!((probing.ended(), probing.ended().unwrap().0), (None, Probe::Unanswered));
+    }
 }
--- a/crates/whinhill-platform/tests/mangled.rs
+++ b/crates/whinhill-platform/tests/mangled.rs
@@ -131,7 +131,7 @@
     let answer = "HTTP/1.1 200 OK\r\nContent-Length: 24\r\n\r\ncpu_share=0.2,svc_ms=73.3";
     same_however_cut(answer, |pieces| {
         let mut probing = Probing::default();
-        pieces.iter().find_map(|bytes| probing.take(bytes)).unwrap_or_else(|| probing.ended())
+        pieces.iter().find_map(|bytes| probing.take(bytes)).or_else(|| probing.ended())
     });
 }
 
--- a/crates/whinhill/src/assigner.rs
+++ b/crates/whinhill/src/assigner.rs
@@ -239,10 +239,23 @@
     fn server(&mut self, ep: Ep) -> &mut Server {
         self.servers.resize_with(self.servers.len().max(ep.index + 1), Server::default);
         let server = &mut self.servers[ep.index];
-        server.ep = ep;
+        if server.ep.stable != ep.stable {
+            // An index that was let go is another server's now: nothing of the former may be believed of it.
+            *server = Server { ep, ..Server::default() };
+            self.orders.iter_mut().for_each(Vec::clear);
+        }
         server
     }
 
+    /// Whether nothing here names a server any more, so that its index may be given to another.
+    pub fn is_done_with(&self, server: usize) -> bool {
+        let named =
+            |s: &Slice| s.owner == Some(server) || s.handover.as_ref().is_some_and(|h| h.to == Some(server));
+        let planned = self.plan.batches.iter().flatten().any(|m| m.1 == server);
+        let wished = self.plan.wishes.values().any(|to| *to == server);
+        self.health(server) == Health::Gone && !planned && !wished && !self.slices.iter().any(named)
+    }
+
     /// Sorts the servers in each slice's hash order, alike at every assigner.
     fn rank(&mut self) {
         for (id, order) in self.orders.iter_mut().enumerate() {
--- a/crates/whinhill/src/assigner/tests.rs
+++ b/crates/whinhill/src/assigner/tests.rs
@@ -162,6 +162,21 @@
     assert_eq!(grants(&a.handle(s(105.3), &[Event::Timer])).len(), 1);
 }
 
+/// A day that replaces every server under a new name must not fill the tables with those that are gone.
+#[test]
+fn an_index_goes_to_another_server_once_nothing_names_the_former() {
+    let mut a = fleet(3, &[(0, 1.0)]);
+    assert!(!a.is_done_with(0) && !a.is_done_with(1), "one owns, one is ready");
+    a.handle(s(100.0), &[list(vec![entry(0, Listed::Gone), entry(1, Listed::Gone)])]);
+    assert!(!a.is_done_with(0) && a.is_done_with(1), "the first still owns");
+    a.servers[1].limit = Some(1.0);
+    let other = Ep { index: 1, stable: 77 };
+    let entry = Entry { ep: other, ..entry(1, Listed::Ready) };
+    a.handle(s(100.1), &[list(vec![entry])]);
+    assert_eq!((a.servers[1].ep, a.servers[1].limit, a.servers[1].proven), (other, None, false));
+    assert!(a.orders.iter().all(|order| order.len() == 3));
+}
+
 /// At a planned restart a slice without an owner would wait a lease twice, at each assigner that takes it over.
 #[test]
 fn a_slice_given_without_an_owner_waits_for_answers_where_all_proxies_are_known() {
