Read what a crowded-out stranger has sent before closing it; log what the module believes

Found by the new test of silent crowds: 300 connections at once, among them a collector whose first message waits unread. The accept loop (peers.rs, evict_stranger) closed it as the oldest stranger before it was ever read, by our own bound and by EMFILE alike. It is now read first, and stays if it joins.

Tests on loopback for: relay and discovery both down at the start, silent crowds under a bound of 32 peers and under 40 descriptors, a peer that never reads, two SIGHUP in a row.

whinhill::beliefs: health and load by server, owners by slice, lines in the channel, once a second, where the log level asks for it.

--- a/crates/whinhill-cli/tests/platform.rs
+++ b/crates/whinhill-cli/tests/platform.rs
@@ -2,7 +2,7 @@
 //! grants, survives a cut relay and a new configuration, and ends in time.
 
 use std::fs;
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
@@ -103,6 +103,10 @@
 }
 
 fn config(relay: SocketAddr, discovery: SocketAddr) -> String {
+    config_with(relay, discovery, 256)
+}
+
+fn config_with(relay: SocketAddr, discovery: SocketAddr, sockets: usize) -> String {
     let settings = r#"{"discovery":"subscribe","round":1.0,"zones":["a"],"caps":{"mayProbe":false},
         "classes":[{"name":"look","objective":1000.0,"points":1.0},{"name":"book","objective":800.0,"points":5.0}],
         "rules":{"mustAskIn":9000.0,"stopSendingWithin":2000.0,"warmAfter":9000.0,"coldFrom":0.2,"fallMultiple":3.0},
@@ -111,7 +115,7 @@
             "messagesMost":0,"reloadSpan":10000.0}}"#;
     format!(
         r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"5","distributor":{{"address":"{relay}"}},
-        "limits":{{"cores":1.0,"memory_mb":64,"sockets":256}},
+        "limits":{{"cores":1.0,"memory_mb":64,"sockets":{sockets}}},
         "known":{{"index":0,"snapshot":true,"endpoints":[]}},"settings":{settings}}}"#
     )
 }
@@ -129,7 +133,20 @@
 impl Running {
     fn start(config: &Path) -> (Self, SocketAddr) {
         let mut command = Command::new(env!("CARGO_BIN_EXE_whinhill"));
-        command.args(["assigner", "--platform"]).env("BALANCER_CONFIG", config).stderr(Stdio::piped());
+        command.args(["assigner", "--platform"]);
+        Self::spawn(command, config)
+    }
+
+    /// With so many descriptors, whatever the configuration says.
+    fn start_with_descriptors(config: &Path, most: usize) -> (Self, SocketAddr) {
+        let mut command = Command::new("/bin/sh");
+        let run = format!("ulimit -n {most}; exec \"$0\" assigner --platform");
+        command.args(["-c", &run, env!("CARGO_BIN_EXE_whinhill")]);
+        Self::spawn(command, config)
+    }
+
+    fn spawn(mut command: Command, config: &Path) -> (Self, SocketAddr) {
+        command.env("BALANCER_CONFIG", config).stderr(Stdio::piped());
         let mut child = command.spawn().unwrap();
         let mut log = BufReader::new(child.stderr.take().unwrap());
         let mut first = String::new();
@@ -202,10 +219,79 @@
     wait_for(&saw, "a watch of the new relay", |saw| *saw == Saw::Watch);
     wait_for(&saw, "a grant at the new relay", |saw| matches!(saw, Saw::Orders(orders) if granted(orders)));
 
+    // Two in a row, the second before the first is done with.
+    running.signal(Signal::HUP);
+    running.signal(Signal::HUP);
+    assert_eq!(ask_alive(addr), "{\"@type\":\"alive\"}\n");
+
+    running.signal(Signal::TERM);
+    assert!(running.0.wait().unwrap().success());
+}
+
+/// An address at which nobody listens.
+fn nobody() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+fn collect(addr: SocketAddr) -> TcpStream {
+    let mut stream = TcpStream::connect(addr).unwrap();
+    stream.set_read_timeout(Some(WITHIN)).unwrap();
+    stream.write_all(b"{\"@type\":\"agent\",\"site\":\"a\"}\n{\"@type\":\"probe\"}\n").unwrap();
+    stream
+}
+
+#[test]
+fn it_starts_and_ends_while_discovery_and_relay_are_both_down() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("config.json");
+    fs::write(&path, config(nobody(), nobody())).unwrap();
+    let (mut running, addr) = Running::start(&path);
+    assert_eq!(ask_alive(addr), "{\"@type\":\"alive\"}\n");
     running.signal(Signal::TERM);
     assert!(running.0.wait().unwrap().success());
 }
 
+/// Hundreds who say nothing must not cost a collector its place, by our own bound or by the system's.
+#[test]
+fn silent_crowds_are_closed_and_a_collector_keeps_its_place() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("config.json");
+    fs::write(&path, config_with(nobody(), nobody(), 100)).unwrap();
+    let starts = [Running::start as fn(&Path) -> _, |path| Running::start_with_descriptors(path, 40)];
+    for start in starts {
+        let (_running, addr) = start(&path);
+        let mut collector = collect(addr);
+        let crowd: Vec<TcpStream> = (0..300).map(|_| TcpStream::connect(addr).unwrap()).collect();
+        let mut second = collect(addr);
+        for stream in [&mut collector, &mut second] {
+            let mut line = String::new();
+            BufReader::new(stream).read_line(&mut line).unwrap();
+            assert_eq!(line, "{\"@type\":\"alive\"}\n");
+        }
+        for mut stream in crowd {
+            // An answer and an end, or a reset: but an end, and no wait without one.
+            stream.set_read_timeout(Some(WITHIN)).unwrap();
+            let ended = stream.read_to_end(&mut Vec::new()).map_err(|error| error.kind());
+            assert!(matches!(ended, Ok(_) | Err(ErrorKind::ConnectionReset)), "{ended:?}");
+        }
+    }
+}
+
+#[test]
+fn a_peer_that_never_reads_does_not_hold_up_the_others() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("config.json");
+    fs::write(&path, config(nobody(), nobody())).unwrap();
+    let (_running, addr) = Running::start(&path);
+    let mut deaf = TcpStream::connect(addr).unwrap();
+    deaf.set_write_timeout(Some(WITHIN)).unwrap();
+    let many = b"{\"@type\":\"probe\"}\n".repeat(10_000);
+    // It is closed when its time to join is over at the latest, or when its answers fill the bound.
+    let closed = (0..100_000).any(|_| deaf.write_all(&many).is_err());
+    assert!(closed);
+    assert_eq!(ask_alive(addr), "{\"@type\":\"alive\"}\n");
+}
+
 #[test]
 fn a_configuration_that_cannot_be_read_is_named_and_ends_with_2() {
     let folder = tempfile::tempdir().unwrap();
--- a/crates/whinhill-node/src/deadlines.rs
+++ b/crates/whinhill-node/src/deadlines.rs
@@ -20,6 +20,8 @@
     Accept,
     /// The state is logged.
     Status,
+    /// What the module believes is logged.
+    Beliefs,
     /// The end, after SIGTERM.
     End,
     /// A connection of this key has taken too long.
--- a/crates/whinhill-node/src/limits.rs
+++ b/crates/whinhill-node/src/limits.rs
@@ -36,5 +36,7 @@
 pub const STATUS_EVERY: Duration = Duration::from_secs(10);
 /// A server off the list for so long is let go: by then no probe, report or order of it is under way.
 pub const LET_GO_AFTER: Duration = Duration::from_secs(20);
+/// What the module believes goes into the log this often, where it is asked for: as often as servers are judged.
+pub const BELIEFS_EVERY: Duration = Duration::from_secs(1);
 /// After SIGTERM, calls in line may still leave for this long; SIGKILL follows no sooner than 0.7 s.
 pub const END_WITHIN: Duration = Duration::from_millis(250);
--- a/crates/whinhill-node/src/node.rs
+++ b/crates/whinhill-node/src/node.rs
@@ -53,7 +53,7 @@
     /// Servers that no list names any more, and since when.
     gone: BTreeMap<usize, Duration>,
     listed: BTreeSet<usize>,
-    assigner: Assigner,
+    pub assigner: Assigner,
     pub pending: Vec<Event>,
     last_batch: Duration,
     round: Duration,
@@ -207,6 +207,7 @@
             Due::Call => {}
             Due::Accept => self.accept(),
             Due::Status => self.report(),
+            Due::Beliefs => self.report_beliefs(),
             Due::Connection(key) => self.timed_out(key),
             Due::End => {}
         }
@@ -354,7 +355,7 @@
         }
     }
 
-    fn readable(&mut self, key: usize) {
+    pub fn readable(&mut self, key: usize) {
         let mut buffer = std::mem::take(&mut self.buffer);
         while let Some(connection) = self.connections.get_mut(key) {
             let opened = connection.opened;
--- a/crates/whinhill-node/src/peers.rs
+++ b/crates/whinhill-node/src/peers.rs
@@ -50,13 +50,23 @@
         }
     }
 
-    /// Closes the stranger that has been there longest.
+    /// Closes the stranger that has been there longest, after a look at what it has sent: in a crowd that arrives
+    /// at once, a collector's first message may be waiting to be read.
     fn evict_stranger(&mut self) -> bool {
-        let strangers =
-            self.connections.iter().filter(|(_, c)| matches!(c.kind, Kind::Peer(_)) && !c.joined());
-        let Some((key, _)) = strangers.min_by_key(|(_, c)| c.opened) else { return false };
-        self.refuse(key, "crowded out");
-        true
+        loop {
+            let peers = self.connections.iter().filter(|(_, c)| matches!(c.kind, Kind::Peer(_)));
+            let oldest = peers.filter(|(_, c)| !c.joined()).min_by_key(|(_, c)| c.opened);
+            let Some((key, _)) = oldest else { return false };
+            self.readable(key);
+            match self.connections.get(key).map(Connection::joined) {
+                Some(true) => {}
+                Some(false) => {
+                    self.refuse(key, "crowded out");
+                    return true;
+                }
+                None => return true,
+            }
+        }
     }
 
     /// Answers with an error, as far as that goes at once, and closes.
--- a/crates/whinhill-node/src/report.rs
+++ b/crates/whinhill-node/src/report.rs
@@ -1,9 +1,10 @@
 //! A line of figures now and then: what happened since the start, and what stands.
 
-use tracing::info;
+use tracing::{debug, enabled, info, Level};
+use whinhill::interface::Health;
 
 use crate::deadlines::Due;
-use crate::limits::STATUS_EVERY;
+use crate::limits::{BELIEFS_EVERY, STATUS_EVERY};
 use crate::node::Node;
 
 /// What is counted rather than logged.
@@ -34,6 +35,7 @@
 impl Node {
     pub fn report(&mut self) {
         self.let_go();
+        self.report_beliefs();
         let c = &self.counts;
         info!(
             proxies = self.news.proxies(),
@@ -52,6 +54,30 @@
     }
 }
 
+/// The log target of what the module believes: `--log-level whinhill::beliefs=debug`. Beside it stand the reports,
+/// probes and answers of `whinhill::trace`, and a bench's own account of the same second.
+const BELIEFS: &str = "whinhill::beliefs";
+
+impl Node {
+    /// Health and load by server, lines in the channel, owners by slice; nothing where nobody reads it.
+    pub fn report_beliefs(&mut self) {
+        if !enabled!(target: BELIEFS, Level::DEBUG) {
+            return;
+        }
+        let loads = self.assigner.loads();
+        for server in self.names.servers().filter(|s| self.assigner.health(*s) != Health::Gone) {
+            let health = self.assigner.health(server);
+            let load = loads.get(server).copied().unwrap_or_default();
+            let slices = (0..self.names.slices()).filter(|s| self.assigner.owner(*s) == Some(server));
+            let (moving, own): (Vec<_>, Vec<_>) = slices.partition(|s| self.assigner.moving(*s));
+            let name = self.names.server(server).unwrap_or("-");
+            debug!(target: BELIEFS, "server {server} {name} {health:?} load {load:.2} owns {own:?} moving {moving:?}");
+        }
+        debug!(target: BELIEFS, "channel {:.0} lines, {} orders in line", self.assigner.channel_lines(), self.calls.waiting());
+        self.deadlines.set(Due::Beliefs, self.clock.now() + BELIEFS_EVERY);
+    }
+}
+
 /// Resident memory, where the system tells it.
 fn resident_kb() -> u64 {
     let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
--- a/crates/whinhill/src/assigner.rs
+++ b/crates/whinhill/src/assigner.rs
@@ -234,6 +234,21 @@
         self.slices.get(slice).is_some_and(|s| s.handover.is_some())
     }
 
+    /// What is believed of each server's load, for whoever asks: a part of its capacity, by the plan's reckoning.
+    pub fn loads(&self) -> Vec<f64> {
+        self.view().loads
+    }
+
+    /// Lines thought to wait in the channel.
+    pub fn channel_lines(&self) -> f64 {
+        self.channel.lines
+    }
+
+    /// The owner of a slice of ours.
+    pub fn owner(&self, slice: SliceId) -> Option<usize> {
+        self.slices.get(slice).and_then(|s| s.owner)
+    }
+
     // 1. List and health.
 
     fn server(&mut self, ep: Ep) -> &mut Server {
