--- a/crates/whinhill-node/src/node.rs
+++ b/crates/whinhill-node/src/node.rs
@@ -99,6 +99,7 @@
             version = config.known.version,
             "assigner starts"
         );
+        debug!(target: TRACE, "settings {:?}", config.settings.0);
         let mut node = Node {
             names: Names::new(&config.settings),
             version: Version::new(config.known.version),
--- a/crates/whinhill/src/assigner.rs
+++ b/crates/whinhill/src/assigner.rs
@@ -234,7 +234,7 @@
         self.slices.get(slice).is_some_and(|s| s.handover.is_some())
     }
 
-    /// What is believed of each server's load, for whoever asks: a part of its capacity, by the plan's reckoning.
+    /// What is believed of each server's load, for whoever asks: a part of its capacity.
     pub fn loads(&self) -> Vec<f64> {
         self.view().loads
     }
@@ -705,8 +705,8 @@
         }
     }
 
-    /// Until when a proxy that never joined here may write by what a slice's former assigner told it. Once all
-    /// that there are have joined, each one's answer tells, which it gives after it has read the store. Guards
+    /// Until when a proxy that never joined here may write by what a slice's former assigner told it. Once
+    /// all that there are have joined, their answers tell, given after they have read the store. Guards
     /// against a lease without an owner at each planned restart. Harm: none known while the count is true.
     fn unheard_until(&self, given: Duration) -> Duration {
         let joined = self.proxies.values().filter(|p| p.joined).count();
@@ -767,7 +767,7 @@
             let slice = &self.slices[id];
             let Some(handover) = slice.handover.as_ref().filter(|_| open) else { continue };
             let waits = handover.awaits.values().any(Option::is_some);
-            // One given without an owner waits for answers, but a lease at most: then nobody writes by old word.
+            // One given without an owner waits for answers, or a lease: then nobody writes by old word.
             let most = if slice.owner.is_none() { slice.given + self.cfg.lease } else { Duration::MAX };
             let quiet = if waits { most } else { handover.quiet.min(most) };
             if self.now < quiet.saturating_add(self.cfg.settle) || !self.has_room(GRANT_ROOM.1) {
