Bound a connection's reads in a turn; start without a stored list that cannot be read

Reviewed for what outsiders could do to the loop and what operators would not see: a collector that sends faster than we read was read until it paused (node.rs, readable); eight reads of 64 KiB now, then the others. An answer's time near the largest that a Duration holds could overflow (calls.rs, since_order). A zone that settings do not name cut the news (news.rs). Failures of discovery before a watch stood were logged at debug alone; one line now for each change of mode.

--- a/crates/whinhill-node/src/discovery.rs
+++ b/crates/whinhill-node/src/discovery.rs
@@ -1,6 +1,6 @@
 //! Asking discovery for the list and for its changes.
 
-use tracing::{debug, info, warn};
+use tracing::{info, warn};
 use whinhill::interface::{Event, ListKind};
 use whinhill_platform::discovery::{self, Asking};
 use whinhill_platform::roster::Roster;
@@ -21,7 +21,7 @@
             return;
         }
         if !self.open_watch() {
-            self.push_failed();
+            self.push_failed("cannot connect");
         }
     }
 
@@ -41,7 +41,7 @@
         let addr = self.config.discovery;
         let request = discovery::fetch_request(addr);
         if self.connect(addr, Kind::Asking(Asking::fetch()), &request, DISCOVERY_WITHIN).is_none() {
-            self.push_failed();
+            self.push_failed("cannot connect");
         }
     }
 
@@ -49,12 +49,15 @@
     pub fn move_watch(&mut self) {
         self.watch_at.take().into_iter().for_each(|key| drop(self.close(key)));
         if !self.open_watch() {
-            self.push_failed();
+            self.push_failed("cannot connect");
         }
     }
 
-    fn push_failed(&mut self) {
+    fn push_failed(&mut self, why: &str) {
         self.counts.discovery_failed += 1;
+        if !std::mem::replace(&mut self.discovery_fails, true) {
+            warn!(held = self.version.held(), "discovery fails: {why}");
+        }
         self.pending.push(Event::List { kind: ListKind::Failed, entries: Vec::new() });
     }
 
@@ -62,16 +65,13 @@
         let Some(Connection { kind: Kind::Asking(asking), .. }) = self.connections.get_mut(key) else {
             return;
         };
-        let (watch, first) = (asking.is_watch(), !asking.answered());
+        let watch = asking.is_watch();
         match asking.take(bytes) {
             Ok(lists) => {
                 if watch {
                     self.deadlines.set(Due::Connection(key), self.clock.now() + WATCH_SILENT);
                 }
                 let done = !watch && !lists.is_empty();
-                if watch && first && !lists.is_empty() {
-                    debug!(version = self.version.held(), "the watch stands");
-                }
                 if !lists.iter().all(|list| self.take_list(list)) {
                     return self.discovery_failed(key, "it went back in version");
                 }
@@ -89,6 +89,9 @@
             info!(held = self.version.held(), told = list.version, "an older list is not taken");
             return false;
         };
+        if std::mem::take(&mut self.discovery_fails) {
+            info!(version = list.version, "discovery answers again");
+        }
         self.push_list(kind, list);
         true
     }
@@ -99,7 +102,7 @@
             Ok(lists) => {
                 self.close(key);
                 if !lists.iter().all(|list| self.take_list(list)) {
-                    self.push_failed();
+                    self.push_failed("it went back in version");
                 }
             }
             Err(error) => self.discovery_failed(key, &error.to_string()),
@@ -107,13 +110,7 @@
     }
 
     pub fn discovery_failed(&mut self, key: usize, why: &str) {
-        let lived = self.watch_at == Some(key) && self.watch_lives(key);
         self.close(key);
-        if lived {
-            warn!(version = self.version.held(), "the watch of discovery broke: {why}");
-        } else {
-            debug!("discovery did not answer: {why}");
-        }
-        self.push_failed();
+        self.push_failed(why);
     }
 }
--- a/crates/whinhill-node/src/limits.rs
+++ b/crates/whinhill-node/src/limits.rs
@@ -23,6 +23,8 @@
 pub const GATHER: Duration = Duration::from_millis(5);
 /// Events that make a batch at once.
 pub const BATCH_MOST: usize = 8192;
+/// Reads of one connection in a turn, of 64 KiB each: then the others have theirs.
+pub const READS_MOST: usize = 8;
 /// Probes under way at a time.
 pub const PROBES_MOST: usize = 48;
 /// Connections of one zone's collector: the newest is the real one, others may not have noticed their end.
--- a/crates/whinhill-node/src/node.rs
+++ b/crates/whinhill-node/src/node.rs
@@ -45,6 +45,8 @@
     pub deadlines: Deadlines,
     pub connections: Slab<Connection>,
     buffer: Vec<u8>,
+    /// Connections with more to read than one turn allows.
+    unread: Vec<usize>,
     path: PathBuf,
     pub config: PlatformConfig,
     pub names: Names,
@@ -67,6 +69,9 @@
     pub news_again: Duration,
     pub version: Version,
     pub watch_at: Option<usize>,
+    /// Whether the last word of discovery, and of the relay's news, was a failure: told once, when it changes.
+    pub discovery_fails: bool,
+    pub news_fail: bool,
     pub probing: usize,
     pub strangers: usize,
     pub peers_most: usize,
@@ -76,7 +81,12 @@
 
 impl Node {
     pub fn start(path: &Path) -> Result<Self, NodeError> {
-        let config = crate::read(path)?;
+        let mut config = crate::read(path)?;
+        let none = Roster { version: 0, whole: true, servers: Vec::new() };
+        let known = std::mem::replace(&mut config.known, Ok(none.clone())).unwrap_or_else(|error| {
+            warn!("the stored list cannot be used: {error}");
+            none
+        });
         let faulty = |source| NodeError::Settings { path: path.into(), source };
         let assigner = Assigner::new(&config.settings, config.seed).map_err(faulty)?;
         let round = config.settings.span("round").map_err(faulty)?;
@@ -95,14 +105,14 @@
             %addr,
             sockets = config.limits.sockets,
             memory_mb = config.limits.memory_mb,
-            servers = config.known.servers.len(),
-            version = config.known.version,
+            servers = known.servers.len(),
+            version = known.version,
             "assigner starts"
         );
         debug!(target: TRACE, "settings {:?}", config.settings.0);
         let mut node = Node {
             names: Names::new(&config.settings),
-            version: Version::new(config.known.version),
+            version: Version::new(known.version),
             peers_most: config.limits.sockets.saturating_sub(RESERVED).max(8),
             poll,
             listener,
@@ -111,6 +121,7 @@
             deadlines: Deadlines::default(),
             connections: Slab::new(),
             buffer: vec![0; BUFFER],
+            unread: Vec::new(),
             path: path.into(),
             addrs: Vec::new(),
             gone: BTreeMap::new(),
@@ -127,16 +138,14 @@
             news_at: None,
             news_again: NEWS_AGAIN.0,
             watch_at: None,
+            discovery_fails: false,
+            news_fail: false,
             probing: 0,
             strangers: 0,
             counts: Counts::default(),
             ending: false,
             config,
         };
-        let known = std::mem::replace(
-            &mut node.config.known,
-            Roster { version: 0, whole: true, servers: Vec::new() },
-        );
         node.push_list(ListKind::Stored, &known);
         node.open_news();
         node.deadlines.set(Due::Status, node.clock.now() + STATUS_EVERY);
@@ -153,6 +162,7 @@
             }
             let now = self.clock.now();
             let wait = self.deadlines.next_at().map(|at| at.saturating_sub(now));
+            let wait = if self.unread.is_empty() { wait } else { Some(Duration::ZERO) };
             match self.poll.poll(&mut events, wait) {
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
                 Err(source) => return Err(NodeError::Io { what: "poll", source }),
@@ -172,6 +182,9 @@
                     }
                 }
             }
+            for key in std::mem::take(&mut self.unread) {
+                self.readable(key);
+            }
             let now = self.clock.now();
             while let Some(due) = self.deadlines.pop(now) {
                 if due == Due::End {
@@ -358,7 +371,14 @@
 
     pub fn readable(&mut self, key: usize) {
         let mut buffer = std::mem::take(&mut self.buffer);
+        let mut reads = 0;
         while let Some(connection) = self.connections.get_mut(key) {
+            if reads == READS_MOST {
+                // Somebody who sends faster than we read must not keep the others waiting.
+                self.unread.push(key);
+                break;
+            }
+            reads += 1;
             let opened = connection.opened;
             match connection.read(&mut buffer) {
                 Ok(None) => break,
--- a/crates/whinhill-node/src/relay.rs
+++ b/crates/whinhill-node/src/relay.rs
@@ -42,12 +42,8 @@
     pub fn news_lost(&mut self, why: &str) {
         let was_live = self.news.live();
         self.counts.news_lost += u64::from(was_live);
-        if was_live {
-            warn!(
-                proxies = self.news.proxies(),
-                slices = self.news.slices(),
-                "news of the relay lost: {why}"
-            );
+        if !std::mem::replace(&mut self.news_fail, true) {
+            warn!(proxies = self.news.proxies(), slices = self.news.slices(), "no news of the relay: {why}");
         }
         if let Some(key) = self.news_at.take() {
             self.close(key);
@@ -98,7 +94,7 @@
                 }
                 Told::Differs { slice } => self.follow_store(slice),
                 Told::Settled { again } => {
-                    self.news_again = NEWS_AGAIN.0;
+                    (self.news_again, self.news_fail) = (NEWS_AGAIN.0, false);
                     let (proxies, slices) = (self.news.proxies(), self.news.slices());
                     info!(proxies, slices, again, "news of the relay stand");
                     if again {
--- a/crates/whinhill-platform/src/relay/calls.rs
+++ b/crates/whinhill-platform/src/relay/calls.rs
@@ -270,6 +270,8 @@
     /// have settled before they have.
     pub fn since_order(&self, now: Duration, mark: u16, way: Duration) -> Duration {
         let times = self.marks.iter().find(|m| m.mark == mark);
+        // However long it says, it was no longer than that: sums of it must not overflow.
+        let way = way.min(LONG_AGO);
         times.map_or(LONG_AGO, |m| m.carried.unwrap_or(now).saturating_sub(m.ordered) + way)
     }
 }
@@ -417,6 +419,7 @@
         sent(&mut calls, MS * 430);
         calls.answered(MS * 440, b"OK 1");
         assert_eq!(calls.since_order(MS * 600, 1, MS * 90), MS * 430);
+        assert!(calls.since_order(MS * 600, 1, Duration::MAX) < LONG_AGO * 2);
         calls.mark_again(MS * 700);
         assert!(calls.since_order(MS * 800, 1, MS * 90) >= MS * 800);
     }
--- a/crates/whinhill-platform/src/relay/news.rs
+++ b/crates/whinhill-platform/src/relay/news.rs
@@ -194,7 +194,7 @@
             }
             Some("hello") => {
                 let proxy: ProxyId = words.next()?.parse().ok()?;
-                let zone = names.known_zone(words.next()?)?;
+                let zone = names.zone(words.next()?);
                 let stood = self.proxies.insert(proxy, zone).is_some();
                 // One that stood before a break has kept its stream, or will be asked to answer anew.
                 if self.phase == Phase::Live || !stood {
--- a/crates/whinhill/src/assigner/tests.rs
+++ b/crates/whinhill/src/assigner/tests.rs
@@ -162,6 +162,18 @@
     assert_eq!(grants(&a.handle(s(105.3), &[Event::Timer])).len(), 1);
 }
 
+/// A list that empties binds like any other, and must not leave the assigner without a way back.
+#[test]
+fn after_a_list_that_empties_the_next_ready_server_gets_the_slices() {
+    let mut a = fleet(2, &[(0, 1.0)]);
+    let empty = Event::List { kind: ListKind::Full, entries: vec![] };
+    assert!(a.handle(s(100.0), &[empty]).contains(&Order::Revoke { slice: 0, ep: ep(0) }));
+    a.handle(s(100.5), &[ack(0, 1), ack(1, 1)]);
+    assert_eq!(grants(&a.handle(s(103.0), &[Event::Timer])), []);
+    let back = Event::List { kind: ListKind::Full, entries: vec![entry(1, Listed::Ready)] };
+    assert_eq!(grants(&a.handle(s(103.1), &[back])), [(0, 1)]);
+}
+
 /// A day that replaces every server under a new name must not fill the tables with those that are gone.
 #[test]
 fn an_index_goes_to_another_server_once_nothing_names_the_former() {
