--- a/crates/whinhill-cli/tests/platform.rs
+++ b/crates/whinhill-cli/tests/platform.rs
@@ -31,6 +31,11 @@
 
 impl Relay {
     fn start(line: &'static str, saw: Sender<Saw>) -> Self {
+        Self::start_with(line, true, saw)
+    }
+
+    /// `answers`: whether its calls get an answer.
+    fn start_with(line: &'static str, answers: bool, saw: Sender<Saw>) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let addr = listener.local_addr().unwrap();
         let streams: Arc<Mutex<Vec<TcpStream>>> = Arc::default();
@@ -40,7 +45,7 @@
             for stream in listener.incoming().flatten() {
                 kept.lock().unwrap().push(stream.try_clone().unwrap());
                 let (saw, news) = (saw.clone(), news.clone());
-                thread::spawn(move || serve(stream, line, &news, &saw));
+                thread::spawn(move || serve(stream, line, answers, &news, &saw));
             }
         });
         Relay { addr, streams }
@@ -53,7 +58,7 @@
     }
 }
 
-fn serve(stream: TcpStream, line: &str, news: &Mutex<Option<TcpStream>>, saw: &Sender<Saw>) {
+fn serve(stream: TcpStream, line: &str, answers: bool, news: &Mutex<Option<TcpStream>>, saw: &Sender<Saw>) {
     let mut out = stream.try_clone().unwrap();
     for request in BufReader::new(stream).lines().map_while(Result::ok) {
         if request == "WATCH" {
@@ -63,6 +68,10 @@
             continue;
         }
         let Some(orders) = request.strip_prefix("APPLY ") else { continue };
+        let _ = saw.send(Saw::Orders(orders.to_string()));
+        if !answers {
+            continue;
+        }
         let _ = write!(out, "OK {}\r\n", orders.split(';').count());
         for mark in orders.split(';').filter_map(|order| order.strip_prefix("fence,")) {
             let mark = mark.split(',').next().unwrap_or_default();
@@ -70,7 +79,6 @@
                 let _ = write!(news, "* ack 0 {mark} 1.0\r\n");
             }
         }
-        let _ = saw.send(Saw::Orders(orders.to_string()));
     }
 }
 
@@ -228,6 +236,28 @@
     assert!(running.0.wait().unwrap().success());
 }
 
+/// The configuration moves the relay while a call waits for its answer there: its orders must not be lost.
+#[test]
+fn a_call_that_a_new_configuration_overtakes_is_sent_again_at_the_new_address() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("config.json");
+    let (sender, saw) = channel();
+    let discovery = discovery(sender.clone());
+    let mute = Relay::start_with("s-gone", false, sender.clone());
+    fs::write(&path, config(mute.addr, discovery)).unwrap();
+    let (running, _) = Running::start(&path);
+    let revoked = |saw: &Saw| matches!(saw, Saw::Orders(orders) if orders.contains("put,0,s-gone,0"));
+    wait_for(&saw, "a call at the first relay", revoked);
+    let (sender, saw) = channel();
+    let next = Relay::start("s-gone", sender);
+    fs::write(&path, config(next.addr, discovery)).unwrap();
+    running.signal(Signal::HUP);
+    wait_for(&saw, "the same orders at the next relay", revoked);
+    let granted =
+        |saw: &Saw| matches!(saw, Saw::Orders(o) if o.contains("put,0,s-1,1") || o.contains("put,0,s-2,1"));
+    wait_for(&saw, "a grant at the next relay", granted);
+}
+
 /// An address at which nobody listens.
 fn nobody() -> SocketAddr {
     TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
