Keep the collector that joined last; drop a relay connection that answers twice

Found on reading the whole change again. bound_collectors (peers.rs) closed the zone's collector that had connected first, even where that was the one just joining; the next line indexed the closed connection and the assigner fell. A test shows it: red before, green now. And an answer with more bytes behind it (relay.rs, call_bytes) left those for the next call to take as its own; the connection is dropped as out of step, the call's outcome unknown.

--- a/crates/whinhill-cli/tests/platform.rs
+++ b/crates/whinhill-cli/tests/platform.rs
@@ -307,6 +307,32 @@
     }
 }
 
+/// The bound on a zone's collectors closed the one that had just joined, if it had connected first, and the
+/// assigner fell over it.
+#[test]
+fn a_collector_that_connected_first_and_joins_last_stays() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("config.json");
+    fs::write(&path, config(nobody(), nobody())).unwrap();
+    let (_running, addr) = Running::start(&path);
+    let mut first = TcpStream::connect(addr).unwrap();
+    // Answered, so accepted after the first.
+    let others: Vec<TcpStream> = (0..4)
+        .map(|_| {
+            let mut stream = collect(addr);
+            stream.read_exact(&mut [0; 18]).unwrap();
+            stream
+        })
+        .collect();
+    first.set_read_timeout(Some(WITHIN)).unwrap();
+    first.write_all(b"{\"@type\":\"agent\",\"site\":\"a\"}\n{\"@type\":\"probe\"}\n").unwrap();
+    let mut line = String::new();
+    BufReader::new(first).read_line(&mut line).unwrap();
+    assert_eq!(line, "{\"@type\":\"alive\"}\n");
+    assert_eq!(ask_alive(addr), "{\"@type\":\"alive\"}\n");
+    drop(others);
+}
+
 #[test]
 fn a_peer_that_never_reads_does_not_hold_up_the_others() {
     let folder = tempfile::tempdir().unwrap();
--- a/crates/whinhill-node/src/peers.rs
+++ b/crates/whinhill-node/src/peers.rs
@@ -117,7 +117,8 @@
         }
     }
 
-    /// A collector that lost its connection comes back on a new one; the old may never tell that it ended.
+    /// A collector that lost its connection comes back on a new one; the old may never tell that it ended. The one
+    /// that joined last stays, though it may have connected first.
     fn bound_collectors(&mut self, newest: usize) {
         let zone = |c: &Connection| match &c.kind {
             Kind::Peer(peer) => peer.zone(),
@@ -126,7 +127,8 @@
         let wanted = zone(&self.connections[newest]);
         let same = || self.connections.iter().filter(|(_, c)| wanted.is_some() && zone(c) == wanted);
         if same().count() > COLLECTORS_MOST {
-            let oldest = same().min_by_key(|(_, c)| c.opened).map(|(key, _)| key);
+            let others = same().filter(|(key, _)| *key != newest);
+            let oldest = others.min_by_key(|(_, c)| c.opened).map(|(key, _)| key);
             oldest.into_iter().for_each(|key| drop(self.close(key)));
         }
     }
--- a/crates/whinhill-node/src/relay.rs
+++ b/crates/whinhill-node/src/relay.rs
@@ -161,8 +161,9 @@
             Ok(Some(line)) => line.to_vec(),
             Err(_) => Vec::new(),
         };
-        if !self.calls.under_way() {
-            // An answer to nothing: what follows cannot be told apart any more.
+        let more = !lines.rest().is_empty();
+        if !self.calls.under_way() || more {
+            // Answers to nothing: the next call would take one of them for its own.
             return self.call_lost("out of step");
         }
         self.deadlines.clear(Due::Connection(key));
