Tell a list of servers before it is kept: a stalled disk broke the grace of drains

Cause: the disk. At fault: Feed::tell in roster.rs synced the last list before it told the decision thread, so a drain began late by what the disk took.

Now it is told first, and a thread of its own keeps the newest list (last_list.rs). The sabotaged assigner of the tests keeps no file: grants wait for it, and on a slow disk that hid the wait which it skips.

--- a/crates/whinhill-assigner/src/assigner.rs
+++ b/crates/whinhill-assigner/src/assigner.rs
@@ -26,6 +26,7 @@
 use crate::core::{Core, Effects, Input};
 use crate::holdings::{Holdings, LOOK};
 use crate::hub::{Hub, HubConfig};
+use crate::last_list::LastList;
 use crate::names::PAST;
 use crate::probes::Prober;
 use crate::roster::Feed;
@@ -179,9 +180,11 @@
             listed: listed.clone(),
         };
         let (roster_in, roster_out) = bounded(16);
+        let (keeping_list, last_list) = config.state_dir.as_deref().map(LastList::new).unzip();
         let feed = Feed {
             config: config.roster.clone(),
-            state_dir: config.state_dir.clone(),
+            last: last_list.as_ref().map(LastList::read).unwrap_or_default(),
+            keeping: keeping_list,
             inputs: roster_in,
             stop: stop.clone(),
             drivers: drivers.clone(),
@@ -218,6 +221,9 @@
             stop: stop.clone(),
         };
         spawn("decide", Box::new(move || decider.run()))?;
+        if let Some(last_list) = last_list {
+            spawn("last-list", Box::new(move || last_list.run()))?;
+        }
         spawn("roster", Box::new(move || feed.run()))?;
         spawn("store", Box::new(move || steward.run()))?;
         if let Some(bookkeeper) = bookkeeper {
--- a/crates/whinhill-assigner/src/lib.rs
+++ b/crates/whinhill-assigner/src/lib.rs
@@ -16,6 +16,7 @@
 mod holdings;
 mod hub;
 mod joins;
+mod last_list;
 mod names;
 mod operator;
 mod probes;
--- a/crates/whinhill-assigner/src/roster.rs
+++ b/crates/whinhill-assigner/src/roster.rs
@@ -3,9 +3,8 @@
 
 use std::collections::BTreeSet;
 use std::fs;
-use std::io::Write;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -22,6 +21,7 @@
 
 use crate::config::RosterConfig;
 use crate::core::Input;
+use crate::last_list::Mailbox;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "kebab-case")]
@@ -82,7 +82,9 @@
 
 pub struct Feed {
     pub config: RosterConfig,
-    pub state_dir: Option<PathBuf>,
+    /// The list that a former life kept, and where the newest goes to be kept.
+    pub last: RosterFile,
+    pub keeping: Option<Mailbox>,
     pub inputs: Sender<Input>,
     pub stop: Arc<AtomicBool>,
     pub drivers: Drivers,
@@ -93,14 +95,9 @@
 }
 
 impl Feed {
-    fn last_path(&self) -> Option<PathBuf> {
-        self.state_dir.as_ref().map(|dir| dir.join("last-list.json"))
-    }
-
     /// Tells the last list, then follows the feed until the assigner stops.
-    pub fn run(self) {
-        let last = self.last_path().and_then(|path| fs::read_to_string(path).ok());
-        let last = last.and_then(|text| read_roster(&text).ok()).unwrap_or_default();
+    pub fn run(mut self) {
+        let last = std::mem::take(&mut self.last);
         info!(servers = last.servers.len(), "started from the last list");
         let known = !last.servers.is_empty();
         let stored = Input::Roster { kind: ListKind::Stored, entries: last.servers, unix_ms: unix_ms() };
@@ -119,15 +116,14 @@
     }
 
     fn tell(&self, roster: RosterFile) {
-        if let Some(path) = self.last_path() {
-            if let Err(error) = keep(&path, &roster) {
-                warn!(path = %path.display(), %error, "the last list could not be kept");
-            }
-        }
-        let input = Input::Roster { kind: ListKind::Full, entries: roster.servers, unix_ms: unix_ms() };
+        // Told first: a drain that waited for a stalled disk was told up to 3 s late, after its grace.
+        let (entries, unix_ms) = (roster.servers.clone(), unix_ms());
         // The decision thread has ended: then so do we, at the next look.
-        let _ = self.inputs.send(input);
+        let _ = self.inputs.send(Input::Roster { kind: ListKind::Full, entries, unix_ms });
         self.listed.store(true, Ordering::Release);
+        if let Some(mailbox) = &self.keeping {
+            mailbox.put(roster);
+        }
     }
 
     fn failed(&self) {
@@ -261,12 +257,3 @@
     }
     Ok(Some(RosterFile { servers }))
 }
-
-/// Writes the list beside the old one and then over it: a crash leaves the one or the other.
-fn keep(path: &Path, roster: &RosterFile) -> std::io::Result<()> {
-    let beside = path.with_extension("new");
-    let mut file = fs::File::create(&beside)?;
-    file.write_all(serde_json::to_string(roster)?.as_bytes())?;
-    file.sync_all()?;
-    fs::rename(beside, path)
-}
--- a/crates/whinhill-standins/src/play.rs
+++ b/crates/whinhill-standins/src/play.rs
@@ -427,6 +427,7 @@
             None => None,
         };
         let roster_addr = roster_link.as_ref().map(Link::addr).or(self.roster_addr);
+        let skips_the_wait = self.day.sabotage.contains(&Sabotage::AssignerSkipsWait);
         let config = AssignerConfig {
             name: name.clone(),
             peers: (0..self.day.assigners).map(|k| format!("assigner-{k}")).collect(),
@@ -447,14 +448,13 @@
             probes: self.day.probes,
             answer_within_ms: 6000,
             proxies_most: 1024,
-            state_dir: Some(dir.clone()),
+            // Grants wait for the file of sets: on a disk that stalls, a wait that is skipped would not show.
+            state_dir: (!skips_the_wait).then(|| dir.clone()),
             status_file: None,
             operators: Some(loopback()),
             history: whinhill_assigner::HistoryConfig::default(),
             seed: Some(self.rng.random()),
-            sabotage: whinhill_assigner::Sabotage {
-                skips_the_wait: self.day.sabotage.contains(&Sabotage::AssignerSkipsWait),
-            },
+            sabotage: whinhill_assigner::Sabotage { skips_the_wait },
         };
         let path = dir.join("assigner.json5");
         let text =
