Do the period's work as reports come; a server is late from 0.4 of the soft deadline

At fault: handle() ran the period's work by its own clock. Now a batch with reports starts it, if the last was 0.9 of a period ago; without reports it runs at 1.25.

--- a/crates/whinhill/src/assigner.rs
+++ b/crates/whinhill/src/assigner.rs
@@ -14,7 +14,6 @@
 use crate::state::{middle, Channel, Following, Handover, Move, Plan, Proxy, Server, Slice, Sum, View};
 
 // Tuned values: unit, reason, and what goes wrong with another.
-
 /// Share of capacity above which a server is hot (design page). Higher: waiting starts before we act.
 const THRESHOLD: f64 = 0.8;
 /// Leveling starts this far above or below the average (design page). Lower: moves that don't pay.
@@ -42,6 +41,8 @@
 const SLOWER: f64 = 1.5;
 /// How often handovers, drains and calls under way are looked at. Longer: slices stay without an owner.
 const TICK: Duration = Duration::from_millis(50);
+/// Parts of a period by which reports start its work early, and after which it starts alone. Else: acts late.
+const PERIOD: (f64, f64) = (0.35, 1.25);
 /// Demand, against a server's average, that counts at the fleet's usual cost. Less: costs follow noise.
 const PAD: f64 = 0.3;
 /// Load that the average server is taken to have where servers don't report how busy they are.
@@ -71,7 +72,7 @@
 /// The channel may run this many times slower than stated. Lower: the queue's rule is at risk.
 const SLOW_CHANNEL: f64 = 4.0;
 /// Mean wait, as a part of the soft deadline, at which a server counts as overloaded.
-const LATE: f64 = 0.5;
+const LATE: f64 = 0.4;
 /// What an overloaded server is let, times what it did; and how that grows in a period without lateness.
 const LIMIT_STEP: (f64, f64) = (0.9, 1.06);
 
@@ -123,6 +124,7 @@
         self.now = now;
         // Where more is told than the feed carries, reports come late, each for a longer stretch.
         let spans: Vec<Duration> = events.iter().filter_map(Event::span).collect();
+        let told = !spans.is_empty() && now + self.cfg.period.mul_f64(PERIOD.0) >= self.next_period;
         let usual = (spans.len() > self.ready().count()).then(|| middle(spans)).flatten();
         self.half = usual.map_or(self.half, |usual| usual.max(self.cfg.period));
         events.iter().for_each(|event| self.take(event));
@@ -134,9 +136,9 @@
             self.out.extend(self.cfg.watch.then_some(Order::Watch));
             self.list.ask_at = Some(now + self.cfg.must_ask / 2);
         }
-        let period = now >= self.next_period;
+        let period = told || now >= self.next_period;
         if period {
-            self.next_period = now + self.cfg.period;
+            self.next_period = now + self.cfg.period.mul_f64(PERIOD.1);
             self.judge();
             self.make_plan();
             let probed = self.servers.iter().filter(|s| self.cfg.probes && s.listed == Listed::Ready);
--- a/crates/whinhill/src/assigner/tests.rs
+++ b/crates/whinhill/src/assigner/tests.rs
@@ -463,6 +463,33 @@
     }
 }
 
+/// Reports came 0.55 s before the period's work each time, and failing servers kept their slices so much longer.
+#[test]
+fn servers_are_judged_as_reports_come_and_without_them_a_little_later() {
+    let failing = Event::Met {
+        ep: ep(0),
+        zone: 0,
+        tries: 20,
+        lost: 20,
+        wait: Duration::ZERO,
+        span: s(1.0),
+        load: LoadReport::default(),
+    };
+    let period = |a: &mut Assigner, at: f64, event: &Event| {
+        let before = a.next_period;
+        a.handle(s(at), std::slice::from_ref(event));
+        a.next_period != before
+    };
+    let mut a = fleet(3, &[(0, 300.0), (1, 300.0), (2, 300.0)]);
+    a.handle(s(101.0), &[Event::Timer]);
+    assert!(!period(&mut a, 101.7, &failing), "too soon after the last");
+    assert!(!period(&mut a, 102.0, &Event::Timer), "reports may come yet");
+    assert!(period(&mut a, 102.1, &failing) && a.servers[0].sick.is_some());
+    // From then on they meet, though one comes a little early.
+    assert!(period(&mut a, 103.05, &failing));
+    assert!(!period(&mut a, 104.2, &Event::Timer) && period(&mut a, 104.4, &Event::Timer));
+}
+
 #[test]
 fn a_gap_in_which_we_stood_still_makes_nobody_sick() {
     let mut a = fleet(4, &[(0, 60.0), (1, 60.0), (2, 60.0), (3, 60.0)]);
@@ -475,13 +502,13 @@
 fn a_silent_owner_listed_ready_leaves_though_a_proxy_is_away_and_another_acks_late() {
     let mut a = fleet(4, &[(0, 300.0), (1, 300.0), (2, 300.0), (3, 300.0)]);
     a.handle(s(102.0), &[Event::Left { proxy: 1 }]);
-    a.now = s(103.0);
+    a.now = s(103.3);
     (1..4).for_each(|i| met(&mut a, i, 20, 0, 0.1));
-    let orders = a.handle(s(103.0), &[Event::Timer]);
+    let orders = a.handle(s(103.3), &[Event::Timer]);
     assert!(orders.contains(&Order::Revoke { slice: 0, ep: ep(0) }));
     // The absent proxy's lease ends at 106, the other's answer tells of 106.5, and writes settle in 1.2 s.
     (1..4).for_each(|i| met(&mut a, i, 20, 0, 0.1));
-    a.handle(s(107.0), &[Event::Acked { proxy: 0, mark: 1, way: s(3.5) }]);
+    a.handle(s(107.0), &[Event::Acked { proxy: 0, mark: 1, way: s(3.2) }]);
     assert_eq!(grants(&a.handle(s(107.6), &[Event::Timer])), []);
     assert_eq!(grants(&a.handle(s(107.8), &[Event::Timer])).len(), 1);
 }
