Test lost answers, a relay that answers twice, and descriptors out in a connect

Three hard cases that were tested by their parts alone, now end to end on loopback: the answer to a mark lost with the news between a line taken away and its grant; a relay that answers a call twice; no descriptor left when relay and news are to be connected again (the limit is lowered and raised from outside).

--- a/crates/whinhill-cli/tests/platform.rs
+++ b/crates/whinhill-cli/tests/platform.rs
@@ -11,7 +11,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use rustix::process::{kill_process, Pid, Signal};
+use rustix::process::{kill_process, prlimit, Pid, Resource, Rlimit, Signal};
 
 const WITHIN: Duration = Duration::from_secs(20);
 
@@ -23,6 +23,18 @@
     List,
 }
 
+/// What a relay does with calls.
+#[derive(Clone, Copy, PartialEq)]
+enum Does {
+    Answers,
+    /// Takes them and says nothing.
+    Nothing,
+    /// Answers the first one twice, then as it should.
+    AnswersTwice,
+    /// Breaks the news off in place of the first mark's answer.
+    LosesAnAnswer,
+}
+
 /// The relay: one slice in the assigner's charge, one proxy that answers every mark.
 struct Relay {
     addr: SocketAddr,
@@ -31,21 +43,20 @@
 
 impl Relay {
     fn start(line: &'static str, saw: Sender<Saw>) -> Self {
-        Self::start_with(line, true, saw)
+        Self::start_with(line, Does::Answers, saw)
     }
 
-    /// `answers`: whether its calls get an answer.
-    fn start_with(line: &'static str, answers: bool, saw: Sender<Saw>) -> Self {
+    fn start_with(line: &'static str, does: Does, saw: Sender<Saw>) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let addr = listener.local_addr().unwrap();
         let streams: Arc<Mutex<Vec<TcpStream>>> = Arc::default();
         let news: Arc<Mutex<Option<TcpStream>>> = Arc::default();
-        let kept = streams.clone();
+        let (kept, does) = (streams.clone(), Arc::new(Mutex::new((does, false))));
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 kept.lock().unwrap().push(stream.try_clone().unwrap());
-                let (saw, news) = (saw.clone(), news.clone());
-                thread::spawn(move || serve(stream, line, answers, &news, &saw));
+                let (saw, news, does) = (saw.clone(), news.clone(), does.clone());
+                thread::spawn(move || serve(stream, line, &does, &news, &saw));
             }
         });
         Relay { addr, streams }
@@ -58,24 +69,44 @@
     }
 }
 
-fn serve(stream: TcpStream, line: &str, answers: bool, news: &Mutex<Option<TcpStream>>, saw: &Sender<Saw>) {
+fn serve(
+    stream: TcpStream,
+    line: &str,
+    does: &Mutex<(Does, bool)>,
+    news: &Mutex<Option<TcpStream>>,
+    saw: &Sender<Saw>,
+) {
     let mut out = stream.try_clone().unwrap();
     for request in BufReader::new(stream).lines().map_while(Result::ok) {
         if request == "WATCH" {
-            let _ = write!(out, "OK\r\n* hello 0 a 5 1\r\n* lease 0 1\r\n* line 0 {line} 1.0\r\n*\r\n");
+            // Where an answer was lost, what came before it stands: the line was taken away.
+            let stands =
+                if does.lock().unwrap().1 { String::new() } else { format!("* line 0 {line} 1.0\r\n") };
+            let _ = write!(out, "OK\r\n* hello 0 a 5 1\r\n* lease 0 1\r\n{stands}*\r\n");
             *news.lock().unwrap() = Some(out.try_clone().unwrap());
             let _ = saw.send(Saw::Watch);
             continue;
         }
         let Some(orders) = request.strip_prefix("APPLY ") else { continue };
         let _ = saw.send(Saw::Orders(orders.to_string()));
-        if !answers {
-            continue;
+        let mut does = does.lock().unwrap();
+        let times = match does.0 {
+            Does::Nothing => continue,
+            Does::AnswersTwice => 2,
+            Does::Answers | Does::LosesAnAnswer => 1,
+        };
+        let _ = out.write_all(format!("OK {}\r\n", orders.split(';').count()).repeat(times).as_bytes());
+        if does.0 == Does::AnswersTwice {
+            does.0 = Does::Answers;
         }
-        let _ = write!(out, "OK {}\r\n", orders.split(';').count());
         for mark in orders.split(';').filter_map(|order| order.strip_prefix("fence,")) {
             let mark = mark.split(',').next().unwrap_or_default();
-            if let Some(news) = news.lock().unwrap().as_mut() {
+            if does.0 == Does::LosesAnAnswer {
+                *does = (Does::Answers, true);
+                if let Some(news) = news.lock().unwrap().take() {
+                    let _ = news.shutdown(std::net::Shutdown::Both);
+                }
+            } else if let Some(news) = news.lock().unwrap().as_mut() {
                 let _ = write!(news, "* ack 0 {mark} 1.0\r\n");
             }
         }
@@ -129,7 +160,7 @@
 }
 
 /// The assigner, killed when the test is over.
-struct Running(Child);
+struct Running(Child, Receiver<String>);
 
 impl Drop for Running {
     fn drop(&mut self) {
@@ -160,9 +191,27 @@
         let mut first = String::new();
         log.read_line(&mut first).unwrap();
         let addr = first.split(" addr=").nth(1).and_then(|rest| rest.split(' ').next()?.parse().ok());
-        // The log must be read on, or the assigner would stand still on a full pipe.
-        thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
-        (Running(child), addr.unwrap_or_else(|| panic!("no address in {first:?}")))
+        let (lines, rest) = channel();
+        // The log must be read on, or the assigner would stand still on a full pipe; most tests look at none of it.
+        thread::spawn(move || log.lines().map_while(Result::ok).for_each(|line| drop(lines.send(line))));
+        (Running(child, rest), addr.unwrap_or_else(|| panic!("no address in {first:?}")))
+    }
+
+    fn wait_for_log(&self, part: &str) {
+        let until = Instant::now() + WITHIN;
+        loop {
+            let left = until.saturating_duration_since(Instant::now());
+            let line = self.1.recv_timeout(left).unwrap_or_else(|_| panic!("never logged: {part}"));
+            if line.contains(part) {
+                return;
+            }
+        }
+    }
+
+    /// Sets how many descriptors it may hold.
+    fn limit_descriptors(&self, most: u64) {
+        let limit = Rlimit { current: Some(most), maximum: Some(1024) };
+        prlimit(Pid::from_raw(self.0.id() as i32), Resource::Nofile, limit).unwrap();
     }
 
     fn signal(&self, signal: Signal) {
@@ -243,7 +292,7 @@
     let path = folder.path().join("config.json");
     let (sender, saw) = channel();
     let discovery = discovery(sender.clone());
-    let mute = Relay::start_with("s-gone", false, sender.clone());
+    let mute = Relay::start_with("s-gone", Does::Nothing, sender.clone());
     fs::write(&path, config(mute.addr, discovery)).unwrap();
     let (running, _) = Running::start(&path);
     let revoked = |saw: &Saw| matches!(saw, Saw::Orders(orders) if orders.contains("put,0,s-gone,0"));
@@ -258,6 +307,79 @@
     wait_for(&saw, "a grant at the next relay", granted);
 }
 
+fn orders_with(part: &'static str) -> impl Fn(&Saw) -> bool {
+    move |saw| matches!(saw, Saw::Orders(orders) if orders.contains(part))
+}
+
+fn granted(saw: &Saw) -> bool {
+    orders_with("put,0,s-1,1")(saw) || orders_with("put,0,s-2,1")(saw)
+}
+
+/// The last answer after a line was taken away is lost with the news: it must be asked for again, or the slice
+/// has no owner for good.
+#[test]
+fn an_answer_lost_with_the_news_is_asked_for_again() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("config.json");
+    let (sender, saw) = channel();
+    let discovery = discovery(sender.clone());
+    let relay = Relay::start_with("s-gone", Does::LosesAnAnswer, sender);
+    fs::write(&path, config(relay.addr, discovery)).unwrap();
+    let (_running, _) = Running::start(&path);
+    wait_for(&saw, "the first watch", |saw| *saw == Saw::Watch);
+    wait_for(&saw, "a mark whose answer is lost", orders_with("fence,"));
+    // Nothing is granted on what was never heard.
+    let next = |saw: &Saw| *saw == Saw::Watch || granted(saw);
+    let mut seen = Saw::List;
+    while !next(&seen) {
+        seen = saw.recv_timeout(WITHIN).expect("the news come back");
+    }
+    assert_eq!(seen, Saw::Watch);
+    wait_for(&saw, "a mark again", orders_with("fence,"));
+    wait_for(&saw, "a grant", granted);
+}
+
+/// A second answer would be taken for the next call's: that connection is not used again.
+#[test]
+fn a_relay_that_answers_twice_costs_its_connection_and_no_grant() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("config.json");
+    let (sender, saw) = channel();
+    let discovery = discovery(sender.clone());
+    let relay = Relay::start_with("s-gone", Does::AnswersTwice, sender);
+    fs::write(&path, config(relay.addr, discovery)).unwrap();
+    let (running, _) = Running::start(&path);
+    running.wait_for_log("out of step");
+    wait_for(&saw, "a grant", granted);
+    // One for the news, one that was out of step, one for what followed.
+    assert!(relay.streams.lock().unwrap().len() >= 3);
+}
+
+/// Descriptors run out in a connect: who is connected is served on, and the relay is found again when some are free.
+#[test]
+fn out_of_descriptors_in_a_connect_it_serves_on_and_comes_back() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("config.json");
+    let (sender, saw) = channel();
+    let discovery = discovery(sender.clone());
+    let relay = Relay::start("s-gone", sender);
+    fs::write(&path, config(relay.addr, discovery)).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_whinhill"));
+    command.args(["--log-level", "debug", "assigner", "--platform"]);
+    let (running, addr) = Running::spawn(command, &path);
+    let mut collector = collect(addr);
+    collector.read_exact(&mut [0; 18]).unwrap();
+    wait_for(&saw, "a grant", granted);
+    running.limit_descriptors(3);
+    relay.cut();
+    running.wait_for_log("connect: Too many open files");
+    collector.write_all(b"{\"@type\":\"probe\"}\n").unwrap();
+    collector.read_exact(&mut [0; 18]).unwrap();
+    running.limit_descriptors(256);
+    wait_for(&saw, "a watch of the relay", |saw| *saw == Saw::Watch);
+    wait_for(&saw, "a grant after it", granted);
+}
+
 /// An address at which nobody listens.
 fn nobody() -> SocketAddr {
     TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
