Start handovers anew that a break of the news cut through; no call before all is told

At fault: News::live was true while what stands is told, and settle asked only for a line that differs. Now a slice under a handover, or with line orders in line, starts as if given; after a break calls wait for the end of the telling. A call under way settles its slice itself, as before. Tests over connections: a_handover_that_the_news_broke_off_stops_writes_again (red without the condition: granted s-2 with writes never stopped again), what_the_relay_told_before_a_call... now holds a call under way, since none starts in a telling (red without News::replaced).

--- a/crates/whinhill-cli/tests/platform.rs
+++ b/crates/whinhill-cli/tests/platform.rs
@@ -35,10 +35,14 @@
     LosesAnAnswer,
     /// Has lost it, and holds what came before it: the line was taken away. Answers as it should.
     HasLostAnAnswer,
-    /// Breaks the news off in place of the first mark's answer, as `LosesAnAnswer`; then tells what stands without
-    /// an end, the mark's answer among it, until a line was set.
-    TellsSlowly,
-    TellingSlowly(u16),
+    /// Has lost it, and the slice was in other hands meanwhile: the line stands, and its levels were reset.
+    HasLostTheLevels,
+    LosesTheLevels,
+    /// Breaks the news off under a grant, tells anew what stands without it, and answers the call before the
+    /// telling ends.
+    HoldsAGrant,
+    HoldingIt,
+    HasTold,
 }
 
 /// The relay: one slice in the assigner's charge, one proxy that answers every mark.
@@ -86,11 +90,12 @@
     for request in BufReader::new(stream).lines().map_while(Result::ok) {
         if request == "WATCH" {
             let now = *does.lock().unwrap();
-            let gone = matches!(now, Does::HasLostAnAnswer | Does::TellingSlowly(_));
+            let gone = matches!(now, Does::HasLostAnAnswer | Does::HoldingIt);
             let stands = if gone { String::new() } else { format!("* line 0 {line} 1.0\r\n") };
             let _ = write!(out, "OK\r\n* hello 0 a 5 1\r\n* lease 0 1\r\n{stands}");
-            if let Does::TellingSlowly(mark) = now {
-                tell_until_set(&mut out, mark, does);
+            if now == Does::HoldingIt {
+                *does.lock().unwrap() = Does::HasTold;
+                tell_until_answered(&mut out, does);
             }
             let _ = out.write_all(b"*\r\n");
             *news.lock().unwrap() = Some(out.try_clone().unwrap());
@@ -99,6 +104,14 @@
         }
         let Some(orders) = request.strip_prefix("APPLY ") else { continue };
         let _ = saw.send(Saw::Orders(orders.to_string()));
+        let set = orders.split(';').any(|order| order.starts_with("put,") && order.ends_with(",1"));
+        if set && *does.lock().unwrap() == Does::HoldsAGrant {
+            *does.lock().unwrap() = Does::HoldingIt;
+            break_off(news);
+            while *does.lock().unwrap() == Does::HoldingIt {
+                thread::sleep(Duration::from_millis(1));
+            }
+        }
         let mut does = does.lock().unwrap();
         let times = match *does {
             Does::Nothing => continue,
@@ -106,18 +119,15 @@
             _ => 1,
         };
         let _ = out.write_all(format!("OK {}\r\n", orders.split(';').count()).repeat(times).as_bytes());
-        let set = orders.split(';').any(|order| order.starts_with("put,") && order.ends_with(",1"));
-        if *does == Does::AnswersTwice || set && matches!(*does, Does::TellingSlowly(_)) {
+        if matches!(*does, Does::AnswersTwice | Does::HasTold) {
             *does = Does::Answers;
         }
         for mark in orders.split(';').filter_map(|order| order.strip_prefix("fence,")) {
             let mark = mark.split(',').next().unwrap_or_default();
-            if matches!(*does, Does::LosesAnAnswer | Does::TellsSlowly) {
-                let slowly = Does::TellingSlowly(mark.parse().unwrap_or_default());
-                *does = if *does == Does::TellsSlowly { slowly } else { Does::HasLostAnAnswer };
-                if let Some(news) = news.lock().unwrap().take() {
-                    let _ = news.shutdown(std::net::Shutdown::Both);
-                }
+            if matches!(*does, Does::LosesAnAnswer | Does::LosesTheLevels) {
+                let levels = *does == Does::LosesTheLevels;
+                *does = if levels { Does::HasLostTheLevels } else { Does::HasLostAnAnswer };
+                break_off(news);
             } else if let Some(news) = news.lock().unwrap().as_mut() {
                 let _ = write!(news, "* ack 0 {mark} 1.0\r\n");
             }
@@ -125,12 +135,18 @@
     }
 }
 
-/// Repeats a mark's answer, so that the telling has no pause, until a line was set, and for a while after that.
-fn tell_until_set(out: &mut TcpStream, mark: u16, does: &Mutex<Does>) {
+fn break_off(news: &Mutex<Option<TcpStream>>) {
+    if let Some(news) = news.lock().unwrap().take() {
+        let _ = news.shutdown(std::net::Shutdown::Both);
+    }
+}
+
+/// Goes on telling, so that there is no pause, until the call was answered and for a while after that.
+fn tell_until_answered(out: &mut TcpStream, does: &Mutex<Does>) {
     let mut after = 0;
     while after < 5 {
         after += u32::from(*does.lock().unwrap() == Does::Answers);
-        if write!(out, "* ack 0 {mark} 1.0\r\n").is_err() {
+        if out.write_all(b"* hello 0 a 5 0\r\n").is_err() {
             return;
         }
         thread::sleep(Duration::from_millis(20));
@@ -139,6 +155,10 @@
 
 /// Discovery: two servers, both ready; each call is answered by the whole list, and a watch then stays open.
 fn discovery(saw: Sender<Saw>) -> SocketAddr {
+    discovery_with(["SERVING"; 2], saw)
+}
+
+fn discovery_with(status: [&'static str; 2], saw: Sender<Saw>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let addr = listener.local_addr().unwrap();
     thread::spawn(move || {
@@ -146,7 +166,7 @@
         for mut stream in listener.incoming().flatten() {
             let mut first = String::new();
             let _ = BufReader::new(stream.try_clone().unwrap()).read_line(&mut first);
-            let list = format!("{}\n", list());
+            let list = format!("{}\n", list(status));
             let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
             let _ = write!(stream, "{head}{:x}\r\n{list}\r\n", list.len());
             let _ = saw.send(Saw::List);
@@ -156,13 +176,17 @@
     addr
 }
 
-fn list() -> String {
-    let server = |name: &str| {
+fn list(status: [&str; 2]) -> String {
+    let server = |name: &str, status: &str| {
         format!(
-            r#"{{"name":"{name}","address":"127.0.0.1:9","zone":"a","type":"m","group":0,"status":"SERVING","weight":1.0,"since_ms":0}}"#
+            r#"{{"name":"{name}","address":"127.0.0.1:9","zone":"a","type":"m","group":0,"status":"{status}","weight":1.0,"since_ms":0}}"#
         )
     };
-    format!(r#"{{"index":7,"snapshot":true,"endpoints":[{},{}]}}"#, server("s-1"), server("s-2"))
+    format!(
+        r#"{{"index":7,"snapshot":true,"endpoints":[{},{}]}}"#,
+        server("s-1", status[0]),
+        server("s-2", status[1])
+    )
 }
 
 fn config(relay: SocketAddr, discovery: SocketAddr) -> String {
@@ -365,23 +389,47 @@
     wait_for(&saw, "a grant", granted);
 }
 
-/// A line is set while the relay still tells what stood before it: it is ours, not another's, and the slice must
-/// not be given a second owner.
+/// A call is answered while the relay still tells what stood before it: that line is ours, not another's, and the
+/// slice must not be given a second owner.
 #[test]
 fn what_the_relay_told_before_a_call_is_not_anothers_line() {
     let folder = tempfile::tempdir().unwrap();
     let path = folder.path().join("config.json");
     let (sender, saw) = channel();
     let discovery = discovery(sender.clone());
-    let relay = Relay::start_with("s-gone", Does::TellsSlowly, sender);
+    let relay = Relay::start_with("s-gone", Does::HoldsAGrant, sender);
     fs::write(&path, config(relay.addr, discovery)).unwrap();
     let (running, _) = Running::start(&path);
-    wait_for(&saw, "a mark whose answer is lost", orders_with("fence,"));
-    wait_for(&saw, "a grant while the relay tells what stands", granted);
+    wait_for(&saw, "a grant that is not answered at once", granted);
     let log = running.log_until("again=true");
     assert!(!log.iter().any(|line| line.contains("another line")), "{log:#?}");
 }
 
+/// The news break under a handover, and when they are back the line stands as it was. Somebody else may have had
+/// the slice, whose levels were reset with it: writes must be stopped again before anybody else gets them.
+#[test]
+fn a_handover_that_the_news_broke_off_stops_writes_again() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("config.json");
+    let (sender, saw) = channel();
+    let status = ["DRAINING", "SERVING"];
+    let discovery = discovery_with(status, sender.clone());
+    let relay = Relay::start_with("s-1", Does::LosesTheLevels, sender);
+    let none = r#"{"index":0,"snapshot":true,"endpoints":[]}"#;
+    fs::write(&path, config(relay.addr, discovery).replace(none, &list(status))).unwrap();
+    let (_running, _) = Running::start(&path);
+    wait_for(&saw, "a watch", |saw| *saw == Saw::Watch);
+    let stops = orders_with("gate,0,book,0.000,0");
+    wait_for(&saw, "writes stopped", &stops);
+    wait_for(&saw, "a watch after the break", |saw| *saw == Saw::Watch);
+    let mut seen = Saw::List;
+    while !stops(&seen) && !granted(&seen) {
+        seen = saw.recv_timeout(WITHIN).expect("writes stopped again, or a grant");
+    }
+    assert!(stops(&seen), "{seen:?}");
+    wait_for(&saw, "a grant", granted);
+}
+
 /// A second answer would be taken for the next call's: that connection is not used again.
 #[test]
 fn a_relay_that_answers_twice_costs_its_connection_and_no_grant() {
--- a/crates/whinhill-node/src/relay.rs
+++ b/crates/whinhill-node/src/relay.rs
@@ -1,10 +1,11 @@
 //! The relay's two connections: one for calls, one for news.
 
 use tracing::{info, warn};
-use whinhill::interface::{Entry, Event, ListKind, Listed};
+use whinhill::interface::{Entry, Event, ListKind, Listed, SliceId};
+use whinhill::Assigner;
 use whinhill_platform::lines::Lines;
-use whinhill_platform::relay::calls::Outcome;
-use whinhill_platform::relay::news::{self, Told};
+use whinhill_platform::relay::calls::{Calls, Outcome};
+use whinhill_platform::relay::news::{self, Owed, Told};
 use whinhill_platform::relay::orders::RelayOrder;
 
 use crate::connection::{Connection, Kind};
@@ -56,8 +57,8 @@
 
     pub fn news_passed(&mut self) {
         let (now, mut told) = (self.clock.now(), Vec::new());
-        let calls = &self.calls;
-        let alive = self.news.passed(now, |slice| calls.in_doubt(slice), &mut told);
+        let owed = owed(&self.calls, &self.assigner);
+        let alive = self.news.passed(now, owed, &mut told);
         self.take_news(told);
         if alive {
             self.watch_news();
@@ -69,8 +70,8 @@
     pub fn news_bytes(&mut self, key: usize, bytes: &[u8]) {
         self.deadlines.clear(Due::Connection(key));
         let (now, mut told) = (self.clock.now(), Vec::new());
-        let calls = &self.calls;
-        let taken = self.news.take(now, bytes, &mut self.names, |slice| calls.in_doubt(slice), &mut told);
+        let owed = owed(&self.calls, &self.assigner);
+        let taken = self.news.take(now, bytes, &mut self.names, owed, &mut told);
         self.take_news(told);
         match taken {
             Ok(()) => self.watch_news(),
@@ -92,7 +93,15 @@
                     let way = self.calls.since_order(now, mark, way);
                     self.pending.push(Event::Acked { proxy, mark, way });
                 }
-                Told::Differs { slice } => self.follow_store(slice),
+                Told::Anew { slice, differs } => {
+                    if differs {
+                        self.counts.differing += 1;
+                        info!(slice, "the store holds another line");
+                    } else {
+                        self.counts.anew += 1;
+                    }
+                    self.take_anew(slice);
+                }
                 Told::Settled { again } => {
                     (self.news_again, self.news_fail) = (NEWS_AGAIN.0, false);
                     let (proxies, slices) = (self.news.proxies(), self.news.slices());
@@ -105,8 +114,8 @@
         }
     }
 
-    /// The store holds another line than we knew: the slice counts as given now, with all methods let in.
-    fn follow_store(&mut self, slice: usize) {
+    /// The slice counts as given now, with the line that the store holds and all methods let in.
+    fn take_anew(&mut self, slice: usize) {
         self.calls.forget(slice);
         self.pending.push(Event::Given { slice });
         if let Some(name) = self.news.line_of(slice) {
@@ -116,8 +125,6 @@
         let tries = self.config.settings.get("familyInfo.retryDefault").unwrap_or(0);
         let open = RelayOrder::Level { slice, methods: 0, share: 1.0, tries };
         self.calls.push(self.clock.now(), [open]);
-        self.counts.differing += 1;
-        info!(slice, "the store holds another line");
     }
 
     // Calls.
@@ -220,3 +227,11 @@
         self.calls_moved = true;
     }
 }
+
+/// What is owed to a slice: by calls, or by the module's handover.
+fn owed<'a>(calls: &'a Calls, assigner: &'a Assigner) -> impl Fn(SliceId) -> Owed + 'a {
+    |slice| match calls.owed(slice) {
+        Owed::Nothing if assigner.moving(slice) => Owed::Handover,
+        owed => owed,
+    }
+}
--- a/crates/whinhill-node/src/report.rs
+++ b/crates/whinhill-node/src/report.rs
@@ -23,6 +23,7 @@
     pub throttled: u64,
     pub news_lost: u64,
     pub differing: u64,
+    pub anew: u64,
     pub watches: u64,
     pub discovery_failed: u64,
     pub probes: u64,
--- a/crates/whinhill-platform/src/relay/news.rs
+++ b/crates/whinhill-platform/src/relay/news.rs
@@ -39,9 +39,11 @@
         mark: u16,
         way: Duration,
     },
-    /// A slice of ours has another line than we knew; it follows as if it had been given now.
-    Differs {
+    /// A slice of ours may have been in other hands during a break: it follows as if it had been given now.
+    /// `differs`: the store holds another line than we knew.
+    Anew {
         slice: SliceId,
+        differs: bool,
     },
     /// All that stands was told. `again`: after a break, in which answers may have been lost.
     Settled {
@@ -49,6 +51,17 @@
     },
 }
 
+/// What we owed to a slice when the news came back.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Owed {
+    Nothing,
+    /// A call that sets its line is under way, and will settle it.
+    Call,
+    /// A handover, or orders for its line that have not left. Who had the slice meanwhile has undone what
+    /// they rest on: its levels were reset, and proxies may write again to the owner that had stopped.
+    Handover,
+}
+
 #[derive(Debug, Default, PartialEq)]
 enum Phase {
     #[default]
@@ -107,9 +120,9 @@
         self.phase = Phase::Closed;
     }
 
-    /// Whether we are told what happens, so that orders may be given.
+    /// Whether we know what is ours, so that orders may be given. After a break that is so once all was told.
     pub fn live(&self) -> bool {
-        matches!(self.phase, Phase::Telling | Phase::Live)
+        self.phase == Phase::Live || self.phase == Phase::Telling && !self.told_once
     }
 
     /// When to call [`News::passed`] if nothing comes until then.
@@ -122,14 +135,9 @@
     }
 
     /// Time passed without a word; false: the news are lost.
-    pub fn passed(
-        &mut self,
-        now: Duration,
-        in_doubt: impl Fn(SliceId) -> bool,
-        told: &mut Vec<Told>,
-    ) -> bool {
+    pub fn passed(&mut self, now: Duration, owed: impl Fn(SliceId) -> Owed, told: &mut Vec<Told>) -> bool {
         if self.phase == Phase::Telling && now >= self.heard + TOLD_AFTER {
-            self.settle(in_doubt, told);
+            self.settle(owed, told);
         }
         self.phase == Phase::Closed || now < self.heard + SILENT
     }
@@ -157,7 +165,7 @@
         now: Duration,
         bytes: &[u8],
         names: &mut Names,
-        in_doubt: impl Fn(SliceId) -> bool,
+        owed: impl Fn(SliceId) -> Owed,
         told: &mut Vec<Told>,
     ) -> Result<(), NewsError> {
         self.heard = now;
@@ -172,7 +180,7 @@
                 self.phase = Phase::Telling;
                 continue;
             }
-            if self.line(text, names, &in_doubt, told).is_none() {
+            if self.line(text, names, &owed, told).is_none() {
                 let line = String::from_utf8_lossy(line);
                 return Err(NewsError::Unreadable(line.chars().take(100).collect()));
             }
@@ -185,7 +193,7 @@
         &mut self,
         text: &str,
         names: &mut Names,
-        in_doubt: &impl Fn(SliceId) -> bool,
+        owed: &impl Fn(SliceId) -> Owed,
         told: &mut Vec<Told>,
     ) -> Option<()> {
         let mut words = text.split(' ');
@@ -195,7 +203,7 @@
         match words.next() {
             None => {
                 if self.phase == Phase::Telling {
-                    self.settle(in_doubt, told);
+                    self.settle(owed, told);
                 }
             }
             Some("hello") => {
@@ -271,7 +279,7 @@
         }
     }
 
-    fn settle(&mut self, in_doubt: impl Fn(SliceId) -> bool, told: &mut Vec<Told>) {
+    fn settle(&mut self, owed: impl Fn(SliceId) -> Owed, told: &mut Vec<Told>) {
         self.phase = Phase::Live;
         let again = std::mem::replace(&mut self.told_once, true);
         let left: Vec<ProxyId> =
@@ -287,13 +295,16 @@
             told.push(Told::Event(Event::Taken { slice }));
         }
         for (slice, seen) in std::mem::take(&mut self.seen_slices) {
-            let known = self.slices.get_mut(&slice);
+            let Some(known) = self.slices.get_mut(&slice) else { continue };
             let older = self.replaced.get(&slice).is_some_and(|lines| lines.contains(&seen));
-            let differs = known.filter(|known| **known != seen && !older && !in_doubt(slice));
-            if let Some(known) = differs.filter(|_| !self.fresh.contains(&slice)) {
+            let (differs, owed) = (*known != seen && !older, owed(slice));
+            if self.fresh.contains(&slice) || owed == Owed::Call || !differs && owed == Owed::Nothing {
+                continue;
+            }
+            if differs {
                 *known = seen;
-                told.push(Told::Differs { slice });
             }
+            told.push(Told::Anew { slice, differs });
         }
         self.seen_proxies.clear();
         self.fresh.clear();
--- a/crates/whinhill-platform/src/relay/news/tests.rs
+++ b/crates/whinhill-platform/src/relay/news/tests.rs
@@ -24,7 +24,15 @@
     fn tell(&mut self, text: &str, piece: usize) -> Vec<Told> {
         let mut told = Vec::new();
         for bytes in text.as_bytes().chunks(piece) {
-            self.0.take(MS, bytes, &mut self.1, |slice| slice == 9, &mut told).unwrap();
+            self.0
+                .take(
+                    MS,
+                    bytes,
+                    &mut self.1,
+                    |slice| if slice == 9 { Owed::Call } else { Owed::Nothing },
+                    &mut told,
+                )
+                .unwrap();
         }
         told
     }
@@ -74,7 +82,7 @@
         Told::Event(Event::Stored { slice: 5, ep: reader.ep("s-2") }),
         Told::Event(Event::Left { proxy: 18 }),
         Told::Event(Event::Taken { slice: 9 }),
-        Told::Differs { slice: 88 },
+        Told::Anew { slice: 88, differs: true },
         Told::Settled { again: true },
     ];
     assert_eq!(told, wanted);
@@ -112,10 +120,10 @@
     let told = reader.tell(&format!("OK\r\n{STANDS}"), 1000);
     assert_eq!(told.len(), 5);
     let mut told = Vec::new();
-    assert!(reader.0.passed(MS + TOLD_AFTER, |_| false, &mut told));
+    assert!(reader.0.passed(MS + TOLD_AFTER, |_| Owed::Nothing, &mut told));
     assert_eq!(told, [Told::Settled { again: false }]);
-    assert!(reader.0.passed(SILENT, |_| false, &mut told));
-    assert!(!reader.0.passed(MS + SILENT, |_| false, &mut told));
+    assert!(reader.0.passed(SILENT, |_| Owed::Nothing, &mut told));
+    assert!(!reader.0.passed(MS + SILENT, |_| Owed::Nothing, &mut told));
 }
 
 #[test]
@@ -124,7 +132,7 @@
         let mut reader = Reader::new();
         reader.0.opened(MS);
         let (news, names) = (&mut reader.0, &mut reader.1);
-        assert!(news.take(MS, text.as_bytes(), names, |_| false, &mut Vec::new()).is_err(), "{text}");
+        assert!(news.take(MS, text.as_bytes(), names, |_| Owed::Nothing, &mut Vec::new()).is_err(), "{text}");
     }
 }
 
@@ -144,5 +152,23 @@
     reader.0.opened(MS);
     reader.0.confirmed(88, Some("s-3".to_string()));
     let told = reader.tell(&format!("OK\r\n{}*\r\n", STANDS.replace("s-1", "s-9")), 1000);
-    assert_eq!(told, [Told::Differs { slice: 88 }, Told::Settled { again: true }]);
+    assert_eq!(told, [Told::Anew { slice: 88, differs: true }, Told::Settled { again: true }]);
+}
+
+/// Somebody else may have had the slice during the break: its levels were reset, so writes go on at an owner that
+/// had stopped. The handover starts anew, and no call leaves before all that stands was told.
+#[test]
+fn what_was_owed_in_a_break_starts_anew() {
+    let mut reader = Reader::new();
+    reader.opens(STANDS, 1000);
+    reader.0.opened(MS);
+    let mut told = Vec::new();
+    let text = format!("OK\r\n{STANDS}*\r\n");
+    let (begin, end) = text.split_at(text.len() - 3);
+    let owed = |slice| if slice == 88 { Owed::Handover } else { Owed::Nothing };
+    reader.0.take(MS, begin.as_bytes(), &mut reader.1, owed, &mut told).unwrap();
+    assert!(told.is_empty() && !reader.0.live());
+    reader.0.take(MS, end.as_bytes(), &mut reader.1, owed, &mut told).unwrap();
+    assert_eq!(told, [Told::Anew { slice: 88, differs: false }, Told::Settled { again: true }]);
+    assert!(reader.0.live());
 }
