Move slices in one step where owners are not exclusive; follow how levels are admitted

At fault: the module read neither setting, and took every site for exclusive with shares. Now: where owners are not exclusive, or nothing writes, a move is a grant and the end of the former line in one reply, gated as drains are; where levels are not followed, writes are stopped by the line's end; where they are rates, all is ALL_LET_IN, not one RPC a second; absent settings are the safe ones and unreadable ones named. Calls keep the end of another server's line behind a grant; news tell of lines beside the owner's, which are ended. Moves are granted where they are decided now. Withdrawn: given slices count no lines in the channel.

--- a/crates/whinhill-node/src/node.rs
+++ b/crates/whinhill-node/src/node.rs
@@ -31,8 +31,8 @@
 
 const LISTENER: Token = Token(usize::MAX - 1);
 const SIGNALS: Token = Token(usize::MAX - 2);
-/// The log target of all that the module hears and orders: `--log-level whinhill::trace=debug` without reports
-/// and probes, `=trace` with them. Servers are named by their indices, which the `server` lines explain.
+/// The log target of all that the module hears and orders: `--log-level whinhill::trace=debug` without reports,
+/// probes and answers, `=trace` with them. Servers are named by their indices, which the `server` lines explain.
 const TRACE: &str = "whinhill::trace";
 /// Bytes read at a time.
 const BUFFER: usize = 64 * 1024;
@@ -246,7 +246,11 @@
                 Order::Log { text } => info!("{text}"),
                 other => {
                     debug!(target: TRACE, "order {other:?}");
-                    relay.extend(RelayOrder::of(&other, &self.names));
+                    let order = RelayOrder::of(&other, &self.names);
+                    if let Some(RelayOrder::Line { slice, .. }) = order {
+                        self.news.line_ordered(slice);
+                    }
+                    relay.extend(order);
                 }
             }
         }
@@ -433,7 +437,11 @@
 
 fn trace_event(event: &Event) {
     match event {
-        Event::Met { .. } | Event::Demand { .. } | Event::Probed { .. } | Event::Timer => {
+        Event::Met { .. }
+        | Event::Demand { .. }
+        | Event::Probed { .. }
+        | Event::Acked { .. }
+        | Event::Timer => {
             trace!(target: TRACE, "event {event:?}");
         }
         _ => debug!(target: TRACE, "event {event:?}"),
--- a/crates/whinhill-node/src/relay.rs
+++ b/crates/whinhill-node/src/relay.rs
@@ -1,7 +1,7 @@
 //! The relay's two connections: one for calls, one for news.
 
 use tracing::{info, warn};
-use whinhill::interface::{Entry, Event, ListKind, Listed, SliceId};
+use whinhill::interface::{Entry, Event, ListKind, Listed, SliceId, ALL_LET_IN};
 use whinhill::Assigner;
 use whinhill_platform::lines::Lines;
 use whinhill_platform::relay::calls::{Calls, Outcome};
@@ -102,6 +102,10 @@
                     }
                     self.take_anew(slice);
                 }
+                Told::Extra { slice, server } => {
+                    info!(slice, server, "a line beside the owner's is ended");
+                    self.calls.push(now, [RelayOrder::Line { slice, server, on: false }]);
+                }
                 Told::Settled { again } => {
                     (self.news_again, self.news_fail) = (NEWS_AGAIN.0, false);
                     let (proxies, slices) = (self.news.proxies(), self.news.slices());
@@ -123,7 +127,7 @@
             self.pending.push(Event::Stored { slice, ep });
         }
         let tries = self.config.settings.get("familyInfo.retryDefault").unwrap_or(0);
-        let open = RelayOrder::Level { slice, methods: 0, share: 1.0, tries };
+        let open = RelayOrder::Level { slice, methods: 0, share: ALL_LET_IN, tries };
         self.calls.push(self.clock.now(), [open]);
     }
 
@@ -185,8 +189,8 @@
                 self.close(key);
             }
         }
-        for (slice, line) in self.calls.take_confirmed() {
-            self.news.confirmed(slice, line);
+        for set in self.calls.take_confirmed() {
+            self.news.confirmed(set);
         }
     }
 
--- a/crates/whinhill-platform/src/relay/calls.rs
+++ b/crates/whinhill-platform/src/relay/calls.rs
@@ -42,6 +42,14 @@
     Unknown,
 }
 
+/// A slice's line at a server, set or ended in the store.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SetLine {
+    pub slice: SliceId,
+    pub server: String,
+    pub on: bool,
+}
+
 #[derive(Clone, Debug)]
 struct Waiting {
     order: RelayOrder,
@@ -71,8 +79,8 @@
     errors: u32,
     marks: VecDeque<MarkTimes>,
     last_mark: Option<u16>,
-    /// Slices with a line that the store is known to hold since the last look.
-    confirmed: Vec<(SliceId, Option<String>)>,
+    /// Lines that the store is known to have set or ended since the last look.
+    confirmed: Vec<SetLine>,
     pub unknown: u64,
     pub dropped: u64,
 }
@@ -83,8 +91,9 @@
         for order in orders {
             let mut ordered = now;
             match &order {
-                RelayOrder::Line { slice, on: true, .. } => self.waiting.retain(
-                    |w| !matches!(&w.order, RelayOrder::Line { slice: earlier, .. } if earlier == slice),
+                // The end of another server's line stays: where slices are not exclusive nothing else ends it.
+                RelayOrder::Line { slice, server, on: true } => self.waiting.retain(
+                    |w| !matches!(&w.order, RelayOrder::Line { slice: s, server: other, on } if s == slice && (*on || other == server)),
                 ),
                 RelayOrder::Level { slice, methods, .. } => self.waiting.retain(|w| {
                     !matches!(&w.order, RelayOrder::Level { slice: s, methods: m, .. } if s == slice && m == methods)
@@ -194,7 +203,7 @@
         for done in &orders {
             match &done.order {
                 RelayOrder::Line { slice, server, on } if !void.contains(slice) => {
-                    self.confirmed.push((*slice, on.then(|| server.clone())));
+                    self.confirmed.push(SetLine { slice: *slice, server: server.clone(), on: *on });
                 }
                 RelayOrder::Mark(mark) => self.carry(*mark, now),
                 _ => {}
@@ -268,8 +277,8 @@
         }
     }
 
-    /// Lines that the store is now known to hold.
-    pub fn take_confirmed(&mut self) -> Vec<(SliceId, Option<String>)> {
+    /// Lines that the store is now known to have set or ended.
+    pub fn take_confirmed(&mut self) -> Vec<SetLine> {
         std::mem::take(&mut self.confirmed)
     }
 
--- a/crates/whinhill-platform/src/relay/news.rs
+++ b/crates/whinhill-platform/src/relay/news.rs
@@ -9,6 +9,7 @@
 use whinhill::interface::{Event, ProxyId, SliceId, ZoneId};
 use whinhill_names::Names;
 
+use super::calls::SetLine;
 use crate::lines::{Lines, TooLong};
 
 pub const REQUEST: &[u8] = b"WATCH\r\n";
@@ -45,6 +46,12 @@
         slice: SliceId,
         differs: bool,
     },
+    /// The store holds one more line for a slice than its owner's: where slices are not exclusive, an assigner
+    /// that died between a grant and the end of the former line leaves both.
+    Extra {
+        slice: SliceId,
+        server: String,
+    },
     /// All that stands was told. `again`: after a break, in which answers may have been lost.
     Settled {
         again: bool,
@@ -82,11 +89,13 @@
     /// The slices in our charge, each with the line that the store holds.
     slices: BTreeMap<SliceId, Option<String>>,
     seen_proxies: BTreeSet<ProxyId>,
-    seen_slices: BTreeMap<SliceId, Option<String>>,
+    seen_slices: BTreeMap<SliceId, Vec<String>>,
     /// Slices given since the news came up and before all was told, or lately: their lines follow.
     fresh: BTreeSet<SliceId>,
     /// Lines that calls of ours have replaced since the news came up: what stands may have been told before.
     replaced: BTreeMap<SliceId, BTreeSet<Option<String>>>,
+    /// Slices that were given and whose lines we have not ordered since: all lines that are told are another's.
+    untouched: BTreeSet<SliceId>,
 }
 
 impl Default for News {
@@ -102,6 +111,7 @@
             seen_slices: BTreeMap::new(),
             fresh: BTreeSet::new(),
             replaced: BTreeMap::new(),
+            untouched: BTreeSet::new(),
         }
     }
 }
@@ -113,6 +123,7 @@
         self.seen_proxies.clear();
         self.seen_slices.clear();
         self.fresh.clear();
+        self.untouched.clear();
         self.replaced.clear();
     }
 
@@ -150,12 +161,22 @@
         self.slices.len()
     }
 
-    /// A call of ours set a line. While what stands is being told, that may still be told without it.
-    pub fn confirmed(&mut self, slice: SliceId, line: Option<String>) {
-        let Some(known) = self.slices.get_mut(&slice) else { return };
+    /// A line of the slice is ordered: from now on the store may hold what we set.
+    pub fn line_ordered(&mut self, slice: SliceId) {
+        self.untouched.remove(&slice);
+    }
+
+    /// A call of ours set or ended a line. While what stands is being told, that may still be told without it.
+    pub fn confirmed(&mut self, set: SetLine) {
+        let Some(known) = self.slices.get_mut(&set.slice) else { return };
+        let line = match (set.on, &*known) {
+            (true, _) => Some(set.server),
+            (false, Some(other)) if *other != set.server => return,
+            (false, _) => None,
+        };
         let replaced = std::mem::replace(known, line);
         if matches!(self.phase, Phase::Opening | Phase::Telling) {
-            self.replaced.entry(slice).or_default().insert(replaced);
+            self.replaced.entry(set.slice).or_default().insert(replaced);
         }
     }
 
@@ -250,7 +271,9 @@
                 let slice = names.slice(words.next()?.parse().ok()?)?;
                 let server = words.next()?;
                 let weight: f64 = words.next()?.parse().ok()?;
-                self.stored(slice, (weight > 0.0).then_some(server), names, told);
+                if weight > 0.0 {
+                    self.stored(slice, server, names, told);
+                }
             }
             Some(_) => return None,
         }
@@ -258,24 +281,33 @@
     }
 
     fn given(&mut self, slice: SliceId, told: &mut Vec<Told>) {
-        self.seen_slices.insert(slice, None);
+        self.seen_slices.insert(slice, Vec::new());
         if self.phase == Phase::Live || !self.slices.contains_key(&slice) {
             self.slices.insert(slice, None);
             self.fresh.insert(slice);
+            self.untouched.insert(slice);
             told.push(Told::Event(Event::Given { slice }));
         }
     }
 
-    fn stored(&mut self, slice: SliceId, server: Option<&str>, names: &mut Names, told: &mut Vec<Told>) {
+    fn stored(&mut self, slice: SliceId, server: &str, names: &mut Names, told: &mut Vec<Told>) {
         let Some(known) = self.slices.get_mut(&slice) else { return };
         if let Some(seen) = self.seen_slices.get_mut(&slice) {
-            *seen = server.map(str::to_string);
+            seen.push(server.to_string());
         }
         // The line of a slice that stood before a break is compared once all was told.
-        let Some(server) = server.filter(|_| self.fresh.contains(&slice)) else { return };
-        if known.is_none() {
-            *known = Some(server.to_string());
-            told.push(Told::Event(Event::Stored { slice, ep: names.ep(server) }));
+        if !self.untouched.contains(&slice) {
+            return;
+        }
+        match known {
+            None => {
+                *known = Some(server.to_string());
+                told.push(Told::Event(Event::Stored { slice, ep: names.ep(server) }));
+            }
+            Some(known) if known != server => {
+                told.push(Told::Extra { slice, server: server.to_string() });
+            }
+            Some(_) => {}
         }
     }
 
@@ -296,15 +328,20 @@
         }
         for (slice, seen) in std::mem::take(&mut self.seen_slices) {
             let Some(known) = self.slices.get_mut(&slice) else { continue };
-            let older = self.replaced.get(&slice).is_some_and(|lines| lines.contains(&seen));
-            let (differs, owed) = (*known != seen && !older, owed(slice));
+            let is = |line: &Option<String>| line.as_slice() == seen;
+            let older = self.replaced.get(&slice).is_some_and(|lines| lines.iter().any(is));
+            let (differs, owed) = (!is(known) && !older, owed(slice));
             if self.fresh.contains(&slice) || owed == Owed::Call || !differs && owed == Owed::Nothing {
                 continue;
             }
+            told.push(Told::Anew { slice, differs });
             if differs {
-                *known = seen;
+                // Of several lines the one that we knew stays, or else the first.
+                let stays = seen.iter().find(|line| known.as_ref() == Some(*line)).or(seen.first()).cloned();
+                let extra = seen.into_iter().filter(|line| Some(line) != stays.as_ref());
+                told.extend(extra.map(|server| Told::Extra { slice, server }));
+                *known = stays;
             }
-            told.push(Told::Anew { slice, differs });
         }
         self.seen_proxies.clear();
         self.fresh.clear();
--- a/crates/whinhill-platform/src/relay/news/tests.rs
+++ b/crates/whinhill-platform/src/relay/news/tests.rs
@@ -144,13 +144,14 @@
     reader.opens(STANDS, 1000);
     reader.0.opened(MS);
     assert_eq!(reader.tell(&format!("OK\r\n{STANDS}"), 1000), []);
-    reader.0.confirmed(88, None);
-    reader.0.confirmed(88, Some("s-2".to_string()));
+    let set = |server: &str, on| SetLine { slice: 88, server: server.to_string(), on };
+    reader.0.confirmed(set("s-1", false));
+    reader.0.confirmed(set("s-2", true));
     assert_eq!(reader.tell("*\r\n", 1000), [Told::Settled { again: true }]);
     assert_eq!(reader.0.line_of(88), Some("s-2"));
     // What neither stood before nor was set by us is another's.
     reader.0.opened(MS);
-    reader.0.confirmed(88, Some("s-3".to_string()));
+    reader.0.confirmed(set("s-3", true));
     let told = reader.tell(&format!("OK\r\n{}*\r\n", STANDS.replace("s-1", "s-9")), 1000);
     assert_eq!(told, [Told::Anew { slice: 88, differs: true }, Told::Settled { again: true }]);
 }
@@ -172,3 +173,23 @@
     assert_eq!(told, [Told::Anew { slice: 88, differs: false }, Told::Settled { again: true }]);
     assert!(reader.0.live());
 }
+
+/// Where slices are not exclusive a table may have several lines: the owner's stays, the others are told.
+#[test]
+fn lines_beside_the_owners_are_told() {
+    let mut reader = Reader::new();
+    let two = format!("{STANDS}* line 88 s-2 1.0\r\n* line 88 s-3 0.0\r\n");
+    let extra = Told::Extra { slice: 88, server: "s-2".to_string() };
+    assert!(reader.opens(&two, 1000).contains(&extra));
+    let again = [Told::Anew { slice: 88, differs: true }, extra, Told::Settled { again: true }];
+    assert_eq!(reader.opens(&two, 1000), again);
+    assert_eq!(reader.0.line_of(88), Some("s-1"));
+    // The former owner's end is no end of the next one's line.
+    reader.0.confirmed(SetLine { slice: 88, server: "s-2".to_string(), on: true });
+    reader.0.confirmed(SetLine { slice: 88, server: "s-1".to_string(), on: false });
+    assert_eq!(reader.0.line_of(88), Some("s-2"));
+    // What is told of a slice whose line we have ordered meanwhile is ours.
+    reader.tell("* lease 5 1\r\n* line 5 s-1 1.0\r\n", 1000);
+    reader.0.line_ordered(5);
+    assert_eq!(reader.tell("* line 5 s-2 1.0\r\n", 1000), []);
+}
--- a/crates/whinhill/src/assigner.rs
+++ b/crates/whinhill/src/assigner.rs
@@ -10,7 +10,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::interface::*;
-use crate::settings::Config;
+use crate::settings::{Admission, Config};
 use crate::state::{middle, Channel, Following, Handover, Move, Plan, Proxy, Server, Slice, Sum, View};
 
 // Tuned values: unit, reason, and what goes wrong with another.
@@ -69,8 +69,8 @@
 const LEAVE_ROOM: (f64, f64) = (0.3, 0.6);
 const GRANT_ROOM: (f64, f64) = (0.3, 0.5);
 const DRAIN_ROOM: (f64, f64) = (0.8, 0.9);
-/// The channel may run this many times slower than stated, and as often again while an answer is overdue. Lower:
-/// the queue's rule is at risk; higher: a channel whose answers are lost stays shut for long.
+/// The channel may run this many times slower than stated, and as often again while an answer is overdue.
+/// Lower: the queue's rule is at risk; higher: where answers are lost it stays shut for long.
 const SLOW_CHANNEL: f64 = 4.0;
 /// Mean wait, as a part of the soft deadline, at which a server counts as overloaded.
 const LATE: f64 = 0.4;
@@ -192,10 +192,12 @@
             }
             Event::Acked { proxy, mark, way } => self.acked(*proxy, *mark, *way),
             Event::Given { slice } => {
-                let (ordered, quiet) = (self.now, self.unheard_until(self.now));
-                self.channel.read += 1;
-                let joined = self.proxies.iter().filter(|(_, p)| p.joined);
+                let ordered = self.now;
+                let joined = self.proxies.iter().filter(|(_, p)| p.joined && self.cfg.guarded);
                 let awaits = joined.map(|(id, _)| (*id, Some(u64::MAX))).collect();
+                // Its line may still be told.
+                let line = self.now + self.cfg.way_most;
+                let quiet = if self.cfg.guarded { self.unheard_until(self.now) } else { line };
                 self.slices[*slice] = Slice {
                     ours: true,
                     given: self.now,
@@ -294,7 +296,7 @@
     /// Whether a zone's proxies have all left lately, or are just back: then the path is broken, and slices
     /// stay for as long as their move would take. Harm: if the servers died too, they leave so much later.
     fn cut_off(&self, zone: ZoneId) -> bool {
-        let (gone, back) = (self.cfg.lease + self.cfg.settle, self.half * 2);
+        let (gone, back) = (self.cfg.move_time, self.half * 2);
         let mut there = self.proxies.values().filter(|p| p.zone == zone).peekable();
         there.peek().is_some() && there.all(|p| self.now < p.since + if p.joined { back } else { gone })
     }
@@ -655,8 +657,11 @@
 
     // 4. Handover: stop, every proxy's answer or lease end, settle, grant.
 
-    /// Stops a slice's writes at its owner, or with `cut` everything, and awaits every proxy.
+    /// Stops a slice's writes at its owner, or with `cut` all, and awaits every proxy; or grants at once.
     fn stop(&mut self, id: SliceId, to: Option<usize>, cut: bool) {
+        if !self.cfg.guarded {
+            return to.into_iter().for_each(|to| self.grant(id, to));
+        }
         let (mark, lease) = (self.channel.marks + 1, self.cfg.lease);
         (self.channel.mark_wanted, self.channel.due) = (true, self.channel.due + 1);
         let absent = self.proxies.values().filter(|p| !p.joined).map(|p| p.since + lease).max();
@@ -664,7 +669,8 @@
         let quiet = absent.unwrap_or_default().max(self.unheard_until(self.slices[id].given));
         let handover = Handover { awaits: awaits.collect(), ordered: self.now, quiet, cut: false, to };
         self.slices[id].handover = Some(handover);
-        if cut {
+        // Where levels are not followed, only the line's end stops writes.
+        if cut || self.cfg.admission == Admission::Off {
             self.cut(id);
         }
     }
@@ -690,7 +696,7 @@
     fn join(&mut self, proxy: ProxyId, zone: ZoneId) {
         self.proxies.insert(proxy, Proxy { zone, joined: true, since: self.now });
         self.channel.tuned = None;
-        let owned = self.slices.iter_mut().filter(|s| s.owner.is_some());
+        let owned = self.slices.iter_mut().filter(|s| s.owner.is_some() && self.cfg.guarded);
         for handover in owned.filter_map(|s| s.handover.as_mut()) {
             if !handover.cut || handover.awaits.get(&proxy) != Some(&None) {
                 handover.awaits.insert(proxy, Some(u64::MAX));
@@ -732,7 +738,8 @@
             let Some(handover) = slice.handover.as_ref().filter(|_| open) else { continue };
             let waits = handover.awaits.values().any(Option::is_some);
             // One given without an owner waits for answers, or a lease: then nobody writes by old word.
-            let most = if slice.owner.is_none() { slice.given + self.cfg.lease } else { Duration::MAX };
+            let given = slice.owner.is_none() && self.cfg.guarded;
+            let most = if given { slice.given + self.cfg.lease } else { Duration::MAX };
             let quiet = if waits { most } else { handover.quiet.min(most) };
             if self.now < quiet.saturating_add(self.cfg.settle) || !self.has_room(GRANT_ROOM.1) {
                 continue;
@@ -743,16 +750,25 @@
             let elsewhere = || self.destination(id, view.get_or_insert_with(|| self.view()));
             let Some(to) = wanted.or(stays).or_else(elsewhere).or(last) else { continue };
             view.iter_mut().for_each(|v: &mut View| v.loads[to] += v.demand[id] * v.units[to]);
-            let same = slice.owner == Some(to) && !handover.cut;
-            let slice = &mut self.slices[id];
-            (slice.owner, slice.handover, slice.stays) = (Some(to), None, self.now + STAY);
-            // The first answers show only after the grant's way and a report.
-            self.servers[to].last_ok = self.now + self.cfg.way_most + self.half;
-            self.channel.due += self.cfg.methods.len();
-            self.out.extend((!same).then_some(Order::Grant { slice: id, ep: self.servers[to].ep }));
+            self.grant(id, to);
         }
     }
 
+    fn grant(&mut self, id: SliceId, to: usize) {
+        let slice = &mut self.slices[id];
+        let cut = slice.handover.take().is_some_and(|h| h.cut);
+        let former = slice.owner.filter(|o| *o != to && !cut);
+        let new = cut || slice.owner != Some(to);
+        (slice.owner, slice.stays) = (Some(to), self.now + STAY);
+        // The first answers show only after the grant's way and a report.
+        self.servers[to].last_ok = self.now + self.cfg.way_most + self.half;
+        self.channel.due += self.cfg.methods.len();
+        self.out.extend(new.then_some(Order::Grant { slice: id, ep: self.servers[to].ep }));
+        // Where slices are not exclusive that is one more line beside the former owner's.
+        let ends = former.filter(|_| !self.cfg.exclusive);
+        self.out.extend(ends.map(|o| Order::Revoke { slice: id, ep: self.servers[o].ep }));
+    }
+
     // 5. Levels and tries.
 
     /// The work a second that each server can do: as learned there, else as learned at the others.
@@ -767,6 +783,9 @@
 
     /// Draws each server's line of criticality by its limit, and by its budget while it is cold.
     fn draw_lines(&mut self) {
+        if self.cfg.admission != Admission::Share {
+            return;
+        }
         let view = self.view();
         let offered = self.demand_by(&view.demand, |s| s.owner);
         let work = |m: &usize| self.came[*m].read(self.now, self.half) * self.work(*m);
@@ -797,7 +816,8 @@
         let open = period && self.channel.tuned.is_none();
         for id in 0..self.slices.len() {
             let slice = &self.slices[id];
-            let (stopped, cut) = slice.handover.as_ref().map_or((false, false), |h| (true, h.cut));
+            let moving = slice.handover.as_ref().filter(|_| self.cfg.guarded);
+            let (stopped, cut) = moving.map_or((false, false), |h| (true, h.cut));
             let Some(owner) = slice.owner else { continue };
             let line = self.servers[owner].line;
             let cold = period && self.cold(owner) && self.has_room(0.5);
@@ -812,7 +832,9 @@
                 }
             }
             for (method, share) in wanted.iter().enumerate().filter(|(m, share)| slice.told[*m] != **share) {
-                let (share, methods, tries) = (*share, 1 << method, self.cfg.tries);
+                let all = self.cfg.admission == Admission::Rate && *share > 0.0;
+                let share = if all { ALL_LET_IN } else { *share };
+                let (methods, tries) = (1 << method, self.cfg.tries);
                 self.out.push(Order::Level { slice: id, share, methods, tries });
                 if open {
                     (self.channel.mark_wanted, self.channel.tuned) = (true, Some(self.channel.marks + 1));
@@ -833,7 +855,7 @@
 
     /// Lines that the channel carries for a message to every proxy with what is written so far, and more.
     fn lines(&self, more: usize) -> f64 {
-        let orders = self.out.iter().filter(|order| order.costs_a_line()).count() + self.channel.read + more;
+        let orders = self.out.iter().filter(|order| order.costs_a_line()).count() + more;
         (orders as f64 + self.cfg.head) * self.joined() as f64
     }
 
@@ -845,15 +867,12 @@
     fn close(&mut self) -> Vec<Order> {
         let now = self.now;
         // The answer tells early that a channel thought to be filled has emptied.
-        let written = self.out.iter().any(Order::costs_a_line) || self.channel.read > 0;
-        let filled = written && !self.has_room(PLAN_ROOM);
-        let read = (std::mem::take(&mut self.channel.read) * self.joined()) as f64;
-        self.channel.sent.extend((read > 0.0).then_some((self.channel.marks, read, now)));
+        let filled = self.out.iter().any(Order::costs_a_line) && !self.has_room(PLAN_ROOM);
         if std::mem::take(&mut self.channel.mark_wanted) || filled {
             self.channel.marks += 1;
             self.out.push(Order::Mark { mark: (self.channel.marks & 0xffff) as u16 });
         }
-        // An answer that is overdue tells that more waits than was reckoned: all that is not answered, at most.
+        // An overdue answer tells that more waits than was reckoned: all that is not answered, at most.
         let answered = self.channel.answered;
         let first = self.channel.sent.iter().find(|(mark, ..)| *mark > answered);
         let overdue = first.is_some_and(|(_, _, at)| now > *at + self.cfg.way_most);
@@ -863,7 +882,7 @@
         self.channel.overdue = overdue;
         let slow = SLOW_CHANNEL * if overdue { SLOW_CHANNEL } else { 1.0 };
         let sent = now.saturating_sub(self.channel.at).as_secs_f64() * self.cfg.lines_per_s / slow;
-        (self.channel.lines, self.channel.at) = ((self.channel.lines - sent).max(0.0) + read, now);
+        (self.channel.lines, self.channel.at) = ((self.channel.lines - sent).max(0.0), now);
         self.channel.messages.retain(|at| now <= *at + self.cfg.messages_span);
         if self.out.iter().any(Order::costs_a_line) {
             let lines = self.lines(0);
--- a/crates/whinhill/src/interface.rs
+++ b/crates/whinhill/src/interface.rs
@@ -167,9 +167,13 @@
 /// Which methods an order is for.
 pub type MethodMask = u32;
 
+/// A level that lets everything in, whether levels are shares or rates: far more than a proxy could ever be sent.
+pub const ALL_LET_IN: f64 = 1e6;
+
 #[derive(Clone, Debug, PartialEq)]
 pub enum Order {
-    /// Make `ep` the slice's owner in every proxy's table and in the store.
+    /// Make `ep` the slice's owner in every proxy's table and in the store. Where slices are exclusive it takes the
+    /// place of another's line; elsewhere that stays until it is revoked.
     Grant {
         slice: SliceId,
         ep: Ep,
@@ -262,6 +266,15 @@
         flags.ok_or_else(|| self.error(path))
     }
 
+    /// A value that may be absent. One that is there and cannot be read is a fault all the same.
+    pub fn optional<T>(&self, value: Result<T, SettingsError>) -> Result<Option<T>, SettingsError> {
+        match value {
+            Ok(value) => Ok(Some(value)),
+            Err(error) if error.value.is_none() => Ok(None),
+            Err(error) => Err(error),
+        }
+    }
+
     /// A span of time, written in milliseconds.
     pub fn span(&self, path: &str) -> Result<Duration, SettingsError> {
         let ms = self.get::<f64>(path)?;
--- a/crates/whinhill/src/settings.rs
+++ b/crates/whinhill/src/settings.rs
@@ -10,6 +10,17 @@
     pub writes: bool,
 }
 
+/// How proxies follow levels.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// A level is the share that is let in.
+    Share,
+    /// A level is the RPCs a second that each proxy lets in.
+    Rate,
+    /// Levels are not followed.
+    Off,
+}
+
 pub struct Config {
     pub watch: bool,
     pub must_ask: Duration,
@@ -23,10 +34,17 @@
     pub mean_soft: f64,
     pub tries: u8,
     pub period: Duration,
+    /// A slice has one line, and writes go to one server at a time.
+    pub exclusive: bool,
+    /// Writes to a slice must have ended at one owner before the next gets any.
+    pub guarded: bool,
+    pub admission: Admission,
     pub lease: Duration,
     /// All that there are, across all assigners.
     pub proxies: usize,
     pub settle: Duration,
+    /// How long a guarded move of a slice takes.
+    pub move_time: Duration,
     pub grace: Duration,
     pub way_most: Duration,
     pub warm_after: Duration,
@@ -56,21 +74,44 @@
             methods.iter().map(|m| m.soft.as_secs_f64()).sum::<f64>() / methods.len().max(1) as f64;
         let mut ranks: Vec<usize> = (0..methods.len()).collect();
         ranks.sort_by(|a, b| methods[*a].criticality.total_cmp(&methods[*b].criticality));
+        let exclusive = settings.optional(settings.flag("familyInfo.oneOwner"))?.unwrap_or(true);
+        let guarded = exclusive && methods.iter().any(|m| m.writes);
+        let admission = match settings.optional(settings.get::<String>("familyInfo.admission"))?.as_deref() {
+            None | Some("share") => Admission::Share,
+            Some("rate") => Admission::Rate,
+            Some("off") => Admission::Off,
+            Some(other) => {
+                let (path, value) = ("familyInfo.admission".to_string(), Some(other.to_string()));
+                return Err(SettingsError { path, value });
+            }
+        };
+        // Where nothing is guarded these say nothing, and may be absent.
+        let guard = |path: &str| match guarded {
+            true => settings.span(path),
+            false => Ok(settings.optional(settings.span(path))?.unwrap_or_default()),
+        };
+        let (lease, settle) = (guard("familyInfo.writeLease")?, guard("familyInfo.inFlightMax")?);
+        let waits = |time: Duration| if guarded { time } else { Duration::ZERO };
+        // Absent where nothing need be asked: then never.
+        let never = Duration::from_secs(u64::from(u32::MAX));
         Ok(Config {
             watch,
-            // Absent where nothing need be asked: then never.
-            must_ask: settings.span("rules.mustAskIn").unwrap_or(Duration::from_secs(u64::from(u32::MAX))),
-            gone_is_advice: settings.flag("rules.goneIsAdvice").unwrap_or(false),
+            must_ask: settings.optional(settings.span("rules.mustAskIn"))?.unwrap_or(never),
+            gone_is_advice: settings.optional(settings.flag("rules.goneIsAdvice"))?.unwrap_or(false),
             probes: settings.flag("caps.mayProbe")?,
             methods,
             ranks,
             mean_soft,
             tries: settings.get("familyInfo.retryDefault")?,
             period: settings.span("familyInfo.period")?.max(Duration::from_millis(1)),
-            lease: settings.span("familyInfo.writeLease")?,
+            exclusive,
+            guarded,
+            admission,
+            lease: waits(lease),
+            move_time: lease + settle,
             // Absent where nobody counts them: then some may always be unheard of.
-            proxies: settings.get("familyInfo.dataPlaneSize").unwrap_or(usize::MAX),
-            settle: settings.span("familyInfo.inFlightMax")?,
+            proxies: settings.optional(settings.get("familyInfo.dataPlaneSize"))?.unwrap_or(usize::MAX),
+            settle: waits(settle),
             grace: settings.span("rules.stopSendingWithin")?,
             way_most: settings.span("familyInfo.transitMax")?,
             warm_after: settings.span("rules.warmAfter")?.max(Duration::from_millis(1)),
--- a/crates/whinhill/src/state.rs
+++ b/crates/whinhill/src/state.rs
@@ -191,8 +191,6 @@
     pub overdue: bool,
     /// Lines at a proxy that orders still to be written in this reply will need.
     pub due: usize,
-    /// Slices given since the last reply: every proxy reads each anew, through our channel, ahead of the reply.
-    pub read: usize,
     pub at: Duration,
     /// When messages were sent lately.
     pub messages: Vec<Duration>,
