Name connections by place and generation, so that none is taken for the one before it

Read, not seen to fail: a slab key was told from its successor by the time it was opened, and on a clock that moves by processor time alone two can share an instant. Tokens, deadlines, the unread and the keys held elsewhere carry a name now that is not given again; peers are counted rather than walked at each accept. Tests of names and of deadlines in files of their own.

--- a/crates/whinhill-node/src/connection.rs
+++ b/crates/whinhill-node/src/connection.rs
@@ -25,6 +25,7 @@
 
 pub struct Connection {
     pub kind: Kind,
+    /// When it was opened, for its age alone.
     pub opened: Duration,
     stream: TcpStream,
     out: Vec<u8>,
--- a/crates/whinhill-node/src/deadlines.rs
+++ b/crates/whinhill-node/src/deadlines.rs
@@ -3,6 +3,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use crate::connections::Id;
+
 /// What a deadline is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Due {
@@ -24,8 +26,8 @@
     Beliefs,
     /// The end, after SIGTERM.
     End,
-    /// A connection of this key has taken too long.
-    Connection(usize),
+    /// A connection has taken too long.
+    Connection(Id),
 }
 
 #[derive(Debug, Default)]
@@ -69,20 +71,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn each_thing_has_one_deadline_and_the_earliest_comes_first() {
-        let (mut deadlines, second) = (Deadlines::default(), Duration::from_secs(1));
-        deadlines.set(Due::Connection(4), second);
-        deadlines.set(Due::Wake, second * 2);
-        deadlines.set_by(Due::Wake, second * 3);
-        deadlines.set(Due::Connection(4), second * 4);
-        deadlines.set(Due::Connection(5), second);
-        deadlines.clear(Due::Connection(5));
-        assert_eq!((deadlines.next_at(), deadlines.pop(second)), (Some(second * 2), None));
-        let all: Vec<Due> = std::iter::from_fn(|| deadlines.pop(second * 9)).collect();
-        assert_eq!(all, [Due::Wake, Due::Connection(4)]);
-    }
-}
+mod tests;
--- a/crates/whinhill-node/src/discovery.rs
+++ b/crates/whinhill-node/src/discovery.rs
@@ -6,6 +6,7 @@
 use whinhill_platform::roster::Roster;
 
 use crate::connection::{Connection, Kind};
+use crate::connections::Id;
 use crate::deadlines::Due;
 use crate::limits::*;
 use crate::node::Node;
@@ -13,9 +14,9 @@
 impl Node {
     /// The module wants to hear of changes.
     pub fn watch(&mut self) {
-        if let Some(key) = self.watch_at {
+        if let Some(id) = self.watch_at {
             // A watch that lives has told all; one that is coming up will answer.
-            if self.watch_lives(key) {
+            if self.watch_lives(id) {
                 self.pending.push(Event::List { kind: ListKind::Changes, entries: Vec::new() });
             }
             return;
@@ -25,8 +26,8 @@
         }
     }
 
-    fn watch_lives(&self, key: usize) -> bool {
-        matches!(self.connections.get(key).map(|c| &c.kind), Some(Kind::Asking(asking)) if asking.answered())
+    fn watch_lives(&self, id: Id) -> bool {
+        matches!(self.connections.get(id).map(|c| &c.kind), Some(Kind::Asking(asking)) if asking.answered())
     }
 
     fn open_watch(&mut self) -> bool {
@@ -47,7 +48,7 @@
 
     /// Discovery is at another address.
     pub fn move_watch(&mut self) {
-        self.watch_at.take().into_iter().for_each(|key| drop(self.close(key)));
+        self.watch_at.take().into_iter().for_each(|id| drop(self.close(id)));
         if !self.open_watch() {
             self.push_failed("cannot connect");
         }
@@ -61,25 +62,25 @@
         self.pending.push(Event::List { kind: ListKind::Failed, entries: Vec::new() });
     }
 
-    pub fn discovery_bytes(&mut self, key: usize, bytes: &[u8]) {
-        let Some(Connection { kind: Kind::Asking(asking), .. }) = self.connections.get_mut(key) else {
+    pub fn discovery_bytes(&mut self, id: Id, bytes: &[u8]) {
+        let Some(Connection { kind: Kind::Asking(asking), .. }) = self.connections.get_mut(id) else {
             return;
         };
         let watch = asking.is_watch();
         match asking.take(bytes) {
             Ok(lists) => {
                 if watch {
-                    self.deadlines.set(Due::Connection(key), self.clock.now() + WATCH_SILENT);
+                    self.deadlines.set(Due::Connection(id), self.clock.now() + WATCH_SILENT);
                 }
                 let done = !watch && !lists.is_empty();
                 if !lists.iter().all(|list| self.take_list(list)) {
-                    return self.discovery_failed(key, "it went back in version");
+                    return self.discovery_failed(id, "it went back in version");
                 }
                 if done {
-                    self.close(key);
+                    self.close(id);
                 }
             }
-            Err(error) => self.discovery_failed(key, &error.to_string()),
+            Err(error) => self.discovery_failed(id, &error.to_string()),
         }
     }
 
@@ -96,21 +97,21 @@
         true
     }
 
-    pub fn discovery_ended(&mut self, key: usize) {
-        let Some(Connection { kind: Kind::Asking(asking), .. }) = self.connections.get(key) else { return };
+    pub fn discovery_ended(&mut self, id: Id) {
+        let Some(Connection { kind: Kind::Asking(asking), .. }) = self.connections.get(id) else { return };
         match asking.ended() {
             Ok(lists) => {
-                self.close(key);
+                self.close(id);
                 if !lists.iter().all(|list| self.take_list(list)) {
                     self.push_failed("it went back in version");
                 }
             }
-            Err(error) => self.discovery_failed(key, &error.to_string()),
+            Err(error) => self.discovery_failed(id, &error.to_string()),
         }
     }
 
-    pub fn discovery_failed(&mut self, key: usize, why: &str) {
-        self.close(key);
+    pub fn discovery_failed(&mut self, id: Id, why: &str) {
+        self.close(id);
         self.push_failed(why);
     }
 }
--- a/crates/whinhill-node/src/lib.rs
+++ b/crates/whinhill-node/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod clock;
 mod connection;
+mod connections;
 mod deadlines;
 mod discovery;
 mod limits;
--- a/crates/whinhill-node/src/node.rs
+++ b/crates/whinhill-node/src/node.rs
@@ -10,7 +10,6 @@
 use mio::{Events, Interest, Poll, Token};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook_mio::v1_0::Signals;
-use slab::Slab;
 use tracing::{debug, info, trace, warn};
 use whinhill::interface::{Entry, Event, ListKind, Listed, Order};
 use whinhill::Assigner;
@@ -24,6 +23,7 @@
 
 use crate::clock::Clock;
 use crate::connection::{Connection, Kind};
+use crate::connections::{Connections, Id};
 use crate::deadlines::{Deadlines, Due};
 use crate::limits::*;
 use crate::report::Counts;
@@ -43,10 +43,10 @@
     signals: Signals,
     pub clock: Clock,
     pub deadlines: Deadlines,
-    pub connections: Slab<Connection>,
+    pub connections: Connections,
     buffer: Vec<u8>,
     /// Connections with more to read than one turn allows.
-    unread: Vec<usize>,
+    unread: Vec<Id>,
     path: PathBuf,
     pub config: PlatformConfig,
     pub names: Names,
@@ -60,19 +60,21 @@
     last_batch: Duration,
     round: Duration,
     pub calls: Calls,
-    pub calls_at: Option<usize>,
+    pub calls_at: Option<Id>,
     pub calls_used: Duration,
     /// The connection for calls leads to a former address: it serves the call under way and no other.
     pub calls_moved: bool,
     pub news: News,
-    pub news_at: Option<usize>,
+    pub news_at: Option<Id>,
     pub news_again: Duration,
     pub version: Version,
-    pub watch_at: Option<usize>,
+    pub watch_at: Option<Id>,
     /// Whether the last word of discovery, and of the relay's news, was a failure: told once, when it changes.
     pub discovery_fails: bool,
     pub news_fail: bool,
     pub probing: usize,
+    /// Whoever connected and is connected, and those of them who have not joined.
+    pub peers: usize,
     pub strangers: usize,
     pub peers_most: usize,
     pub counts: Counts,
@@ -119,7 +121,7 @@
             signals,
             clock,
             deadlines: Deadlines::default(),
-            connections: Slab::new(),
+            connections: Connections::default(),
             buffer: vec![0; BUFFER],
             unread: Vec::new(),
             path: path.into(),
@@ -141,6 +143,7 @@
             discovery_fails: false,
             news_fail: false,
             probing: 0,
+            peers: 0,
             strangers: 0,
             counts: Counts::default(),
             ending: false,
@@ -172,18 +175,19 @@
                 match event.token() {
                     LISTENER => self.accept(),
                     SIGNALS => self.take_signals(),
-                    Token(key) => {
+                    token => {
+                        let id = Id::of(token);
                         if event.is_writable() {
-                            self.writable(key);
+                            self.writable(id);
                         }
                         if event.is_readable() || event.is_read_closed() || event.is_error() {
-                            self.readable(key);
+                            self.readable(id);
                         }
                     }
                 }
             }
-            for key in std::mem::take(&mut self.unread) {
-                self.readable(key);
+            for id in std::mem::take(&mut self.unread) {
+                self.readable(id);
             }
             let now = self.clock.now();
             while let Some(due) = self.deadlines.pop(now) {
@@ -222,7 +226,7 @@
             Due::Accept => self.accept(),
             Due::Status => self.report(),
             Due::Beliefs => self.report_beliefs(),
-            Due::Connection(key) => self.timed_out(key),
+            Due::Connection(id) => self.timed_out(id),
             Due::End => {}
         }
     }
@@ -331,10 +335,10 @@
     // Connections of every kind.
 
     /// Connects; `None` where that fails at once.
-    pub fn connect(&mut self, addr: SocketAddr, kind: Kind, first: &[u8], within: Duration) -> Option<usize> {
+    pub fn connect(&mut self, addr: SocketAddr, kind: Kind, first: &[u8], within: Duration) -> Option<Id> {
         let now = self.clock.now();
         let connected = Connection::connect(addr, kind, first, now);
-        let key = match connected {
+        let id = match connected {
             Ok(connection) => self.connections.insert(connection),
             Err(error) => {
                 self.counts.connects_failed += 1;
@@ -342,95 +346,98 @@
                 return None;
             }
         };
-        if self.connections[key].register(self.poll.registry(), Token(key)).is_err() {
-            self.connections.remove(key);
+        if !self.register(id) {
+            self.connections.remove(id);
             return None;
         }
-        self.deadlines.set(Due::Connection(key), now + within);
-        Some(key)
+        self.deadlines.set(Due::Connection(id), now + within);
+        Some(id)
+    }
+
+    pub fn register(&mut self, id: Id) -> bool {
+        let registry = self.poll.registry();
+        self.connections.get_mut(id).is_some_and(|c| c.register(registry, id.token()).is_ok())
     }
 
     /// Closes a connection without a word to whoever it belonged to.
-    pub fn close(&mut self, key: usize) -> Option<Connection> {
-        let mut connection = self.connections.try_remove(key)?;
+    pub fn close(&mut self, id: Id) -> Option<Connection> {
+        let mut connection = self.connections.remove(id)?;
         connection.deregister(self.poll.registry());
-        self.deadlines.clear(Due::Connection(key));
+        self.deadlines.clear(Due::Connection(id));
         match &connection.kind {
-            Kind::Peer(peer) if !peer.joined() => self.strangers -= 1,
+            Kind::Peer(peer) => {
+                self.peers -= 1;
+                self.strangers -= usize::from(!peer.joined());
+            }
             Kind::Probe { .. } => self.probing -= 1,
             _ => {}
         }
         for at in [&mut self.calls_at, &mut self.news_at, &mut self.watch_at] {
-            *at = at.filter(|at| *at != key);
+            *at = at.filter(|at| *at != id);
         }
         Some(connection)
     }
 
-    fn writable(&mut self, key: usize) {
-        let Some(connection) = self.connections.get_mut(key) else { return };
+    fn writable(&mut self, id: Id) {
+        let Some(connection) = self.connections.get_mut(id) else { return };
         if connection.flush().is_err() {
-            self.ended(key);
+            self.ended(id);
         }
     }
 
-    pub fn readable(&mut self, key: usize) {
+    pub fn readable(&mut self, id: Id) {
         let mut buffer = std::mem::take(&mut self.buffer);
         let mut reads = 0;
-        while let Some(connection) = self.connections.get_mut(key) {
+        while let Some(connection) = self.connections.get_mut(id) {
             if reads == READS_MOST {
                 // Somebody who sends faster than we read must not keep the others waiting.
-                self.unread.push(key);
+                self.unread.push(id);
                 break;
             }
             reads += 1;
-            let opened = connection.opened;
             match connection.read(&mut buffer) {
                 Ok(None) => break,
                 Ok(Some(0)) | Err(_) => {
-                    self.ended(key);
+                    self.ended(id);
                     break;
                 }
-                Ok(Some(n)) => self.bytes(key, &buffer[..n]),
-            }
-            // The key may have been given to another connection meanwhile.
-            if self.connections.get(key).is_none_or(|c| c.opened != opened) {
-                break;
+                Ok(Some(n)) => self.bytes(id, &buffer[..n]),
             }
         }
         self.buffer = buffer;
     }
 
-    fn bytes(&mut self, key: usize, bytes: &[u8]) {
-        let Some(connection) = self.connections.get_mut(key) else { return };
+    fn bytes(&mut self, id: Id, bytes: &[u8]) {
+        let Some(connection) = self.connections.get_mut(id) else { return };
         match &mut connection.kind {
-            Kind::Peer(_) => self.peer_bytes(key, bytes),
-            Kind::News => self.news_bytes(key, bytes),
-            Kind::Calls(_) => self.call_bytes(key, bytes),
-            Kind::Asking(_) => self.discovery_bytes(key, bytes),
-            Kind::Probe { .. } => self.probe_bytes(key, bytes),
+            Kind::Peer(_) => self.peer_bytes(id, bytes),
+            Kind::News => self.news_bytes(id, bytes),
+            Kind::Calls(_) => self.call_bytes(id, bytes),
+            Kind::Asking(_) => self.discovery_bytes(id, bytes),
+            Kind::Probe { .. } => self.probe_bytes(id, bytes),
         }
     }
 
     /// The other side closed or reset a connection, or it never came up.
-    fn ended(&mut self, key: usize) {
-        let Some(connection) = self.connections.get(key) else { return };
+    fn ended(&mut self, id: Id) {
+        let Some(connection) = self.connections.get(id) else { return };
         match &connection.kind {
-            Kind::Peer(_) => drop(self.close(key)),
+            Kind::Peer(_) => drop(self.close(id)),
             Kind::News => self.news_lost("broken"),
             Kind::Calls(_) => self.call_lost("broken"),
-            Kind::Asking(_) => self.discovery_ended(key),
-            Kind::Probe { .. } => self.probe_ended(key),
+            Kind::Asking(_) => self.discovery_ended(id),
+            Kind::Probe { .. } => self.probe_ended(id),
         }
     }
 
-    fn timed_out(&mut self, key: usize) {
-        let Some(connection) = self.connections.get(key) else { return };
+    fn timed_out(&mut self, id: Id) {
+        let Some(connection) = self.connections.get(id) else { return };
         match &connection.kind {
-            Kind::Peer(_) => self.refuse(key, "silent"),
+            Kind::Peer(_) => self.refuse(id, "silent"),
             Kind::News => self.news_lost("never came up"),
             Kind::Calls(_) => self.call_lost("silent"),
-            Kind::Asking(_) => self.discovery_failed(key, "silent"),
-            Kind::Probe { .. } => self.probe_timed_out(key),
+            Kind::Asking(_) => self.discovery_failed(id, "silent"),
+            Kind::Probe { .. } => self.probe_timed_out(id),
         }
     }
 }
--- a/crates/whinhill-node/src/peers.rs
+++ b/crates/whinhill-node/src/peers.rs
@@ -2,11 +2,11 @@
 
 use std::io;
 
-use mio::Token;
 use tracing::{debug, info};
 use whinhill_platform::peer::{Heard, ALIVE, ERROR};
 
 use crate::connection::{Connection, Kind};
+use crate::connections::Id;
 use crate::deadlines::Due;
 use crate::limits::*;
 use crate::node::Node;
@@ -33,20 +33,19 @@
                     continue;
                 }
             };
-            let peers = self.connections.iter().filter(|(_, c)| matches!(c.kind, Kind::Peer(_))).count();
-            if peers >= self.peers_most && !self.evict_stranger() {
+            if self.peers >= self.peers_most && !self.evict_stranger() {
                 self.counts.turned_away += 1;
                 continue;
             }
             let now = self.clock.now();
-            let key = self.connections.insert(Connection::accepted(stream, now));
-            self.strangers += 1;
+            let id = self.connections.insert(Connection::accepted(stream, now));
+            (self.peers, self.strangers) = (self.peers + 1, self.strangers + 1);
             self.counts.accepted += 1;
-            if self.connections[key].register(self.poll.registry(), Token(key)).is_err() {
-                self.close(key);
+            if !self.register(id) {
+                self.close(id);
                 continue;
             }
-            self.deadlines.set(Due::Connection(key), now + JOIN_WITHIN);
+            self.deadlines.set(Due::Connection(id), now + JOIN_WITHIN);
         }
     }
 
@@ -55,13 +54,13 @@
     fn evict_stranger(&mut self) -> bool {
         loop {
             let peers = self.connections.iter().filter(|(_, c)| matches!(c.kind, Kind::Peer(_)));
-            let oldest = peers.filter(|(_, c)| !c.joined()).min_by_key(|(_, c)| c.opened);
-            let Some((key, _)) = oldest else { return false };
-            self.readable(key);
-            match self.connections.get(key).map(Connection::joined) {
+            let oldest = peers.filter(|(_, c)| !c.joined()).min_by_key(|(id, c)| (c.opened, *id));
+            let Some((id, _)) = oldest else { return false };
+            self.readable(id);
+            match self.connections.get(id).map(Connection::joined) {
                 Some(true) => {}
                 Some(false) => {
-                    self.refuse(key, "crowded out");
+                    self.refuse(id, "crowded out");
                     return true;
                 }
                 None => return true,
@@ -70,17 +69,17 @@
     }
 
     /// Answers with an error, as far as that goes at once, and closes.
-    pub fn refuse(&mut self, key: usize, why: &str) {
+    pub fn refuse(&mut self, id: Id, why: &str) {
         self.counts.refused += 1;
-        debug!(key, "refused: {why}");
-        if let Some(connection) = self.connections.get_mut(key) {
+        debug!(?id, "refused: {why}");
+        if let Some(connection) = self.connections.get_mut(id) {
             let _ = connection.send(ERROR);
         }
-        self.close(key);
+        self.close(id);
     }
 
-    pub fn peer_bytes(&mut self, key: usize, bytes: &[u8]) {
-        let Some(Connection { kind: Kind::Peer(peer), .. }) = self.connections.get_mut(key) else { return };
+    pub fn peer_bytes(&mut self, id: Id, bytes: &[u8]) {
+        let Some(Connection { kind: Kind::Peer(peer), .. }) = self.connections.get_mut(id) else { return };
         let (mut heard, was_joined) = (Vec::new(), peer.joined());
         let taken = peer.take(bytes, &self.names, &mut heard);
         let (mut alive, mut zone) = (0, None);
@@ -100,36 +99,36 @@
         }
         if zone.is_some() && !was_joined {
             self.strangers -= 1;
-            self.deadlines.clear(Due::Connection(key));
-            self.bound_collectors(key);
+            self.deadlines.clear(Due::Connection(id));
+            self.bound_collectors(id);
         }
         let answers = ALIVE.repeat(alive);
-        let connection = &mut self.connections[key];
+        let Some(connection) = self.connections.get_mut(id) else { return };
         if alive > 0 && connection.send(&answers).is_err() {
-            self.close(key);
+            self.close(id);
             return;
         }
         if let Err(why) = taken {
             if zone.is_some() || was_joined {
                 info!("a collector is refused: {why}");
             }
-            self.refuse(key, "unreadable");
+            self.refuse(id, "unreadable");
         }
     }
 
     /// A collector that lost its connection comes back on a new one; the old may never tell that it ended. The one
     /// that joined last stays, though it may have connected first.
-    fn bound_collectors(&mut self, newest: usize) {
+    fn bound_collectors(&mut self, newest: Id) {
         let zone = |c: &Connection| match &c.kind {
             Kind::Peer(peer) => peer.zone(),
             _ => None,
         };
-        let wanted = zone(&self.connections[newest]);
+        let wanted = self.connections.get(newest).and_then(zone);
         let same = || self.connections.iter().filter(|(_, c)| wanted.is_some() && zone(c) == wanted);
         if same().count() > COLLECTORS_MOST {
-            let others = same().filter(|(key, _)| *key != newest);
-            let oldest = others.min_by_key(|(_, c)| c.opened).map(|(key, _)| key);
-            oldest.into_iter().for_each(|key| drop(self.close(key)));
+            let others = same().filter(|(id, _)| *id != newest);
+            let oldest = others.min_by_key(|(_, c)| c.opened).map(|(id, _)| id);
+            oldest.into_iter().for_each(|id| drop(self.close(id)));
         }
     }
 }
--- a/crates/whinhill-node/src/probes.rs
+++ b/crates/whinhill-node/src/probes.rs
@@ -7,6 +7,7 @@
 use whinhill_platform::probe::{self, Probing};
 
 use crate::connection::{Connection, Kind};
+use crate::connections::Id;
 use crate::limits::*;
 use crate::node::Node;
 
@@ -31,48 +32,47 @@
         }
     }
 
-    pub fn probe_bytes(&mut self, key: usize, bytes: &[u8]) {
-        let Some(Connection { kind: Kind::Probe { ep, probing }, .. }) = self.connections.get_mut(key) else {
+    pub fn probe_bytes(&mut self, id: Id, bytes: &[u8]) {
+        let Some(Connection { kind: Kind::Probe { ep, probing }, .. }) = self.connections.get_mut(id) else {
             return;
         };
         let ep = *ep;
         if let Some((result, load)) = probing.take(bytes) {
-            self.probed(key, ep, result, load);
+            self.probed(id, ep, result, load);
         }
     }
 
     /// Its connection ended.
-    pub fn probe_ended(&mut self, key: usize) {
+    pub fn probe_ended(&mut self, id: Id) {
         let now = self.clock.now();
-        let Some(Connection { kind: Kind::Probe { ep, probing }, opened, .. }) =
-            self.connections.get_mut(key)
+        let Some(Connection { kind: Kind::Probe { ep, probing }, opened, .. }) = self.connections.get_mut(id)
         else {
             return;
         };
         let (ep, left) = (*ep, PROBE_WITHIN.saturating_sub(now.saturating_sub(*opened)));
         if let Some((result, load)) = probing.ended() {
-            return self.probed(key, ep, result, load);
+            return self.probed(id, ep, result, load);
         }
         let probing = std::mem::take(probing);
         match self.addrs.get(ep.index).copied().flatten().filter(|_| !left.is_zero()) {
             Some(addr) => {
-                self.close(key);
+                self.close(id);
                 self.counts.probes_again += 1;
                 self.open_probe(ep, addr, probing, left);
             }
-            None => self.probed(key, ep, Probe::Unanswered, LoadReport::default()),
+            None => self.probed(id, ep, Probe::Unanswered, LoadReport::default()),
         }
     }
 
     /// Its time ended.
-    pub fn probe_timed_out(&mut self, key: usize) {
-        if let Some(Connection { kind: Kind::Probe { ep, .. }, .. }) = self.connections.get(key) {
-            self.probed(key, *ep, Probe::Unanswered, LoadReport::default());
+    pub fn probe_timed_out(&mut self, id: Id) {
+        if let Some(Connection { kind: Kind::Probe { ep, .. }, .. }) = self.connections.get(id) {
+            self.probed(id, *ep, Probe::Unanswered, LoadReport::default());
         }
     }
 
-    fn probed(&mut self, key: usize, ep: Ep, result: Probe, load: LoadReport) {
-        self.close(key);
+    fn probed(&mut self, id: Id, ep: Ep, result: Probe, load: LoadReport) {
+        self.close(id);
         self.counts.probes_unanswered += u64::from(result == Probe::Unanswered);
         self.pending.push(Event::Probed { ep, result, load });
     }
--- a/crates/whinhill-node/src/relay.rs
+++ b/crates/whinhill-node/src/relay.rs
@@ -9,6 +9,7 @@
 use whinhill_platform::relay::orders::RelayOrder;
 
 use crate::connection::{Connection, Kind};
+use crate::connections::Id;
 use crate::deadlines::Due;
 use crate::limits::*;
 use crate::node::Node;
@@ -46,8 +47,8 @@
         if !std::mem::replace(&mut self.news_fail, true) {
             warn!(proxies = self.news.proxies(), slices = self.news.slices(), "no news of the relay: {why}");
         }
-        if let Some(key) = self.news_at.take() {
-            self.close(key);
+        if let Some(id) = self.news_at.take() {
+            self.close(id);
         }
         self.news.closed();
         self.deadlines.clear(Due::News);
@@ -67,8 +68,8 @@
         }
     }
 
-    pub fn news_bytes(&mut self, key: usize, bytes: &[u8]) {
-        self.deadlines.clear(Due::Connection(key));
+    pub fn news_bytes(&mut self, id: Id, bytes: &[u8]) {
+        self.deadlines.clear(Due::Connection(id));
         let (now, mut told) = (self.clock.now(), Vec::new());
         let owed = owed(&self.calls, &self.assigner);
         let taken = self.news.take(now, bytes, &mut self.names, owed, &mut told);
@@ -145,16 +146,16 @@
         }
         if now > self.calls_used + CALL_IDLE || std::mem::take(&mut self.calls_moved) {
             // The relay closes idle connections: an order must not be what finds that out.
-            self.calls_at.take().into_iter().for_each(|key| drop(self.close(key)));
+            self.calls_at.take().into_iter().for_each(|id| drop(self.close(id)));
         }
         let Some(text) = self.calls.next_call(now, &self.names) else { return };
         self.calls_used = now;
         self.counts.calls += 1;
-        if let Some(key) = self.calls_at {
-            if self.connections[key].send(text.as_bytes()).is_err() {
+        if let Some(id) = self.calls_at {
+            if self.connections.get_mut(id).is_none_or(|c| c.send(text.as_bytes()).is_err()) {
                 return self.call_lost("broken");
             }
-            return self.deadlines.set(Due::Connection(key), now + CALL_WITHIN);
+            return self.deadlines.set(Due::Connection(id), now + CALL_WITHIN);
         }
         let kind = Kind::Calls(Lines::new(ANSWER_MOST));
         self.calls_at = self.connect(self.config.relay, kind, text.as_bytes(), CONNECT_WITHIN);
@@ -163,9 +164,9 @@
         }
     }
 
-    pub fn call_bytes(&mut self, key: usize, bytes: &[u8]) {
+    pub fn call_bytes(&mut self, id: Id, bytes: &[u8]) {
         let now = self.clock.now();
-        let Some(Connection { kind: Kind::Calls(lines), .. }) = self.connections.get_mut(key) else { return };
+        let Some(Connection { kind: Kind::Calls(lines), .. }) = self.connections.get_mut(id) else { return };
         lines.push(bytes);
         let line = match lines.next_line() {
             Ok(None) => return,
@@ -177,7 +178,7 @@
             // Answers to nothing: the next call would take one of them for its own.
             return self.call_lost("out of step");
         }
-        self.deadlines.clear(Due::Connection(key));
+        self.deadlines.clear(Due::Connection(id));
         self.calls_used = now;
         match self.calls.answered(now, &line) {
             Outcome::Done => {}
@@ -186,7 +187,7 @@
             Outcome::NotDone { reason } => warn!("the relay did not take a call: {reason}"),
             Outcome::Unknown => {
                 info!(unknown = self.calls.unknown, "an answer of the relay cannot be read");
-                self.close(key);
+                self.close(id);
             }
         }
         for set in self.calls.take_confirmed() {
@@ -206,9 +207,9 @@
     pub fn call_lost(&mut self, why: &str) {
         let now = self.clock.now();
         let whole =
-            self.calls_at.is_some_and(|key| self.connections.get(key).is_some_and(Connection::all_written));
-        if let Some(key) = self.calls_at.take() {
-            self.close(key);
+            self.calls_at.is_some_and(|id| self.connections.get(id).is_some_and(Connection::all_written));
+        if let Some(id) = self.calls_at.take() {
+            self.close(id);
         }
         match self.calls.lost(now, whole) {
             Outcome::Unknown => info!(unknown = self.calls.unknown, "a call's outcome is unknown: {why}"),
@@ -222,8 +223,8 @@
 
     /// The relay is at another address: news move at once, a call under way ends first.
     pub fn move_relay(&mut self) {
-        if let Some(key) = self.news_at.take() {
-            self.close(key);
+        if let Some(id) = self.news_at.take() {
+            self.close(id);
         }
         self.news.closed();
         self.news_again = NEWS_AGAIN.0;
