Keep the former news until the relay's new address has told what stands

News are two streams now, current and next. What is told again, after a break or by the next, is only noted, set against what we knew once it is whole, and becomes events then; if the former has gone on until then there was no break, and handovers go on. A former that ends too early, a next that never answers, a second SIGHUP within the first and an address that moves back end in the ordinary ways. In a break, events come in the order proxies, slices lost, slices: the unit test of a break expects the same events in that order. Test the_former_news_go_on_... over connections, red with the former closed at SIGHUP: no grant within 20 s. Calls, fetches and probes under way already ended where they began; a watch at a new address asks for all since its version, so nothing is lost there: ruled out by reading.

--- a/crates/whinhill-cli/tests/platform.rs
+++ b/crates/whinhill-cli/tests/platform.rs
@@ -43,12 +43,17 @@
     HoldsAGrant,
     HoldingIt,
     HasTold,
+    /// Answers calls and keeps the marks' answers for itself.
+    KeepsMarks,
+    /// Goes on telling what stands, and never comes to an end.
+    TellsForEver,
 }
 
 /// The relay: one slice in the assigner's charge, one proxy that answers every mark.
 struct Relay {
     addr: SocketAddr,
     streams: Arc<Mutex<Vec<TcpStream>>>,
+    news: Arc<Mutex<Option<TcpStream>>>,
 }
 
 impl Relay {
@@ -61,7 +66,7 @@
         let addr = listener.local_addr().unwrap();
         let streams: Arc<Mutex<Vec<TcpStream>>> = Arc::default();
         let news: Arc<Mutex<Option<TcpStream>>> = Arc::default();
-        let (kept, does) = (streams.clone(), Arc::new(Mutex::new(does)));
+        let (kept, does, told) = (streams.clone(), Arc::new(Mutex::new(does)), news.clone());
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 kept.lock().unwrap().push(stream.try_clone().unwrap());
@@ -69,7 +74,11 @@
                 thread::spawn(move || serve(stream, line, &does, &news, &saw));
             }
         });
-        Relay { addr, streams }
+        Relay { addr, streams, news: told }
+    }
+
+    fn tell(&self, news: &str) {
+        self.news.lock().unwrap().as_mut().unwrap().write_all(news.as_bytes()).unwrap();
     }
 
     fn cut(&self) {
@@ -97,6 +106,9 @@
                 *does.lock().unwrap() = Does::HasTold;
                 tell_until_answered(&mut out, does);
             }
+            while now == Does::TellsForEver && out.write_all(b"* hello 0 a 5 0\r\n").is_ok() {
+                thread::sleep(Duration::from_millis(20));
+            }
             let _ = out.write_all(b"*\r\n");
             *news.lock().unwrap() = Some(out.try_clone().unwrap());
             let _ = saw.send(Saw::Watch);
@@ -128,7 +140,7 @@
                 let levels = *does == Does::LosesTheLevels;
                 *does = if levels { Does::HasLostTheLevels } else { Does::HasLostAnAnswer };
                 break_off(news);
-            } else if let Some(news) = news.lock().unwrap().as_mut() {
+            } else if let Some(news) = news.lock().unwrap().as_mut().filter(|_| *does != Does::KeepsMarks) {
                 let _ = write!(news, "* ack 0 {mark} 1.0\r\n");
             }
         }
@@ -357,6 +369,27 @@
     wait_for(&saw, "a grant at the next relay", granted);
 }
 
+/// The relay moves under a handover. What the former address still tells counts until the new one has told what
+/// stands, which here it never does: the mark's answer must reach the handover, and the grant the new address.
+#[test]
+fn the_former_news_go_on_until_the_new_address_has_told_what_stands() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("config.json");
+    let (sender, saw) = channel();
+    let discovery = discovery(sender.clone());
+    let former = Relay::start_with("s-gone", Does::KeepsMarks, sender);
+    fs::write(&path, config(former.addr, discovery)).unwrap();
+    let (running, _) = Running::start(&path);
+    wait_for(&saw, "a mark", orders_with("fence,1,1"));
+    let (sender, saw) = channel();
+    let next = Relay::start_with("s-gone", Does::TellsForEver, sender);
+    fs::write(&path, config(next.addr, discovery)).unwrap();
+    running.signal(Signal::HUP);
+    running.wait_for_log("new configuration");
+    former.tell("* ack 0 1 1.0\r\n");
+    wait_for(&saw, "a grant at the new address", granted);
+}
+
 fn orders_with(part: &'static str) -> impl Fn(&Saw) -> bool {
     move |saw| matches!(saw, Saw::Orders(orders) if orders.contains(part))
 }
--- a/crates/whinhill-node/src/deadlines.rs
+++ b/crates/whinhill-node/src/deadlines.rs
@@ -3,6 +3,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use whinhill_platform::relay::news::Place;
+
 use crate::connections::Id;
 
 /// What a deadline is for.
@@ -13,7 +15,7 @@
     /// The module asked to be woken.
     Wake,
     /// News were quiet.
-    News,
+    News(Place),
     /// News are asked for again.
     OpenNews,
     /// A call may start.
--- a/crates/whinhill-node/src/node.rs
+++ b/crates/whinhill-node/src/node.rs
@@ -66,6 +66,10 @@
     pub calls_moved: bool,
     pub news: News,
     pub news_at: Option<Id>,
+    /// The news at a new address, while those of the former go on.
+    pub news_next_at: Option<Id>,
+    /// `news_at` leads to a former address.
+    pub news_moved: bool,
     pub news_again: Duration,
     pub version: Version,
     pub watch_at: Option<Id>,
@@ -138,6 +142,8 @@
             calls_moved: false,
             news: News::default(),
             news_at: None,
+            news_next_at: None,
+            news_moved: false,
             news_again: NEWS_AGAIN.0,
             watch_at: None,
             discovery_fails: false,
@@ -220,7 +226,7 @@
                 self.pending.push(Event::Timer);
                 self.deadlines.set(Due::Batch, self.clock.now().max(self.last_batch + self.round));
             }
-            Due::News => self.news_passed(),
+            Due::News(place) => self.news_passed(place),
             Due::OpenNews => self.open_news(),
             Due::Call => {}
             Due::Accept => self.accept(),
@@ -372,7 +378,7 @@
             Kind::Probe { .. } => self.probing -= 1,
             _ => {}
         }
-        for at in [&mut self.calls_at, &mut self.news_at, &mut self.watch_at] {
+        for at in [&mut self.calls_at, &mut self.news_at, &mut self.news_next_at, &mut self.watch_at] {
             *at = at.filter(|at| *at != id);
         }
         Some(connection)
@@ -423,7 +429,7 @@
         let Some(connection) = self.connections.get(id) else { return };
         match &connection.kind {
             Kind::Peer(_) => drop(self.close(id)),
-            Kind::News => self.news_lost("broken"),
+            Kind::News => self.news_ended(id, "broken"),
             Kind::Calls(_) => self.call_lost("broken"),
             Kind::Asking(_) => self.discovery_ended(id),
             Kind::Probe { .. } => self.probe_ended(id),
@@ -434,7 +440,7 @@
         let Some(connection) = self.connections.get(id) else { return };
         match &connection.kind {
             Kind::Peer(_) => self.refuse(id, "silent"),
-            Kind::News => self.news_lost("never came up"),
+            Kind::News => self.news_ended(id, "never came up"),
             Kind::Calls(_) => self.call_lost("silent"),
             Kind::Asking(_) => self.discovery_failed(id, "silent"),
             Kind::Probe { .. } => self.probe_timed_out(id),
--- a/crates/whinhill-node/src/relay.rs
+++ b/crates/whinhill-node/src/relay.rs
@@ -5,7 +5,7 @@
 use whinhill::Assigner;
 use whinhill_platform::lines::Lines;
 use whinhill_platform::relay::calls::{Calls, Outcome};
-use whinhill_platform::relay::news::{self, Owed, Told};
+use whinhill_platform::relay::news::{self, Owed, Place, Told};
 use whinhill_platform::relay::orders::RelayOrder;
 
 use crate::connection::{Connection, Kind};
@@ -20,64 +20,98 @@
 impl Node {
     // News.
 
+    /// Asks for news at the relay's address: in place of what has ended, or beside a former address.
     pub fn open_news(&mut self) {
-        if self.news_at.is_some() {
-            return;
+        let place = match (self.news_at, self.news_next_at) {
+            (None, None) => Place::Current,
+            (Some(_), None) if self.news_moved => Place::Next,
+            _ => return,
+        };
+        let Some(id) = self.connect(self.config.relay, Kind::News, news::REQUEST, CONNECT_WITHIN) else {
+            return self.news_lost(place, "cannot connect");
+        };
+        match place {
+            Place::Current => (self.news_at, self.news_moved) = (Some(id), false),
+            Place::Next => self.news_next_at = Some(id),
         }
-        self.news_at = self.connect(self.config.relay, Kind::News, news::REQUEST, CONNECT_WITHIN);
-        match self.news_at {
-            Some(_) => {
-                self.news.opened(self.clock.now());
-                self.watch_news();
-            }
-            None => self.news_lost("cannot connect"),
+        self.news.opened(place, self.clock.now());
+        self.watch_news(place);
+    }
+
+    fn watch_news(&mut self, place: Place) {
+        match self.news.due_at(place) {
+            Some(at) => self.deadlines.set(Due::News(place), at),
+            None => self.deadlines.clear(Due::News(place)),
         }
     }
 
-    fn watch_news(&mut self) {
-        match self.news.due_at() {
-            Some(at) => self.deadlines.set(Due::News, at),
-            None => self.deadlines.clear(Due::News),
+    fn news_place(&self, id: Id) -> Place {
+        if self.news_next_at == Some(id) {
+            Place::Next
+        } else {
+            Place::Current
         }
     }
 
-    pub fn news_lost(&mut self, why: &str) {
-        let was_live = self.news.live();
+    pub fn news_ended(&mut self, id: Id, why: &str) {
+        self.news_lost(self.news_place(id), why);
+    }
+
+    fn news_lost(&mut self, place: Place, why: &str) {
+        let was_live = place == Place::Current && self.news.live();
         self.counts.news_lost += u64::from(was_live);
-        if !std::mem::replace(&mut self.news_fail, true) {
+        let id = match place {
+            Place::Current => self.news_at.take(),
+            Place::Next => self.news_next_at.take(),
+        };
+        id.into_iter().for_each(|id| drop(self.close(id)));
+        self.news.closed(place);
+        if !self.news.live() && !std::mem::replace(&mut self.news_fail, true) {
             warn!(proxies = self.news.proxies(), slices = self.news.slices(), "no news of the relay: {why}");
         }
-        if let Some(id) = self.news_at.take() {
-            self.close(id);
-        }
-        self.news.closed();
-        self.deadlines.clear(Due::News);
+        self.deadlines.clear(Due::News(place));
         self.deadlines.set(Due::OpenNews, self.clock.now() + self.news_again);
         self.news_again = (self.news_again * 2).min(NEWS_AGAIN.1);
     }
 
-    pub fn news_passed(&mut self) {
+    pub fn news_passed(&mut self, place: Place) {
         let (now, mut told) = (self.clock.now(), Vec::new());
         let owed = owed(&self.calls, &self.assigner);
-        let alive = self.news.passed(now, owed, &mut told);
+        let alive = self.news.passed(place, now, &mut self.names, owed, &mut told);
         self.take_news(told);
+        let place = self.replace_former(place);
         if alive {
-            self.watch_news();
+            self.watch_news(place);
         } else {
-            self.news_lost("silent");
+            self.news_lost(place, "silent");
         }
     }
 
     pub fn news_bytes(&mut self, id: Id, bytes: &[u8]) {
         self.deadlines.clear(Due::Connection(id));
-        let (now, mut told) = (self.clock.now(), Vec::new());
+        let (place, now, mut told) = (self.news_place(id), self.clock.now(), Vec::new());
         let owed = owed(&self.calls, &self.assigner);
-        let taken = self.news.take(now, bytes, &mut self.names, owed, &mut told);
+        let taken = self.news.take(place, now, bytes, &mut self.names, owed, &mut told);
         self.take_news(told);
+        let place = self.replace_former(place);
         match taken {
-            Ok(()) => self.watch_news(),
-            Err(error) => self.news_lost(&error.to_string()),
+            Ok(()) => self.watch_news(place),
+            Err(error) => self.news_lost(place, &error.to_string()),
+        }
+    }
+
+    /// Once the connection at the new address has told what stands, the former has done its part.
+    fn replace_former(&mut self, place: Place) -> Place {
+        if place == Place::Current || self.news.is_open(Place::Next) {
+            return place;
+        }
+        self.deadlines.clear(Due::News(Place::Next));
+        let next = self.news_next_at.take();
+        if let Some(former) = std::mem::replace(&mut self.news_at, next) {
+            self.close(former);
         }
+        self.news_moved = false;
+        Place::Current
     }
 
     fn take_news(&mut self, told: Vec<Told>) {
@@ -221,12 +255,14 @@
         }
     }
 
-    /// The relay is at another address: news move at once, a call under way ends first.
+    /// The relay is at another address: news are asked for there while the former goes on, and a call under way
+    /// ends first.
     pub fn move_relay(&mut self) {
-        if let Some(id) = self.news_at.take() {
+        if let Some(id) = self.news_next_at.take() {
             self.close(id);
+            self.news.closed(Place::Next);
         }
-        self.news.closed();
+        self.news_moved = self.news_at.is_some();
         self.news_again = NEWS_AGAIN.0;
         self.open_news();
         self.calls_moved = true;
--- a/crates/whinhill-platform/src/relay/news.rs
+++ b/crates/whinhill-platform/src/relay/news.rs
@@ -1,7 +1,8 @@
 //! News from the relay: which proxies are joined, what they answered, and the slices in our charge.
 //!
 //! News that break lose what happened meanwhile. A new reader is first told all that stands; that is set
-//! against what we knew, and the difference becomes events.
+//! against what we knew, and the difference becomes events. Where the relay moves, the new connection is told what
+//! stands while the former goes on, and then takes its place.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -32,7 +33,7 @@
 }
 
 /// What came of the news.
-#[derive(Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Told {
     Event(Event),
     Acked {
@@ -69,88 +70,183 @@
     Handover,
 }
 
-#[derive(Debug, Default, PartialEq)]
+/// Which of two connections: the one whose news count, or one at a new address that is still told what stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Place {
+    Current,
+    Next,
+}
+
+#[derive(Debug, PartialEq)]
 enum Phase {
-    #[default]
-    Closed,
     Opening,
     Telling,
     Live,
 }
 
+/// A connection's news, and what it has told to stand.
 #[derive(Debug)]
-pub struct News {
+struct Stream {
     phase: Phase,
     lines: Lines,
     heard: Duration,
-    /// Whether what stands was ever told whole.
-    told_once: bool,
     proxies: BTreeMap<ProxyId, ZoneId>,
-    /// The slices in our charge, each with the line that the store holds.
-    slices: BTreeMap<SliceId, Option<String>>,
-    seen_proxies: BTreeSet<ProxyId>,
-    seen_slices: BTreeMap<SliceId, Vec<String>>,
-    /// Slices given since the news came up and before all was told, or lately: their lines follow.
-    fresh: BTreeSet<SliceId>,
-    /// Lines that calls of ours have replaced since the news came up: what stands may have been told before.
+    slices: BTreeMap<SliceId, Vec<String>>,
+    /// Lines that calls of ours have replaced since it came up: what stands may have been told before.
     replaced: BTreeMap<SliceId, BTreeSet<Option<String>>>,
-    /// Slices that were given and whose lines we have not ordered since: all lines that are told are another's.
-    untouched: BTreeSet<SliceId>,
 }
 
-impl Default for News {
-    fn default() -> Self {
-        News {
-            phase: Phase::default(),
+/// A line of news.
+enum Item<'a> {
+    SignOfLife,
+    Hello(ProxyId, ZoneId),
+    Bye(ProxyId),
+    Ack(ProxyId, u16, Duration),
+    Lease(SliceId, bool),
+    Line(SliceId, &'a str),
+    /// A line that is none: its weight is 0.
+    NoLine,
+}
+
+impl<'a> Item<'a> {
+    fn read(text: &'a str, names: &mut Names) -> Option<Self> {
+        let mut words = text.split(' ');
+        if words.next() != Some("*") {
+            return None;
+        }
+        let Some(kind) = words.next() else { return Some(Item::SignOfLife) };
+        let mut word = || words.next();
+        Some(match kind {
+            "hello" => Item::Hello(word()?.parse().ok()?, names.zone(word()?)),
+            "bye" => Item::Bye(word()?.parse().ok()?),
+            "ack" => {
+                let (proxy, mark) = (word()?.parse().ok()?, word()?.parse().ok()?);
+                let ms: f64 = word()?.parse().ok()?;
+                Item::Ack(proxy, mark, Duration::try_from_secs_f64(ms.max(0.0) / 1e3).ok()?)
+            }
+            "lease" => {
+                let slice = names.slice(word()?.parse().ok()?)?;
+                match word()? {
+                    "1" => Item::Lease(slice, true),
+                    "0" => Item::Lease(slice, false),
+                    _ => return None,
+                }
+            }
+            "line" => {
+                let (slice, server) = (names.slice(word()?.parse().ok()?)?, word()?);
+                let weight: f64 = word()?.parse().ok()?;
+                if weight > 0.0 {
+                    Item::Line(slice, server)
+                } else {
+                    Item::NoLine
+                }
+            }
+            _ => return None,
+        })
+    }
+}
+
+impl Stream {
+    fn new(now: Duration) -> Self {
+        Stream {
+            phase: Phase::Opening,
             lines: Lines::new(LINE_MOST),
-            heard: Duration::ZERO,
-            told_once: false,
+            heard: now,
             proxies: BTreeMap::new(),
             slices: BTreeMap::new(),
-            seen_proxies: BTreeSet::new(),
-            seen_slices: BTreeMap::new(),
-            fresh: BTreeSet::new(),
             replaced: BTreeMap::new(),
-            untouched: BTreeSet::new(),
         }
     }
+
+    /// Notes what stands, and what changes while that is told.
+    fn note(&mut self, item: &Item) {
+        match item {
+            Item::Hello(proxy, zone) => drop(self.proxies.insert(*proxy, *zone)),
+            Item::Bye(proxy) => drop(self.proxies.remove(proxy)),
+            Item::Lease(slice, true) => drop(self.slices.insert(*slice, Vec::new())),
+            Item::Lease(slice, false) => drop(self.slices.remove(slice)),
+            Item::Line(slice, server) => {
+                self.slices.entry(*slice).and_modify(|lines| lines.push(server.to_string()));
+            }
+            Item::Ack(..) | Item::NoLine | Item::SignOfLife => {}
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+pub struct News {
+    current: Option<Stream>,
+    next: Option<Stream>,
+    /// Whether anything that stands was ever told: from then on what is told again is set against it.
+    told_once: bool,
+    proxies: BTreeMap<ProxyId, ZoneId>,
+    /// The slices in our charge, each with the line that the store holds.
+    slices: BTreeMap<SliceId, Option<String>>,
+    /// Slices that were given and whose lines we have not ordered since: all lines that are told are another's.
+    untouched: BTreeSet<SliceId>,
 }
 
 impl News {
+    fn at(&mut self, place: Place) -> &mut Option<Stream> {
+        match place {
+            Place::Current => &mut self.current,
+            Place::Next => &mut self.next,
+        }
+    }
+
     /// A connection came up: [`REQUEST`] is to be written.
-    pub fn opened(&mut self, now: Duration) {
-        (self.phase, self.heard, self.lines) = (Phase::Opening, now, Lines::new(LINE_MOST));
-        self.seen_proxies.clear();
-        self.seen_slices.clear();
-        self.fresh.clear();
-        self.untouched.clear();
-        self.replaced.clear();
+    pub fn opened(&mut self, place: Place, now: Duration) {
+        *self.at(place) = Some(Stream::new(now));
     }
 
-    pub fn closed(&mut self) {
-        self.phase = Phase::Closed;
+    pub fn closed(&mut self, place: Place) {
+        let ended = self.at(place).take();
+        // What was told in part must be set against what the next connection tells.
+        self.told_once |= place == Place::Current && ended.is_some_and(|s| s.phase == Phase::Telling);
+    }
+
+    pub fn is_open(&self, place: Place) -> bool {
+        match place {
+            Place::Current => self.current.is_some(),
+            Place::Next => self.next.is_some(),
+        }
     }
 
     /// Whether we know what is ours, so that orders may be given. After a break that is so once all was told.
     pub fn live(&self) -> bool {
-        self.phase == Phase::Live || self.phase == Phase::Telling && !self.told_once
+        self.current.as_ref().is_some_and(|stream| match stream.phase {
+            Phase::Opening => false,
+            Phase::Telling => !self.told_once,
+            Phase::Live => true,
+        })
     }
 
     /// When to call [`News::passed`] if nothing comes until then.
-    pub fn due_at(&self) -> Option<Duration> {
-        match self.phase {
-            Phase::Closed => None,
-            Phase::Telling => Some(self.heard + TOLD_AFTER),
-            Phase::Opening | Phase::Live => Some(self.heard + SILENT),
-        }
+    pub fn due_at(&self, place: Place) -> Option<Duration> {
+        let stream = match place {
+            Place::Current => self.current.as_ref()?,
+            Place::Next => self.next.as_ref()?,
+        };
+        Some(stream.heard + if stream.phase == Phase::Telling { TOLD_AFTER } else { SILENT })
     }
 
     /// Time passed without a word; false: the news are lost.
-    pub fn passed(&mut self, now: Duration, owed: impl Fn(SliceId) -> Owed, told: &mut Vec<Told>) -> bool {
-        if self.phase == Phase::Telling && now >= self.heard + TOLD_AFTER {
-            self.settle(owed, told);
+    pub fn passed(
+        &mut self,
+        place: Place,
+        now: Duration,
+        names: &mut Names,
+        owed: impl Fn(SliceId) -> Owed,
+        told: &mut Vec<Told>,
+    ) -> bool {
+        let Some(stream) = self.at(place).take() else { return true };
+        let alive = now < stream.heard + SILENT;
+        if stream.phase == Phase::Telling && now >= stream.heard + TOLD_AFTER {
+            self.settle(place, stream, names, owed, told);
+        } else {
+            *self.at(place) = Some(stream);
         }
-        self.phase == Phase::Closed || now < self.heard + SILENT
+        alive
     }
 
     pub fn proxies(&self) -> usize {
@@ -175,178 +271,157 @@
             (false, _) => None,
         };
         let replaced = std::mem::replace(known, line);
-        if matches!(self.phase, Phase::Opening | Phase::Telling) {
-            self.replaced.entry(set.slice).or_default().insert(replaced);
+        for stream in self.current.iter_mut().chain(&mut self.next).filter(|s| s.phase != Phase::Live) {
+            stream.replaced.entry(set.slice).or_default().insert(replaced.clone());
         }
     }
 
     /// Takes bytes of news.
     pub fn take(
         &mut self,
+        place: Place,
         now: Duration,
         bytes: &[u8],
         names: &mut Names,
         owed: impl Fn(SliceId) -> Owed,
         told: &mut Vec<Told>,
     ) -> Result<(), NewsError> {
-        self.heard = now;
-        let mut lines = std::mem::replace(&mut self.lines, Lines::new(LINE_MOST));
+        let (mut place, Some(mut stream)) = (place, self.at(place).take()) else { return Ok(()) };
+        stream.heard = now;
+        let mut lines = std::mem::replace(&mut stream.lines, Lines::new(LINE_MOST));
         lines.push(bytes);
-        while let Some(line) = lines.next_line()? {
-            let text = std::str::from_utf8(line).unwrap_or_default();
-            if self.phase == Phase::Opening {
-                if text != "OK" {
-                    return Err(NewsError::Refused(text.chars().take(100).collect()));
+        loop {
+            let item = match lines.next_line().map_err(NewsError::from) {
+                Ok(None) => break,
+                Ok(Some(line)) => read(line, &stream.phase, names),
+                Err(error) => Err(error),
+            };
+            let item = match item {
+                Ok(Some(item)) => item,
+                Ok(None) => {
+                    stream.phase = Phase::Telling;
+                    continue;
                 }
-                self.phase = Phase::Telling;
-                continue;
-            }
-            if self.line(text, names, &owed, told).is_none() {
-                let line = String::from_utf8_lossy(line);
-                return Err(NewsError::Unreadable(line.chars().take(100).collect()));
+                Err(error) => {
+                    *self.at(place) = Some(stream);
+                    return Err(error);
+                }
+            };
+            match item {
+                Item::SignOfLife if stream.phase == Phase::Telling => {
+                    self.settle(place, stream, names, &owed, told);
+                    place = Place::Current;
+                    let Some(settled) = self.current.take() else { return Ok(()) };
+                    stream = settled;
+                }
+                // An answer counts whichever connection tells it; twice is as good as once.
+                Item::Ack(proxy, mark, way) if self.proxies.contains_key(&proxy) => {
+                    told.push(Told::Acked { proxy, mark, way });
+                }
+                item if stream.phase == Phase::Live || !self.told_once => self.happened(item, names, told),
+                item => stream.note(&item),
             }
         }
-        self.lines = lines;
+        stream.lines = lines;
+        *self.at(place) = Some(stream);
         Ok(())
     }
 
-    fn line(
-        &mut self,
-        text: &str,
-        names: &mut Names,
-        owed: &impl Fn(SliceId) -> Owed,
-        told: &mut Vec<Told>,
-    ) -> Option<()> {
-        let mut words = text.split(' ');
-        if words.next() != Some("*") {
-            return None;
-        }
-        match words.next() {
-            None => {
-                if self.phase == Phase::Telling {
-                    self.settle(owed, told);
-                }
-            }
-            Some("hello") => {
-                let proxy: ProxyId = words.next()?.parse().ok()?;
-                let zone = names.zone(words.next()?);
-                let stood = self.proxies.insert(proxy, zone).is_some();
-                // One that stood before a break has kept its stream, or will be asked to answer anew.
-                if self.phase == Phase::Live || !stood {
-                    told.push(Told::Event(Event::Joined { proxy, zone }));
-                }
-                self.seen_proxies.insert(proxy);
+    fn happened(&mut self, item: Item, names: &mut Names, told: &mut Vec<Told>) {
+        match item {
+            Item::Hello(proxy, zone) => {
+                self.proxies.insert(proxy, zone);
+                told.push(Told::Event(Event::Joined { proxy, zone }));
             }
-            Some("bye") => {
-                let proxy: ProxyId = words.next()?.parse().ok()?;
+            Item::Bye(proxy) => {
                 if self.proxies.remove(&proxy).is_some() {
                     told.push(Told::Event(Event::Left { proxy }));
                 }
-                self.seen_proxies.remove(&proxy);
             }
-            Some("ack") => {
-                let proxy = words.next()?.parse().ok()?;
-                let mark = words.next()?.parse().ok()?;
-                let ms: f64 = words.next()?.parse().ok()?;
-                let way = Duration::try_from_secs_f64(ms.max(0.0) / 1e3).ok()?;
-                if self.proxies.contains_key(&proxy) {
-                    told.push(Told::Acked { proxy, mark, way });
-                }
+            Item::Lease(slice, true) => {
+                self.slices.insert(slice, None);
+                self.untouched.insert(slice);
+                told.push(Told::Event(Event::Given { slice }));
             }
-            Some("lease") => {
-                let slice = names.slice(words.next()?.parse().ok()?)?;
-                match words.next()? {
-                    "1" => self.given(slice, told),
-                    "0" => {
-                        self.seen_slices.remove(&slice);
-                        self.fresh.remove(&slice);
-                        if self.slices.remove(&slice).is_some() {
-                            told.push(Told::Event(Event::Taken { slice }));
-                        }
-                    }
-                    _ => return None,
+            Item::Lease(slice, false) => {
+                self.untouched.remove(&slice);
+                if self.slices.remove(&slice).is_some() {
+                    told.push(Told::Event(Event::Taken { slice }));
                 }
             }
-            Some("line") => {
-                let slice = names.slice(words.next()?.parse().ok()?)?;
-                let server = words.next()?;
-                let weight: f64 = words.next()?.parse().ok()?;
-                if weight > 0.0 {
-                    self.stored(slice, server, names, told);
+            Item::Line(slice, server) if self.untouched.contains(&slice) => {
+                match self.slices.get_mut(&slice) {
+                    Some(known @ None) => {
+                        *known = Some(server.to_string());
+                        told.push(Told::Event(Event::Stored { slice, ep: names.ep(server) }));
+                    }
+                    Some(Some(known)) if known != server => {
+                        told.push(Told::Extra { slice, server: server.to_string() });
+                    }
+                    _ => {}
                 }
             }
-            Some(_) => return None,
-        }
-        Some(())
-    }
-
-    fn given(&mut self, slice: SliceId, told: &mut Vec<Told>) {
-        self.seen_slices.insert(slice, Vec::new());
-        if self.phase == Phase::Live || !self.slices.contains_key(&slice) {
-            self.slices.insert(slice, None);
-            self.fresh.insert(slice);
-            self.untouched.insert(slice);
-            told.push(Told::Event(Event::Given { slice }));
+            Item::Ack(..) | Item::Line(..) | Item::NoLine | Item::SignOfLife => {}
         }
     }
 
-    fn stored(&mut self, slice: SliceId, server: &str, names: &mut Names, told: &mut Vec<Told>) {
-        let Some(known) = self.slices.get_mut(&slice) else { return };
-        if let Some(seen) = self.seen_slices.get_mut(&slice) {
-            seen.push(server.to_string());
-        }
-        // The line of a slice that stood before a break is compared once all was told.
-        if !self.untouched.contains(&slice) {
-            return;
-        }
-        match known {
-            None => {
-                *known = Some(server.to_string());
-                told.push(Told::Event(Event::Stored { slice, ep: names.ep(server) }));
-            }
-            Some(known) if known != server => {
-                told.push(Told::Extra { slice, server: server.to_string() });
+    /// All that stands was told: what differs from what we knew becomes events, and the connection counts.
+    fn settle(
+        &mut self,
+        place: Place,
+        mut stream: Stream,
+        names: &mut Names,
+        owed: impl Fn(SliceId) -> Owed,
+        told: &mut Vec<Told>,
+    ) {
+        // Where the former connection has told everything until now, nobody else had a slice of ours.
+        let unbroken = place == Place::Next && self.live();
+        let again = std::mem::replace(&mut self.told_once, true);
+        let (proxies, slices) = (std::mem::take(&mut stream.proxies), std::mem::take(&mut stream.slices));
+        let replaced = std::mem::take(&mut stream.replaced);
+        stream.phase = Phase::Live;
+        (self.current, self.next) = (Some(stream), None);
+        if again {
+            self.set_against(proxies, told);
+            let left: Vec<SliceId> =
+                self.slices.keys().copied().filter(|s| !slices.contains_key(s)).collect();
+            left.into_iter().for_each(|slice| self.happened(Item::Lease(slice, false), names, told));
+            for (slice, seen) in slices {
+                let Some(known) = self.slices.get_mut(&slice) else {
+                    self.happened(Item::Lease(slice, true), names, told);
+                    seen.iter().for_each(|line| self.happened(Item::Line(slice, line), names, told));
+                    continue;
+                };
+                let is = |line: &Option<String>| line.as_slice() == seen;
+                let older = replaced.get(&slice).is_some_and(|lines| lines.iter().any(is));
+                let (differs, owed) = (!is(known) && !older, owed(slice));
+                let kept = owed == Owed::Nothing || unbroken;
+                if owed == Owed::Call || !differs && kept {
+                    continue;
+                }
+                told.push(Told::Anew { slice, differs });
+                if differs {
+                    // Of several lines the one that we knew stays, or else the first.
+                    let stays = seen.iter().find(|line| known.as_ref() == Some(*line));
+                    let stays = stays.or(seen.first()).cloned();
+                    let extra = seen.into_iter().filter(|line| Some(line) != stays.as_ref());
+                    told.extend(extra.map(|server| Told::Extra { slice, server }));
+                    *known = stays;
+                }
             }
-            Some(_) => {}
         }
+        told.push(Told::Settled { again });
     }
 
-    fn settle(&mut self, owed: impl Fn(SliceId) -> Owed, told: &mut Vec<Told>) {
-        self.phase = Phase::Live;
-        let again = std::mem::replace(&mut self.told_once, true);
-        let left: Vec<ProxyId> =
-            self.proxies.keys().copied().filter(|p| !self.seen_proxies.contains(p)).collect();
-        for proxy in left {
-            self.proxies.remove(&proxy);
-            told.push(Told::Event(Event::Left { proxy }));
-        }
-        let taken: Vec<SliceId> =
-            self.slices.keys().copied().filter(|s| !self.seen_slices.contains_key(s)).collect();
-        for slice in taken {
-            self.slices.remove(&slice);
-            told.push(Told::Event(Event::Taken { slice }));
+    /// Proxies that joined or left unheard. One that stood and stands has kept its stream, or is asked anew.
+    fn set_against(&mut self, seen: BTreeMap<ProxyId, ZoneId>, told: &mut Vec<Told>) {
+        for (proxy, zone) in seen.iter().filter(|(proxy, _)| !self.proxies.contains_key(proxy)) {
+            told.push(Told::Event(Event::Joined { proxy: *proxy, zone: *zone }));
         }
-        for (slice, seen) in std::mem::take(&mut self.seen_slices) {
-            let Some(known) = self.slices.get_mut(&slice) else { continue };
-            let is = |line: &Option<String>| line.as_slice() == seen;
-            let older = self.replaced.get(&slice).is_some_and(|lines| lines.iter().any(is));
-            let (differs, owed) = (!is(known) && !older, owed(slice));
-            if self.fresh.contains(&slice) || owed == Owed::Call || !differs && owed == Owed::Nothing {
-                continue;
-            }
-            told.push(Told::Anew { slice, differs });
-            if differs {
-                // Of several lines the one that we knew stays, or else the first.
-                let stays = seen.iter().find(|line| known.as_ref() == Some(*line)).or(seen.first()).cloned();
-                let extra = seen.into_iter().filter(|line| Some(line) != stays.as_ref());
-                told.extend(extra.map(|server| Told::Extra { slice, server }));
-                *known = stays;
-            }
+        for proxy in self.proxies.keys().filter(|proxy| !seen.contains_key(proxy)) {
+            told.push(Told::Event(Event::Left { proxy: *proxy }));
         }
-        self.seen_proxies.clear();
-        self.fresh.clear();
-        self.replaced.clear();
-        told.push(Told::Settled { again });
+        self.proxies = seen;
     }
 
     /// The line that the store is thought to hold for a slice of ours.
@@ -355,5 +430,16 @@
     }
 }
 
+/// A line of news; `None` for the answer to the request.
+fn read<'a>(line: &'a [u8], phase: &Phase, names: &mut Names) -> Result<Option<Item<'a>>, NewsError> {
+    let begin = || String::from_utf8_lossy(line).chars().take(100).collect();
+    let text = std::str::from_utf8(line).unwrap_or_default();
+    match phase {
+        Phase::Opening if text == "OK" => Ok(None),
+        Phase::Opening => Err(NewsError::Refused(begin())),
+        _ => Item::read(text, names).map(Some).ok_or_else(|| NewsError::Unreadable(begin())),
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/whinhill-platform/src/relay/news/tests.rs
+++ b/crates/whinhill-platform/src/relay/news/tests.rs
@@ -17,7 +17,7 @@
 
     /// A connection that tells `text` and then goes on.
     fn opens(&mut self, text: &str, piece: usize) -> Vec<Told> {
-        self.0.opened(MS);
+        self.0.opened(Place::Current, MS);
         self.tell(&format!("OK\r\n{text}*\r\n"), piece)
     }
 
@@ -26,6 +26,7 @@
         for bytes in text.as_bytes().chunks(piece) {
             self.0
                 .take(
+                    Place::Current,
                     MS,
                     bytes,
                     &mut self.1,
@@ -78,10 +79,10 @@
     let told = reader.opens(stands, 5);
     let wanted = [
         Told::Event(Event::Joined { proxy: 19, zone: 0 }),
-        Told::Event(Event::Given { slice: 5 }),
-        Told::Event(Event::Stored { slice: 5, ep: reader.ep("s-2") }),
         Told::Event(Event::Left { proxy: 18 }),
         Told::Event(Event::Taken { slice: 9 }),
+        Told::Event(Event::Given { slice: 5 }),
+        Told::Event(Event::Stored { slice: 5, ep: reader.ep("s-2") }),
         Told::Anew { slice: 88, differs: true },
         Told::Settled { again: true },
     ];
@@ -116,23 +117,27 @@
 #[test]
 fn silence_is_a_loss_and_a_pause_ends_what_stands() {
     let mut reader = Reader::new();
-    reader.0.opened(MS);
+    reader.0.opened(Place::Current, MS);
     let told = reader.tell(&format!("OK\r\n{STANDS}"), 1000);
     assert_eq!(told.len(), 5);
     let mut told = Vec::new();
-    assert!(reader.0.passed(MS + TOLD_AFTER, |_| Owed::Nothing, &mut told));
+    assert!(reader.0.passed(Place::Current, MS + TOLD_AFTER, &mut reader.1, |_| Owed::Nothing, &mut told));
     assert_eq!(told, [Told::Settled { again: false }]);
-    assert!(reader.0.passed(SILENT, |_| Owed::Nothing, &mut told));
-    assert!(!reader.0.passed(MS + SILENT, |_| Owed::Nothing, &mut told));
+    assert!(reader.0.passed(Place::Current, SILENT, &mut reader.1, |_| Owed::Nothing, &mut told));
+    assert!(!reader.0.passed(Place::Current, MS + SILENT, &mut reader.1, |_| Owed::Nothing, &mut told));
 }
 
 #[test]
 fn what_is_no_news_is_an_error() {
     for text in ["ERR invalid\r\n", "OK\r\n* hello x a 1 1\r\n", "OK\r\n* lease 99 1\r\n", "OK\r\n\x01\r\n"] {
         let mut reader = Reader::new();
-        reader.0.opened(MS);
+        reader.0.opened(Place::Current, MS);
         let (news, names) = (&mut reader.0, &mut reader.1);
-        assert!(news.take(MS, text.as_bytes(), names, |_| Owed::Nothing, &mut Vec::new()).is_err(), "{text}");
+        assert!(
+            news.take(Place::Current, MS, text.as_bytes(), names, |_| Owed::Nothing, &mut Vec::new())
+                .is_err(),
+            "{text}"
+        );
     }
 }
 
@@ -142,7 +147,7 @@
 fn what_was_told_before_a_call_of_ours_does_not_differ() {
     let mut reader = Reader::new();
     reader.opens(STANDS, 1000);
-    reader.0.opened(MS);
+    reader.0.opened(Place::Current, MS);
     assert_eq!(reader.tell(&format!("OK\r\n{STANDS}"), 1000), []);
     let set = |server: &str, on| SetLine { slice: 88, server: server.to_string(), on };
     reader.0.confirmed(set("s-1", false));
@@ -150,7 +155,7 @@
     assert_eq!(reader.tell("*\r\n", 1000), [Told::Settled { again: true }]);
     assert_eq!(reader.0.line_of(88), Some("s-2"));
     // What neither stood before nor was set by us is another's.
-    reader.0.opened(MS);
+    reader.0.opened(Place::Current, MS);
     reader.0.confirmed(set("s-3", true));
     let told = reader.tell(&format!("OK\r\n{}*\r\n", STANDS.replace("s-1", "s-9")), 1000);
     assert_eq!(told, [Told::Anew { slice: 88, differs: true }, Told::Settled { again: true }]);
@@ -162,14 +167,14 @@
 fn what_was_owed_in_a_break_starts_anew() {
     let mut reader = Reader::new();
     reader.opens(STANDS, 1000);
-    reader.0.opened(MS);
+    reader.0.opened(Place::Current, MS);
     let mut told = Vec::new();
     let text = format!("OK\r\n{STANDS}*\r\n");
     let (begin, end) = text.split_at(text.len() - 3);
     let owed = |slice| if slice == 88 { Owed::Handover } else { Owed::Nothing };
-    reader.0.take(MS, begin.as_bytes(), &mut reader.1, owed, &mut told).unwrap();
+    reader.0.take(Place::Current, MS, begin.as_bytes(), &mut reader.1, owed, &mut told).unwrap();
     assert!(told.is_empty() && !reader.0.live());
-    reader.0.take(MS, end.as_bytes(), &mut reader.1, owed, &mut told).unwrap();
+    reader.0.take(Place::Current, MS, end.as_bytes(), &mut reader.1, owed, &mut told).unwrap();
     assert_eq!(told, [Told::Anew { slice: 88, differs: false }, Told::Settled { again: true }]);
     assert!(reader.0.live());
 }
@@ -193,3 +198,64 @@
     reader.0.line_ordered(5);
     assert_eq!(reader.tell("* line 5 s-2 1.0\r\n", 1000), []);
 }
+
+/// The relay moves: what stands is told at the new address while the former goes on. Nobody else had our slices
+/// meanwhile, so a handover goes on, and nothing that either told is lost.
+#[test]
+fn a_connection_at_a_new_address_takes_over_without_a_break() {
+    let mut reader = Reader::new();
+    reader.opens(STANDS, 1000);
+    reader.0.opened(Place::Next, MS);
+    let owed = |_| Owed::Handover;
+    let mut told = Vec::new();
+    let (news, names) = (&mut reader.0, &mut reader.1);
+    news.take(Place::Next, MS, format!("OK\r\n{STANDS}").as_bytes(), names, owed, &mut told).unwrap();
+    assert!(told.is_empty() && news.live() && news.is_open(Place::Next));
+    // Both tell what happens meanwhile; an answer may be told by either.
+    let both = "* bye 18\r\n* hello 20 a 1 0\r\n* lease 9 0\r\n* lease 7 1\r\n* line 7 s-2 1.0\r\n";
+    news.take(Place::Current, MS, both.as_bytes(), names, owed, &mut told).unwrap();
+    let before = told.len();
+    news.take(Place::Next, MS, format!("{both}* ack 17 5 1.0\r\n*\r\n").as_bytes(), names, owed, &mut told)
+        .unwrap();
+    let wanted = [Told::Acked { proxy: 17, mark: 5, way: MS }, Told::Settled { again: true }];
+    assert_eq!((before, &told[before..]), (5, wanted.as_slice()));
+    assert!(news.live() && !news.is_open(Place::Next));
+    assert_eq!((news.line_of(7), news.line_of(88), news.slices()), (Some("s-2"), Some("s-1"), 2));
+}
+
+/// The former address goes silent before the new one has told everything: that is a break like any other.
+#[test]
+fn a_former_address_that_ends_too_early_is_a_break() {
+    let mut reader = Reader::new();
+    reader.opens(STANDS, 1000);
+    reader.0.opened(Place::Next, MS);
+    let owed = |slice| if slice == 88 { Owed::Handover } else { Owed::Nothing };
+    let mut told = Vec::new();
+    let (news, names) = (&mut reader.0, &mut reader.1);
+    news.take(Place::Next, MS, format!("OK\r\n{STANDS}").as_bytes(), names, owed, &mut told).unwrap();
+    news.closed(Place::Current);
+    assert!(!news.live());
+    news.take(Place::Next, MS, b"*\r\n", names, owed, &mut told).unwrap();
+    assert_eq!(told, [Told::Anew { slice: 88, differs: false }, Told::Settled { again: true }]);
+    assert!(news.live());
+}
+
+/// The first connection breaks off, or goes on with what cannot be read, before it has told everything.
+#[test]
+fn what_was_told_in_part_is_set_against_the_next_connection() {
+    for garbage in [false, true] {
+        let mut reader = Reader::new();
+        reader.0.opened(Place::Current, MS);
+        reader.tell(&format!("OK\r\n{STANDS}"), 1000);
+        if garbage {
+            let (news, names) = (&mut reader.0, &mut reader.1);
+            assert!(news
+                .take(Place::Current, MS, b"\x01\r\n", names, |_| Owed::Nothing, &mut Vec::new())
+                .is_err());
+        }
+        reader.0.closed(Place::Current);
+        let told = reader.opens("* hello 17 a 21.5 1\r\n* lease 88 1\r\n* line 88 s-1 1.0\r\n", 1000);
+        let gone = [Told::Event(Event::Left { proxy: 18 }), Told::Event(Event::Taken { slice: 9 })];
+        assert_eq!(told, [gone.as_slice(), &[Told::Settled { again: true }]].concat());
+    }
+}
--- a/crates/whinhill-platform/tests/mangled.rs
+++ b/crates/whinhill-platform/tests/mangled.rs
@@ -12,7 +12,7 @@
 use whinhill_platform::peer::Peer;
 use whinhill_platform::probe::Probing;
 use whinhill_platform::relay::calls::Calls;
-use whinhill_platform::relay::news::{News, Owed};
+use whinhill_platform::relay::news::{News, Owed, Place};
 use whinhill_platform::relay::orders::RelayOrder;
 use whinhill_platform::roster::Roster;
 
@@ -99,10 +99,10 @@
 fn news() {
     same_however_cut(NEWS, |pieces| {
         let (mut news, mut names, mut told) = (News::default(), names(), Vec::new());
-        news.opened(Duration::ZERO);
-        let result = pieces
-            .iter()
-            .try_for_each(|bytes| news.take(Duration::ZERO, bytes, &mut names, |_| Owed::Nothing, &mut told));
+        news.opened(Place::Current, Duration::ZERO);
+        let result = pieces.iter().try_for_each(|bytes| {
+            news.take(Place::Current, Duration::ZERO, bytes, &mut names, |_| Owed::Nothing, &mut told)
+        });
         (told, result.map_err(|error| error.to_string()))
     });
 }
