--- /dev/null
+++ b/crates/whinhill-platform/src/discovery/tests.rs
@@ -0,0 +1,41 @@
+use super::*;
+
+fn list(version: u64, whole: bool) -> Roster {
+    Roster { version, whole, servers: Vec::new() }
+}
+
+#[test]
+fn a_watch_tells_its_lists_however_the_chunks_are_cut() {
+    let lines = "{\"index\":1,\"snapshot\":true,\"endpoints\":[]}\n\n{\"index\":2,\"snapshot\":false,\"endpoints\":[]}\n";
+    let mut input = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".to_vec();
+    for piece in lines.as_bytes().chunks(11) {
+        input.extend_from_slice(format!("{:x}\r\n", piece.len()).as_bytes());
+        input.extend_from_slice(piece);
+        input.extend_from_slice(b"\r\n");
+    }
+    for piece in [1, 3, 17, input.len()] {
+        let mut asking = Asking::watch();
+        let lists: Vec<Roster> = input.chunks(piece).flat_map(|b| asking.take(b).unwrap()).collect();
+        assert_eq!(lists, [list(1, true), list(2, false)], "in pieces of {piece}");
+        assert!(asking.ended().is_err(), "a watch never ends well");
+    }
+}
+
+#[test]
+fn an_error_or_a_cut_list_is_a_failure() {
+    assert!(Asking::fetch().take(b"HTTP/1.1 503 Busy\r\n\r\n").is_err());
+    let mut asking = Asking::fetch();
+    assert!(asking.take(b"HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\n{\"index\":1").unwrap().is_empty());
+    assert!(asking.ended().is_err());
+}
+
+/// An old answer must not bring a server back that was seen to drain.
+#[test]
+fn a_list_that_goes_back_is_not_taken_until_it_persists() {
+    let mut version = Version::new(5);
+    assert_eq!(version.take(&list(6, false)), Some(ListKind::Changes));
+    assert_eq!(version.take(&list(5, true)), None);
+    assert_eq!(version.take(&list(6, true)), Some(ListKind::Full));
+    assert_eq!([0; 3].map(|_| version.take(&list(2, true))), [None, None, Some(ListKind::Full)]);
+    assert_eq!(version.held(), 2);
+}
