Send a call in doubt again once both copies fit the channel; drains on narrow ones start sooner

At fault: start_call sent orders in doubt again whatever the channel held, and the module did not count them twice. Test a_call_in_doubt_... over connections, red without the wait (0.50 s for 0.95). The least start is 0.6 now, as departures stop there. Test a_drain_on_a_narrow_channel_... red with 0.3.

--- a/crates/whinhill-cli/tests/platform.rs
+++ b/crates/whinhill-cli/tests/platform.rs
@@ -369,6 +369,28 @@
     wait_for(&saw, "a grant at the next relay", granted);
 }
 
+/// A call is carried out and its answer lost, over and over. Its orders would fill the channel twice over, so that
+/// each is sent again only when the time for which the rules wait is over, and not at once.
+#[test]
+fn a_call_in_doubt_that_would_fill_the_channel_is_not_sent_again_at_once() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("config.json");
+    let (sender, saw) = channel();
+    let discovery = discovery(sender.clone());
+    let mute = Relay::start_with("s-gone", Does::Nothing, sender);
+    let narrow = [("backlog\":60000.0", "backlog\":6.0"), ("linesPerS\":40000.0", "linesPerS\":1.0")];
+    let narrow = narrow.iter().chain(&[("overhead\":8.0", "overhead\":1.0")]);
+    let wide = config(mute.addr, discovery);
+    fs::write(&path, narrow.fold(wide, |text, (from, to)| text.replace(from, to))).unwrap();
+    let (_running, _) = Running::start(&path);
+    let revoked = orders_with("put,0,s-gone,0");
+    wait_for(&saw, "a call", &revoked);
+    let first = Instant::now();
+    wait_for(&saw, "the same call", &revoked);
+    // On a new connection the answer is waited for 0.5 s, and then room for 0.5 s.
+    assert!(first.elapsed() >= Duration::from_millis(950), "{:?}", first.elapsed());
+}
+
 /// The relay moves under a handover. What the former address still tells counts until the new one has told what
 /// stands, which here it never does: the mark's answer must reach the handover, and the grant the new address.
 #[test]
--- a/crates/whinhill-node/src/limits.rs
+++ b/crates/whinhill-node/src/limits.rs
@@ -8,6 +8,11 @@
 pub const CONNECT_WITHIN: Duration = Duration::from_millis(500);
 /// The relay answers within 50 ms or never; the rest is for a core that is shared.
 pub const CALL_WITHIN: Duration = Duration::from_millis(200);
+/// So long a call in doubt waits for room to be sent again, at most: by so much the rules' time limits wait where
+/// the relay breaks a call, and by more where it is silent.
+pub const DOUBT_WAITS: Duration = Duration::from_millis(500);
+/// And so often it is looked at: as often as the module looks at its channel.
+pub const DOUBT_LOOKS: Duration = Duration::from_millis(50);
 /// A calls' connection idle for longer is replaced before the next call: the relay closes it at 10 s or less.
 pub const CALL_IDLE: Duration = Duration::from_secs(3);
 /// First wait before news are asked for again, doubled up to the most. Shorter: a relay that is down is
--- a/crates/whinhill-node/src/relay.rs
+++ b/crates/whinhill-node/src/relay.rs
@@ -178,6 +178,13 @@
         if !self.news.live() {
             return;
         }
+        if let Some((orders, since)) = self.calls.in_doubt() {
+            // If it was carried out, it waits in the channel already, and would a second time.
+            if now < since + DOUBT_WAITS && !self.assigner.may_send_again(orders) {
+                return self.deadlines.set(Due::Call, now + DOUBT_LOOKS);
+            }
+            self.assigner.sent_again(now, orders);
+        }
         if now > self.calls_used + CALL_IDLE || std::mem::take(&mut self.calls_moved) {
             // The relay closes idle connections: an order must not be what finds that out.
             self.calls_at.take().into_iter().for_each(|id| drop(self.close(id)));
--- a/crates/whinhill-platform/src/relay/calls.rs
+++ b/crates/whinhill-platform/src/relay/calls.rs
@@ -54,6 +54,8 @@
 struct Waiting {
     order: RelayOrder,
     ordered: Duration,
+    /// It has left in a call that may have been carried out.
+    in_doubt: bool,
 }
 
 #[derive(Debug)]
@@ -77,6 +79,8 @@
     under_way: Option<UnderWay>,
     not_before: Duration,
     errors: u32,
+    /// When a call came into doubt last.
+    doubted: Duration,
     marks: VecDeque<MarkTimes>,
     last_mark: Option<u16>,
     /// Lines that the store is known to have set or ended since the last look.
@@ -108,7 +112,7 @@
                 }
                 RelayOrder::Line { on: false, .. } => {}
             }
-            self.waiting.push_back(Waiting { order, ordered });
+            self.waiting.push_back(Waiting { order, ordered, in_doubt: false });
         }
     }
 
@@ -167,6 +171,12 @@
         (self.under_way.is_none() && !self.waiting.is_empty()).then_some(self.not_before)
     }
 
+    /// How many of the orders that wait may have been carried out already, and since when that is not known.
+    pub fn in_doubt(&self) -> Option<(usize, Duration)> {
+        let orders = self.waiting.iter().filter(|w| w.in_doubt).count();
+        (orders > 0).then_some((orders, self.doubted))
+    }
+
     pub fn under_way(&self) -> bool {
         self.under_way.is_some()
     }
@@ -230,9 +240,11 @@
         }
     }
 
-    fn doubt(&mut self, now: Duration, call: UnderWay) -> Outcome {
+    fn doubt(&mut self, now: Duration, mut call: UnderWay) -> Outcome {
         self.unknown += 1;
-        for waiting in &call.orders {
+        self.doubted = now;
+        for waiting in &mut call.orders {
+            waiting.in_doubt = true;
             if let RelayOrder::Mark(mark) = waiting.order {
                 self.carry(mark, now);
             }
@@ -251,7 +263,7 @@
         let later = std::mem::take(&mut self.waiting);
         let kept = orders.into_iter().filter(|w| w.order.slice().is_none_or(|slice| !void.contains(&slice)));
         self.waiting.extend(kept);
-        for Waiting { order, ordered } in later {
+        for Waiting { order, ordered, .. } in later {
             self.push(ordered, [order]);
         }
     }
--- a/crates/whinhill-platform/src/relay/calls/tests.rs
+++ b/crates/whinhill-platform/src/relay/calls/tests.rs
@@ -152,3 +152,21 @@
     calls.push(MS, [line(1, "c", true), line(1, "b", false)]);
     assert_eq!(sent(&mut calls, MS), "APPLY put,1,a,0;put,1,c,1;put,1,b,0\r\n");
 }
+
+#[test]
+fn orders_in_doubt_are_told_until_they_leave_again() {
+    let mut calls = Calls::default();
+    calls.push(MS, [line(1, "a", true), line(2, "b", true)]);
+    sent(&mut calls, MS);
+    calls.push(MS * 2, [line(3, "c", true)]);
+    assert_eq!(calls.in_doubt(), None);
+    calls.lost(MS * 9, true);
+    assert_eq!(calls.in_doubt(), Some((2, MS * 9)));
+    calls.forget(1);
+    assert_eq!(calls.in_doubt(), Some((1, MS * 9)));
+    // It did not leave: what was in doubt before still is.
+    sent(&mut calls, MS * 20);
+    assert_eq!(calls.in_doubt(), None);
+    calls.lost(MS * 21, false);
+    assert_eq!(calls.in_doubt(), Some((1, MS * 9)));
+}
--- a/crates/whinhill/src/assigner.rs
+++ b/crates/whinhill/src/assigner.rs
@@ -153,7 +153,8 @@
         self.evacuate();
         self.advance();
         self.run_batches();
-        if period || self.out.iter().any(|order| matches!(order, Order::Grant { .. })) {
+        let draws = period || self.out.iter().any(|order| matches!(order, Order::Grant { .. }));
+        if draws && self.cfg.admission == Admission::Share {
             self.draw_lines();
         }
         self.order_levels(period);
@@ -615,7 +616,7 @@
         let lead = self.cfg.grace.saturating_sub(self.cfg.way_most.mul_f64(DRAIN_WAYS) + behind);
         let short = lines > PLAN_ROOM * self.cfg.backlog || lead < self.cfg.way_most / 2;
         let heads = HEADS * self.cfg.head * self.joined() as f64 / self.cfg.backlog;
-        let from = DRAIN_ROOM.0.min(DRAIN_ROOM.1 - heads).max(LEAVE_ROOM.0);
+        let from = DRAIN_ROOM.0.min(DRAIN_ROOM.1 - heads).max(LEAVE_ROOM.1);
         let (mut view, drain, leave) = (None, self.has_room(from), self.has_room(LEAVE_ROOM.0));
         for id in 0..self.slices.len() {
             let Some(owner) = self.slices[id].owner else { continue };
@@ -788,9 +789,6 @@
 
     /// Draws each server's line of criticality by its limit, and by its budget while it is cold.
     fn draw_lines(&mut self) {
-        if self.cfg.admission != Admission::Share {
-            return;
-        }
         let view = self.view();
         let offered = self.demand_by(&view.demand, |s| s.owner);
         let work = |m: &usize| self.came[*m].read(self.now, self.half) * self.work(*m);
@@ -905,6 +903,7 @@
     server.listed == Listed::Ready && server.sick.is_none()
 }
 
+mod resent;
 mod shown;
 #[cfg(test)]
 mod tests;
--- a/crates/whinhill/src/assigner/tests.rs
+++ b/crates/whinhill/src/assigner/tests.rs
@@ -905,3 +905,34 @@
     let orders = a.handle(s(110.0), &[Event::Acked { proxy: 0, mark: a.channel.marks as u16, way: s(0.1) }]);
     assert!(!grants(&orders).is_empty() && ends(&orders) == 0);
 }
+
+/// On a soak of another customer a call of 3275 lines was carried out, its answer was lost, and it was sent again at
+/// once: 6550 lines waited where 5800 may.
+#[test]
+fn a_call_sent_again_waits_until_both_fit_the_channel() {
+    let mut a = fleet(2, &[(0, 1.0); 4]);
+    (a.channel.lines, a.channel.at) = (3300.0, s(100.0));
+    assert!(!a.may_send_again(1642) && a.may_send_again(1000));
+    a.handle(s(101.0), &[Event::Timer]);
+    assert!(a.may_send_again(1500) && !a.may_send_again(1642), "{}", a.channel_lines());
+    let before = a.channel_lines();
+    a.sent_again(s(101.0), 100);
+    assert_eq!(a.channel_lines() - before, 216.0);
+}
+
+/// On a soak with 44 lines a proxy and a head of 12, four heads fit nowhere: a drain waited for an empty queue and
+/// ended 3.33 s after it was told, where 3.3 s are allowed.
+#[test]
+fn a_drain_on_a_narrow_channel_does_not_wait_for_an_empty_queue() {
+    for (filled, goes) in [(0.3, true), (0.6, false)] {
+        let mut a = with_settings(&[("familyInfo.oneOwner", "0"), ("familyInfo.overhead", "750")]);
+        let first = drained(&mut a);
+        assert!(first.iter().any(Order::costs_a_line));
+        a.servers[1].listed = Listed::Draining;
+        a.servers[1].told = s(100.1);
+        (a.channel.lines, a.channel.at) = (filled * a.cfg.backlog, s(100.2));
+        a.channel.sent.clear();
+        let orders = a.handle(s(100.2), &[Event::Timer]);
+        assert_eq!(orders.iter().any(|o| matches!(o, Order::Revoke { .. })), goes, "filled {filled}");
+    }
+}
