Forget messages that have left though no mark follows them

Found by reading: messages without a mark stayed in Channel::sent until the next mark was answered, without a bound, and an overdue answer counted all of them as waiting. Once nothing is reckoned to wait, what no unanswered mark follows is dropped.

--- a/crates/whinhill/src/assigner.rs
+++ b/crates/whinhill/src/assigner.rs
@@ -883,6 +883,7 @@
         let slow = SLOW_CHANNEL * if overdue { SLOW_CHANNEL } else { 1.0 };
         let sent = now.saturating_sub(self.channel.at).as_secs_f64() * self.cfg.lines_per_s / slow;
         (self.channel.lines, self.channel.at) = ((self.channel.lines - sent).max(0.0), now);
+        self.channel.forget_left();
         self.channel.messages.retain(|at| now <= *at + self.cfg.messages_span);
         if self.out.iter().any(Order::costs_a_line) {
             let lines = self.lines(0);
--- a/crates/whinhill/src/assigner/tests.rs
+++ b/crates/whinhill/src/assigner/tests.rs
@@ -936,3 +936,21 @@
         assert_eq!(orders.iter().any(|o| matches!(o, Order::Revoke { .. })), goes, "filled {filled}");
     }
 }
+
+/// Where marks are rare, messages that left long ago must neither pile up nor count when an answer is overdue.
+#[test]
+fn messages_that_have_left_are_forgotten_though_no_mark_follows() {
+    let mut a = with_settings(&[("familyInfo.oneOwner", "0"), ("familyInfo.admission", "off")]);
+    for minute in 1..200 {
+        let to = 1 + minute as usize % 2;
+        a.plan.batches = [vec![(0, to)]].into();
+        a.slices[0].stays = Duration::ZERO;
+        a.handle(s(100.0 + 60.0 * f64::from(minute)), &[Event::Timer]);
+    }
+    assert!(
+        a.channel.sent.len() <= 2,
+        "{} messages, {:.0} lines",
+        a.channel.sent.len(),
+        a.channel.unanswered()
+    );
+}
--- a/crates/whinhill/src/state.rs
+++ b/crates/whinhill/src/state.rs
@@ -203,6 +203,14 @@
         self.sent.iter().map(|(_, lines, _)| lines).sum()
     }
 
+    /// Once nothing is reckoned to wait, what was sent before the first unanswered mark has left.
+    pub fn forget_left(&mut self) {
+        if self.lines <= 0.0 {
+            let answered = self.answered;
+            self.sent.retain(|(mark, ..)| *mark > answered);
+        }
+    }
+
     /// When the first mark was sent that no proxy has answered.
     pub fn answer_due(&self) -> Option<Duration> {
         self.sent.iter().find(|(mark, ..)| *mark > self.answered).map(|(_, _, at)| *at)
