--- a/crates/whinhill-cli/tests/platform.rs
+++ b/crates/whinhill-cli/tests/platform.rs
@@ -1,307 +1,23 @@
 //! The assigner on the platform as a process, with small stand-ins of relay, discovery and collector: it starts,
 //! grants, survives a cut relay and a new configuration, and ends in time.
 
+mod support;
+
 use std::fs;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::TcpStream;
 use std::path::Path;
-use std::process::{Child, Command, Stdio};
-use std::sync::mpsc::{channel, Receiver, Sender};
-use std::sync::{Arc, Mutex};
-use std::thread;
+use std::process::Command;
+use std::sync::mpsc::channel;
 use std::time::{Duration, Instant};
 
-use rustix::process::{kill_process, prlimit, Pid, Resource, Rlimit, Signal};
-
-const WITHIN: Duration = Duration::from_secs(20);
-
-/// What the stand-ins saw.
-#[derive(Debug, PartialEq)]
-enum Saw {
-    Watch,
-    Orders(String),
-    List,
-}
-
-/// What a relay does with calls.
-#[derive(Clone, Copy, PartialEq)]
-enum Does {
-    Answers,
-    /// Takes them and says nothing.
-    Nothing,
-    /// Answers the first one twice, then as it should.
-    AnswersTwice,
-    /// Breaks the news off in place of the first mark's answer.
-    LosesAnAnswer,
-    /// Has lost it, and holds what came before it: the line was taken away. Answers as it should.
-    HasLostAnAnswer,
-    /// Has lost it, and the slice was in other hands meanwhile: the line stands, and its levels were reset.
-    HasLostTheLevels,
-    LosesTheLevels,
-    /// Breaks the news off under a grant, tells anew what stands without it, and answers the call before the
-    /// telling ends.
-    HoldsAGrant,
-    HoldingIt,
-    HasTold,
-    /// Answers calls and keeps the marks' answers for itself.
-    KeepsMarks,
-    /// Goes on telling what stands, and never comes to an end.
-    TellsForEver,
-}
-
-/// The relay: one slice in the assigner's charge, one proxy that answers every mark.
-struct Relay {
-    addr: SocketAddr,
-    streams: Arc<Mutex<Vec<TcpStream>>>,
-    news: Arc<Mutex<Option<TcpStream>>>,
-}
-
-impl Relay {
-    fn start(line: &'static str, saw: Sender<Saw>) -> Self {
-        Self::start_with(line, Does::Answers, saw)
-    }
-
-    fn start_with(line: &'static str, does: Does, saw: Sender<Saw>) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let addr = listener.local_addr().unwrap();
-        let streams: Arc<Mutex<Vec<TcpStream>>> = Arc::default();
-        let news: Arc<Mutex<Option<TcpStream>>> = Arc::default();
-        let (kept, does, told) = (streams.clone(), Arc::new(Mutex::new(does)), news.clone());
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                kept.lock().unwrap().push(stream.try_clone().unwrap());
-                let (saw, news, does) = (saw.clone(), news.clone(), does.clone());
-                thread::spawn(move || serve(stream, line, &does, &news, &saw));
-            }
-        });
-        Relay { addr, streams, news: told }
-    }
-
-    fn tell(&self, news: &str) {
-        self.news.lock().unwrap().as_mut().unwrap().write_all(news.as_bytes()).unwrap();
-    }
-
-    fn cut(&self) {
-        for stream in self.streams.lock().unwrap().drain(..) {
-            let _ = stream.shutdown(std::net::Shutdown::Both);
-        }
-    }
-}
-
-fn serve(
-    stream: TcpStream,
-    line: &str,
-    does: &Mutex<Does>,
-    news: &Mutex<Option<TcpStream>>,
-    saw: &Sender<Saw>,
-) {
-    let mut out = stream.try_clone().unwrap();
-    for request in BufReader::new(stream).lines().map_while(Result::ok) {
-        if request == "WATCH" {
-            let now = *does.lock().unwrap();
-            let gone = matches!(now, Does::HasLostAnAnswer | Does::HoldingIt);
-            let stands = if gone { String::new() } else { format!("* line 0 {line} 1.0\r\n") };
-            let _ = write!(out, "OK\r\n* hello 0 a 5 1\r\n* lease 0 1\r\n{stands}");
-            if now == Does::HoldingIt {
-                *does.lock().unwrap() = Does::HasTold;
-                tell_until_answered(&mut out, does);
-            }
-            while now == Does::TellsForEver && out.write_all(b"* hello 0 a 5 0\r\n").is_ok() {
-                thread::sleep(Duration::from_millis(20));
-            }
-            let _ = out.write_all(b"*\r\n");
-            *news.lock().unwrap() = Some(out.try_clone().unwrap());
-            let _ = saw.send(Saw::Watch);
-            continue;
-        }
-        let Some(orders) = request.strip_prefix("APPLY ") else { continue };
-        let _ = saw.send(Saw::Orders(orders.to_string()));
-        let set = orders.split(';').any(|order| order.starts_with("put,") && order.ends_with(",1"));
-        if set && *does.lock().unwrap() == Does::HoldsAGrant {
-            *does.lock().unwrap() = Does::HoldingIt;
-            break_off(news);
-            while *does.lock().unwrap() == Does::HoldingIt {
-                thread::sleep(Duration::from_millis(1));
-            }
-        }
-        let mut does = does.lock().unwrap();
-        let times = match *does {
-            Does::Nothing => continue,
-            Does::AnswersTwice => 2,
-            _ => 1,
-        };
-        let _ = out.write_all(format!("OK {}\r\n", orders.split(';').count()).repeat(times).as_bytes());
-        if matches!(*does, Does::AnswersTwice | Does::HasTold) {
-            *does = Does::Answers;
-        }
-        for mark in orders.split(';').filter_map(|order| order.strip_prefix("fence,")) {
-            let mark = mark.split(',').next().unwrap_or_default();
-            if matches!(*does, Does::LosesAnAnswer | Does::LosesTheLevels) {
-                let levels = *does == Does::LosesTheLevels;
-                *does = if levels { Does::HasLostTheLevels } else { Does::HasLostAnAnswer };
-                break_off(news);
-            } else if let Some(news) = news.lock().unwrap().as_mut().filter(|_| *does != Does::KeepsMarks) {
-                let _ = write!(news, "* ack 0 {mark} 1.0\r\n");
-            }
-        }
-    }
-}
-
-fn break_off(news: &Mutex<Option<TcpStream>>) {
-    if let Some(news) = news.lock().unwrap().take() {
-        let _ = news.shutdown(std::net::Shutdown::Both);
-    }
-}
-
-/// Goes on telling, so that there is no pause, until the call was answered and for a while after that.
-fn tell_until_answered(out: &mut TcpStream, does: &Mutex<Does>) {
-    let mut after = 0;
-    while after < 5 {
-        after += u32::from(*does.lock().unwrap() == Does::Answers);
-        if out.write_all(b"* hello 0 a 5 0\r\n").is_err() {
-            return;
-        }
-        thread::sleep(Duration::from_millis(20));
-    }
-}
-
-/// Discovery: two servers, both ready; each call is answered by the whole list, and a watch then stays open.
-fn discovery(saw: Sender<Saw>) -> SocketAddr {
-    discovery_with(["SERVING"; 2], saw)
-}
-
-fn discovery_with(status: [&'static str; 2], saw: Sender<Saw>) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let addr = listener.local_addr().unwrap();
-    thread::spawn(move || {
-        let mut open = Vec::new();
-        for mut stream in listener.incoming().flatten() {
-            let mut first = String::new();
-            let _ = BufReader::new(stream.try_clone().unwrap()).read_line(&mut first);
-            let list = format!("{}\n", list(status));
-            let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-            let _ = write!(stream, "{head}{:x}\r\n{list}\r\n", list.len());
-            let _ = saw.send(Saw::List);
-            open.push(stream);
-        }
-    });
-    addr
-}
-
-fn list(status: [&str; 2]) -> String {
-    let server = |name: &str, status: &str| {
-        format!(
-            r#"{{"name":"{name}","address":"127.0.0.1:9","zone":"a","type":"m","group":0,"status":"{status}","weight":1.0,"since_ms":0}}"#
-        )
-    };
-    format!(
-        r#"{{"index":7,"snapshot":true,"endpoints":[{},{}]}}"#,
-        server("s-1", status[0]),
-        server("s-2", status[1])
-    )
-}
-
-fn config(relay: SocketAddr, discovery: SocketAddr) -> String {
-    config_with(relay, discovery, 256)
-}
-
-fn config_with(relay: SocketAddr, discovery: SocketAddr, sockets: usize) -> String {
-    let settings = r#"{"discovery":"subscribe","round":1.0,"zones":["a"],"caps":{"mayProbe":false},
-        "classes":[{"name":"look","objective":1000.0,"points":1.0},{"name":"book","objective":800.0,"points":5.0}],
-        "rules":{"mustAskIn":9000.0,"stopSendingWithin":2000.0,"warmAfter":9000.0,"coldFrom":0.2,"fallMultiple":3.0},
-        "familyInfo":{"shards":2,"mutating":[false,true],"retryDefault":0,"period":200.0,"writeLease":100.0,
-            "inFlightMax":50.0,"transitMax":50.0,"overhead":8.0,"linesPerS":40000.0,"backlog":60000.0,
-            "messagesMost":0,"reloadSpan":10000.0}}"#;
-    format!(
-        r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"5","distributor":{{"address":"{relay}"}},
-        "limits":{{"cores":1.0,"memory_mb":64,"sockets":{sockets}}},
-        "known":{{"index":0,"snapshot":true,"endpoints":[]}},"settings":{settings}}}"#
-    )
-}
-
-/// The assigner, killed when the test is over.
-struct Running(Child, Receiver<String>);
-
-impl Drop for Running {
-    fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
-}
-
-impl Running {
-    fn start(config: &Path) -> (Self, SocketAddr) {
-        let mut command = Command::new(env!("CARGO_BIN_EXE_whinhill"));
-        command.args(["assigner", "--platform"]);
-        Self::spawn(command, config)
-    }
-
-    /// With so many descriptors, whatever the configuration says.
-    fn start_with_descriptors(config: &Path, most: usize) -> (Self, SocketAddr) {
-        let mut command = Command::new("/bin/sh");
-        let run = format!("ulimit -n {most}; exec \"$0\" assigner --platform");
-        command.args(["-c", &run, env!("CARGO_BIN_EXE_whinhill")]);
-        Self::spawn(command, config)
-    }
-
-    fn spawn(mut command: Command, config: &Path) -> (Self, SocketAddr) {
-        command.env("BALANCER_CONFIG", config).stderr(Stdio::piped());
-        let mut child = command.spawn().unwrap();
-        let mut log = BufReader::new(child.stderr.take().unwrap());
-        let mut first = String::new();
-        log.read_line(&mut first).unwrap();
-        let addr = first.split(" addr=").nth(1).and_then(|rest| rest.split(' ').next()?.parse().ok());
-        let (lines, rest) = channel();
-        // The log must be read on, or the assigner would stand still on a full pipe; most tests look at none of it.
-        thread::spawn(move || log.lines().map_while(Result::ok).for_each(|line| drop(lines.send(line))));
-        (Running(child, rest), addr.unwrap_or_else(|| panic!("no address in {first:?}")))
-    }
-
-    fn wait_for_log(&self, part: &str) {
-        self.log_until(part);
-    }
+use rustix::process::Signal;
 
-    /// The lines up to the one with `part`.
-    fn log_until(&self, part: &str) -> Vec<String> {
-        let (until, mut lines) = (Instant::now() + WITHIN, Vec::new());
-        loop {
-            let left = until.saturating_duration_since(Instant::now());
-            lines.push(self.1.recv_timeout(left).unwrap_or_else(|_| panic!("never logged: {part}")));
-            if lines.last().is_some_and(|line| line.contains(part)) {
-                return lines;
-            }
-        }
-    }
-
-    /// Sets how many descriptors it may hold.
-    fn limit_descriptors(&self, most: u64) {
-        let limit = Rlimit { current: Some(most), maximum: Some(1024) };
-        prlimit(Pid::from_raw(self.0.id() as i32), Resource::Nofile, limit).unwrap();
-    }
-
-    fn signal(&self, signal: Signal) {
-        kill_process(Pid::from_raw(self.0.id() as i32).unwrap(), signal).unwrap();
-    }
-}
-
-fn wait_for(saw: &Receiver<Saw>, what: &str, wanted: impl Fn(&Saw) -> bool) {
-    let until = Instant::now() + WITHIN;
-    loop {
-        let left = until.saturating_duration_since(Instant::now());
-        let next = saw.recv_timeout(left).unwrap_or_else(|_| panic!("never seen: {what}"));
-        if wanted(&next) {
-            return;
-        }
-    }
-}
-
-fn ask_alive(addr: SocketAddr) -> String {
-    let mut stream = TcpStream::connect(addr).unwrap();
-    stream.write_all(b"{\"@type\":\"probe\"}\n").unwrap();
-    let mut line = String::new();
-    BufReader::new(stream).read_line(&mut line).unwrap();
-    line
-}
+use support::config::{config, config_with};
+use support::discovery::{discovery, discovery_with, list};
+use support::relay::{Does, Relay};
+use support::running::Running;
+use support::{ask_alive, collect, granted, nobody, orders_with, wait_for, Saw, WITHIN};
 
 #[test]
 fn it_serves_through_a_cut_relay_and_a_new_configuration_and_ends_in_time() {
@@ -412,14 +128,6 @@
     wait_for(&saw, "a grant at the new address", granted);
 }
 
-fn orders_with(part: &'static str) -> impl Fn(&Saw) -> bool {
-    move |saw| matches!(saw, Saw::Orders(orders) if orders.contains(part))
-}
-
-fn granted(saw: &Saw) -> bool {
-    orders_with("put,0,s-1,1")(saw) || orders_with("put,0,s-2,1")(saw)
-}
-
 /// The last answer after a line was taken away is lost with the news: it must be asked for again, or the slice
 /// has no owner for good.
 #[test]
@@ -526,18 +234,6 @@
     wait_for(&saw, "a grant after it", granted);
 }
 
-/// An address at which nobody listens.
-fn nobody() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
-}
-
-fn collect(addr: SocketAddr) -> TcpStream {
-    let mut stream = TcpStream::connect(addr).unwrap();
-    stream.set_read_timeout(Some(WITHIN)).unwrap();
-    stream.write_all(b"{\"@type\":\"agent\",\"site\":\"a\"}\n{\"@type\":\"probe\"}\n").unwrap();
-    stream
-}
-
 #[test]
 fn it_starts_and_ends_while_discovery_and_relay_are_both_down() {
     let folder = tempfile::tempdir().unwrap();
--- /dev/null
+++ b/crates/whinhill-cli/tests/support/running.rs
@@ -0,0 +1,78 @@
+//! The assigner as a process.
+
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{channel, Receiver};
+use std::thread;
+use std::time::Instant;
+
+use rustix::process::{kill_process, prlimit, Pid, Resource, Rlimit, Signal};
+
+use super::WITHIN;
+
+/// The assigner, killed when the test is over.
+pub struct Running(pub Child, pub Receiver<String>);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+impl Running {
+    pub fn start(config: &Path) -> (Self, SocketAddr) {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_whinhill"));
+        command.args(["assigner", "--platform"]);
+        Self::spawn(command, config)
+    }
+
+    /// With so many descriptors, whatever the configuration says.
+    pub fn start_with_descriptors(config: &Path, most: usize) -> (Self, SocketAddr) {
+        let mut command = Command::new("/bin/sh");
+        let run = format!("ulimit -n {most}; exec \"$0\" assigner --platform");
+        command.args(["-c", &run, env!("CARGO_BIN_EXE_whinhill")]);
+        Self::spawn(command, config)
+    }
+
+    pub fn spawn(mut command: Command, config: &Path) -> (Self, SocketAddr) {
+        command.env("BALANCER_CONFIG", config).stderr(Stdio::piped());
+        let mut child = command.spawn().unwrap();
+        let mut log = BufReader::new(child.stderr.take().unwrap());
+        let mut first = String::new();
+        log.read_line(&mut first).unwrap();
+        let addr = first.split(" addr=").nth(1).and_then(|rest| rest.split(' ').next()?.parse().ok());
+        let (lines, rest) = channel();
+        // The log must be read on, or the assigner would stand still on a full pipe; most tests look at none of it.
+        thread::spawn(move || log.lines().map_while(Result::ok).for_each(|line| drop(lines.send(line))));
+        (Running(child, rest), addr.unwrap_or_else(|| panic!("no address in {first:?}")))
+    }
+
+    pub fn wait_for_log(&self, part: &str) {
+        self.log_until(part);
+    }
+
+    /// The lines up to the one with `part`.
+    pub fn log_until(&self, part: &str) -> Vec<String> {
+        let (until, mut lines) = (Instant::now() + WITHIN, Vec::new());
+        loop {
+            let left = until.saturating_duration_since(Instant::now());
+            lines.push(self.1.recv_timeout(left).unwrap_or_else(|_| panic!("never logged: {part}")));
+            if lines.last().is_some_and(|line| line.contains(part)) {
+                return lines;
+            }
+        }
+    }
+
+    /// Sets how many descriptors it may hold.
+    pub fn limit_descriptors(&self, most: u64) {
+        let limit = Rlimit { current: Some(most), maximum: Some(1024) };
+        prlimit(Pid::from_raw(self.0.id() as i32), Resource::Nofile, limit).unwrap();
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        kill_process(Pid::from_raw(self.0.id() as i32).unwrap(), signal).unwrap();
+    }
+}
