--- /dev/null
+++ b/crates/whinhill-cli/tests/owed_answers.rs
@@ -0,0 +1,154 @@
+//! What is owed at each ending and under each failing call: whoever was read gets an answer, in time, whatever
+//! happens to the log, the clocks, the listen queue or the system calls.
+
+mod support;
+
+use std::fs;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::sync::mpsc::channel;
+use std::thread;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use rustix::process::Signal;
+use tempfile::TempDir;
+
+use support::config::config;
+use support::discovery::{entry, list_of, Discovery};
+use support::relay::Relay;
+use support::running::{command, Running};
+use support::{ask_alive, nobody, orders_with, wait_for, Saw, WITHIN};
+
+const ALIVE: &str = "{\"@type\":\"alive\"}\n";
+/// The platform's bound on the answer to a client that sends what cannot be read.
+const ANSWER_WITHIN: Duration = Duration::from_secs(3);
+
+/// A configuration in a folder of its own.
+fn configured(text: &str) -> (TempDir, PathBuf) {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("config.json");
+    fs::write(&path, text).unwrap();
+    (folder, path)
+}
+
+/// All that a client is sent until its connection ends, in order.
+fn read_to_end(mut stream: TcpStream) -> std::io::Result<String> {
+    stream.set_read_timeout(Some(ANSWER_WITHIN)).unwrap();
+    let mut text = String::new();
+    stream.read_to_string(&mut text).map(|_| text)
+}
+
+/// Standard error is a pipe that nobody reads, and there is much to log: whoever connects is answered all the same.
+#[test]
+fn a_log_that_nobody_reads_delays_no_answer() {
+    let (_folder, path) = configured(&config(nobody(), nobody()));
+    let (_running, addr, _log) = Running::spawn_unread(command("debug"), &path);
+    // Each is logged as refused: together several times what a pipe holds.
+    for client in 0..3_000 {
+        let mut stream = TcpStream::connect(addr).unwrap();
+        stream.write_all(b"GET / HTTP/1.1\r\n").unwrap();
+        let answer = read_to_end(stream);
+        assert!(answer.is_ok(), "client {client}: {answer:?}");
+    }
+    assert_eq!(ask_alive(addr), ALIVE);
+}
+
+/// Clients that have connected and asked, but were not accepted before the signal, are answered before the end.
+#[test]
+fn what_waits_in_the_listen_queue_at_sigterm_is_answered() {
+    let (_folder, path) = configured(&config(nobody(), nobody()));
+    for _ in 0..5 {
+        let (mut running, addr) = Running::start(&path);
+        running.signal(Signal::STOP);
+        let clients: Vec<TcpStream> = (0..20)
+            .map(|_| {
+                let mut stream = TcpStream::connect(addr).unwrap();
+                stream.write_all(b"{\"@type\":\"probe\"}\n").unwrap();
+                stream
+            })
+            .collect();
+        running.signal(Signal::TERM);
+        running.signal(Signal::CONT);
+        for client in clients {
+            assert_eq!(read_to_end(client).unwrap(), ALIVE);
+        }
+        assert!(running.0.wait().unwrap().success());
+    }
+}
+
+/// How the clocks stand: ours by a schedule of steps, and by how many seconds the list's stamps are off.
+struct Clocks {
+    case: &'static str,
+    ours: &'static str,
+    stamps: i64,
+}
+
+const HOUR: i64 = 3600;
+/// When the steps that come after the start have been made.
+const STEPPED: Duration = Duration::from_millis(600);
+
+/// A server that started just now is cold, whatever the clocks say, and is warm once its time has passed. If it
+/// counted as warm it would be overfilled; if it stayed cold for good the others would be.
+#[test]
+fn a_new_server_is_cold_at_first_and_not_for_good_however_clocks_are_stepped() {
+    let cases = [
+        Clocks { case: "ours is ahead", ours: "clock=+3600:0", stamps: 0 },
+        Clocks { case: "ours is behind", ours: "clock=-3600:0", stamps: 0 },
+        Clocks { case: "all are set forward", ours: "clock=+3600:0.5", stamps: HOUR },
+        Clocks { case: "all are set back", ours: "clock=-3600:0.5", stamps: -HOUR },
+        Clocks { case: "ours is set forward", ours: "clock=+3600:0.5", stamps: 0 },
+        Clocks { case: "ours is set back", ours: "clock=-3600:0.5", stamps: 0 },
+        Clocks { case: "the others are set forward", ours: "", stamps: HOUR },
+        Clocks { case: "the others are set back", ours: "", stamps: -HOUR },
+    ];
+    thread::scope(|scope| {
+        let playing: Vec<_> = cases.iter().map(|clocks| (clocks, scope.spawn(|| play(clocks)))).collect();
+        for (clocks, played) in playing {
+            assert!(played.join().is_ok(), "{}", clocks.case);
+        }
+    });
+}
+
+fn play(clocks: &Clocks) {
+    let (sender, saw) = channel();
+    let mut discovery = Discovery::start(list_of(1, true, &[entry("s-1", "SERVING", 0)]));
+    let relay = Relay::start("s-1", sender);
+    let (_folder, path) = configured(&config(relay.addr, discovery.addr));
+    let started = Instant::now();
+    let (_running, addr) = Running::start_with_faults(&path, clocks.ours);
+    discovery.wait_for_watch();
+    while started.elapsed() < STEPPED {
+        thread::park_timeout(Duration::from_millis(10));
+        discovery.tell("");
+    }
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as i64;
+    let since = now + clocks.stamps * 1000;
+    let change = [entry("s-2", "SERVING", since), entry("s-1", "DRAINING", 0)];
+    discovery.tell(&list_of(2, false, &change));
+    wait_for(&saw, "a grant to the new server", orders_with("put,0,s-2,1"));
+    let reports = report_demand(addr);
+    let gated = |saw: &Saw| matches!(saw, Saw::Orders(orders) if orders.contains("gate,0,look,0."));
+    wait_for(&saw, "a cold server's level", gated);
+    wait_for(&saw, "a warm server's level", orders_with("gate,0,look,1.000"));
+    drop(reports);
+}
+
+/// A collector that tells of steady demand for the slice and of answers in time, until it is dropped.
+fn report_demand(addr: SocketAddr) -> TcpStream {
+    let stream = TcpStream::connect(addr).unwrap();
+    let mut out = stream.try_clone().unwrap();
+    out.write_all(b"{\"@type\":\"agent\",\"site\":\"a\"}\n").unwrap();
+    thread::spawn(move || {
+        let reports = concat!(
+            r#"{"@type":"hot","range":0,"lane":"look","count":40,"fail":0,"over":200.0}"#,
+            "\n",
+            r#"{"@type":"outcomes","site":"a","target":"s-2","count":40,"fail":0,"mean":10.0,"over":200.0}"#,
+            "\n"
+        );
+        while out.write_all(reports.as_bytes()).is_ok() {
+            thread::sleep(Duration::from_millis(200));
+        }
+    });
+    stream
+}
--- a/crates/whinhill-cli/tests/support/discovery.rs
+++ b/crates/whinhill-cli/tests/support/discovery.rs
@@ -1,13 +1,72 @@
-//! Discovery with two servers.
+//! Discovery: one that answers each call with the same list of two servers, and one that tells changes.
 
 use std::io::{BufRead, BufReader, Write};
-use std::net::{SocketAddr, TcpListener};
-use std::sync::mpsc::Sender;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{channel, Receiver, Sender};
 use std::thread;
 
-use super::Saw;
+use super::{Saw, WITHIN};
 
-/// Discovery: two servers, both ready; each call is answered by the whole list, and a watch then stays open.
+/// The head of an answer whose body comes in chunks.
+const HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+/// Answers each call with a first list, and then tells on the newest watch what the test has it tell.
+pub struct Discovery {
+    pub addr: SocketAddr,
+    watches: Receiver<TcpStream>,
+    watch: Option<TcpStream>,
+}
+
+impl Discovery {
+    pub fn start(first: String) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let addr = listener.local_addr().unwrap();
+        let (sender, watches) = channel();
+        thread::spawn(move || {
+            for mut stream in listener.incoming().flatten() {
+                let mut request = String::new();
+                let _ = BufReader::new(stream.try_clone().unwrap()).read_line(&mut request);
+                let _ = write!(stream, "{HEAD}{}", chunk(&first));
+                let _ = sender.send(stream);
+            }
+        });
+        Discovery { addr, watches, watch: None }
+    }
+
+    /// Waits until a watch is open.
+    pub fn wait_for_watch(&mut self) {
+        self.watch = Some(self.watches.recv_timeout(WITHIN).expect("a watch"));
+    }
+
+    /// Tells a list, or a sign of life with an empty one.
+    pub fn tell(&mut self, list: &str) {
+        self.send(&chunk(list));
+    }
+
+    /// Sends bytes as they are.
+    pub fn send(&mut self, bytes: &str) {
+        self.watch.as_mut().expect("a watch is open").write_all(bytes.as_bytes()).unwrap();
+    }
+}
+
+/// A line of a chunked answer.
+pub fn chunk(line: &str) -> String {
+    format!("{:x}\r\n{line}\n\r\n", line.len() + 1)
+}
+
+/// A list, whole or of changes.
+pub fn list_of(version: u64, whole: bool, servers: &[String]) -> String {
+    format!(r#"{{"index":{version},"snapshot":{whole},"endpoints":[{}]}}"#, servers.join(","))
+}
+
+/// The entry of a server that started at a Unix time in milliseconds; 0: long ago.
+pub fn entry(name: &str, status: &str, since_ms: i64) -> String {
+    format!(
+        r#"{{"name":"{name}","address":"127.0.0.1:9","zone":"a","type":"m","group":0,"status":"{status}","weight":1.0,"since_ms":{since_ms}}}"#
+    )
+}
+
+/// Two servers, both ready; each call is answered by the whole list, and a watch then stays open.
 pub fn discovery(saw: Sender<Saw>) -> SocketAddr {
     discovery_with(["SERVING"; 2], saw)
 }
@@ -20,9 +79,7 @@
         for mut stream in listener.incoming().flatten() {
             let mut first = String::new();
             let _ = BufReader::new(stream.try_clone().unwrap()).read_line(&mut first);
-            let list = format!("{}\n", list(status));
-            let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-            let _ = write!(stream, "{head}{:x}\r\n{list}\r\n", list.len());
+            let _ = write!(stream, "{HEAD}{}", chunk(&list(status)));
             let _ = saw.send(Saw::List);
             open.push(stream);
         }
@@ -31,14 +88,5 @@
 }
 
 pub fn list(status: [&str; 2]) -> String {
-    let server = |name: &str, status: &str| {
-        format!(
-            r#"{{"name":"{name}","address":"127.0.0.1:9","zone":"a","type":"m","group":0,"status":"{status}","weight":1.0,"since_ms":0}}"#
-        )
-    };
-    format!(
-        r#"{{"index":7,"snapshot":true,"endpoints":[{},{}]}}"#,
-        server("s-1", status[0]),
-        server("s-2", status[1])
-    )
+    list_of(7, true, &[entry("s-1", status[0], 0), entry("s-2", status[1], 0)])
 }
--- a/crates/whinhill-cli/tests/support/running.rs
+++ b/crates/whinhill-cli/tests/support/running.rs
@@ -3,7 +3,7 @@
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::Path;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, ChildStderr, Command, Stdio};
 use std::sync::mpsc::{channel, Receiver};
 use std::thread;
 use std::time::Instant;
@@ -37,17 +37,23 @@
         Self::spawn(command, config)
     }
 
-    pub fn spawn(mut command: Command, config: &Path) -> (Self, SocketAddr) {
-        command.env("BALANCER_CONFIG", config).stderr(Stdio::piped());
-        let mut child = command.spawn().unwrap();
-        let mut log = BufReader::new(child.stderr.take().unwrap());
-        let mut first = String::new();
-        log.read_line(&mut first).unwrap();
-        let addr = first.split(" addr=").nth(1).and_then(|rest| rest.split(' ').next()?.parse().ok());
+    /// While its calls fail as a schedule says (`docs/faults.md`).
+    pub fn start_with_faults(config: &Path, faults: &str) -> (Self, SocketAddr) {
+        Self::spawn(command_with_faults(faults), config)
+    }
+
+    pub fn spawn(command: Command, config: &Path) -> (Self, SocketAddr) {
+        let (child, log, addr) = spawn(command, config);
         let (lines, rest) = channel();
-        // The log must be read on, or the assigner would stand still on a full pipe; most tests look at none of it.
+        // Most tests look at none of the log; one that nobody reads has a test of its own.
         thread::spawn(move || log.lines().map_while(Result::ok).for_each(|line| drop(lines.send(line))));
-        (Running(child, rest), addr.unwrap_or_else(|| panic!("no address in {first:?}")))
+        (Running(child, rest), addr)
+    }
+
+    /// With a log that nobody reads on after its first line, for as long as the returned end is kept.
+    pub fn spawn_unread(command: Command, config: &Path) -> (Self, SocketAddr, BufReader<ChildStderr>) {
+        let (child, log, addr) = spawn(command, config);
+        (Running(child, channel().1), addr, log)
     }
 
     pub fn wait_for_log(&self, part: &str) {
@@ -76,3 +82,30 @@
         kill_process(Pid::from_raw(self.0.id() as i32).unwrap(), signal).unwrap();
     }
 }
+
+/// The assigner's command with a log level.
+pub fn command(level: &str) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_whinhill"));
+    command.args(["--log-level", level, "assigner", "--platform"]);
+    command
+}
+
+/// The assigner's command with calls that fail.
+pub fn command_with_faults(faults: &str) -> Command {
+    let mut command = command("info");
+    let library = std::env::current_exe().unwrap().with_file_name("libwhinhill_faults.so");
+    assert!(library.exists(), "{} is not built", library.display());
+    command.env("LD_PRELOAD", library).env("WHINHILL_FAULTS", faults);
+    command
+}
+
+/// Starts it and waits for its first line, which names its address.
+fn spawn(mut command: Command, config: &Path) -> (Child, BufReader<ChildStderr>, SocketAddr) {
+    command.env("BALANCER_CONFIG", config).stderr(Stdio::piped());
+    let mut child = command.spawn().unwrap();
+    let mut log = BufReader::new(child.stderr.take().unwrap());
+    let mut first = String::new();
+    log.read_line(&mut first).unwrap();
+    let addr = first.split(" addr=").nth(1).and_then(|rest| rest.split(' ').next()?.parse().ok());
+    (child, log, addr.unwrap_or_else(|| panic!("no address in {first:?}")))
+}
