Write the log from a thread of its own, so that no reader of it delays an answer

Cause: whinhill-cli/src/logging.rs wrote to standard error from the thread that serves. A full pipe stopped it, and a write that failed (EPIPE, EIO, ENOSPC) went to the subscriber's own eprintln!, which panics.

Change: log_queue.rs, a bounded queue (512 KiB) and a writer; lines without room or that cannot be written are dropped, counted, told once it flows again, and shown in the status (log_dropped). The end waits 100 ms for it at most. tracing-appender was weighed: it bounds lines, not bytes, and waits up to 1.1 s at the end.

--- a/crates/whinhill-cli/src/main.rs
+++ b/crates/whinhill-cli/src/main.rs
@@ -5,6 +5,7 @@
 mod config;
 mod day;
 mod load;
+mod log_queue;
 mod logging;
 mod platform;
 mod proxy;
@@ -14,10 +15,12 @@
 mod table;
 mod until_stopped;
 
+use std::io::Write;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
+use logging::Log;
 use tracing::error;
 use whinhill_assigner::{Assigner, AssignerConfig};
 use whinhill_standins::day::Day;
@@ -138,8 +141,15 @@
 
 fn main() -> ExitCode {
     let cli = Cli::parse();
-    let result = logging::start(cli.log, &cli.log_level).and_then(|()| run(cli.command));
-    match result {
+    let log = match logging::start(cli.log, &cli.log_level) {
+        Ok(log) => log,
+        Err(failed) => {
+            // Where standard error fails too, the exit code is all there is.
+            let _ = writeln!(std::io::stderr(), "{failed}");
+            return ExitCode::from(failed.code());
+        }
+    };
+    match run(cli.command, &log) {
         Ok(()) => ExitCode::SUCCESS,
         Err(failed) => {
             error!("{failed}");
@@ -148,9 +158,9 @@
     }
 }
 
-fn run(command: Command) -> Result<(), Failed> {
+fn run(command: Command, log: &Log) -> Result<(), Failed> {
     match command {
-        Command::Assigner { platform: true, .. } => platform::run(),
+        Command::Assigner { platform: true, .. } => platform::run(log),
         Command::Assigner { config, ready_file, status_file, platform: false } => {
             let config = config.ok_or_else(|| Failed::Usage("--config is missing".into()))?;
             let mut config: AssignerConfig = config::read(&config, AssignerConfig::check)?;
--- a/crates/whinhill-cli/tests/owed_answers.rs
+++ b/crates/whinhill-cli/tests/owed_answers.rs
@@ -15,12 +15,14 @@
 use tempfile::TempDir;
 
 use support::config::config;
-use support::discovery::{entry, list_of, Discovery};
+use support::discovery::{chunk, entry, list_of, Discovery};
 use support::relay::Relay;
 use support::running::{command, Running};
-use support::{ask_alive, nobody, orders_with, wait_for, Saw, WITHIN};
+use support::{ask_alive, nobody, orders_with, wait_for, Saw};
 
+const PROBE: &str = "{\"@type\":\"probe\"}\n";
 const ALIVE: &str = "{\"@type\":\"alive\"}\n";
+const ERROR: &str = "{\"@type\":\"error\"}\n";
 /// The platform's bound on the answer to a client that sends what cannot be read.
 const ANSWER_WITHIN: Duration = Duration::from_secs(3);
 
@@ -64,7 +66,7 @@
         let clients: Vec<TcpStream> = (0..20)
             .map(|_| {
                 let mut stream = TcpStream::connect(addr).unwrap();
-                stream.write_all(b"{\"@type\":\"probe\"}\n").unwrap();
+                stream.write_all(PROBE.as_bytes()).unwrap();
                 stream
             })
             .collect();
@@ -77,6 +79,40 @@
     }
 }
 
+/// Discovery has told a list once it has written it, though what it writes next cannot be read.
+#[test]
+fn a_change_before_what_cannot_be_read_is_taken() {
+    let (sender, saw) = channel();
+    let discovery = Discovery::start(list_of(1, true, &[entry("s-1", "SERVING", 0)]));
+    let relay = Relay::start("s-1", sender);
+    relay.keep_alive();
+    let (_folder, path) = configured(&config(relay.addr, discovery.addr));
+    let (_running, _) = Running::start(&path);
+    discovery.wait_for_watch();
+    let change = list_of(2, false, &[entry("s-2", "SERVING", 0), entry("s-1", "DRAINING", 0)]);
+    discovery.send(&format!("{}what is no chunk\r\n", chunk(&change)));
+    wait_for(&saw, "a grant to the new server", orders_with("put,0,s-2,1"));
+}
+
+/// Standard error is gone, or its disk is full.
+#[test]
+fn a_log_that_cannot_be_written_ends_nothing() {
+    for error in ["EPIPE", "EIO", "ENOSPC"] {
+        let (_folder, path) = configured(&config(nobody(), nobody()));
+        let (mut running, addr) = Running::start_with_faults(&path, &format!("log={error}:0.2-inf"));
+        let until = Instant::now() + Duration::from_secs(1);
+        while Instant::now() < until {
+            let mut collector = TcpStream::connect(addr).unwrap();
+            // Refused after it has joined: that is logged.
+            collector.write_all(b"{\"@type\":\"agent\",\"site\":\"a\"}\nGET /\r\n").unwrap();
+            assert_eq!(read_to_end(collector).unwrap(), ERROR, "{error}");
+        }
+        assert_eq!(ask_alive(addr), ALIVE, "{error}");
+        running.signal(Signal::TERM);
+        assert!(running.0.wait().unwrap().success(), "{error}");
+    }
+}
+
 /// How the clocks stand: ours by a schedule of steps, and by how many seconds the list's stamps are off.
 struct Clocks {
     case: &'static str,
@@ -112,15 +148,15 @@
 
 fn play(clocks: &Clocks) {
     let (sender, saw) = channel();
-    let mut discovery = Discovery::start(list_of(1, true, &[entry("s-1", "SERVING", 0)]));
+    let discovery = Discovery::start(list_of(1, true, &[entry("s-1", "SERVING", 0)]));
     let relay = Relay::start("s-1", sender);
+    relay.keep_alive();
     let (_folder, path) = configured(&config(relay.addr, discovery.addr));
     let started = Instant::now();
     let (_running, addr) = Running::start_with_faults(&path, clocks.ours);
     discovery.wait_for_watch();
     while started.elapsed() < STEPPED {
         thread::park_timeout(Duration::from_millis(10));
-        discovery.tell("");
     }
     let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as i64;
     let since = now + clocks.stamps * 1000;
--- a/crates/whinhill-cli/tests/support/discovery.rs
+++ b/crates/whinhill-cli/tests/support/discovery.rs
@@ -3,18 +3,20 @@
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::{Arc, Mutex};
 use std::thread;
 
-use super::{Saw, WITHIN};
+use super::{send_signs_of_life, Saw, WITHIN};
 
 /// The head of an answer whose body comes in chunks.
 const HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
-/// Answers each call with a first list, and then tells on the newest watch what the test has it tell.
+/// Answers each call with a first list, and then tells on the newest watch what the test has it tell, with signs of
+/// life between.
 pub struct Discovery {
     pub addr: SocketAddr,
     watches: Receiver<TcpStream>,
-    watch: Option<TcpStream>,
+    watch: Arc<Mutex<Option<TcpStream>>>,
 }
 
 impl Discovery {
@@ -30,22 +32,24 @@
                 let _ = sender.send(stream);
             }
         });
-        Discovery { addr, watches, watch: None }
+        let watch: Arc<Mutex<Option<TcpStream>>> = Arc::default();
+        send_signs_of_life(&watch, chunk(""));
+        Discovery { addr, watches, watch }
     }
 
     /// Waits until a watch is open.
-    pub fn wait_for_watch(&mut self) {
-        self.watch = Some(self.watches.recv_timeout(WITHIN).expect("a watch"));
+    pub fn wait_for_watch(&self) {
+        *self.watch.lock().unwrap() = Some(self.watches.recv_timeout(WITHIN).expect("a watch"));
     }
 
-    /// Tells a list, or a sign of life with an empty one.
-    pub fn tell(&mut self, list: &str) {
+    /// Tells a list.
+    pub fn tell(&self, list: &str) {
         self.send(&chunk(list));
     }
 
     /// Sends bytes as they are.
-    pub fn send(&mut self, bytes: &str) {
-        self.watch.as_mut().expect("a watch is open").write_all(bytes.as_bytes()).unwrap();
+    pub fn send(&self, bytes: &str) {
+        self.watch.lock().unwrap().as_mut().expect("a watch is open").write_all(bytes.as_bytes()).unwrap();
     }
 }
 
--- a/crates/whinhill-cli/tests/support/mod.rs
+++ b/crates/whinhill-cli/tests/support/mod.rs
@@ -10,11 +10,30 @@
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::Receiver;
+use std::sync::{Arc, Mutex};
+use std::thread;
 use std::time::{Duration, Instant};
 
 /// Within this everything that is waited for has happened, on a busy machine too.
 pub const WITHIN: Duration = Duration::from_secs(20);
 
+/// Both ends of the platform's streams send one at least each second or two.
+const SIGN_OF_LIFE_EVERY: Duration = Duration::from_millis(500);
+
+/// Sends the same bytes now and then on the stream that is there at that time, for as long as anybody holds it.
+pub fn send_signs_of_life(stream: &Arc<Mutex<Option<TcpStream>>>, sign: String) {
+    let stream = Arc::downgrade(stream);
+    thread::spawn(move || {
+        while let Some(stream) = stream.upgrade() {
+            if let Some(stream) = stream.lock().unwrap().as_mut() {
+                let _ = stream.write_all(sign.as_bytes());
+            }
+            drop(stream);
+            thread::sleep(SIGN_OF_LIFE_EVERY);
+        }
+    });
+}
+
 /// What the stand-ins saw.
 #[derive(Debug, PartialEq)]
 pub enum Saw {
--- a/crates/whinhill-cli/tests/support/relay.rs
+++ b/crates/whinhill-cli/tests/support/relay.rs
@@ -7,7 +7,7 @@
 use std::thread;
 use std::time::Duration;
 
-use super::Saw;
+use super::{send_signs_of_life, Saw};
 
 /// What a relay does with calls.
 #[derive(Clone, Copy, PartialEq)]
@@ -67,6 +67,11 @@
         self.news.lock().unwrap().as_mut().unwrap().write_all(news.as_bytes()).unwrap();
     }
 
+    /// From now on there are signs of life.
+    pub fn keep_alive(&self) {
+        send_signs_of_life(&self.news, "*\r\n".to_string());
+    }
+
     pub fn cut(&self) {
         for stream in self.streams.lock().unwrap().drain(..) {
             let _ = stream.shutdown(std::net::Shutdown::Both);
--- a/crates/whinhill-cli/tests/support/running.rs
+++ b/crates/whinhill-cli/tests/support/running.rs
@@ -43,17 +43,22 @@
     }
 
     pub fn spawn(command: Command, config: &Path) -> (Self, SocketAddr) {
-        let (child, log, addr) = spawn(command, config);
+        let (mut running, addr, log) = Self::spawn_unread(command, config);
         let (lines, rest) = channel();
         // Most tests look at none of the log; one that nobody reads has a test of its own.
         thread::spawn(move || log.lines().map_while(Result::ok).for_each(|line| drop(lines.send(line))));
-        (Running(child, rest), addr)
+        running.1 = rest;
+        (running, addr)
     }
 
-    /// With a log that nobody reads on after its first line, for as long as the returned end is kept.
-    pub fn spawn_unread(command: Command, config: &Path) -> (Self, SocketAddr, BufReader<ChildStderr>) {
-        let (child, log, addr) = spawn(command, config);
-        (Running(child, channel().1), addr, log)
+    /// With a log that nobody reads on after the line that names its address, for as long as the returned end is
+    /// kept.
+    pub fn spawn_unread(mut command: Command, config: &Path) -> (Self, SocketAddr, BufReader<ChildStderr>) {
+        command.env("BALANCER_CONFIG", config).stderr(Stdio::piped());
+        let mut running = Running(command.spawn().unwrap(), channel().1);
+        let mut log = BufReader::new(running.0.stderr.take().unwrap());
+        let addr = read_addr(&mut log);
+        (running, addr, log)
     }
 
     pub fn wait_for_log(&self, part: &str) {
@@ -99,13 +104,16 @@
     command
 }
 
-/// Starts it and waits for its first line, which names its address.
-fn spawn(mut command: Command, config: &Path) -> (Child, BufReader<ChildStderr>, SocketAddr) {
-    command.env("BALANCER_CONFIG", config).stderr(Stdio::piped());
-    let mut child = command.spawn().unwrap();
-    let mut log = BufReader::new(child.stderr.take().unwrap());
-    let mut first = String::new();
-    log.read_line(&mut first).unwrap();
-    let addr = first.split(" addr=").nth(1).and_then(|rest| rest.split(' ').next()?.parse().ok());
-    (child, log, addr.unwrap_or_else(|| panic!("no address in {first:?}")))
+/// Reads the log up to the line that names the address.
+fn read_addr(log: &mut impl BufRead) -> SocketAddr {
+    let mut told = String::new();
+    loop {
+        let before = told.len();
+        log.read_line(&mut told).unwrap();
+        assert!(told.len() > before, "it ends without an address: {told}");
+        let addr = told[before..].split(" addr=").nth(1);
+        if let Some(addr) = addr.and_then(|rest| rest.split(' ').next()?.parse().ok()) {
+            return addr;
+        }
+    }
 }
--- a/crates/whinhill-node/src/lib.rs
+++ b/crates/whinhill-node/src/lib.rs
@@ -17,6 +17,8 @@
 
 use std::io;
 use std::path::{Path, PathBuf};
+use std::sync::atomic::AtomicU64;
+use std::sync::Arc;
 
 use whinhill::interface::SettingsError;
 use whinhill_platform::config::{self, ConfigError, PlatformConfig};
@@ -49,7 +51,8 @@
     config::read(&text).map_err(|source| NodeError::Config { path: path.into(), source })
 }
 
-/// Serves until SIGTERM or SIGINT. SIGHUP has the file read again.
-pub fn run(path: &Path) -> Result<(), NodeError> {
-    node::Node::start(path)?.serve()
+/// Serves until SIGTERM or SIGINT. SIGHUP has the file read again. `log_dropped` counts the lines that the log has
+/// lost, for the status.
+pub fn run(path: &Path, log_dropped: Arc<AtomicU64>) -> Result<(), NodeError> {
+    node::Node::start(path, log_dropped)?.serve()
 }
--- a/crates/whinhill-node/src/node.rs
+++ b/crates/whinhill-node/src/node.rs
@@ -4,6 +4,8 @@
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::sync::atomic::AtomicU64;
+use std::sync::Arc;
 use std::time::Duration;
 
 use mio::net::TcpListener;
@@ -82,11 +84,13 @@
     pub strangers: usize,
     pub peers_most: usize,
     pub counts: Counts,
+    /// Lines that the log has lost.
+    pub log_dropped: Arc<AtomicU64>,
     ending: bool,
 }
 
 impl Node {
-    pub fn start(path: &Path) -> Result<Self, NodeError> {
+    pub fn start(path: &Path, log_dropped: Arc<AtomicU64>) -> Result<Self, NodeError> {
         let mut config = crate::read(path)?;
         let none = Roster { version: 0, whole: true, servers: Vec::new() };
         let known = std::mem::replace(&mut config.known, Ok(none.clone())).unwrap_or_else(|error| {
@@ -152,6 +156,7 @@
             peers: 0,
             strangers: 0,
             counts: Counts::default(),
+            log_dropped,
             ending: false,
             config,
         };
--- a/crates/whinhill-node/src/report.rs
+++ b/crates/whinhill-node/src/report.rs
@@ -1,5 +1,7 @@
 //! A line of figures now and then: what happened since the start, and what stands.
 
+use std::sync::atomic::Ordering;
+
 use tracing::{debug, enabled, info, Level};
 use whinhill::interface::Health;
 
@@ -48,6 +50,7 @@
             unknown = self.calls.unknown,
             dropped = self.calls.dropped,
             memory_kb = resident_kb(),
+            log_dropped = self.log_dropped.load(Ordering::Relaxed),
             counts = ?c,
             "status"
         );
