Read servers' starts once, bounded by what lists tell, whatever wall clocks do

Cause: Clock fixed Unix time at the start and every stamp was read against it (whinhill-node/src/node.rs, push_list). Where stamps were made by a clock an hour ahead, new servers stayed cold for good and the others were filled in their place; an hour behind, they counted as warm at once. And discovery's take() dropped the lists that it had read before an error.

Change: crates/whinhill-starts reads a stamp once, when a list first brings it, by every standing of the wall clock seen so far, and takes the youngest age that is possible: none in the future, none older than the time since the list was last known to be current and 15 s for its listing. Lists before an error count, and only whole lines keep a watch alive: it could stall in half a list for good. The test of mangled lists now wants the lists before a fault too; it is stricter.

Ruled out: steps of our own clock after the start did no harm before. Newly listed: it_starts_though_the_first_calls_fail, discovery_is_asked_soon_after_connects_can_be_made_again.

--- a/crates/whinhill-cli/tests/owed_answers.rs
+++ b/crates/whinhill-cli/tests/owed_answers.rs
@@ -15,7 +15,7 @@
 use tempfile::TempDir;
 
 use support::config::config;
-use support::discovery::{chunk, entry, list_of, Discovery};
+use support::discovery::{chunk, discovery, entry, list_of, Discovery};
 use support::relay::Relay;
 use support::running::{command, Running};
 use support::{ask_alive, nobody, orders_with, wait_for, Saw};
@@ -94,6 +94,29 @@
     wait_for(&saw, "a grant to the new server", orders_with("put,0,s-2,1"));
 }
 
+/// At the start descriptors, memory or the network are not to be had for a moment.
+#[test]
+fn it_starts_though_the_first_calls_fail() {
+    let (_folder, path) = configured(&config(nobody(), nobody()));
+    for faults in ["socket=ENFILE|ENOBUFS:0-0.3", "register=ENOMEM:0-0.3", "wait=EINTR:0-0.3"] {
+        let (_running, addr) = Running::start_with_faults(&path, faults);
+        assert_eq!(ask_alive(addr), ALIVE, "{faults}");
+    }
+}
+
+/// A connect that fails at once has not reached discovery: it is tried again soon, however often it failed.
+#[test]
+fn discovery_is_asked_soon_after_connects_can_be_made_again() {
+    let (sender, saw) = channel();
+    let discovery = discovery(sender);
+    let (_folder, path) = configured(&config(nobody(), discovery));
+    let started = Instant::now();
+    let (_running, _) = Running::start_with_faults(&path, "connect=ENETUNREACH|EADDRNOTAVAIL:0-4.5");
+    wait_for(&saw, "a call for the list", |saw| *saw == Saw::List);
+    let took = started.elapsed();
+    assert!((4.4..5.5).contains(&took.as_secs_f64()), "{took:?}");
+}
+
 /// Standard error is gone, or its disk is full.
 #[test]
 fn a_log_that_cannot_be_written_ends_nothing() {
--- a/crates/whinhill-node/src/discovery.rs
+++ b/crates/whinhill-node/src/discovery.rs
@@ -2,7 +2,7 @@
 
 use tracing::{info, warn};
 use whinhill::interface::{Event, ListKind};
-use whinhill_platform::discovery::{self, Asking};
+use whinhill_platform::discovery::{self, Asking, Taken};
 use whinhill_platform::roster::Roster;
 
 use crate::connection::{Connection, Kind};
@@ -67,20 +67,20 @@
             return;
         };
         let watch = asking.is_watch();
-        match asking.take(bytes) {
-            Ok(lists) => {
-                if watch {
-                    self.deadlines.set(Due::Connection(id), self.clock.now() + WATCH_SILENT);
-                }
-                let done = !watch && !lists.is_empty();
-                if !lists.iter().all(|list| self.take_list(list)) {
-                    return self.discovery_failed(id, "it went back in version");
-                }
-                if done {
-                    self.close(id);
-                }
-            }
-            Err(error) => self.discovery_failed(id, &error.to_string()),
+        let Taken { lists, alive, current, fault } = asking.take(bytes);
+        if watch && alive {
+            self.deadlines.set(Due::Connection(id), self.clock.now() + WATCH_SILENT);
+        }
+        let done = !watch && !lists.is_empty();
+        let forward = lists.iter().all(|list| self.take_list(list));
+        if current && forward {
+            self.starts.list_is_current(self.clock.now());
+        }
+        match fault {
+            _ if !forward => self.discovery_failed(id, "it went back in version"),
+            Some(error) => self.discovery_failed(id, &error.to_string()),
+            None if done => drop(self.close(id)),
+            None => {}
         }
     }
 
--- a/crates/whinhill-node/src/node.rs
+++ b/crates/whinhill-node/src/node.rs
@@ -22,6 +22,7 @@
 use whinhill_platform::relay::news::News;
 use whinhill_platform::relay::orders::RelayOrder;
 use whinhill_platform::roster::Roster;
+use whinhill_starts::{Reading, Starts};
 
 use crate::clock::Clock;
 use crate::connection::{Connection, Kind};
@@ -74,6 +75,7 @@
     pub news_moved: bool,
     pub news_again: Duration,
     pub version: Version,
+    pub starts: Starts,
     pub watch_at: Option<Id>,
     /// Whether the last word of discovery, and of the relay's news, was a failure: told once, when it changes.
     pub discovery_fails: bool,
@@ -123,6 +125,7 @@
         let mut node = Node {
             names: Names::new(&config.settings),
             version: Version::new(known.version),
+            starts: Starts::default(),
             peers_most: config.limits.sockets.saturating_sub(RESERVED).max(8),
             poll,
             listener,
@@ -177,7 +180,9 @@
             let now = self.clock.now();
             let wait = self.deadlines.next_at().map(|at| at.saturating_sub(now));
             let wait = if self.unread.is_empty() { wait } else { Some(Duration::ZERO) };
-            match self.poll.poll(&mut events, wait) {
+            let polled = self.poll.poll(&mut events, wait);
+            self.counts.clock_steps += u64::from(self.clock.look_for_step());
+            match polled {
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
                 Err(source) => return Err(NodeError::Io { what: "poll", source }),
                 Ok(()) => {}
@@ -319,7 +324,8 @@
                 Listed::Gone => self.listed.remove(&ep.index),
                 _ => self.listed.insert(ep.index),
             };
-            let started = Some(Duration::from_millis(server.started_ms)).filter(|at| !at.is_zero());
+            let reading = Reading { now: self.clock.now(), wall: self.clock.wall() };
+            let started = self.starts.started(reading, &server.name, server.started_ms);
             let zone = self.names.zone(&server.zone);
             entries.push(Entry { ep, zone, listed: server.listed, size: server.size, started });
         }
--- a/crates/whinhill-node/src/report.rs
+++ b/crates/whinhill-node/src/report.rs
@@ -33,6 +33,7 @@
     pub probes_unanswered: u64,
     pub probes_again: u64,
     pub let_go: u64,
+    pub clock_steps: u64,
 }
 
 impl Node {
--- a/crates/whinhill-platform/src/discovery.rs
+++ b/crates/whinhill-platform/src/discovery.rs
@@ -35,6 +35,18 @@
     http::get("/api/targets", discovery)
 }
 
+/// What bytes of an answer came to.
+#[derive(Debug, Default)]
+pub struct Taken {
+    pub lists: Vec<Roster>,
+    /// The head of the answer or a line was completed. Bytes alone are no sign of life: a list may stall half-way.
+    pub alive: bool,
+    /// A list was told, or a watch's sign that nothing in it has changed.
+    pub current: bool,
+    /// Why the connection must end, after the lists before it.
+    pub fault: Option<DiscoveryError>,
+}
+
 /// An answer under way. A watch brings lists without end, a fetch one at its end.
 #[derive(Debug)]
 pub struct Asking {
@@ -62,28 +74,43 @@
         self.answer.status().is_some()
     }
 
-    /// Takes bytes and returns the lists that they complete.
-    pub fn take(&mut self, bytes: &[u8]) -> Result<Vec<Roster>, DiscoveryError> {
-        self.answer.push(bytes, &mut self.body)?;
-        if let Some(status) = self.answer.status().filter(|status| *status != 200) {
-            return Err(DiscoveryError::Status(status));
-        }
-        if !self.watch {
-            return match self.answer.done() {
-                true => Ok(vec![Roster::read(&self.body)?]),
-                false if self.body.len() > LIST_MOST => Err(TooLong(LIST_MOST).into()),
-                false => Ok(Vec::new()),
-            };
-        }
+    /// Takes bytes. The lists that they complete count even where what follows them cannot be read: discovery has
+    /// told them.
+    pub fn take(&mut self, bytes: &[u8]) -> Taken {
+        let (mut taken, had_head) = (Taken::default(), self.answered());
+        let pushed = self.answer.push(bytes, &mut self.body).map_err(DiscoveryError::from);
+        let read = match self.answer.status() {
+            Some(status) if status != 200 => Err(DiscoveryError::Status(status)),
+            _ if self.watch => self.take_lines(&mut taken),
+            _ => self.take_body(&mut taken),
+        };
+        taken.alive = taken.current || self.answered() && !had_head;
+        taken.fault = read.and(pushed).err();
+        taken
+    }
+
+    /// A watch's lines: lists, and empty ones as signs of life.
+    fn take_lines(&mut self, taken: &mut Taken) -> Result<(), DiscoveryError> {
         self.lines.push(&self.body);
         self.body.clear();
-        let mut lists = Vec::new();
         while let Some(line) = self.lines.next_line()? {
             if !line.iter().all(u8::is_ascii_whitespace) {
-                lists.push(Roster::read(line)?);
+                taken.lists.push(Roster::read(line)?);
             }
+            taken.current = true;
+        }
+        Ok(())
+    }
+
+    /// A fetch's one list, once it is whole.
+    fn take_body(&mut self, taken: &mut Taken) -> Result<(), DiscoveryError> {
+        if self.answer.done() {
+            taken.lists.push(Roster::read(&self.body)?);
+            taken.current = true;
+        } else if self.body.len() > LIST_MOST {
+            return Err(TooLong(LIST_MOST).into());
         }
-        Ok(lists)
+        Ok(())
     }
 
     /// The connection ended.
--- a/crates/whinhill-platform/src/discovery/tests.rs
+++ b/crates/whinhill-platform/src/discovery/tests.rs
@@ -4,6 +4,44 @@
     Roster { version, whole, servers: Vec::new() }
 }
 
+/// The lists of bytes without a fault.
+fn whole(taken: Taken) -> Vec<Roster> {
+    assert!(taken.fault.is_none(), "{taken:?}");
+    taken.lists
+}
+
+const HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+/// Discovery has told a list once it has written it, whatever it writes next.
+#[test]
+fn lists_before_what_cannot_be_read_are_taken() {
+    let good = "{\"index\":1,\"snapshot\":true,\"endpoints\":[]}\n";
+    let chunk = |text: &str| format!("{:x}\r\n{text}\r\n", text.len());
+    let bad = [
+        format!("{HEAD}{}", chunk(&format!("{good}{{\"index\"\n"))),
+        format!("{HEAD}{}{}", chunk(good), chunk("no list\n")),
+        format!("{HEAD}{}what is no chunk\r\n", chunk(good)),
+    ];
+    for input in bad {
+        let taken = Asking::watch().take(input.as_bytes());
+        assert_eq!(taken.lists, [list(1, true)], "{input:?}");
+        assert!(taken.fault.is_some(), "{input:?}");
+    }
+}
+
+/// Bytes that complete neither the head nor a line say nothing: a list may stall half-way for good.
+#[test]
+fn only_a_head_and_whole_lines_are_signs_of_life() {
+    let mut watch = Asking::watch();
+    let (begin, end) = HEAD.as_bytes().split_at(20);
+    let told = |taken: Taken| (taken.alive, taken.current);
+    assert_eq!(told(watch.take(begin)), (false, false));
+    assert_eq!(told(watch.take(end)), (true, false));
+    assert_eq!(told(watch.take(b"9\r\n{\"index\"")), (false, false));
+    let mut watch = Asking::watch();
+    assert_eq!(told(watch.take(format!("{HEAD}1\r\n\n\r\n").as_bytes())), (true, true));
+}
+
 #[test]
 fn a_watch_tells_its_lists_however_the_chunks_are_cut() {
     let lines = "{\"index\":1,\"snapshot\":true,\"endpoints\":[]}\n\n{\"index\":2,\"snapshot\":false,\"endpoints\":[]}\n";
@@ -15,7 +53,7 @@
     }
     for piece in [1, 3, 17, input.len()] {
         let mut asking = Asking::watch();
-        let lists: Vec<Roster> = input.chunks(piece).flat_map(|b| asking.take(b).unwrap()).collect();
+        let lists: Vec<Roster> = input.chunks(piece).flat_map(|b| whole(asking.take(b))).collect();
         assert_eq!(lists, [list(1, true), list(2, false)], "in pieces of {piece}");
         assert!(asking.ended().is_err(), "a watch never ends well");
     }
@@ -23,9 +61,10 @@
 
 #[test]
 fn an_error_or_a_cut_list_is_a_failure() {
-    assert!(Asking::fetch().take(b"HTTP/1.1 503 Busy\r\n\r\n").is_err());
+    assert!(Asking::fetch().take(b"HTTP/1.1 503 Busy\r\n\r\n").fault.is_some());
     let mut asking = Asking::fetch();
-    assert!(asking.take(b"HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\n{\"index\":1").unwrap().is_empty());
+    let taken = asking.take(b"HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\n{\"index\":1");
+    assert!(whole(taken).is_empty());
     assert!(asking.ended().is_err());
 }
 
--- a/crates/whinhill-platform/tests/mangled.rs
+++ b/crates/whinhill-platform/tests/mangled.rs
@@ -117,11 +117,11 @@
         same_however_cut(&answer, |pieces| {
             let (mut asking, mut lists) = (asking(), Vec::new());
             let result = pieces.iter().try_for_each(|bytes| {
-                lists.extend(asking.take(bytes).map_err(|_| ())?);
-                Ok::<(), ()>(())
+                let taken = asking.take(bytes);
+                lists.extend(taken.lists);
+                taken.fault.map_or(Ok(()), |fault| Err(fault.to_string()))
             });
-            // Lists that came before what can't be read may be lost with it, by how the bytes were cut.
-            result.is_ok().then_some(lists)
+            (lists, result.is_ok())
         });
     }
 }
