Try again what could not be had: at the start, and connects that were never made

Cause: bind, epoll_create and their like ended the process at their first failure (whinhill-node/src/node.rs, start). A probe that was not made left its server without a result for a period.

Change: the start tries for 5 s; such connects are made again after 100 ms, the module does not hear of them, probes within their own time.

--- a/crates/whinhill-cli/tests/owed_answers.rs
+++ b/crates/whinhill-cli/tests/owed_answers.rs
@@ -5,7 +5,7 @@
 
 use std::fs;
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::sync::mpsc::channel;
 use std::thread;
@@ -79,6 +79,41 @@
     }
 }
 
+/// What a client is sent before it is closed must not be lost to what it has sent beyond that: a close with unread
+/// input resets the connection.
+#[test]
+fn a_refused_client_reads_its_answers_to_an_orderly_end() {
+    let (_folder, path) = configured(&config(nobody(), nobody()));
+    let (_running, addr) = Running::start(&path);
+    for _ in 0..20 {
+        let mut stream = TcpStream::connect(addr).unwrap();
+        stream.write_all(format!("{PROBE}GET / HTTP/1.1\r\n").as_bytes()).unwrap();
+        // It goes on to send what nobody wants to read.
+        let sent = stream.write_all(&[b'x'; 600_000]);
+        let answer = read_to_end(stream);
+        assert_eq!((answer.unwrap(), sent.unwrap()), (format!("{ALIVE}{ERROR}"), ()));
+    }
+}
+
+/// Accepting fails for want of what no close of ours frees: whoever is connected keeps its place.
+#[test]
+fn failing_accepts_cost_nobody_a_place() {
+    let (_folder, path) = configured(&config(nobody(), nobody()));
+    let (_running, addr) = Running::start_with_faults(&path, "accept=ENFILE|ENOBUFS|ENOMEM@0.9");
+    for _ in 0..5 {
+        let mut first = TcpStream::connect(addr).unwrap();
+        let others: Vec<TcpStream> = (0..10).map(|_| TcpStream::connect(addr).unwrap()).collect();
+        for mut stream in others {
+            stream.write_all(PROBE.as_bytes()).unwrap();
+            stream.shutdown(Shutdown::Write).unwrap();
+            assert_eq!(read_to_end(stream).unwrap(), ALIVE);
+        }
+        first.write_all(PROBE.as_bytes()).unwrap();
+        first.shutdown(Shutdown::Write).unwrap();
+        assert_eq!(read_to_end(first).unwrap(), ALIVE);
+    }
+}
+
 /// Discovery has told a list once it has written it, though what it writes next cannot be read.
 #[test]
 fn a_change_before_what_cannot_be_read_is_taken() {
--- a/crates/whinhill-node/src/deadlines.rs
+++ b/crates/whinhill-node/src/deadlines.rs
@@ -22,6 +22,12 @@
     Call,
     /// Accepting goes on after descriptors ran out.
     Accept,
+    /// Discovery is asked again after a connect that failed at once.
+    Watch,
+    /// And for the whole list.
+    Fetch,
+    /// Probes whose connects failed at once are made again.
+    Probes,
     /// The state is logged.
     Status,
     /// What the module believes is logged.
--- a/crates/whinhill-node/src/discovery.rs
+++ b/crates/whinhill-node/src/discovery.rs
@@ -21,37 +21,45 @@
             }
             return;
         }
-        if !self.open_watch() {
-            self.push_failed("cannot connect");
-        }
+        self.open_watch();
     }
 
     fn watch_lives(&self, id: Id) -> bool {
         matches!(self.connections.get(id).map(|c| &c.kind), Some(Kind::Asking(asking)) if asking.answered())
     }
 
-    fn open_watch(&mut self) -> bool {
+    /// Opens a watch. A connect that fails at once has cost discovery nothing and says nothing of it: it is tried
+    /// again soon, and the module, which waits longer after each failure, does not hear of it.
+    fn open_watch(&mut self) {
         let addr = self.config.discovery;
         let request = discovery::watch_request(addr, self.version.held());
         self.watch_at = self.connect(addr, Kind::Asking(Asking::watch()), &request, DISCOVERY_WITHIN);
-        self.counts.watches += 1;
-        self.watch_at.is_some()
+        match self.watch_at {
+            Some(_) => self.counts.watches += 1,
+            None => self.deadlines.set(Due::Watch, self.clock.now() + CONNECT_AGAIN),
+        }
+    }
+
+    /// Opens a watch that could not be opened before, unless there is one.
+    pub fn watch_again(&mut self) {
+        if self.watch_at.is_none() {
+            self.open_watch();
+        }
     }
 
+    /// Asks for the whole list.
     pub fn fetch(&mut self) {
         let addr = self.config.discovery;
         let request = discovery::fetch_request(addr);
         if self.connect(addr, Kind::Asking(Asking::fetch()), &request, DISCOVERY_WITHIN).is_none() {
-            self.push_failed("cannot connect");
+            self.deadlines.set(Due::Fetch, self.clock.now() + CONNECT_AGAIN);
         }
     }
 
     /// Discovery is at another address.
     pub fn move_watch(&mut self) {
         self.watch_at.take().into_iter().for_each(|id| drop(self.close(id)));
-        if !self.open_watch() {
-            self.push_failed("cannot connect");
-        }
+        self.open_watch();
     }
 
     fn push_failed(&mut self, why: &str) {
--- a/crates/whinhill-node/src/lib.rs
+++ b/crates/whinhill-node/src/lib.rs
@@ -14,6 +14,7 @@
 mod probes;
 mod relay;
 mod report;
+mod starting;
 
 use std::io;
 use std::path::{Path, PathBuf};
--- a/crates/whinhill-node/src/limits.rs
+++ b/crates/whinhill-node/src/limits.rs
@@ -39,6 +39,13 @@
 pub const RESERVED: usize = 20 + PROBES_MOST;
 /// Descriptors ran out: accepting goes on after this, when some have been closed.
 pub const ACCEPT_AGAIN: Duration = Duration::from_millis(50);
+/// A connect that fails before anything was sent says nothing of the other side, and is tried again.
+pub const CONNECT_AGAIN: Duration = Duration::from_millis(100);
+/// What is not to be had at the start (an address, a descriptor, memory) is tried again for so long: the platform
+/// counts over 30 s as a failed start, and 10 s as slow.
+pub const START_WITHIN: Duration = Duration::from_secs(5);
+/// And so often.
+pub const START_AGAIN: Duration = Duration::from_millis(20);
 /// The state goes into the log this often.
 pub const STATUS_EVERY: Duration = Duration::from_secs(10);
 /// A server off the list for so long is let go: by then no probe, report or order of it is under way.
--- a/crates/whinhill-node/src/node.rs
+++ b/crates/whinhill-node/src/node.rs
@@ -29,7 +29,9 @@
 use crate::connections::{Connections, Id};
 use crate::deadlines::{Deadlines, Due};
 use crate::limits::*;
+use crate::probes::Again;
 use crate::report::Counts;
+use crate::starting::until_had;
 use crate::NodeError;
 
 const LISTENER: Token = Token(usize::MAX - 1);
@@ -81,6 +83,8 @@
     pub discovery_fails: bool,
     pub news_fail: bool,
     pub probing: usize,
+    /// Probes whose connects failed at once, to be made again.
+    pub probes_again: Vec<Again>,
     /// Whoever connected and is connected, and those of them who have not joined.
     pub peers: usize,
     pub strangers: usize,
@@ -103,13 +107,21 @@
         let assigner = Assigner::new(&config.settings, config.seed).map_err(faulty)?;
         let round = config.settings.span("round").map_err(faulty)?;
         let io = |what| move |source| NodeError::Io { what, source };
-        let poll = Poll::new().map_err(io("poll"))?;
-        let mut signals = Signals::new([SIGHUP, SIGTERM, SIGINT]).map_err(io("signals"))?;
-        poll.registry().register(&mut signals, SIGNALS, Interest::READABLE).map_err(io("signals"))?;
+        let poll = until_had("poll", Poll::new).map_err(io("poll"))?;
+        let signals = until_had("signals", || {
+            let mut signals = Signals::new([SIGHUP, SIGTERM, SIGINT])?;
+            poll.registry().register(&mut signals, SIGNALS, Interest::READABLE)?;
+            Ok(signals)
+        });
+        let signals = signals.map_err(io("signals"))?;
         let addr = config.listen;
         let listen = |source| NodeError::Listen { addr, source };
-        let mut listener = TcpListener::bind(addr).map_err(listen)?;
-        poll.registry().register(&mut listener, LISTENER, Interest::READABLE).map_err(listen)?;
+        let listener = until_had("the address to listen on", || {
+            let mut listener = TcpListener::bind(addr)?;
+            poll.registry().register(&mut listener, LISTENER, Interest::READABLE)?;
+            Ok(listener)
+        });
+        let listener = listener.map_err(listen)?;
         let addr = listener.local_addr().map_err(listen)?;
         let clock = Clock::start();
         info!(
@@ -156,6 +168,7 @@
             discovery_fails: false,
             news_fail: false,
             probing: 0,
+            probes_again: Vec::new(),
             peers: 0,
             strangers: 0,
             counts: Counts::default(),
@@ -243,6 +256,9 @@
             Due::Status => self.report(),
             Due::Beliefs => self.report_beliefs(),
             Due::Connection(id) => self.timed_out(id),
+            Due::Watch => self.watch_again(),
+            Due::Fetch => self.fetch(),
+            Due::Probes => self.probe_again(),
             Due::End => {}
         }
     }
--- a/crates/whinhill-node/src/probes.rs
+++ b/crates/whinhill-node/src/probes.rs
@@ -8,9 +8,19 @@
 
 use crate::connection::{Connection, Kind};
 use crate::connections::Id;
+use crate::deadlines::Due;
 use crate::limits::*;
 use crate::node::Node;
 
+/// A probe whose connect failed at once.
+#[derive(Debug)]
+pub struct Again {
+    ep: Ep,
+    probing: Probing,
+    /// When its time is over.
+    until: Duration,
+}
+
 impl Node {
     /// Where too many are under way the server is left for the next period.
     pub fn probe(&mut self, ep: Ep) {
@@ -20,15 +30,29 @@
             return;
         }
         self.counts.probes += 1;
-        self.open_probe(ep, addr, Probing::default(), PROBE_WITHIN);
+        self.open_probe(ep, addr, Probing::default(), self.clock.now() + PROBE_WITHIN);
     }
 
-    fn open_probe(&mut self, ep: Ep, addr: SocketAddr, probing: Probing, within: Duration) {
+    fn open_probe(&mut self, ep: Ep, addr: SocketAddr, probing: Probing, until: Duration) {
         self.probing += 1;
+        let (again, left) = (probing.clone(), until.saturating_sub(self.clock.now()));
         let kind = Kind::Probe { ep, probing };
-        if self.connect(addr, kind, &probe::request(addr), within).is_none() {
-            // Nothing is known of the server: it is ours that failed.
+        if self.connect(addr, kind, &probe::request(addr), left).is_none() {
+            // Nothing is known of the server: it is ours that failed, and may not the next moment.
             self.probing -= 1;
+            self.probes_again.push(Again { ep, probing: again, until });
+            self.deadlines.set_by(Due::Probes, self.clock.now() + CONNECT_AGAIN);
+        }
+    }
+
+    /// Makes the probes again whose connects failed, as long as their time is not over.
+    pub fn probe_again(&mut self) {
+        let now = self.clock.now();
+        for Again { ep, probing, until } in std::mem::take(&mut self.probes_again) {
+            let addr = self.addrs.get(ep.index).copied().flatten();
+            if let Some(addr) = addr.filter(|_| now < until && self.probing < PROBES_MOST) {
+                self.open_probe(ep, addr, probing, until);
+            }
         }
     }
 
@@ -49,16 +73,16 @@
         else {
             return;
         };
-        let (ep, left) = (*ep, PROBE_WITHIN.saturating_sub(now.saturating_sub(*opened)));
+        let (ep, until) = (*ep, *opened + PROBE_WITHIN);
         if let Some((result, load)) = probing.ended() {
             return self.probed(id, ep, result, load);
         }
         let probing = std::mem::take(probing);
-        match self.addrs.get(ep.index).copied().flatten().filter(|_| !left.is_zero()) {
+        match self.addrs.get(ep.index).copied().flatten().filter(|_| now < until) {
             Some(addr) => {
                 self.close(id);
                 self.counts.probes_again += 1;
-                self.open_probe(ep, addr, probing, left);
+                self.open_probe(ep, addr, probing, until);
             }
             None => self.probed(id, ep, Probe::Unanswered, LoadReport::default()),
         }
--- a/crates/whinhill-platform/src/http.rs
+++ b/crates/whinhill-platform/src/http.rs
@@ -18,7 +18,7 @@
     Chunk,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 enum State {
     Head,
     /// So many bytes of the body are to come; `None`: until the connection ends.
@@ -31,7 +31,7 @@
 }
 
 /// The state of an answer that is being read.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Answer {
     state: State,
     held: Vec<u8>,
--- a/crates/whinhill-platform/src/probe.rs
+++ b/crates/whinhill-platform/src/probe.rs
@@ -14,7 +14,7 @@
     http::get("/-/load", server)
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Probing {
     answer: Answer,
     body: Vec<u8>,
