Close nobody for an accept that fails for want of what no close of ours frees

Cause: whinhill-node/src/peers.rs, accept, took any error but two for want of descriptors and closed the oldest client that had not joined, again and again while it lasted; its request could be on its way.

Change: only where a copy of the listener fails with EMFILE too does a client lose its place; else accept is tried again, 16 times in a turn and then after 5 ms (50 before).

--- a/crates/whinhill-cli/tests/owed_answers.rs
+++ b/crates/whinhill-cli/tests/owed_answers.rs
@@ -171,6 +171,29 @@
     }
 }
 
+/// The process stands still for longer than clients have to join: what they had sent by then counts.
+#[test]
+fn what_was_sent_while_the_process_stood_still_is_answered() {
+    let (_folder, path) = configured(&config(nobody(), nobody()));
+    let (running, addr) = Running::start(&path);
+    let mut clients: Vec<TcpStream> = (0..20).map(|_| TcpStream::connect(addr).unwrap()).collect();
+    // Answered, so accepted after them.
+    assert_eq!(ask_alive(addr), ALIVE);
+    running.signal(Signal::STOP);
+    for client in &mut clients {
+        client.write_all(PROBE.as_bytes()).unwrap();
+        client.shutdown(Shutdown::Write).unwrap();
+    }
+    let until = Instant::now() + Duration::from_millis(1500);
+    while Instant::now() < until {
+        thread::park_timeout(Duration::from_millis(50));
+    }
+    running.signal(Signal::CONT);
+    for client in clients {
+        assert_eq!(read_to_end(client).unwrap(), ALIVE);
+    }
+}
+
 /// How the clocks stand: ours by a schedule of steps, and by how many seconds the list's stamps are off.
 struct Clocks {
     case: &'static str,
--- a/crates/whinhill-node/src/limits.rs
+++ b/crates/whinhill-node/src/limits.rs
@@ -37,8 +37,10 @@
 /// Descriptors that nobody who connects may take: standard streams, poll, signals, listener, the configuration
 /// file (12), relay and discovery, each with one to replace it (8), and probes.
 pub const RESERVED: usize = 20 + PROBES_MOST;
-/// Descriptors ran out: accepting goes on after this, when some have been closed.
-pub const ACCEPT_AGAIN: Duration = Duration::from_millis(50);
+/// Failures of `accept` in one turn: most pass at once, and a client that waits is late soon.
+pub const ACCEPT_FAILURES_MOST: u32 = 16;
+/// Accepting goes on after so many failures in this time.
+pub const ACCEPT_AGAIN: Duration = Duration::from_millis(5);
 /// A connect that fails before anything was sent says nothing of the other side, and is tried again.
 pub const CONNECT_AGAIN: Duration = Duration::from_millis(100);
 /// What is not to be had at the start (an address, a descriptor, memory) is tried again for so long: the platform
--- a/crates/whinhill-node/src/peers.rs
+++ b/crates/whinhill-node/src/peers.rs
@@ -2,6 +2,8 @@
 
 use std::io;
 
+use mio::net::TcpStream;
+use rustix::io::{fcntl_dupfd_cloexec, Errno};
 use tracing::{debug, info};
 use whinhill_platform::peer::{Heard, ALIVE, ERROR};
 
@@ -13,40 +15,45 @@
 
 impl Node {
     pub fn accept(&mut self) {
-        loop {
-            let stream = match self.listener.accept() {
-                Ok((stream, _)) => stream,
+        let mut failures = 0;
+        while failures < ACCEPT_FAILURES_MOST {
+            match self.listener.accept() {
+                Ok((stream, _)) => self.take_client(stream),
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                // A signal, or the client has gone: the next may be there.
                 Err(e)
                     if matches!(e.kind(), io::ErrorKind::Interrupted | io::ErrorKind::ConnectionAborted) =>
                 {
-                    continue;
+                    self.counts.accepts_interrupted += 1;
                 }
                 Err(error) => {
-                    // Out of descriptors: the oldest stranger goes, and accepting goes on.
                     self.counts.accepts_failed += 1;
                     debug!("accept: {error}");
-                    if !self.evict_stranger() {
-                        let at = self.clock.now() + ACCEPT_AGAIN;
-                        return self.deadlines.set(Due::Accept, at);
+                    // Only descriptors of our own are freed by a close of ours. The rest passes, or does not.
+                    failures += 1;
+                    if self.is_out_of_descriptors(&error) && self.evict_stranger() {
+                        failures = 0;
                     }
-                    continue;
                 }
-            };
-            if self.peers >= self.peers_most && !self.evict_stranger() {
-                self.counts.turned_away += 1;
-                continue;
-            }
-            let now = self.clock.now();
-            let id = self.connections.insert(Connection::accepted(stream, now));
-            (self.peers, self.strangers) = (self.peers + 1, self.strangers + 1);
-            self.counts.accepted += 1;
-            if !self.register(id) {
-                self.close(id);
-                continue;
             }
-            self.deadlines.set(Due::Connection(id), now + JOIN_WITHIN);
         }
+        self.deadlines.set(Due::Accept, self.clock.now() + ACCEPT_AGAIN);
+    }
+
+    fn take_client(&mut self, stream: TcpStream) {
+        if self.peers >= self.peers_most && !self.evict_stranger() {
+            self.counts.turned_away += 1;
+            return;
+        }
+        let now = self.clock.now();
+        let id = self.connections.insert(Connection::accepted(stream, now));
+        (self.peers, self.strangers) = (self.peers + 1, self.strangers + 1);
+        self.counts.accepted += 1;
+        if !self.register(id) {
+            self.close(id);
+            return;
+        }
+        self.deadlines.set(Due::Connection(id), now + JOIN_WITHIN);
     }
 
     /// Closes the stranger that has been there longest, after a look at what it has sent: in a crowd that arrives
@@ -131,4 +138,10 @@
             oldest.into_iter().for_each(|id| drop(self.close(id)));
         }
     }
+
+    /// Whether this process holds as many descriptors as it may: there is none for a copy of the listener either.
+    fn is_out_of_descriptors(&self, error: &io::Error) -> bool {
+        let told = error.raw_os_error() == Some(Errno::MFILE.raw_os_error());
+        told && matches!(fcntl_dupfd_cloexec(&self.listener, 0), Err(Errno::MFILE))
+    }
 }
--- a/crates/whinhill-node/src/report.rs
+++ b/crates/whinhill-node/src/report.rs
@@ -15,6 +15,7 @@
     pub batches: u64,
     pub accepted: u64,
     pub accepts_failed: u64,
+    pub accepts_interrupted: u64,
     pub turned_away: u64,
     pub refused: u64,
     pub reports: u64,
