Answer whoever was read before a close: refusals, half messages, time-outs, the listen queue

Cause, in whinhill-node/src: refuse() closed with unread input, which makes the kernel reset the connection under the answer; timed_out() refused a client without a look at what it had sent; ended() dropped half a message and answers not yet written; a client that the poll would not take for a moment was closed; serve() ended at SIGTERM with connections in the listen queue and answers unread.

Change: a refused client gets its error, our side ends, and what it still sends is thrown away until it ends too (4 MiB, 0.5 s at most); time-outs read first; half a message at the client's end gets an error; registering is tried again; the end takes the listen queue, answers what has arrived, waits 50 ms for whoever has just connected and 0.2 s in all, and ends both sides in order (leaving.rs). A signal during a wait no longer skips the deadlines of that turn.

Newly listed: a_pause_of_ours_is_no_silence_of_others, red here: after 4 s without the processor the relay's news and discovery's watch are given up as silent, though their signs of life are there to be read.

--- a/crates/whinhill-cli/tests/owed_answers.rs
+++ b/crates/whinhill-cli/tests/owed_answers.rs
@@ -95,6 +95,17 @@
     }
 }
 
+/// Half a message, and the client has ended its side: it was read, so it is answered.
+#[test]
+fn half_a_message_at_the_clients_end_gets_an_error() {
+    let (_folder, path) = configured(&config(nobody(), nobody()));
+    let (_running, addr) = Running::start(&path);
+    let mut stream = TcpStream::connect(addr).unwrap();
+    stream.write_all(b"{\"@type\":\"pro").unwrap();
+    stream.shutdown(Shutdown::Write).unwrap();
+    assert_eq!(read_to_end(stream).unwrap(), ERROR);
+}
+
 /// Accepting fails for want of what no close of ours frees: whoever is connected keeps its place.
 #[test]
 fn failing_accepts_cost_nobody_a_place() {
@@ -171,6 +182,39 @@
     }
 }
 
+/// What the system may do to any call, for good: whoever connects is answered in time.
+#[test]
+fn calls_that_fail_or_fall_short_delay_no_answer() {
+    let schedules = [
+        "accept=ENFILE|ENOBUFS|ENOMEM|ECONNABORTED|EMFILE@0.9",
+        "wait=EINTR@0.9",
+        "read=short,write=short",
+        "read=EINTR@0.9 write=EINTR@0.9",
+        "register=ENOMEM@0.5",
+        "clock=-3600:0.3",
+        "clock=+3600:0.3",
+        "seed=3 accept=ENFILE|ECONNABORTED@0.5 wait=EINTR@0.5 read=short|EINTR@0.5 write=short|EINTR@0.5 register=ENOMEM@0.2",
+    ];
+    let (_folder, path) = configured(&config(nobody(), nobody()));
+    thread::scope(|scope| {
+        for faults in schedules {
+            let path = &path;
+            scope.spawn(move || {
+                let (_running, addr) = Running::start_with_faults(path, faults);
+                for _ in 0..5 {
+                    let clients: Vec<TcpStream> =
+                        (0..20).map(|_| TcpStream::connect(addr).unwrap()).collect();
+                    for mut client in clients {
+                        client.write_all(PROBE.as_bytes()).unwrap();
+                        client.shutdown(Shutdown::Write).unwrap();
+                        assert_eq!(read_to_end(client).unwrap(), ALIVE, "{faults}");
+                    }
+                }
+            });
+        }
+    });
+}
+
 /// The process stands still for longer than clients have to join: what they had sent by then counts.
 #[test]
 fn what_was_sent_while_the_process_stood_still_is_answered() {
@@ -179,19 +223,49 @@
     let mut clients: Vec<TcpStream> = (0..20).map(|_| TcpStream::connect(addr).unwrap()).collect();
     // Answered, so accepted after them.
     assert_eq!(ask_alive(addr), ALIVE);
-    running.signal(Signal::STOP);
-    for client in &mut clients {
-        client.write_all(PROBE.as_bytes()).unwrap();
-        client.shutdown(Shutdown::Write).unwrap();
+    stand_still(&running, Duration::from_millis(1500), || {
+        for client in &mut clients {
+            client.write_all(PROBE.as_bytes()).unwrap();
+            client.shutdown(Shutdown::Write).unwrap();
+        }
+    });
+    for client in clients {
+        assert_eq!(read_to_end(client).unwrap(), ALIVE);
     }
-    let until = Instant::now() + Duration::from_millis(1500);
-    while Instant::now() < until {
+}
+
+/// Stops the process for a time, in which something happens.
+fn stand_still(running: &Running, time: Duration, happens: impl FnOnce()) {
+    let started = Instant::now();
+    running.signal(Signal::STOP);
+    happens();
+    while started.elapsed() < time {
         thread::park_timeout(Duration::from_millis(50));
     }
     running.signal(Signal::CONT);
-    for client in clients {
-        assert_eq!(read_to_end(client).unwrap(), ALIVE);
+}
+
+/// The process stands still for longer than relay and discovery may be silent. They were not: what they have sent
+/// is there to be read.
+#[test]
+fn a_pause_of_ours_is_no_silence_of_others() {
+    let (sender, saw) = channel();
+    let discovery = Discovery::start(list_of(1, true, &[entry("s-1", "SERVING", 0)]));
+    let relay = Relay::start("s-1", sender);
+    relay.keep_alive();
+    let (_folder, path) = configured(&config(relay.addr, discovery.addr));
+    let (running, addr) = Running::start(&path);
+    discovery.wait_for_watch();
+    wait_for(&saw, "the news", |saw| *saw == Saw::Watch);
+    assert_eq!(ask_alive(addr), ALIVE);
+    for _ in 0..3 {
+        stand_still(&running, Duration::from_secs(4), || {});
+        assert_eq!(ask_alive(addr), ALIVE);
     }
+    running.signal(Signal::TERM);
+    let log = running.log_until(" ends ");
+    let lost = |line: &&String| line.contains("no news of the relay") || line.contains("discovery fails");
+    assert_eq!(log.iter().find(lost), None, "{log:#?}");
 }
 
 /// How the clocks stand: ours by a schedule of steps, and by how many seconds the list's stamps are off.
--- a/crates/whinhill-cli/tests/support/mod.rs
+++ b/crates/whinhill-cli/tests/support/mod.rs
@@ -43,13 +43,14 @@
 }
 
 pub fn wait_for(saw: &Receiver<Saw>, what: &str, wanted: impl Fn(&Saw) -> bool) {
-    let until = Instant::now() + WITHIN;
+    let (until, mut seen) = (Instant::now() + WITHIN, Vec::new());
     loop {
         let left = until.saturating_duration_since(Instant::now());
-        let next = saw.recv_timeout(left).unwrap_or_else(|_| panic!("never seen: {what}"));
+        let next = saw.recv_timeout(left).unwrap_or_else(|_| panic!("never seen: {what}; seen: {seen:#?}"));
         if wanted(&next) {
             return;
         }
+        seen.push(next);
     }
 }
 
--- a/crates/whinhill-cli/tests/support/running.rs
+++ b/crates/whinhill-cli/tests/support/running.rs
@@ -19,6 +19,11 @@
     fn drop(&mut self) {
         let _ = self.0.kill();
         let _ = self.0.wait();
+        if thread::panicking() {
+            // What it logged tells why a test failed.
+            let log: Vec<String> = self.1.iter().collect();
+            eprintln!("{log:#?}");
+        }
     }
 }
 
--- a/crates/whinhill-node/src/connection.rs
+++ b/crates/whinhill-node/src/connection.rs
@@ -1,7 +1,7 @@
 //! One socket, what it is for, and what is still to be written on it.
 
 use std::io::{self, Read, Write};
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr};
 use std::time::Duration;
 
 use mio::net::TcpStream;
@@ -17,16 +17,26 @@
 
 pub enum Kind {
     Peer(Peer),
+    /// A client that has had its last answer: what it still sends is read and thrown away, so that the close does
+    /// not reset the connection under that answer.
+    Closing {
+        discarded: usize,
+    },
     News,
     Calls(Lines),
     Asking(Asking),
-    Probe { ep: Ep, probing: Probing },
+    Probe {
+        ep: Ep,
+        probing: Probing,
+    },
 }
 
 pub struct Connection {
     pub kind: Kind,
     /// When it was opened, for its age alone.
     pub opened: Duration,
+    /// Whether the other side has sent anything.
+    pub heard: bool,
     stream: TcpStream,
     out: Vec<u8>,
     written: usize,
@@ -34,7 +44,14 @@
 
 impl Connection {
     pub fn accepted(stream: TcpStream, now: Duration) -> Self {
-        Connection { kind: Kind::Peer(Peer::default()), opened: now, stream, out: Vec::new(), written: 0 }
+        Connection {
+            kind: Kind::Peer(Peer::default()),
+            opened: now,
+            heard: false,
+            stream,
+            out: Vec::new(),
+            written: 0,
+        }
     }
 
     /// Starts to connect; `first` is written as soon as it is up.
@@ -42,7 +59,7 @@
         let stream = TcpStream::connect(addr)?;
         // Calls are small and each waits for its answer.
         let _ = stream.set_nodelay(true);
-        Ok(Connection { kind, opened: now, stream, out: first.to_vec(), written: 0 })
+        Ok(Connection { kind, opened: now, heard: false, stream, out: first.to_vec(), written: 0 })
     }
 
     pub fn register(&mut self, registry: &Registry, token: Token) -> io::Result<()> {
@@ -50,7 +67,7 @@
     }
 
     pub fn deregister(&mut self, registry: &Registry) {
-        // It is closed right after, which takes it out of the poll as well.
+        // It fails where the poll never had it.
         let _ = registry.deregister(&mut self.stream);
     }
 
@@ -85,11 +102,33 @@
         self.out.is_empty()
     }
 
+    /// Ends our side once all that was given to write has left; the other side may still send.
+    pub fn end_writing(&mut self) {
+        if self.all_written() {
+            // It fails where the other side is gone already.
+            let _ = self.stream.shutdown(Shutdown::Write);
+        }
+    }
+
+    /// Reads and throws away what has arrived, up to a bound.
+    pub fn discard(&mut self, most: usize) {
+        let (mut buffer, mut left) = ([0; 4096], most);
+        while let Ok(Some(n)) = self.read(&mut buffer) {
+            left = left.saturating_sub(n);
+            if n == 0 || left == 0 {
+                return;
+            }
+        }
+    }
+
     /// `None`: nothing to read now.
     pub fn read(&mut self, buffer: &mut [u8]) -> io::Result<Option<usize>> {
         loop {
             match self.stream.read(buffer) {
-                Ok(n) => return Ok(Some(n)),
+                Ok(n) => {
+                    self.heard |= n > 0;
+                    return Ok(Some(n));
+                }
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::NotConnected) => {
                     return Ok(None);
--- a/crates/whinhill-node/src/deadlines.rs
+++ b/crates/whinhill-node/src/deadlines.rs
@@ -20,7 +20,7 @@
     OpenNews,
     /// A call may start.
     Call,
-    /// Accepting goes on after descriptors ran out.
+    /// Accepting goes on after it failed.
     Accept,
     /// Discovery is asked again after a connect that failed at once.
     Watch,
@@ -36,6 +36,8 @@
     End,
     /// A connection has taken too long.
     Connection(Id),
+    /// The poll is asked again to tell of a connection.
+    Register(Id),
 }
 
 #[derive(Debug, Default)]
@@ -65,6 +67,11 @@
         }
     }
 
+    /// Whether a deadline for this stands.
+    pub fn is_set(&self, due: Due) -> bool {
+        self.at.contains_key(&due)
+    }
+
     pub fn next_at(&self) -> Option<Duration> {
         self.queue.first().map(|(at, _)| *at)
     }
--- a/crates/whinhill-node/src/lib.rs
+++ b/crates/whinhill-node/src/lib.rs
@@ -8,6 +8,7 @@
 mod connections;
 mod deadlines;
 mod discovery;
+mod leaving;
 mod limits;
 mod node;
 mod peers;
--- a/crates/whinhill-node/src/limits.rs
+++ b/crates/whinhill-node/src/limits.rs
@@ -41,13 +41,22 @@
 pub const ACCEPT_FAILURES_MOST: u32 = 16;
 /// Accepting goes on after so many failures in this time.
 pub const ACCEPT_AGAIN: Duration = Duration::from_millis(5);
+/// The poll would not take a connection: it is asked again.
+pub const REGISTER_AGAIN: Duration = Duration::from_millis(5);
 /// A connect that fails before anything was sent says nothing of the other side, and is tried again.
 pub const CONNECT_AGAIN: Duration = Duration::from_millis(100);
+/// A client that has had its last answer is closed after this at the latest: an answer takes a round trip, and
+/// whoever goes on without end must be rid of within 6 s.
+pub const CLOSE_WITHIN: Duration = Duration::from_millis(500);
+/// Bytes of a client that are read and thrown away after its last answer: a few of the largest messages.
+pub const DISCARD_MOST: usize = 4 << 20;
 /// What is not to be had at the start (an address, a descriptor, memory) is tried again for so long: the platform
 /// counts over 30 s as a failed start, and 10 s as slow.
 pub const START_WITHIN: Duration = Duration::from_secs(5);
 /// And so often.
 pub const START_AGAIN: Duration = Duration::from_millis(20);
+/// Failures of the poll in a row after which it counts as broken. One signal after another is no failure.
+pub const POLL_FAILURES_MOST: u32 = 100;
 /// The state goes into the log this often.
 pub const STATUS_EVERY: Duration = Duration::from_secs(10);
 /// A server off the list for so long is let go: by then no probe, report or order of it is under way.
@@ -56,3 +65,7 @@
 pub const BELIEFS_EVERY: Duration = Duration::from_secs(1);
 /// After SIGTERM, calls in line may still leave for this long; SIGKILL follows no sooner than 0.7 s.
 pub const END_WITHIN: Duration = Duration::from_millis(250);
+/// After that, whoever has connected by then is answered within this.
+pub const LEAVE_WITHIN: Duration = Duration::from_millis(200);
+/// And whoever has just connected may ask within this: a request follows its connection within a round trip.
+pub const ASK_WITHIN: Duration = Duration::from_millis(50);
--- a/crates/whinhill-node/src/node.rs
+++ b/crates/whinhill-node/src/node.rs
@@ -41,6 +41,8 @@
 const TRACE: &str = "whinhill::trace";
 /// Bytes read at a time.
 const BUFFER: usize = 64 * 1024;
+/// Events taken at a time.
+const EVENTS_MOST: usize = 256;
 
 pub(crate) struct Node {
     pub poll: Poll,
@@ -50,8 +52,10 @@
     pub deadlines: Deadlines,
     pub connections: Connections,
     buffer: Vec<u8>,
+    events: Events,
+    poll_failures: u32,
     /// Connections with more to read than one turn allows.
-    unread: Vec<Id>,
+    pub unread: Vec<Id>,
     path: PathBuf,
     pub config: PlatformConfig,
     pub names: Names,
@@ -92,7 +96,12 @@
     pub counts: Counts,
     /// Lines that the log has lost.
     pub log_dropped: Arc<AtomicU64>,
+    /// The longest that anything due has waited since the last status: for the work of one turn, or for the
+    /// processor.
+    pub longest_pause: Duration,
     ending: bool,
+    /// Calls in line have had their time to leave.
+    out_of_time: bool,
 }
 
 impl Node {
@@ -146,6 +155,8 @@
             deadlines: Deadlines::default(),
             connections: Connections::default(),
             buffer: vec![0; BUFFER],
+            events: Events::with_capacity(EVENTS_MOST),
+            poll_failures: 0,
             unread: Vec::new(),
             path: path.into(),
             addrs: Vec::new(),
@@ -173,7 +184,9 @@
             strangers: 0,
             counts: Counts::default(),
             log_dropped,
+            longest_pause: Duration::ZERO,
             ending: false,
+            out_of_time: false,
             config,
         };
         node.push_list(ListKind::Stored, &known);
@@ -183,52 +196,85 @@
     }
 
     pub fn serve(mut self) -> Result<(), NodeError> {
-        let mut events = Events::with_capacity(256);
         loop {
             self.advance();
             if self.ending && self.calls.waiting() == 0 && !self.calls.under_way() {
-                info!("ends");
-                return Ok(());
+                return self.leave();
             }
-            let now = self.clock.now();
-            let wait = self.deadlines.next_at().map(|at| at.saturating_sub(now));
-            let wait = if self.unread.is_empty() { wait } else { Some(Duration::ZERO) };
-            let polled = self.poll.poll(&mut events, wait);
-            self.counts.clock_steps += u64::from(self.clock.look_for_step());
-            match polled {
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
-                Err(source) => return Err(NodeError::Io { what: "poll", source }),
-                Ok(()) => {}
-            }
-            for event in &events {
-                match event.token() {
-                    LISTENER => self.accept(),
-                    SIGNALS => self.take_signals(),
-                    token => {
-                        let id = Id::of(token);
-                        if event.is_writable() {
-                            self.writable(id);
-                        }
-                        if event.is_readable() || event.is_read_closed() || event.is_error() {
-                            self.readable(id);
-                        }
-                    }
-                }
+            self.turn(None)?;
+            if self.out_of_time {
+                return self.leave();
             }
-            for id in std::mem::take(&mut self.unread) {
-                self.readable(id);
+        }
+    }
+
+    /// Waits for the next event or deadline, for a bounded time if one is given, and does all that is due then.
+    pub fn turn(&mut self, most: Option<Duration>) -> Result<(), NodeError> {
+        let now = self.clock.now();
+        let next = self.deadlines.next_at().map(|at| at.saturating_sub(now));
+        let wait = next.into_iter().chain(most).min();
+        let wait = if self.unread.is_empty() { wait } else { Some(Duration::ZERO) };
+        self.take_events(wait)?;
+        let woken = self.clock.now();
+        while let Some(due) = self.deadlines.pop(woken) {
+            self.due(due);
+        }
+        let overslept = wait.map_or(Duration::ZERO, |wait| woken.saturating_sub(now + wait));
+        let worked = self.clock.now().saturating_sub(woken);
+        self.longest_pause = self.longest_pause.max(overslept).max(worked);
+        Ok(())
+    }
+
+    /// Waits for events and takes them; how many there were.
+    fn take_events(&mut self, wait: Option<Duration>) -> Result<usize, NodeError> {
+        let mut events = std::mem::replace(&mut self.events, Events::with_capacity(0));
+        let polled = self.poll.poll(&mut events, wait);
+        self.counts.clock_steps += u64::from(self.clock.look_for_step());
+        let mut taken = 0;
+        match polled {
+            Ok(()) => {
+                self.poll_failures = 0;
+                taken = events.iter().map(|event| self.take_event(event)).count();
             }
-            let now = self.clock.now();
-            while let Some(due) = self.deadlines.pop(now) {
-                if due == Due::End {
-                    info!(waiting = self.calls.waiting(), "ends with calls in line");
-                    return Ok(());
+            Err(error) => self.poll_failed(error)?,
+        }
+        self.events = events;
+        for id in std::mem::take(&mut self.unread) {
+            self.readable(id);
+        }
+        Ok(taken)
+    }
+
+    fn take_event(&mut self, event: &mio::event::Event) {
+        match event.token() {
+            LISTENER => self.accept(),
+            SIGNALS => self.take_signals(),
+            token => {
+                let id = Id::of(token);
+                if event.is_writable() {
+                    self.writable(id);
+                }
+                if event.is_readable() || event.is_read_closed() || event.is_error() {
+                    self.readable(id);
                 }
-                self.due(due);
             }
         }
     }
 
+    /// A signal is no failure, and nothing was lost with it: deadlines are looked at as after any wait.
+    fn poll_failed(&mut self, error: io::Error) -> Result<(), NodeError> {
+        if error.kind() == io::ErrorKind::Interrupted {
+            self.counts.polls_interrupted += 1;
+            return Ok(());
+        }
+        self.counts.polls_failed += 1;
+        self.poll_failures += 1;
+        if self.poll_failures < POLL_FAILURES_MOST {
+            return Ok(());
+        }
+        Err(NodeError::Io { what: "poll", source: error })
+    }
+
     /// Hands over a batch and starts a call where they are due.
     fn advance(&mut self) {
         if self.ending {
@@ -256,10 +302,11 @@
             Due::Status => self.report(),
             Due::Beliefs => self.report_beliefs(),
             Due::Connection(id) => self.timed_out(id),
+            Due::Register(id) => self.register_client(id),
             Due::Watch => self.watch_again(),
             Due::Fetch => self.fetch(),
             Due::Probes => self.probe_again(),
-            Due::End => {}
+            Due::End => self.out_of_time = true,
         }
     }
 
@@ -389,7 +436,13 @@
 
     pub fn register(&mut self, id: Id) -> bool {
         let registry = self.poll.registry();
-        self.connections.get_mut(id).is_some_and(|c| c.register(registry, id.token()).is_ok())
+        let Some(connection) = self.connections.get_mut(id) else { return false };
+        let Err(error) = connection.register(registry, id.token()) else { return true };
+        // Or it would count as registered the next time.
+        connection.deregister(registry);
+        self.counts.registers_failed += 1;
+        debug!(?id, "register: {error}");
+        false
     }
 
     /// Closes a connection without a word to whoever it belonged to.
@@ -397,7 +450,9 @@
         let mut connection = self.connections.remove(id)?;
         connection.deregister(self.poll.registry());
         self.deadlines.clear(Due::Connection(id));
+        self.deadlines.clear(Due::Register(id));
         match &connection.kind {
+            Kind::Closing { .. } => self.peers -= 1,
             Kind::Peer(peer) => {
                 self.peers -= 1;
                 self.strangers -= usize::from(!peer.joined());
@@ -413,8 +468,21 @@
 
     fn writable(&mut self, id: Id) {
         let Some(connection) = self.connections.get_mut(id) else { return };
-        if connection.flush().is_err() {
-            self.ended(id);
+        match connection.flush() {
+            Ok(()) if matches!(connection.kind, Kind::Closing { .. }) => connection.end_writing(),
+            Ok(()) => {}
+            Err(error) => self.broken(id, &error),
+        }
+    }
+
+    /// A connection's transfer failed.
+    fn broken(&mut self, id: Id, error: &io::Error) {
+        self.counts.transfers_failed += 1;
+        debug!(?id, "broken: {error}");
+        match self.connections.get(id).map(|c| &c.kind) {
+            // Nobody is left to answer.
+            Some(Kind::Peer(_) | Kind::Closing { .. }) => drop(self.close(id)),
+            _ => self.ended(id),
         }
     }
 
@@ -430,10 +498,14 @@
             reads += 1;
             match connection.read(&mut buffer) {
                 Ok(None) => break,
-                Ok(Some(0)) | Err(_) => {
+                Ok(Some(0)) => {
                     self.ended(id);
                     break;
                 }
+                Err(error) => {
+                    self.broken(id, &error);
+                    break;
+                }
                 Ok(Some(n)) => self.bytes(id, &buffer[..n]),
             }
         }
@@ -444,6 +516,7 @@
         let Some(connection) = self.connections.get_mut(id) else { return };
         match &mut connection.kind {
             Kind::Peer(_) => self.peer_bytes(id, bytes),
+            Kind::Closing { .. } => self.discard(id, bytes.len()),
             Kind::News => self.news_bytes(id, bytes),
             Kind::Calls(_) => self.call_bytes(id, bytes),
             Kind::Asking(_) => self.discovery_bytes(id, bytes),
@@ -455,7 +528,10 @@
     fn ended(&mut self, id: Id) {
         let Some(connection) = self.connections.get(id) else { return };
         match &connection.kind {
-            Kind::Peer(_) => drop(self.close(id)),
+            Kind::Peer(_) => self.client_ended(id),
+            // What is still to be written may be read; the deadline bounds it.
+            Kind::Closing { .. } if !connection.all_written() => {}
+            Kind::Closing { .. } => self.close_client(id),
             Kind::News => self.news_ended(id, "broken"),
             Kind::Calls(_) => self.call_lost("broken"),
             Kind::Asking(_) => self.discovery_ended(id),
@@ -466,7 +542,8 @@
     fn timed_out(&mut self, id: Id) {
         let Some(connection) = self.connections.get(id) else { return };
         match &connection.kind {
-            Kind::Peer(_) => self.refuse(id, "silent"),
+            Kind::Peer(_) => self.client_timed_out(id),
+            Kind::Closing { .. } => self.close_client(id),
             Kind::News => self.news_ended(id, "never came up"),
             Kind::Calls(_) => self.call_lost("silent"),
             Kind::Asking(_) => self.discovery_failed(id, "silent"),
--- a/crates/whinhill-node/src/peers.rs
+++ b/crates/whinhill-node/src/peers.rs
@@ -13,7 +13,19 @@
 use crate::limits::*;
 use crate::node::Node;
 
+/// Why a client is answered with an error and closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// It sends what is no message.
+    Unreadable,
+    /// It has not joined in time.
+    Silent,
+    /// Others need its place.
+    CrowdedOut,
+}
+
 impl Node {
+    /// Takes whoever waits in the listen queue.
     pub fn accept(&mut self) {
         let mut failures = 0;
         while failures < ACCEPT_FAILURES_MOST {
@@ -31,7 +43,7 @@
                     debug!("accept: {error}");
                     // Only descriptors of our own are freed by a close of ours. The rest passes, or does not.
                     failures += 1;
-                    if self.is_out_of_descriptors(&error) && self.evict_stranger() {
+                    if self.is_out_of_descriptors(&error) && self.make_place() {
                         failures = 0;
                     }
                 }
@@ -41,19 +53,42 @@
     }
 
     fn take_client(&mut self, stream: TcpStream) {
-        if self.peers >= self.peers_most && !self.evict_stranger() {
-            self.counts.turned_away += 1;
-            return;
+        if self.peers >= self.peers_most && !self.make_place() {
+            return self.turn_away(stream);
         }
         let now = self.clock.now();
         let id = self.connections.insert(Connection::accepted(stream, now));
         (self.peers, self.strangers) = (self.peers + 1, self.strangers + 1);
         self.counts.accepted += 1;
-        if !self.register(id) {
-            self.close(id);
-            return;
-        }
+        debug!(?id, "accepted");
         self.deadlines.set(Due::Connection(id), now + JOIN_WITHIN);
+        self.register_client(id);
+    }
+
+    /// Has the poll tell of a client; where that fails for a moment it is tried again.
+    pub fn register_client(&mut self, id: Id) {
+        if self.connections.get(id).is_some() && !self.register(id) {
+            self.deadlines.set(Due::Register(id), self.clock.now() + REGISTER_AGAIN);
+        }
+    }
+
+    /// All places are taken by collectors: the client is answered, and that is all.
+    fn turn_away(&mut self, stream: TcpStream) {
+        self.counts.turned_away += 1;
+        let mut connection = Connection::accepted(stream, self.clock.now());
+        connection.discard(DISCARD_MOST);
+        if connection.send(ERROR).is_err() || !connection.all_written() {
+            self.counts.closed_unanswered += 1;
+        }
+    }
+
+    /// Frees a descriptor: the oldest client that has had its last answer goes, else the oldest stranger.
+    fn make_place(&mut self) -> bool {
+        let closing = self.connections.iter().filter(|(_, c)| matches!(c.kind, Kind::Closing { .. }));
+        match closing.min_by_key(|(id, c)| (c.opened, *id)).map(|(id, _)| id) {
+            Some(id) => self.close(id).is_some(),
+            None => self.evict_stranger(),
+        }
     }
 
     /// Closes the stranger that has been there longest, after a look at what it has sent: in a crowd that arrives
@@ -64,25 +99,87 @@
             let oldest = peers.filter(|(_, c)| !c.joined()).min_by_key(|(id, c)| (c.opened, *id));
             let Some((id, _)) = oldest else { return false };
             self.readable(id);
-            match self.connections.get(id).map(Connection::joined) {
-                Some(true) => {}
-                Some(false) => {
-                    self.refuse(id, "crowded out");
+            match self.connections.get(id).map(|c| &c.kind) {
+                Some(Kind::Peer(peer)) if peer.joined() => {}
+                Some(Kind::Peer(_)) => {
+                    self.refuse(id, Refusal::CrowdedOut);
+                    self.close(id);
                     return true;
                 }
+                // It was refused for what it had sent, and has its answer.
+                Some(_) => return self.close(id).is_some(),
                 None => return true,
             }
         }
     }
 
-    /// Answers with an error, as far as that goes at once, and closes.
-    pub fn refuse(&mut self, id: Id, why: &str) {
-        self.counts.refused += 1;
-        debug!(?id, "refused: {why}");
-        if let Some(connection) = self.connections.get_mut(id) {
-            let _ = connection.send(ERROR);
+    /// Its time to join is over. What has arrived in the same instant counts.
+    pub fn client_timed_out(&mut self, id: Id) {
+        self.readable(id);
+        let waits = |c: &Connection| matches!(c.kind, Kind::Peer(_)) && !c.joined();
+        if self.connections.get(id).is_some_and(waits) {
+            self.refuse(id, Refusal::Silent);
+        }
+    }
+
+    /// Answers with an error. The connection ends once that has left and the client has ended its side, or when
+    /// that takes too long.
+    pub fn refuse(&mut self, id: Id, why: Refusal) {
+        debug!(?id, "refused: {why:?}");
+        match why {
+            Refusal::Unreadable => self.counts.refused_unreadable += 1,
+            Refusal::Silent => self.counts.refused_silent += 1,
+            Refusal::CrowdedOut => self.counts.refused_crowded_out += 1,
+        }
+        let Some(connection) = self.connections.get_mut(id) else { return };
+        if connection.send(ERROR).is_err() {
+            self.counts.closed_unanswered += 1;
+            self.close(id);
+            return;
+        }
+        self.begin_close(id);
+    }
+
+    /// Nothing more is answered: writes what is left, ends our side, and waits for the client's end.
+    pub fn begin_close(&mut self, id: Id) {
+        let Some(connection) = self.connections.get_mut(id) else { return };
+        let Kind::Peer(peer) = &connection.kind else { return };
+        self.strangers -= usize::from(!peer.joined());
+        connection.kind = Kind::Closing { discarded: 0 };
+        connection.end_writing();
+        self.deadlines.set(Due::Connection(id), self.clock.now() + CLOSE_WITHIN);
+    }
+
+    /// A client that has had its last answer goes on to send.
+    pub fn discard(&mut self, id: Id, bytes: usize) {
+        let Some(Connection { kind: Kind::Closing { discarded }, .. }) = self.connections.get_mut(id) else {
+            return;
+        };
+        *discarded += bytes;
+        if *discarded > DISCARD_MOST {
+            self.close_client(id);
+        }
+    }
+
+    /// Closes a client's connection, and counts it if an answer is still to be written.
+    pub fn close_client(&mut self, id: Id) {
+        if let Some(connection) = self.close(id) {
+            debug!(?id, "closed");
+            self.counts.closed_unanswered += u64::from(!connection.all_written());
+        }
+    }
+
+    /// A client ended its side: what it has asked is still answered, and half a message gets an error.
+    pub fn client_ended(&mut self, id: Id) {
+        let Some(connection) = self.connections.get(id) else { return };
+        match &connection.kind {
+            Kind::Peer(peer) if peer.unfinished() => self.refuse(id, Refusal::Unreadable),
+            Kind::Peer(_) if !connection.all_written() => self.begin_close(id),
+            _ => {
+                debug!(?id, "ended by the client");
+                self.close(id);
+            }
         }
-        self.close(id);
     }
 
     pub fn peer_bytes(&mut self, id: Id, bytes: &[u8]) {
@@ -111,7 +208,11 @@
         }
         let answers = ALIVE.repeat(alive);
         let Some(connection) = self.connections.get_mut(id) else { return };
+        self.counts.answered += alive as u64;
         if alive > 0 && connection.send(&answers).is_err() {
+            // It leaves more unread than the platform allows.
+            debug!(?id, "closed: it does not read its answers");
+            self.counts.closed_unread += 1;
             self.close(id);
             return;
         }
@@ -119,7 +220,7 @@
             if zone.is_some() || was_joined {
                 info!("a collector is refused: {why}");
             }
-            self.refuse(id, "unreadable");
+            self.refuse(id, Refusal::Unreadable);
         }
     }
 
--- a/crates/whinhill-platform/src/peer.rs
+++ b/crates/whinhill-platform/src/peer.rs
@@ -69,6 +69,11 @@
         self.zone.is_some()
     }
 
+    /// Whether a message has begun and not ended.
+    pub fn unfinished(&self) -> bool {
+        self.lines.rest().iter().any(|b| !b.is_ascii_whitespace())
+    }
+
     /// Takes bytes; what was heard before a refusal counts.
     pub fn take(&mut self, bytes: &[u8], names: &Names, heard: &mut Vec<Heard>) -> Result<(), Refused> {
         self.lines.push(bytes);
