Judge time limits only once all that had arrived by then is read

Cause: whinhill-node/src/node.rs took what one wait of the poll told and then every limit that had passed. A process that stood still, in the poll (which then tells of the time or of EINTR alone) or after it, found relay and discovery silent, calls and probes unanswered, and clients late, though all they had sent was there to be read: news begun anew, handovers with them, calls in doubt, healthy servers without answers.

Change: look_again(): where a limit has passed, the poll is asked once more without a wait, and limits count as of the time before that look. One more call of the system for a turn with a due limit.

Ruled out: that EINTR alone explains it; a trace showed a stop after the wait had returned, with part of the events.

--- a/crates/whinhill-node/src/deadlines.rs
+++ b/crates/whinhill-node/src/deadlines.rs
@@ -76,6 +76,11 @@
         self.queue.first().map(|(at, _)| *at)
     }
 
+    /// Whether any is due.
+    pub fn is_due(&self, now: Duration) -> bool {
+        self.next_at().is_some_and(|at| at <= now)
+    }
+
     /// Takes the first one that is due.
     pub fn pop(&mut self, now: Duration) -> Option<Due> {
         let (at, due) = *self.queue.first().filter(|(at, _)| *at <= now)?;
--- a/crates/whinhill-node/src/node.rs
+++ b/crates/whinhill-node/src/node.rs
@@ -43,6 +43,8 @@
 const BUFFER: usize = 64 * 1024;
 /// Events taken at a time.
 const EVENTS_MOST: usize = 256;
+/// Looks for more of them before limits that have passed count: enough for as many connections as there may be.
+const LOOKS_MOST: usize = 16;
 
 pub(crate) struct Node {
     pub poll: Poll,
@@ -216,7 +218,8 @@
         let wait = if self.unread.is_empty() { wait } else { Some(Duration::ZERO) };
         self.take_events(wait)?;
         let woken = self.clock.now();
-        while let Some(due) = self.deadlines.pop(woken) {
+        let looked = self.look_again()?;
+        while let Some(due) = self.deadlines.pop(looked) {
             self.due(due);
         }
         let overslept = wait.map_or(Duration::ZERO, |wait| woken.saturating_sub(now + wait));
@@ -225,6 +228,23 @@
         Ok(())
     }
 
+    /// Before a limit counts, all that had arrived by then is taken: the process may have stood still, in the poll
+    /// or after it, for longer than others may be silent. The time of the last look.
+    fn look_again(&mut self) -> Result<Duration, NodeError> {
+        let mut looked = self.clock.now();
+        for _ in 0..LOOKS_MOST {
+            looked = self.clock.now();
+            if !self.deadlines.is_due(looked) {
+                break;
+            }
+            let taken = self.take_events(Some(Duration::ZERO))?;
+            if taken < EVENTS_MOST && self.unread.is_empty() {
+                break;
+            }
+        }
+        Ok(looked)
+    }
+
     /// Waits for events and takes them; how many there were.
     fn take_events(&mut self, wait: Option<Duration>) -> Result<usize, NodeError> {
         let mut events = std::mem::replace(&mut self.events, Events::with_capacity(0));
