Look at every socket now and then, whatever the poll has told

Change: each 100 ms the listen queue and every connection are looked at (look_at_all in whinhill-node/src/node.rs); after the poll has told of clients the queue counts as empty only after 16 looks, and where it proves not to have been it is looked at again after 5 ms; a connection's limit is judged after a last look at its socket. Counted: accept_missed.

--- a/crates/whinhill-node/src/deadlines.rs
+++ b/crates/whinhill-node/src/deadlines.rs
@@ -22,6 +22,8 @@
     Call,
     /// Accepting goes on after it failed.
     Accept,
+    /// Every socket is looked at, whatever the poll has told.
+    Look,
     /// Discovery is asked again after a connect that failed at once.
     Watch,
     /// And for the whole list.
@@ -76,6 +78,15 @@
         self.queue.first().map(|(at, _)| *at)
     }
 
+    /// Takes the one for this if it still stands at that time.
+    pub fn pop_at(&mut self, due: Due, at: Duration) -> bool {
+        let stands = self.at.get(&due) == Some(&at);
+        if stands {
+            self.clear(due);
+        }
+        stands
+    }
+
     /// Whether any is due.
     pub fn is_due(&self, now: Duration) -> bool {
         self.next_at().is_some_and(|at| at <= now)
--- a/crates/whinhill-node/src/leaving.rs
+++ b/crates/whinhill-node/src/leaving.rs
@@ -5,7 +5,7 @@
 use crate::connection::{Connection, Kind};
 use crate::connections::Id;
 use crate::deadlines::Due;
-use crate::limits::{ASK_WITHIN, DISCARD_MOST, LEAVE_WITHIN};
+use crate::limits::{ACCEPT_LOOKS, ASK_WITHIN, DISCARD_MOST, LEAVE_WITHIN};
 use crate::node::Node;
 use crate::peers::Refusal;
 use crate::NodeError;
@@ -32,8 +32,8 @@
 
     /// Accepts whoever waits, and answers what has arrived.
     fn answer_all(&mut self) {
-        self.accept();
-        self.clients().into_iter().for_each(|id| self.readable(id));
+        self.accept(ACCEPT_LOOKS, true);
+        self.clients().into_iter().for_each(|id| self.look_at(id));
     }
 
     /// Ends one client's connection: half a message gets an error, and with nothing left to read the close resets
--- a/crates/whinhill-node/src/limits.rs
+++ b/crates/whinhill-node/src/limits.rs
@@ -41,6 +41,13 @@
 pub const ACCEPT_FAILURES_MOST: u32 = 16;
 /// Accepting goes on after so many failures in this time.
 pub const ACCEPT_AGAIN: Duration = Duration::from_millis(5);
+/// Looks at the listen queue after the poll has told of it. A call may say too early that it would block.
+pub const ACCEPT_LOOKS: u32 = 16;
+/// And without its having told.
+pub const ACCEPT_LOOKS_UNTOLD: u32 = 4;
+/// The poll tells of each arrival once: after this every socket is looked at all the same. Shorter costs calls of
+/// the system; longer delays whoever is waited for behind a call that said too early that it would block.
+pub const LOOK_EVERY: Duration = Duration::from_millis(100);
 /// The poll would not take a connection: it is asked again.
 pub const REGISTER_AGAIN: Duration = Duration::from_millis(5);
 /// A connect that fails before anything was sent says nothing of the other side, and is tried again.
--- a/crates/whinhill-node/src/node.rs
+++ b/crates/whinhill-node/src/node.rs
@@ -29,6 +29,7 @@
 use crate::connections::{Connections, Id};
 use crate::deadlines::{Deadlines, Due};
 use crate::limits::*;
+use crate::peers::Refusal;
 use crate::probes::Again;
 use crate::report::Counts;
 use crate::starting::until_had;
@@ -194,6 +195,7 @@
         node.push_list(ListKind::Stored, &known);
         node.open_news();
         node.deadlines.set(Due::Status, node.clock.now() + STATUS_EVERY);
+        node.deadlines.set(Due::Look, node.clock.now() + LOOK_EVERY);
         Ok(node)
     }
 
@@ -267,7 +269,7 @@
 
     fn take_event(&mut self, event: &mio::event::Event) {
         match event.token() {
-            LISTENER => self.accept(),
+            LISTENER => self.accept(ACCEPT_LOOKS, true),
             SIGNALS => self.take_signals(),
             token => {
                 let id = Id::of(token);
@@ -318,7 +320,8 @@
             Due::News(place) => self.news_passed(place),
             Due::OpenNews => self.open_news(),
             Due::Call => {}
-            Due::Accept => self.accept(),
+            Due::Accept => self.accept(ACCEPT_LOOKS, true),
+            Due::Look => self.look_at_all(),
             Due::Status => self.report(),
             Due::Beliefs => self.report_beliefs(),
             Due::Connection(id) => self.timed_out(id),
@@ -559,10 +562,33 @@
         }
     }
 
+    /// Looks at every socket without having been told to by the poll.
+    fn look_at_all(&mut self) {
+        self.accept(ACCEPT_LOOKS_UNTOLD, false);
+        let all: Vec<Id> = self.connections.iter().map(|(id, _)| id).collect();
+        all.into_iter().for_each(|id| self.look_at(id));
+        self.deadlines.set(Due::Look, self.clock.now() + LOOK_EVERY);
+    }
+
+    /// Writes what is still to be written and reads what has arrived.
+    pub fn look_at(&mut self, id: Id) {
+        if self.connections.get(id).is_some_and(|c| !c.all_written()) {
+            self.writable(id);
+        }
+        self.readable(id);
+    }
+
+    /// A connection's time is over, unless what has arrived gives it more or ends what it waits for.
     fn timed_out(&mut self, id: Id) {
+        let now = self.clock.now();
+        self.deadlines.set(Due::Connection(id), now);
+        self.look_at(id);
+        if !self.deadlines.pop_at(Due::Connection(id), now) {
+            return;
+        }
         let Some(connection) = self.connections.get(id) else { return };
         match &connection.kind {
-            Kind::Peer(_) => self.client_timed_out(id),
+            Kind::Peer(_) => self.refuse(id, Refusal::Silent),
             Kind::Closing { .. } => self.close_client(id),
             Kind::News => self.news_ended(id, "never came up"),
             Kind::Calls(_) => self.call_lost("silent"),
--- a/crates/whinhill-node/src/peers.rs
+++ b/crates/whinhill-node/src/peers.rs
@@ -25,13 +25,18 @@
 }
 
 impl Node {
-    /// Takes whoever waits in the listen queue.
-    pub fn accept(&mut self) {
-        let mut failures = 0;
-        while failures < ACCEPT_FAILURES_MOST {
+    /// Takes whoever waits in the listen queue, until it is empty `looks` times in a row. Whoever is found without
+    /// the poll having `told` of it, or after the queue seemed empty, may not be the last.
+    pub fn accept(&mut self, looks: u32, told: bool) {
+        let (mut failures, mut empty, mut again) = (0, 0, false);
+        while failures < ACCEPT_FAILURES_MOST && empty < looks {
             match self.listener.accept() {
-                Ok((stream, _)) => self.take_client(stream),
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                Ok((stream, _)) => {
+                    again |= empty > 0 || !told;
+                    empty = 0;
+                    self.take_client(stream);
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => empty += 1,
                 // A signal, or the client has gone: the next may be there.
                 Err(e)
                     if matches!(e.kind(), io::ErrorKind::Interrupted | io::ErrorKind::ConnectionAborted) =>
@@ -49,7 +54,10 @@
                 }
             }
         }
-        self.deadlines.set(Due::Accept, self.clock.now() + ACCEPT_AGAIN);
+        self.counts.accepts_missed += u64::from(again);
+        if again || failures > 0 {
+            self.deadlines.set(Due::Accept, self.clock.now() + ACCEPT_AGAIN);
+        }
     }
 
     fn take_client(&mut self, stream: TcpStream) {
@@ -113,15 +121,6 @@
         }
     }
 
-    /// Its time to join is over. What has arrived in the same instant counts.
-    pub fn client_timed_out(&mut self, id: Id) {
-        self.readable(id);
-        let waits = |c: &Connection| matches!(c.kind, Kind::Peer(_)) && !c.joined();
-        if self.connections.get(id).is_some_and(waits) {
-            self.refuse(id, Refusal::Silent);
-        }
-    }
-
     /// Answers with an error. The connection ends once that has left and the client has ended its side, or when
     /// that takes too long.
     pub fn refuse(&mut self, id: Id, why: Refusal) {
--- a/crates/whinhill-node/src/relay.rs
+++ b/crates/whinhill-node/src/relay.rs
@@ -75,6 +75,12 @@
     }
 
     pub fn news_passed(&mut self, place: Place) {
+        let at = match place {
+            Place::Current => self.news_at,
+            Place::Next => self.news_next_at,
+        };
+        // What has arrived counts before the time does.
+        at.into_iter().for_each(|id| self.readable(id));
         let (now, mut told) = (self.clock.now(), Vec::new());
         let owed = owed(&self.calls, &self.assigner);
         let alive = self.news.passed(place, now, &mut self.names, owed, &mut told);
--- a/crates/whinhill-node/src/report.rs
+++ b/crates/whinhill-node/src/report.rs
@@ -36,6 +36,8 @@
     // Calls of the system that failed.
     pub accepts_failed: u64,
     pub accepts_interrupted: u64,
+    /// Turns in which the listen queue seemed empty and was not.
+    pub accepts_missed: u64,
     pub connects_failed: u64,
     pub registers_failed: u64,
     pub transfers_failed: u64,
@@ -102,6 +104,7 @@
         info!(
             accept = self.accepts_failed,
             accept_interrupted = self.accepts_interrupted,
+            accept_missed = self.accepts_missed,
             connect = self.connects_failed,
             register = self.registers_failed,
             transfer = self.transfers_failed,
