Replace a wake-up that stands by the one that the module asks for

Change: Order::Wake replaces what stands. The module asks only once its last wake-up is due, so none is lost by that.

Related uses of set_by looked at: batches and probes made again hold all that waits, so the earlier time is right there.

--- a/crates/whinhill-node/src/node.rs
+++ b/crates/whinhill-node/src/node.rs
@@ -348,7 +348,8 @@
                 Order::Watch => self.watch(),
                 Order::Fetch => self.fetch(),
                 Order::Probe { ep } => self.probe(ep),
-                Order::Wake { after } => self.deadlines.set_by(Due::Wake, now + after),
+                // It asks anew only once the last one is due: that one may still stand where we are late.
+                Order::Wake { after } => self.deadlines.set(Due::Wake, now + after),
                 Order::Log { text } => info!("{text}"),
                 other => {
                     debug!(target: TRACE, "order {other:?}");
