Keep the last list once the disk takes it, and read starts on xDS as on the platform

Cause: whinhill-assigner/src/last_list.rs gave a list up that the disk had refused once, until another came: the next start then began from an older one. names.rs read a new server's stamp by the wall clock alone: an hour ahead, it was warm.

Change: a refused list is written anew each 0.5 s until it is kept or a newer one comes; the folder is synced too. Starts come from whinhill-starts there as well, bounded by when the last list was told.

Seen: the new test of the list fails with the line that keeps it for the next try taken out, and passes with it; the tests of jumping clocks pass unchanged. Ruled out by reading: the history opens its file afresh after any failure and folds what waits (book.rs), grants wait for it; the store's waits are monotonic; the history's stamps only name versions.

--- a/crates/whinhill-assigner/src/core.rs
+++ b/crates/whinhill-assigner/src/core.rs
@@ -337,7 +337,11 @@
             Input::Roster { kind, entries, unix_ms } => {
                 self.started = true;
                 let entry = |entry: RosterEntry| self.entry(now, entry, unix_ms);
-                events.push(Event::List { kind, entries: entries.into_iter().map(entry).collect() });
+                let entries = entries.into_iter().map(entry).collect();
+                if matches!(kind, ListKind::Full | ListKind::Changes) {
+                    self.names.list_is_current(now);
+                }
+                events.push(Event::List { kind, entries });
             }
             Input::Joined { proxy, zone, stream } => {
                 let (id, zone) = (self.names.proxy(&proxy), self.names.zone(&zone));
--- a/crates/whinhill-assigner/src/last_list.rs
+++ b/crates/whinhill-assigner/src/last_list.rs
@@ -4,12 +4,18 @@
 use std::fs;
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
+use std::time::Duration;
 
-use crossbeam_channel::{bounded, Receiver, Sender};
-use tracing::warn;
+use crossbeam_channel::{bounded, Receiver, RecvTimeoutError, Sender};
+use tracing::{info, warn};
 
 use crate::roster::{read_roster, RosterFile};
 
+/// How often the thread looks whether the mailbox is gone.
+const LOOK: Duration = Duration::from_secs(1);
+/// Between two attempts while the disk refuses.
+const AGAIN: Duration = Duration::from_millis(500);
+
 /// The way to the thread: holds one list, the newest.
 pub struct Mailbox {
     lists: Sender<RosterFile>,
@@ -44,54 +50,47 @@
         text.and_then(|text| read_roster(&text).ok()).unwrap_or_default()
     }
 
-    /// Keeps lists until the mailbox is gone.
+    /// Keeps lists until the mailbox is gone. One that the disk refuses is tried again until it is kept or a newer
+    /// one comes.
     pub fn run(self) {
-        while let Ok(list) = self.lists.recv() {
-            if let Err(error) = keep(&self.path, &list) {
-                warn!(path = %self.path.display(), %error, "the last list could not be kept");
+        let (mut refused, mut well) = (None, true);
+        loop {
+            let wait = if refused.is_some() { AGAIN } else { LOOK };
+            let list = match self.lists.recv_timeout(wait) {
+                Ok(list) => list,
+                Err(RecvTimeoutError::Timeout) => match refused.take() {
+                    Some(list) => list,
+                    None => continue,
+                },
+                Err(RecvTimeoutError::Disconnected) => return,
+            };
+            let kept = keep(&self.path, &list);
+            match &kept {
+                Ok(()) if !well => info!("the last list is kept again"),
+                Err(error) if well => {
+                    warn!(path = %self.path.display(), %error, "the last list could not be kept, and is tried again");
+                }
+                _ => {}
             }
+            well = kept.is_ok();
+            refused = (!well).then_some(list);
         }
     }
 }
 
-/// Writes the list beside the old one and then over it: a crash leaves the one or the other.
+/// Writes the list beside the old one and then over it: a crash leaves the one or the other. Whatever fails, all of
+/// it is done again: what a failed sync had taken may be gone.
 fn keep(path: &Path, roster: &RosterFile) -> io::Result<()> {
     let beside = path.with_extension("new");
     let mut file = fs::File::create(&beside)?;
     file.write_all(serde_json::to_string(roster)?.as_bytes())?;
     file.sync_all()?;
-    fs::rename(beside, path)
+    fs::rename(beside, path)?;
+    match path.parent() {
+        Some(folder) => fs::File::open(folder)?.sync_all(),
+        None => Ok(()),
+    }
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::roster::{RosterEntry, RosterState};
-
-    fn list(port: u16) -> RosterFile {
-        let (addr, zone) = (([127, 0, 0, 1], port).into(), "east".to_string());
-        let state = RosterState::Ready;
-        RosterFile { servers: vec![RosterEntry { addr, zone, state, size: 1.0, started_unix_ms: None }] }
-    }
-
-    /// The thread stands in a write for ever, as on a disk that stalls: lists are taken, and the newest waits.
-    #[test]
-    fn a_list_that_the_disk_has_not_taken_gives_way_to_the_next() {
-        let folder = tempfile::tempdir().unwrap();
-        let (mailbox, keeper) = LastList::new(folder.path());
-        (1..=3).for_each(|port| mailbox.put(list(port)));
-        drop(mailbox);
-        assert_eq!(keeper.lists.iter().collect::<Vec<_>>(), [list(3)]);
-    }
-
-    #[test]
-    fn what_was_kept_is_read_at_the_next_start() {
-        let folder = tempfile::tempdir().unwrap();
-        let (mailbox, keeper) = LastList::new(folder.path());
-        assert_eq!(keeper.read(), RosterFile::default());
-        mailbox.put(list(7));
-        drop(mailbox);
-        keeper.run();
-        assert_eq!(LastList::new(folder.path()).1.read(), list(7));
-    }
-}
+mod tests;
--- a/crates/whinhill-assigner/src/names.rs
+++ b/crates/whinhill-assigner/src/names.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use whinhill::interface::{Ep, ProxyId, ZoneId};
+use whinhill_starts::{Reading, Starts};
 use whinhill_tables::ServerName;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -20,9 +21,7 @@
     zones: Vec<String>,
     proxies: Vec<String>,
     by_proxy: HashMap<String, ProxyId>,
-    /// The start that the roster names for each server, and the time on our clock that was made of it: made once,
-    /// so that a wall clock that jumps makes no server young again.
-    starts: HashMap<ServerName, (u64, Option<Duration>)>,
+    starts: Starts,
 }
 
 impl Names {
@@ -80,6 +79,11 @@
         self.proxies.get(id as usize).map_or("?", String::as_str)
     }
 
+    /// The list that was just told is the one that stands.
+    pub fn list_is_current(&mut self, now: Duration) {
+        self.starts.list_is_current(now);
+    }
+
     /// When a server started, on our clock, from the roster's wall clock; `None`: long ago.
     pub fn started(
         &mut self,
@@ -88,15 +92,8 @@
         unix_now_ms: u64,
         now: Duration,
     ) -> Option<Duration> {
-        let unix_ms = unix_ms?;
-        match self.starts.get(server) {
-            Some((known, at)) if *known == unix_ms => *at,
-            _ => {
-                let age = Duration::from_millis(unix_now_ms.saturating_sub(unix_ms));
-                let at = now.checked_sub(age).filter(|at| !at.is_zero());
-                self.starts.insert(server.clone(), (unix_ms, at));
-                at
-            }
-        }
+        let reading = Reading { now, wall: Duration::from_millis(unix_now_ms) };
+        let started = self.starts.started(reading, server, unix_ms?);
+        started.filter(|at| !at.is_zero())
     }
 }
