Count and bound what the front's closes leave: crowds, interrupted accepts, collectors

Cause: found on reading the whole change once more. A client closed for its place was not counted where its answer had not left; accept failing with ECONNABORTED for good would have turned for good; a collector that ends in mid-message was sent an error, though nothing is ever written to collectors; a discovery that cannot be asked was not logged.

Change: each of them, in whinhill-node/src/peers.rs and discovery.rs.

--- a/crates/whinhill-node/src/discovery.rs
+++ b/crates/whinhill-node/src/discovery.rs
@@ -34,10 +34,14 @@
         let addr = self.config.discovery;
         let request = discovery::watch_request(addr, self.version.held());
         self.watch_at = self.connect(addr, Kind::Asking(Asking::watch()), &request, DISCOVERY_WITHIN);
-        match self.watch_at {
-            Some(_) => self.counts.watches += 1,
-            None => self.deadlines.set(Due::Watch, self.clock.now() + CONNECT_AGAIN),
+        if self.watch_at.is_some() {
+            self.counts.watches += 1;
+            return;
+        }
+        if !std::mem::replace(&mut self.discovery_fails, true) {
+            warn!(held = self.version.held(), "discovery cannot be asked: no connection can be made");
         }
+        self.deadlines.set(Due::Watch, self.clock.now() + CONNECT_AGAIN);
     }
 
     /// Opens a watch that could not be opened before, unless there is one.
--- a/crates/whinhill-node/src/peers.rs
+++ b/crates/whinhill-node/src/peers.rs
@@ -42,6 +42,7 @@
                     if matches!(e.kind(), io::ErrorKind::Interrupted | io::ErrorKind::ConnectionAborted) =>
                 {
                     self.counts.accepts_interrupted += 1;
+                    failures += 1;
                 }
                 Err(error) => {
                     self.counts.accepts_failed += 1;
@@ -93,10 +94,11 @@
     /// Frees a descriptor: the oldest client that has had its last answer goes, else the oldest stranger.
     fn make_place(&mut self) -> bool {
         let closing = self.connections.iter().filter(|(_, c)| matches!(c.kind, Kind::Closing { .. }));
-        match closing.min_by_key(|(id, c)| (c.opened, *id)).map(|(id, _)| id) {
-            Some(id) => self.close(id).is_some(),
-            None => self.evict_stranger(),
-        }
+        let Some((id, _)) = closing.min_by_key(|(id, c)| (c.opened, *id)) else {
+            return self.evict_stranger();
+        };
+        self.close_client(id);
+        true
     }
 
     /// Closes the stranger that has been there longest, after a look at what it has sent: in a crowd that arrives
@@ -111,11 +113,14 @@
                 Some(Kind::Peer(peer)) if peer.joined() => {}
                 Some(Kind::Peer(_)) => {
                     self.refuse(id, Refusal::CrowdedOut);
-                    self.close(id);
+                    self.close_client(id);
                     return true;
                 }
                 // It was refused for what it had sent, and has its answer.
-                Some(_) => return self.close(id).is_some(),
+                Some(_) => {
+                    self.close_client(id);
+                    return true;
+                }
                 None => return true,
             }
         }
@@ -172,7 +177,7 @@
     pub fn client_ended(&mut self, id: Id) {
         let Some(connection) = self.connections.get(id) else { return };
         match &connection.kind {
-            Kind::Peer(peer) if peer.unfinished() => self.refuse(id, Refusal::Unreadable),
+            Kind::Peer(peer) if peer.unfinished() && !peer.joined() => self.refuse(id, Refusal::Unreadable),
             Kind::Peer(_) if !connection.all_written() => self.begin_close(id),
             _ => {
                 debug!(?id, "ended by the client");
