--- a/crates/whinhill-node/src/lib.rs
+++ b/crates/whinhill-node/src/lib.rs
@@ -8,6 +8,7 @@
 mod connections;
 mod deadlines;
 mod discovery;
+mod event_loop;
 mod leaving;
 mod limits;
 mod node;
@@ -15,6 +16,7 @@
 mod probes;
 mod relay;
 mod report;
+mod sockets;
 mod starting;
 
 use std::io;
