Show that a configuration that cannot be read when SIGHUP comes is never read

Cause: whinhill-node/src/node.rs, read_again, keeps the old configuration at the first failure, of the file's content or of the system. The signal comes once: after a failure of the moment (ENFILE, EIO, a file that is being replaced) the former addresses, which close within 1.5 s, stay in force for good.

--- a/crates/whinhill-cli/tests/owed_answers.rs
+++ b/crates/whinhill-cli/tests/owed_answers.rs
@@ -241,6 +241,25 @@
     });
 }
 
+/// The new configuration cannot be read at the moment of the signal, which comes once: the file is tried again, or
+/// the former addresses, which are closed soon, would be kept for good.
+#[test]
+fn a_configuration_that_cannot_be_read_for_a_moment_is_read_later() {
+    let (sender, saw) = channel();
+    let discovery = Discovery::start(list_of(1, true, &[entry("s-1", "SERVING", 0)]));
+    let relay = Relay::start("s-1", sender);
+    let (folder, path) = configured(&config(relay.addr, discovery.addr));
+    let (running, _) = Running::start(&path);
+    wait_for(&saw, "the news", |saw| *saw == Saw::Watch);
+    let (sender, saw) = channel();
+    let next = Relay::start("s-1", sender);
+    fs::rename(&path, folder.path().join("away")).unwrap();
+    running.signal(Signal::HUP);
+    running.wait_for_log("the configuration in force stays");
+    fs::write(&path, config(next.addr, discovery.addr)).unwrap();
+    wait_for(&saw, "the news at the next address", |saw| *saw == Saw::Watch);
+}
+
 /// The process stands still for longer than clients have to join: what they had sent by then counts.
 #[test]
 fn what_was_sent_while_the_process_stood_still_is_answered() {
