Read a configuration again that could not be read when SIGHUP came

Change: a file that cannot be read is tried again each 50 ms for 10 s; one that can be read and is bad leaves the old in force as before, with its one line. At the start a failure of the moment (not a missing or forbidden file) is tried again for 5 s.

--- a/crates/whinhill-node/src/deadlines.rs
+++ b/crates/whinhill-node/src/deadlines.rs
@@ -24,6 +24,8 @@
     Accept,
     /// Every socket is looked at, whatever the poll has told.
     Look,
+    /// The configuration is read again after it could not be.
+    Config,
     /// Discovery is asked again after a connect that failed at once.
     Watch,
     /// And for the whole list.
--- a/crates/whinhill-node/src/event_loop.rs
+++ b/crates/whinhill-node/src/event_loop.rs
@@ -143,6 +143,7 @@
             Due::Beliefs => self.report_beliefs(),
             Due::Connection(id) => self.timed_out(id),
             Due::Register(id) => self.register_client(id),
+            Due::Config => self.read_config(),
             Due::Watch => self.watch_again(),
             Due::Fetch => self.fetch(),
             Due::Probes => self.probe_again(),
--- a/crates/whinhill-node/src/limits.rs
+++ b/crates/whinhill-node/src/limits.rs
@@ -62,6 +62,10 @@
 pub const START_WITHIN: Duration = Duration::from_secs(5);
 /// And so often.
 pub const START_AGAIN: Duration = Duration::from_millis(20);
+/// A configuration that cannot be read after SIGHUP is tried again this often, and for so long: the former addresses
+/// close after 1.5 s, and a disk or a table of files that is full for longer is somebody's to see to.
+pub const CONFIG_AGAIN: Duration = Duration::from_millis(50);
+pub const CONFIG_WITHIN: Duration = Duration::from_secs(10);
 /// Failures of the poll in a row after which it counts as broken. One signal after another is no failure.
 pub const POLL_FAILURES_MOST: u32 = 100;
 /// The state goes into the log this often.
--- a/crates/whinhill-node/src/node.rs
+++ b/crates/whinhill-node/src/node.rs
@@ -29,7 +29,7 @@
 use crate::limits::*;
 use crate::probes::Again;
 use crate::report::Counts;
-use crate::starting::until_had;
+use crate::starting::{read_until_had, until_had};
 use crate::NodeError;
 
 /// What the poll calls the listener, and the signals.
@@ -56,6 +56,9 @@
     /// Connections with more to read than one turn allows.
     pub unread: Vec<Id>,
     path: PathBuf,
+    /// Until when a file that cannot be read is tried again, and whether that was told.
+    config_until: Duration,
+    config_fails: bool,
     pub config: PlatformConfig,
     pub names: Names,
     /// Where each server listens, by its index.
@@ -105,7 +108,7 @@
 
 impl Node {
     pub fn start(path: &Path, log_dropped: Arc<AtomicU64>) -> Result<Self, NodeError> {
-        let mut config = crate::read(path)?;
+        let mut config = read_until_had(path)?;
         let none = Roster { version: 0, whole: true, servers: Vec::new() };
         let known = std::mem::replace(&mut config.known, Ok(none.clone())).unwrap_or_else(|error| {
             warn!("the stored list cannot be used: {error}");
@@ -158,6 +161,8 @@
             poll_failures: 0,
             unread: Vec::new(),
             path: path.into(),
+            config_until: Duration::ZERO,
+            config_fails: false,
             addrs: Vec::new(),
             gone: BTreeMap::new(),
             listed: BTreeSet::new(),
@@ -230,7 +235,7 @@
         let signals: Vec<i32> = self.signals.pending().collect();
         for signal in signals {
             if signal == SIGHUP {
-                self.read_again();
+                self.read_config_until_had();
             } else if !self.ending {
                 info!(waiting = self.calls.waiting(), "told to end");
                 self.ending = true;
@@ -239,11 +244,28 @@
         }
     }
 
-    /// A new configuration moves discovery and relay; a bad one leaves the old in force.
-    fn read_again(&mut self) {
+    /// The configuration is to be read again, from now on until it could be read.
+    pub fn read_config_until_had(&mut self) {
+        self.config_until = self.clock.now() + CONFIG_WITHIN;
+        self.config_fails = false;
+        self.read_config();
+    }
+
+    /// A new configuration moves discovery and relay; a bad one leaves the old in force. Where the file cannot be
+    /// read at all that may pass, and no second signal tells of it.
+    pub fn read_config(&mut self) {
         let new = match crate::read(&self.path) {
             Ok(new) => new,
-            Err(error) => return warn!("the configuration in force stays: {error}"),
+            Err(error) => {
+                if !std::mem::replace(&mut self.config_fails, true) {
+                    warn!("the configuration in force stays: {error}");
+                }
+                let now = self.clock.now();
+                if matches!(error, NodeError::Read { .. }) && now < self.config_until {
+                    self.deadlines.set(Due::Config, now + CONFIG_AGAIN);
+                }
+                return;
+            }
         };
         info!(discovery = %new.discovery, relay = %new.relay, "new configuration");
         if new.discovery != self.config.discovery {
--- a/crates/whinhill-node/src/sockets.rs
+++ b/crates/whinhill-node/src/sockets.rs
@@ -139,9 +139,10 @@
         }
     }
 
-    /// Looks at every socket without having been told to by the poll.
+    /// Looks at every socket, and for signals, without having been told to by the poll.
     pub fn look_at_all(&mut self) {
         self.accept(ACCEPT_LOOKS_UNTOLD, false);
+        self.take_signals();
         let all: Vec<Id> = self.connections.iter().map(|(id, _)| id).collect();
         all.into_iter().for_each(|id| self.look_at(id));
         self.deadlines.set(Due::Look, self.clock.now() + LOOK_EVERY);
--- a/crates/whinhill-node/src/starting.rs
+++ b/crates/whinhill-node/src/starting.rs
@@ -1,11 +1,15 @@
 //! What is needed at the start and may not be to be had for a moment.
 
 use std::io;
+use std::path::Path;
 use std::time::Instant;
 
 use tracing::warn;
 
+use whinhill_platform::config::PlatformConfig;
+
 use crate::limits::{START_AGAIN, START_WITHIN};
+use crate::NodeError;
 
 /// Makes a call until it succeeds, for a bounded time: its last error.
 pub fn until_had<T>(what: &str, mut call: impl FnMut() -> io::Result<T>) -> io::Result<T> {
@@ -24,3 +28,22 @@
         }
     }
 }
+
+/// Reads the configuration, again where the system may only have failed for a moment.
+pub fn read_until_had(path: &Path) -> Result<PlatformConfig, NodeError> {
+    let started = Instant::now();
+    loop {
+        match crate::read(path) {
+            Err(NodeError::Read { source, .. }) if may_pass(&source) && started.elapsed() < START_WITHIN => {
+                std::thread::sleep(START_AGAIN);
+            }
+            read => return read,
+        }
+    }
+}
+
+/// Whether a file that cannot be read now may be readable soon, untouched.
+fn may_pass(error: &io::Error) -> bool {
+    use io::ErrorKind::{InvalidInput, IsADirectory, NotADirectory, NotFound, PermissionDenied};
+    !matches!(error.kind(), InvalidInput | IsADirectory | NotADirectory | NotFound | PermissionDenied)
+}
