Show that waiting for a refused client's end keeps the processor busy

Ending our side of a socket wakes the poll, which tells that the socket can be written, upon which our side is ended again: a loop without a wait for 0.5 s.

--- a/crates/whinhill-cli/tests/owed_answers.rs
+++ b/crates/whinhill-cli/tests/owed_answers.rs
@@ -79,6 +79,27 @@
     }
 }
 
+/// Clients that have had their last answer and stay cost a place for a while, and no work.
+#[test]
+fn waiting_for_a_refused_clients_end_is_no_work() {
+    let (_folder, path) = configured(&config(nobody(), nobody()));
+    let (running, addr) = Running::start(&path);
+    let clients: Vec<TcpStream> = (0..20).map(|_| TcpStream::connect(addr).unwrap()).collect();
+    let before = running.processor_time();
+    for client in &clients {
+        let mut answer = [0; ERROR.len()];
+        (&*client).read_exact(&mut answer).unwrap();
+        assert_eq!(answer, ERROR.as_bytes());
+    }
+    // They stay, for longer than they are waited for.
+    thread::park_timeout(Duration::from_millis(700));
+    let used = running.processor_time() - before;
+    assert!(used < Duration::from_millis(200), "{used:?}");
+    for client in clients {
+        assert_eq!(read_to_end(client).unwrap(), "");
+    }
+}
+
 /// What a client is sent before it is closed must not be lost to what it has sent beyond that: a close with unread
 /// input resets the connection.
 #[test]
--- a/crates/whinhill-cli/tests/support/running.rs
+++ b/crates/whinhill-cli/tests/support/running.rs
@@ -1,12 +1,13 @@
 //! The assigner as a process.
 
+use std::fs;
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::Path;
 use std::process::{Child, ChildStderr, Command, Stdio};
 use std::sync::mpsc::{channel, Receiver};
 use std::thread;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use rustix::process::{kill_process, prlimit, Pid, Resource, Rlimit, Signal};
 
@@ -88,6 +89,15 @@
         prlimit(Pid::from_raw(self.0.id() as i32), Resource::Nofile, limit).unwrap();
     }
 
+    /// The processor time that it has used so far, from its ticks of a hundredth of a second.
+    pub fn processor_time(&self) -> Duration {
+        let stat = fs::read_to_string(format!("/proc/{}/stat", self.0.id())).unwrap();
+        let after_name = stat.rsplit(')').next().unwrap();
+        let ticks =
+            |field: usize| -> u64 { after_name.split_whitespace().nth(field).unwrap().parse().unwrap() };
+        Duration::from_millis(10 * (ticks(11) + ticks(12)))
+    }
+
     pub fn signal(&self, signal: Signal) {
         kill_process(Pid::from_raw(self.0.id() as i32).unwrap(), signal).unwrap();
     }
