--- a/crates/whinhill-node/src/connection.rs
+++ b/crates/whinhill-node/src/connection.rs
@@ -37,6 +37,8 @@
     pub opened: Duration,
     /// Whether the other side has sent anything.
     pub heard: bool,
+    /// Whether our side has ended.
+    ended: bool,
     stream: TcpStream,
     out: Vec<u8>,
     written: usize,
@@ -48,6 +50,7 @@
             kind: Kind::Peer(Peer::default()),
             opened: now,
             heard: false,
+            ended: false,
             stream,
             out: Vec::new(),
             written: 0,
@@ -59,7 +62,15 @@
         let stream = TcpStream::connect(addr)?;
         // Calls are small and each waits for its answer.
         let _ = stream.set_nodelay(true);
-        Ok(Connection { kind, opened: now, heard: false, stream, out: first.to_vec(), written: 0 })
+        Ok(Connection {
+            kind,
+            opened: now,
+            heard: false,
+            ended: false,
+            stream,
+            out: first.to_vec(),
+            written: 0,
+        })
     }
 
     pub fn register(&mut self, registry: &Registry, token: Token) -> io::Result<()> {
@@ -102,9 +113,10 @@
         self.out.is_empty()
     }
 
-    /// Ends our side once all that was given to write has left; the other side may still send.
+    /// Ends our side once all that was given to write has left; the other side may still send. Only once: it makes
+    /// the poll tell of the socket again.
     pub fn end_writing(&mut self) {
-        if self.all_written() {
+        if self.all_written() && !std::mem::replace(&mut self.ended, true) {
             // It fails where the other side is gone already.
             let _ = self.stream.shutdown(Shutdown::Write);
         }
