Keep the news stream in the tests' relay before its telling is seen to end

Cause: the stand-in relay (tests/support/relay.rs, `serve`) wrote the sign of life that ends its telling, and only then kept the stream on which marks are answered. A call that arrives between the two is answered, its mark is not: `news` was still empty. The relay of the platform answers every mark of a stream that stands, so the assigner waits for it for good, as it should.

Shown: with 50 ms between the two lines all eight processes failed in just this way (orders, then the watch, then nothing). With the stream kept under the lock under which the end is written, the same 50 ms change nothing: 17 and 14 tests passed.

Ruled out: the fault library and the stepped clocks (cases of both directions failed and others of both passed); the module (the log's status lines show batches every 50 ms and one call).

--- a/crates/whinhill-cli/tests/support/relay.rs
+++ b/crates/whinhill-cli/tests/support/relay.rs
@@ -100,9 +100,11 @@
             while now == Does::TellsForEver && out.write_all(b"* hello 0 a 5 0\r\n").is_ok() {
                 thread::sleep(Duration::from_millis(20));
             }
-            let _ = out.write_all(b"*\r\n");
-            *news.lock().unwrap() = Some(out.try_clone().unwrap());
+            // Calls may follow at once, and whoever answers their marks must find the stream.
+            let mut news = news.lock().unwrap();
             let _ = saw.send(Saw::Watch);
+            let _ = out.write_all(b"*\r\n");
+            *news = Some(out.try_clone().unwrap());
             continue;
         }
         let Some(orders) = request.strip_prefix("APPLY ") else { continue };
