Soak the tables while the disk fails; show that a start does not outlast such a disk

Cause (the red test): `Assigner::start` (whinhill-assigner/src/assigner.rs) opens the history once; opening writes a transaction, so a disk that is full or fails for two seconds ends the process with "cannot start".

Change: the history's file and the page that waits for it are one type, `HistoryFile`, used by the bookkeeping thread as before and now by `whinhill table soak`, which ended at the first refused write. The soak goes on as the assigner does (the page waits, the file is opened afresh), counts refusals, and counts a restart that finds less than the file was said to hold (`lost_versions`) as broken. tests/processes.rs: its parts of a site are shared by three tests, with an assigner whose calls fail throughout.

--- a/crates/whinhill-assigner/src/assigner.rs
+++ b/crates/whinhill-assigner/src/assigner.rs
@@ -12,7 +12,7 @@
 use rand::Rng;
 use tracing::{error, info, warn};
 use whinhill::interface::{ProxyId, SettingsError, SliceId};
-use whinhill_history::{Book, BookError};
+use whinhill_history::BookError;
 use whinhill_store::{Custody, CustodyConfig, Identity, RespConfig, RespStore, Store};
 use whinhill_tables::PendingGrant;
 use whinhill_transport::{Code, Drivers, Limits, Listener, ServerCall, Trailers, Workers};
@@ -24,6 +24,7 @@
 use crate::chronicle::Numbered;
 use crate::config::{AssignerConfig, Fault};
 use crate::core::{Core, Effects, Input};
+use crate::history_file::HistoryFile;
 use crate::holdings::{Holdings, LOOK};
 use crate::hub::{Hub, HubConfig};
 use crate::last_list::LastList;
@@ -97,8 +98,7 @@
             let path = dir.join("history.redb");
             let limits = config.history.limits();
             let failed = |error| StartError::History { path: path.display().to_string(), error };
-            let (book, history) = Book::open(&path, limits).map_err(failed)?;
-            let rollbacks = book.rollbacks().map_err(failed)?;
+            let (file, history, rollbacks) = HistoryFile::open(&path, limits).map_err(failed)?;
             info!(
                 version = history.current().id().number,
                 kept = history.entries().count(),
@@ -108,7 +108,7 @@
             core.restore(history, rollbacks, PAST, unix_ms());
             let (to_book, pages) = bounded(PAGES);
             let (inputs, stop) = (inputs.clone(), stop.clone());
-            keeping = Some((to_book, Bookkeeper { path, limits, book: Some(book), pages, inputs, stop }));
+            keeping = Some((to_book, Bookkeeper { file, pages, inputs, stop }));
         }
         let (asks, asked) = bounded(ASKS);
         let operators = match config.operators {
--- a/crates/whinhill-assigner/src/lib.rs
+++ b/crates/whinhill-assigner/src/lib.rs
@@ -13,6 +13,7 @@
 mod chronicle;
 mod config;
 mod core;
+mod history_file;
 mod holdings;
 mod hub;
 mod joins;
@@ -37,6 +38,7 @@
     AssignerConfig, ChannelConfig, CustodySettings, Fault, HistoryConfig, MethodConfig, MethodEffect,
     RosterConfig, RulesConfig, Sabotage, ServiceConfig, StoreConfig,
 };
+pub use history_file::{HistoryFile, Kept};
 pub use names::Names;
 pub use operator::{ask, AskError};
 pub use reports::{event, read_report};
--- a/crates/whinhill-cli/src/soak.rs
+++ b/crates/whinhill-cli/src/soak.rs
@@ -12,10 +12,12 @@
 use rand_chacha::ChaCha8Rng;
 use serde::Serialize;
 use whinhill::interface::{Ep, Order};
-use whinhill_assigner::{Batch, Chronicle};
-use whinhill_history::Book;
-use whinhill_tables::rollback::{Fleet, Standing};
-use whinhill_tables::{Delta, Held, Keeper, Limits, PendingGrant, ServerName, SetId, TableSet, Version};
+use whinhill_assigner::{Batch, Chronicle, HistoryFile, Kept};
+use whinhill_history::BookError;
+use whinhill_tables::rollback::{Fleet, Rollback, Standing};
+use whinhill_tables::{
+    Delta, Held, History, Keeper, Limits, PendingGrant, ServerName, SetId, TableSet, Version,
+};
 
 use crate::Failed;
 
@@ -49,6 +51,10 @@
     deltas: u64,
     full_sets: u64,
     refused_deltas: u64,
+    /// Attempts to keep a page, or to open the file, that the disk refused.
+    refused_by_disk: u64,
+    /// Restarts that did not find what the file was said to hold.
+    lost_versions: u64,
     mismatches: u64,
     owner_order_breaks: u64,
     /// Bytes of what was sent as deltas, and of full sets in their place.
@@ -60,6 +66,8 @@
 const LIMITS: Limits = Limits { entries: 400, bytes: 1 << 20, age: Duration::from_secs(100_000) };
 /// Steps from an owner's stop until the next one may be granted: answers and leases, in quick motion.
 const SETTLE: u64 = 5;
+/// Attempts in a row that a disk may refuse.
+const REFUSALS_MOST: usize = 1000;
 /// Steps after which a rollback gives up what has found no room.
 const WITHIN: u64 = 200;
 
@@ -78,7 +86,8 @@
 struct Soak<'a> {
     rng: ChaCha8Rng,
     path: &'a Path,
-    book: Option<Book>,
+    /// `None` while the assigner is dead: the file is opened once the dead one's hold on it is gone.
+    file: Option<HistoryFile>,
     keeper: Keeper,
     chronicle: Chronicle,
     proxies: Vec<Proxy>,
@@ -118,14 +127,15 @@
 
 impl<'a> Soak<'a> {
     fn new(args: &SoakArgs, path: &'a Path) -> Result<Self, Box<dyn std::error::Error>> {
-        let (book, history) = Book::open(path, LIMITS)?;
+        let mut figures = Figures { seed: args.seed, ..Figures::default() };
+        let (file, history, rollbacks) = open(path, &mut figures)?;
         let owner = |slice: usize| (1, server(slice % SERVERS), 1);
         let mut soak = Soak {
             rng: ChaCha8Rng::seed_from_u64(args.seed),
             path,
-            book: Some(book),
+            file: Some(file),
             keeper: keeper(args.slices),
-            chronicle: Chronicle::new(history, Vec::new(), Duration::ZERO, 0),
+            chronicle: Chronicle::new(history, rollbacks, Duration::ZERO, 0),
             proxies: (0..args.proxies).map(|_| Proxy { wants_all: true, ..Proxy::default() }).collect(),
             store: (0..args.slices).map(owner).collect(),
             turns: vec![BTreeMap::new(); args.slices],
@@ -134,7 +144,7 @@
             granted: Vec::new(),
             told: Held::default(),
             step: 0,
-            figures: Figures { seed: args.seed, ..Figures::default() },
+            figures,
             sick: SERVERS,
             sabotage: args.sabotage,
         };
@@ -171,15 +181,32 @@
     }
 
     fn keep(&mut self) -> Result<(), Box<dyn std::error::Error>> {
-        if let (Some(numbered), Some(book)) = (self.chronicle.take_page(), &mut self.book) {
-            book.keep(&numbered.page)?;
-            self.chronicle.kept(numbered.seq);
-            self.figures.versions = numbered.page.number;
+        let Some(file) = &mut self.file else { return Ok(()) };
+        self.chronicle.take_page().into_iter().for_each(|page| file.put(page));
+        match file.keep() {
+            Ok(None) => {}
+            Ok(Some(Kept { seq, version })) => {
+                self.chronicle.kept(seq);
+                self.figures.versions = version;
+            }
+            Err(error) if error.may_pass() => self.figures.refused_by_disk += 1,
+            Err(error) => return Err(error.into()),
         }
         self.tell();
         Ok(())
     }
 
+    /// Keeps what waits, however often the disk refuses it.
+    fn keep_all(&mut self) -> Result<(), Box<dyn std::error::Error>> {
+        for _ in 0..REFUSALS_MOST {
+            self.keep()?;
+            if self.file.as_ref().is_none_or(|file| !file.has_waiting()) {
+                return Ok(());
+            }
+        }
+        Err("the disk refuses a page again and again".into())
+    }
+
     /// Proxies are told the newest version, once nothing of it is held back: one delta for all at the same version.
     fn tell(&mut self) {
         if self.chronicle.held_back() > 0 {
@@ -325,12 +352,11 @@
         }
         self.handovers.clear();
         self.keeper = keeper(self.store.len());
-        // The file is opened once the dead assigner's hold on it is gone.
-        self.book = None;
-        let (book, history) = Book::open(self.path, LIMITS)?;
-        let rollbacks = book.rollbacks()?;
+        self.file = None;
+        let (file, history, rollbacks) = open(self.path, &mut self.figures)?;
+        self.figures.lost_versions += u64::from(history.current().id().number < self.figures.versions);
         let (now, unix_ms) = (Duration::from_secs(self.step), self.step * 1000);
-        (self.book, self.chronicle) = (Some(book), Chronicle::new(history, rollbacks, now, unix_ms));
+        (self.file, self.chronicle) = (Some(file), Chronicle::new(history, rollbacks, now, unix_ms));
         for proxy in &mut self.proxies {
             proxy.on_the_way.clear();
             // Its stream broke: it names what it holds, and is told a delta from there or the full set.
@@ -399,7 +425,7 @@
         }
         self.figures.rollbacks_open =
             self.chronicle.rollbacks().iter().filter(|rollback| !rollback.finished()).count() as u64;
-        self.keep()?;
+        self.keep_all()?;
         for number in 0..self.proxies.len() {
             while !self.proxies[number].on_the_way.is_empty() || self.proxies[number].wants_all {
                 self.deliver(number);
@@ -420,8 +446,22 @@
     }
 
     fn failed(&self) -> bool {
-        self.figures.mismatches + self.figures.owner_order_breaks + self.figures.rollbacks_open > 0
+        let figures = &self.figures;
+        let broken =
+            [figures.mismatches, figures.owner_order_breaks, figures.rollbacks_open, figures.lost_versions];
+        broken.iter().any(|count| *count > 0)
+    }
+}
+
+/// Opens the file, however often the disk refuses.
+fn open(path: &Path, figures: &mut Figures) -> Result<(HistoryFile, History, Vec<Rollback>), BookError> {
+    for _ in 0..REFUSALS_MOST {
+        match HistoryFile::open(path, LIMITS) {
+            Err(error) if error.may_pass() => figures.refused_by_disk += 1,
+            opened => return opened,
+        }
     }
+    HistoryFile::open(path, LIMITS)
 }
 
 fn keeper(slices: usize) -> Keeper {
--- a/crates/whinhill-cli/tests/days.rs
+++ b/crates/whinhill-cli/tests/days.rs
@@ -91,6 +91,27 @@
     assert!(said.contains("shortest failing prefix"), "{said}");
 }
 
+/// A disk that is full or fails now and then, in keeping a page and in opening the file after a crash.
+#[test]
+fn tables_soaked_while_the_disk_fails_lose_nothing_that_was_kept() {
+    let library = std::env::current_exe().unwrap().with_file_name("libwhinhill_faults.so");
+    assert!(library.exists(), "{} is not built", library.display());
+    for seed in 1..=6 {
+        let faults = format!("seed={seed} file-write=ENOSPC|EIO@0.02 sync=EIO@0.05 rename=EIO@0.05");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_whinhill"));
+        command.env("LD_PRELOAD", &library).env("WHINHILL_FAULTS", faults);
+        let seed = seed.to_string();
+        command.args(["--log-level", "error", "table", "soak", "--seed", &seed, "--steps", "600", "--json"]);
+        let output = command.output().unwrap();
+        let outcome = outcome(&output);
+        assert_eq!(output.status.code(), Some(0), "{outcome}");
+        assert!(outcome["refused_by_disk"].as_u64().unwrap() > 20, "{outcome}");
+        for what in ["lost_versions", "mismatches", "owner_order_breaks", "rollbacks_open"] {
+            assert_eq!(outcome[what], 0, "{what}: {outcome}");
+        }
+    }
+}
+
 /// Plays a day of handovers with a broken component; tells the breaks of the second rule.
 fn sabotaged(kind: &str) -> u64 {
     let text = fs::read_to_string(day("handovers.json5")).unwrap();
--- a/crates/whinhill-cli/tests/processes.rs
+++ b/crates/whinhill-cli/tests/processes.rs
@@ -24,8 +24,18 @@
 
 impl Running {
     fn start(folder: &Path, name: &str, args: &[&str]) -> Self {
-        let log = fs::File::create(folder.join(format!("{name}.log"))).unwrap();
+        Self::spawn(Command::new(env!("CARGO_BIN_EXE_whinhill")), folder, name, args)
+    }
+
+    /// While its calls fail as a schedule says (`docs/faults.md`).
+    fn start_with_faults(folder: &Path, name: &str, args: &[&str], faults: &str) -> Self {
         let mut command = Command::new(env!("CARGO_BIN_EXE_whinhill"));
+        command.env("LD_PRELOAD", fault_library()).env("WHINHILL_FAULTS", faults);
+        Self::spawn(command, folder, name, args)
+    }
+
+    fn spawn(mut command: Command, folder: &Path, name: &str, args: &[&str]) -> Self {
+        let log = fs::File::create(folder.join(format!("{name}.log"))).unwrap();
         let ready = folder.join(format!("{name}.addr"));
         command.args(args).arg("--ready-file").arg(ready).stdout(Stdio::null()).stderr(log);
         Running(command.spawn().unwrap())
@@ -45,6 +55,12 @@
     }
 }
 
+fn fault_library() -> PathBuf {
+    let library = std::env::current_exe().unwrap().with_file_name("libwhinhill_faults.so");
+    assert!(library.exists(), "{} is not built", library.display());
+    library
+}
+
 fn addr(folder: &Path, name: &str) -> SocketAddr {
     let path: PathBuf = folder.join(format!("{name}.addr"));
     let until = Instant::now() + WITHIN;
@@ -74,60 +90,139 @@
   ],
 }"#;
 
+/// A server, its roster, and a store's address where nobody listens yet.
+struct Site {
+    folder: tempfile::TempDir,
+    store: SocketAddr,
+    _server: Running,
+}
+
+impl Site {
+    fn start() -> Self {
+        let folder = tempfile::tempdir().unwrap();
+        let day = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../days/quiet.json5");
+        let args = ["standin", "server", "--day", day.to_str().unwrap()];
+        let _server = Running::start(folder.path(), "server", &args);
+        let server = addr(folder.path(), "server");
+        let roster = format!(r#"{{ servers: [{{ addr: "{server}", zone: "z", state: "ready" }}] }}"#);
+        fs::write(folder.path().join("roster.json5"), roster).unwrap();
+        let store = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        Site { folder, store, _server }
+    }
+
+    fn folder(&self) -> &Path {
+        self.folder.path()
+    }
+
+    fn at(&self, name: &str) -> String {
+        self.folder().join(name).to_str().unwrap().to_string()
+    }
+
+    /// Writes the assigner's configuration; its path.
+    fn configure_assigner(&self) -> String {
+        let config = format!(
+            r#"{{ name: "a", peers: ["a"], listen: "127.0.0.1:0", zone: "z", zones: ["z"], service: {SERVICE},
+              rules: {{ empty_ms: 9000, grace_ms: 2000, warm_after_ms: 5000, cold_from: 0.2, fall_multiple: 3, fall_ms: 1500 }},
+              channel: {{ lines_per_s: 10000, head: 8, backlog: 10000, way_most_ms: 200 }},
+              roster: {{ file: {{ path: "{}" }} }}, state_dir: "{}",
+              store: {{ addr: "{}", within_ms: 300 }}, custody: {{ ttl_ms: 1200, margin_ms: 200 }}, report_period_ms: 300 }}"#,
+            self.at("roster.json5"),
+            self.at(""),
+            self.store
+        );
+        fs::write(self.at("assigner.json5"), config).unwrap();
+        self.at("assigner.json5")
+    }
+
+    fn start_proxy(&self, assigner: SocketAddr) -> Running {
+        let config = format!(
+            r#"{{ id: "p", zone: "z", listen: "127.0.0.1:0", service: {SERVICE}, assigners: [{{ name: "a", addr: "{assigner}" }}] }}"#
+        );
+        fs::write(self.at("proxy.json5"), config).unwrap();
+        Running::start(self.folder(), "proxy", &["proxy", "--config", &self.at("proxy.json5")])
+    }
+
+    fn start_store(&self) -> Running {
+        let store = self.store.to_string();
+        Running::start(self.folder(), "store", &["standin", "store", "--listen", &store])
+    }
+
+    fn call(&self, client: &Client, path: &str) -> Result<(), String> {
+        let headers = [("whinhill-key", "car-17".to_string()), ("whinhill-rpc", "1".to_string())];
+        let answer = client.unary(path, &headers, Bytes::from_static(b"hello"), Duration::from_secs(2));
+        answer.map(drop).map_err(|error| error.to_string())
+    }
+
+    /// Waits until both methods are answered. The slices have never had an owner: each is granted one after the lease
+    /// and the settle time.
+    fn wait_until_served(&self, client: &Client) {
+        let until = Instant::now() + WITHIN;
+        for path in PATHS {
+            while let Err(error) = self.call(client, path) {
+                let log = || fs::read_to_string(self.at("assigner.log")).unwrap_or_default();
+                assert!(Instant::now() < until, "{path}: {error}; {}", log());
+            }
+        }
+    }
+}
+
+const PATHS: [&str; 2] = ["/booking.Rates/Look", "/booking.Rates/Commit"];
+
 #[test]
 fn an_assigner_starts_without_its_store_and_serves_once_the_store_is_there() {
-    let folder = tempfile::tempdir().unwrap();
-    let folder = folder.path();
-    let at = |name: &str| folder.join(name).to_str().unwrap().to_string();
-    let day = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../days/quiet.json5");
-    let _server = Running::start(folder, "server", &["standin", "server", "--day", day.to_str().unwrap()]);
-    let server = addr(folder, "server");
-    fs::write(
-        at("roster.json5"),
-        format!(r#"{{ servers: [{{ addr: "{server}", zone: "z", state: "ready" }}] }}"#),
-    )
-    .unwrap();
-    // A port where nobody listens yet.
-    let store = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
-    let assigner = format!(
-        r#"{{ name: "a", peers: ["a"], listen: "127.0.0.1:0", zone: "z", zones: ["z"], service: {SERVICE},
-          rules: {{ empty_ms: 9000, grace_ms: 2000, warm_after_ms: 5000, cold_from: 0.2, fall_multiple: 3, fall_ms: 1500 }},
-          channel: {{ lines_per_s: 10000, head: 8, backlog: 10000, way_most_ms: 200 }},
-          roster: {{ file: {{ path: "{}" }} }}, state_dir: "{}",
-          store: {{ addr: "{store}", within_ms: 300 }}, custody: {{ ttl_ms: 1200, margin_ms: 200 }}, report_period_ms: 300 }}"#,
-        at("roster.json5"),
-        at("")
-    );
-    fs::write(at("assigner.json5"), assigner).unwrap();
-    let running = Running::start(folder, "assigner", &["assigner", "--config", &at("assigner.json5")]);
-    let assigner = addr(folder, "assigner");
-    logged(folder, "assigner", "the store fails");
-    let proxy = format!(
-        r#"{{ id: "p", zone: "z", listen: "127.0.0.1:0", service: {SERVICE}, assigners: [{{ name: "a", addr: "{assigner}" }}] }}"#
-    );
-    fs::write(at("proxy.json5"), proxy).unwrap();
-    let proxy_running = Running::start(folder, "proxy", &["proxy", "--config", &at("proxy.json5")]);
+    let site = Site::start();
+    let config = site.configure_assigner();
+    let running = Running::start(site.folder(), "assigner", &["assigner", "--config", &config]);
+    let assigner = addr(site.folder(), "assigner");
+    logged(site.folder(), "assigner", "the store fails");
+    let proxy_running = site.start_proxy(assigner);
     let drivers = Drivers::start("test", 1).unwrap();
-    let client = Client::connect(addr(folder, "proxy"), Limits::default(), &drivers).unwrap();
-    let call = |path: &str| {
-        let headers = [("whinhill-key", "car-17".to_string()), ("whinhill-rpc", "1".to_string())];
-        client.unary(path, &headers, Bytes::from_static(b"hello"), Duration::from_secs(2))
-    };
+    let client = Client::connect(addr(site.folder(), "proxy"), Limits::default(), &drivers).unwrap();
     // Nobody is in charge: pushed back after the hold, with a reason.
-    let refused = call("/booking.Rates/Look").unwrap_err().to_string();
+    let refused = site.call(&client, PATHS[0]).unwrap_err();
     assert!(refused.contains("pushed back: no-line"), "{refused}");
-    let store = store.to_string();
-    let _store = Running::start(folder, "store", &["standin", "store", "--listen", &store]);
-    let until = Instant::now() + WITHIN;
-    // The slices have never had an owner: each is granted one after the lease and the settle time.
-    for path in ["/booking.Rates/Look", "/booking.Rates/Commit"] {
-        while let Err(error) = call(path) {
-            assert!(Instant::now() < until, "{path}: {error}");
-        }
-    }
+    let _store = site.start_store();
+    site.wait_until_served(&client);
     assert_eq!(running.end(), Some(0));
-    logged(folder, "assigner", "assigner stopped");
+    logged(site.folder(), "assigner", "assigner stopped");
     // The proxy goes on with reads by what it holds.
-    assert!(call("/booking.Rates/Look").is_ok());
+    assert_eq!(site.call(&client, PATHS[0]), Ok(()));
     assert_eq!(proxy_running.end(), Some(0));
 }
+
+/// What is kept in the state's folder cannot be opened while the disk refuses writes, and that may pass.
+#[test]
+fn an_assigner_starts_though_its_disk_refuses_writes_at_first() {
+    let site = Site::start();
+    let _store = site.start_store();
+    let config = site.configure_assigner();
+    let faults = "file-write=ENOSPC:0-2 sync=EIO:0-2";
+    let args = ["assigner", "--config", &config];
+    let running = Running::start_with_faults(site.folder(), "assigner", &args, faults);
+    logged(site.folder(), "assigner", "the history can't be opened, and is tried again");
+    let _proxy = site.start_proxy(addr(site.folder(), "assigner"));
+    let drivers = Drivers::start("test", 1).unwrap();
+    let client = Client::connect(addr(site.folder(), "proxy"), Limits::default(), &drivers).unwrap();
+    site.wait_until_served(&client);
+    assert_eq!(running.end(), Some(0));
+}
+
+/// Calls of the system that fail, are interrupted, move a part, or say too early that they would block: everything
+/// is made again, and nothing waits for good.
+#[test]
+fn an_assigner_whose_calls_fail_serves_all_the_same() {
+    let site = Site::start();
+    let _store = site.start_store();
+    let config = site.configure_assigner();
+    let faults = "seed=5 accept=ENFILE|ECONNABORTED|EAGAIN@0.3 connect=EADDRNOTAVAIL|ENETUNREACH@0.2 \
+        socket=ENFILE@0.2 register=ENOMEM@0.2 wait=EINTR@0.3 read=short|EINTR|EAGAIN@0.2 write=short|EINTR|EAGAIN@0.2 \
+        file-write=ENOSPC|EIO@0.05 sync=EIO@0.1";
+    let args = ["assigner", "--config", &config];
+    let running = Running::start_with_faults(site.folder(), "assigner", &args, faults);
+    let _proxy = site.start_proxy(addr(site.folder(), "assigner"));
+    let drivers = Drivers::start("test", 1).unwrap();
+    let client = Client::connect(addr(site.folder(), "proxy"), Limits::default(), &drivers).unwrap();
+    site.wait_until_served(&client);
+    assert_eq!(running.end(), Some(0));
+    logged(site.folder(), "assigner", "assigner stopped");
+}
--- a/crates/whinhill-history/src/lib.rs
+++ b/crates/whinhill-history/src/lib.rs
@@ -55,6 +55,22 @@
     Storage(Box<redb::Error>),
 }
 
+impl BookError {
+    /// Whether the same may succeed later and untouched: the disk was full, or failed for a moment.
+    pub fn may_pass(&self) -> bool {
+        use std::io::ErrorKind::{InvalidInput, IsADirectory, NotADirectory, NotFound, PermissionDenied};
+        let BookError::Storage(error) = self else { return false };
+        match &**error {
+            redb::Error::Io(error) => !matches!(
+                error.kind(),
+                InvalidInput | IsADirectory | NotADirectory | NotFound | PermissionDenied
+            ),
+            redb::Error::PreviousIo => true,
+            _ => false,
+        }
+    }
+}
+
 /// `redb` has an error for each of its steps.
 macro_rules! from_redb {
     ($($step:ident),*) => {
