Show that a proxy ends when its status or its ready file cannot be written

Cause: `proxy::run` (whinhill-cli/src/proxy.rs) returns with the first status line or status file that the disk refuses, and `until_stopped::say_ready` with the first address that it refuses: the process ends and drops the requests that it holds.

--- a/crates/whinhill-cli/tests/processes.rs
+++ b/crates/whinhill-cli/tests/processes.rs
@@ -135,11 +135,18 @@
     }
 
     fn start_proxy(&self, assigner: SocketAddr) -> Running {
+        self.start_proxy_with_faults(assigner, "")
+    }
+
+    fn start_proxy_with_faults(&self, assigner: SocketAddr, faults: &str) -> Running {
         let config = format!(
-            r#"{{ id: "p", zone: "z", listen: "127.0.0.1:0", service: {SERVICE}, assigners: [{{ name: "a", addr: "{assigner}" }}] }}"#
+            r#"{{ id: "p", zone: "z", listen: "127.0.0.1:0", service: {SERVICE}, status_file: "{}",
+              assigners: [{{ name: "a", addr: "{assigner}" }}] }}"#,
+            self.at("proxy.status")
         );
         fs::write(self.at("proxy.json5"), config).unwrap();
-        Running::start(self.folder(), "proxy", &["proxy", "--config", &self.at("proxy.json5")])
+        let args = ["proxy", "--config", &self.at("proxy.json5")];
+        Running::start_with_faults(self.folder(), "proxy", &args, faults)
     }
 
     fn start_store(&self) -> Running {
@@ -226,3 +233,24 @@
     assert_eq!(running.end(), Some(0));
     logged(site.folder(), "assigner", "assigner stopped");
 }
+
+/// A proxy's status is for whoever looks at it; requests do not wait for it, and the process does not end with it.
+#[test]
+fn a_proxy_whose_status_cannot_be_written_serves_on() {
+    let site = Site::start();
+    let _store = site.start_store();
+    let config = site.configure_assigner();
+    let _assigner = Running::start(site.folder(), "assigner", &["assigner", "--config", &config]);
+    let proxy = site.start_proxy_with_faults(
+        addr(site.folder(), "assigner"),
+        "file-write=ENOSPC:0-1 file-write=EIO:1.5-3",
+    );
+    let drivers = Drivers::start("test", 1).unwrap();
+    let client = Client::connect(addr(site.folder(), "proxy"), Limits::default(), &drivers).unwrap();
+    site.wait_until_served(&client);
+    logged(site.folder(), "proxy", "status is written again");
+    assert_eq!(site.call(&client, PATHS[0]), Ok(()));
+    assert_eq!(proxy.end(), Some(0));
+    let status = fs::read_to_string(site.at("proxy.status")).unwrap();
+    assert!(status.ends_with("}\n"), "{status}");
+}
