Make calls again that fail for want of a descriptor, port or route, behind xDS too

"cannot listen on 127.0.0.1:0: Too many open files in system": `Listener::start` and `Drivers::start` (whinhill-transport) made each call once, so one failing `socket` ended the process. The store's exchange (resp.rs, `fill`) took an interrupted read for a lost connection, so each one left an outcome unknown. It reads on now. Most of the delay was the library's own: it let blocking sockets say EAGAIN, which on Linux means that their time limit is up. It does so on sockets that do not block alone now.

Related paths, by reading, without a red test of their own: - `driver.rs`: a socket that could not be registered was closed unread. It is tried again until its handshake is due. - `Client::connect`: a connect that reached nobody (EADDRNOTAVAIL, ENETUNREACH, ENFILE, ...) was told as the server's silence. It is made again for 100 ms, then `NeverRan::NotTried`; `probes.rs` tells the module nothing then. - `Listener`'s end waits for its thread although the first wake-up's connect fails.

Ruled out: readiness told too early. Each connection is polled every 50 ms anyway (`driver.rs`, `TICK`).

--- a/crates/whinhill-assigner/src/probes.rs
+++ b/crates/whinhill-assigner/src/probes.rs
@@ -9,7 +9,7 @@
 use prost::Message;
 use whinhill::interface::{LoadReport, Probe};
 use whinhill_tables::ServerName;
-use whinhill_transport::{CallError, Client, Code, Drivers, Limits, Workers};
+use whinhill_transport::{CallError, Client, Code, Drivers, Limits, NeverRan, Workers};
 use whinhill_xds::proto::{HealthCheckRequest, HealthCheckResponse, OrcaLoadReport};
 use whinhill_xds::{unbase64, HEALTH_PATH, ORCA_TRAILER};
 
@@ -43,13 +43,15 @@
     pub fn probe(&self, server: ServerName) {
         let me = self.clone();
         let _ = self.workers.run(move || {
-            let (result, load) = me.ask(&server);
+            let Some((result, load)) = me.ask(&server) else { return };
             let _ = me.inputs.try_send((Input::Probed { server, result, load }, None));
         });
     }
 
-    fn ask(&self, server: &ServerName) -> (Probe, LoadReport) {
-        match self.check(server) {
+    /// `None` where the server was not asked: that tells nothing of it.
+    fn ask(&self, server: &ServerName) -> Option<(Probe, LoadReport)> {
+        Some(match self.check(server) {
+            Err(CallError::NeverRan(NeverRan::NotTried)) => return None,
             Ok((HealthCheckResponse { status: SERVING }, load)) => (Probe::Ok, load),
             Ok((_, load)) => (Probe::PushedBack, load),
             Err(CallError::Status { code: Code::Unavailable | Code::ResourceExhausted, .. }) => {
@@ -57,7 +59,7 @@
             }
             Err(CallError::Status { .. }) => (Probe::Aborted, LoadReport::default()),
             Err(_) => (Probe::Unanswered, LoadReport::default()),
-        }
+        })
     }
 
     fn check(&self, server: &ServerName) -> Result<(HealthCheckResponse, LoadReport), CallError> {
--- a/crates/whinhill-faults/src/lib.rs
+++ b/crates/whinhill-faults/src/lib.rs
@@ -108,10 +108,19 @@
     }
 }
 
+/// What a call on a socket meets. Only where the socket does not block may a call say that it would.
+fn socket_fault(fd: c_int, call: Call) -> Option<Fault> {
+    let fault = fault(call)?;
+    // SAFETY: reading a descriptor's flags takes no pointers.
+    let blocks = || unsafe { libc::fcntl(fd, libc::F_GETFL) } & libc::O_NONBLOCK == 0;
+    let said_early = matches!(fault, Fault::Error(libc::EAGAIN));
+    (!said_early || !blocks()).then_some(fault)
+}
+
 /// What a read meets.
 fn read_fault(fd: c_int) -> Option<Fault> {
     match leads(fd) {
-        Leads::Tcp => fault(Call::Read),
+        Leads::Tcp => socket_fault(fd, Call::Read),
         _ => None,
     }
 }
@@ -119,7 +128,7 @@
 /// What a write meets.
 fn write_fault(fd: c_int) -> Option<Fault> {
     match leads(fd) {
-        Leads::Tcp => fault(Call::Write),
+        Leads::Tcp => socket_fault(fd, Call::Write),
         Leads::File => fault(Call::FileWrite),
         Leads::Log => fault(Call::Log),
         Leads::Elsewhere => None,
@@ -168,7 +177,10 @@
     size: *mut socklen_t,
     flags: c_int,
 ) -> c_int {
-    attempt(Call::Accept, || unsafe { next::accept4()(fd, addr, size, flags) })
+    match socket_fault(fd, Call::Accept) {
+        Some(Fault::Error(number)) => fail(number),
+        _ => unsafe { next::accept4()(fd, addr, size, flags) },
+    }
 }
 
 /// # Safety
--- a/crates/whinhill-store/src/resp.rs
+++ b/crates/whinhill-store/src/resp.rs
@@ -90,6 +90,8 @@
                 self.held.extend_from_slice(&chunk[..count]);
                 Ok(())
             }
+            // Whoever fills goes on while there is time.
+            Err(error) if error.kind() == std::io::ErrorKind::Interrupted => Ok(()),
             Err(error) => Err(io_fault(&error, within)),
         }
     }
--- a/crates/whinhill-transport/src/call.rs
+++ b/crates/whinhill-transport/src/call.rs
@@ -20,6 +20,7 @@
 use crate::error::{CallError, Code, NeverRan};
 use crate::limits::Limits;
 use crate::park::{wait, wait_for};
+use crate::scarce::{is_local, is_scarce, until_had};
 use crate::turning::Turn;
 use crate::Drivers;
 
@@ -27,6 +28,11 @@
 pub type Trailers = HeaderMap;
 
 pub(crate) const PREFIX: usize = 5;
+/// How long a system short of descriptors or memory may keep a listener from its start or its end.
+const LISTEN_WITHIN: Duration = Duration::from_secs(5);
+/// How long a connect that reaches nobody is made again: a small part of any deadline, since whoever waits for it may
+/// have somebody else to ask.
+const CONNECT_AGAIN_WITHIN: Duration = Duration::from_millis(100);
 
 /// Reads messages of one direction of a call.
 pub struct MessageReader {
@@ -264,7 +270,7 @@
         drivers: &Drivers,
         handler: impl Fn(ServerCall) + Send + Sync + 'static,
     ) -> io::Result<Self> {
-        let socket = TcpListener::bind(addr)?;
+        let socket = until_had(LISTEN_WITHIN, is_scarce, || TcpListener::bind(addr))?;
         let addr = socket.local_addr()?;
         let (stop, count) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicUsize::new(0)));
         let (stopped, counter, drivers) = (stop.clone(), count.clone(), drivers.clone());
@@ -315,7 +321,8 @@
     fn drop(&mut self) {
         self.stop.store(true, Ordering::Relaxed);
         // Wakes the accept; it sees the flag.
-        let woken = TcpStream::connect_timeout(&self.addr, Duration::from_secs(1)).is_ok();
+        let wake = || TcpStream::connect_timeout(&self.addr, Duration::from_secs(1));
+        let woken = until_had(LISTEN_WITHIN, is_local, wake).is_ok();
         if let Some(thread) = self.thread.take().filter(|_| woken) {
             let _ = thread.join();
         }
@@ -396,7 +403,10 @@
 impl Client {
     pub fn connect(addr: SocketAddr, limits: Limits, drivers: &Drivers) -> Result<Self, CallError> {
         let no_connection = |_| CallError::NeverRan(NeverRan::NoConnection);
-        let socket = TcpStream::connect_timeout(&addr, limits.handshake).map_err(no_connection)?;
+        let dial = || TcpStream::connect_timeout(&addr, limits.handshake);
+        let socket = until_had(CONNECT_AGAIN_WITHIN, is_local, dial).map_err(|error| {
+            CallError::NeverRan(if is_local(&error) { NeverRan::NotTried } else { NeverRan::NoConnection })
+        })?;
         let (answer, opened) = bounded(1);
         let line = Line::new(Arc::default());
         let (most, within) = (limits.message_most, limits.handshake);
--- a/crates/whinhill-transport/src/driver.rs
+++ b/crates/whinhill-transport/src/driver.rs
@@ -17,12 +17,15 @@
 
 use crate::connection::{Connection, Counted, Handler, Line};
 use crate::limits::Limits;
+use crate::scarce::{is_scarce, until_had};
 use crate::socket::Socket;
 use crate::turning::{Turn, Turned};
 
 const STACK: usize = 256 << 10;
 /// How often clocks are looked at: the grain of every limit in time.
 const TICK: Duration = Duration::from_millis(50);
+/// How long a system short of descriptors or memory may keep a driver from its start.
+const START_WITHIN: Duration = Duration::from_secs(5);
 /// Sockets waiting to be taken on by a driver; further ones are refused.
 const INBOX: usize = 4096;
 const WAKE: Token = Token(usize::MAX);
@@ -101,6 +104,12 @@
     }
 }
 
+/// A socket that is to be taken on, and since when.
+struct Waiting {
+    what: Adopt,
+    since: Instant,
+}
+
 enum Adopt {
     Accepted { socket: TcpStream, peer: SocketAddr, limits: Limits, handler: Handler, counted: Counted },
     Opened { socket: TcpStream, peer: SocketAddr, limits: Limits, line: Line, answer: Answer },
@@ -109,6 +118,18 @@
 
 type Answer = Sender<Result<h2::client::SendRequest<bytes::Bytes>, h2::Error>>;
 
+impl Adopt {
+    /// Its socket, and how long its handshake may take; `None` where the driver is to stop.
+    fn socket(&self) -> Option<(&TcpStream, Duration)> {
+        match self {
+            Adopt::Accepted { socket, limits, .. } | Adopt::Opened { socket, limits, .. } => {
+                Some((socket, limits.handshake))
+            }
+            Adopt::Stop => None,
+        }
+    }
+}
+
 struct Held {
     ring: Arc<Ring>,
     fd: RawFd,
@@ -157,12 +178,9 @@
     pub fn start(name: &str, threads: usize) -> io::Result<Self> {
         let mut drivers = Vec::new();
         for number in 0..threads.max(1) {
-            let poll = Poll::new()?;
-            let bell = Arc::new(Bell {
-                waker: mio::Waker::new(poll.registry(), WAKE)?,
-                ready: Mutex::default(),
-                rung: AtomicBool::new(false),
-            });
+            let poll = until_had(START_WITHIN, is_scarce, Poll::new)?;
+            let waker = until_had(START_WITHIN, is_scarce, || mio::Waker::new(poll.registry(), WAKE))?;
+            let bell = Arc::new(Bell { waker, ready: Mutex::default(), rung: AtomicBool::new(false) });
             let (inbox, taken) = bounded(INBOX);
             drivers.push((inbox, bell.clone()));
             let thread = thread::Builder::new().name(format!("{name}-h2-{number}")).stack_size(STACK);
@@ -206,19 +224,18 @@
     }
 }
 
-fn take_on(poll: &Poll, bell: &Arc<Bell>, key: usize, what: Adopt) -> io::Result<Option<Held>> {
-    let (connection, fd) = match what {
-        Adopt::Stop => return Ok(None),
+/// Makes a connection of a socket that is prepared.
+fn take_on(bell: &Arc<Bell>, key: usize, fd: RawFd, what: Adopt) -> Option<Held> {
+    let connection = match what {
+        Adopt::Stop => return None,
         Adopt::Accepted { socket, peer, limits, handler, counted } => {
-            let fd = prepare(poll, &socket, key)?;
             let reads = Arc::new(AtomicU64::new(0));
             let socket = Socket::new(Box::new(socket), reads.clone(), Arc::default());
-            (Connection::accepted(socket, peer, reads, limits, handler, counted), fd)
+            Connection::accepted(socket, peer, reads, limits, handler, counted)
         }
         Adopt::Opened { socket, peer, limits, line, answer } => {
-            let fd = prepare(poll, &socket, key)?;
             let socket = Socket::new(Box::new(socket), line.reads.clone(), line.severed.clone());
-            (Connection::opened(socket, peer, limits, line, answer), fd)
+            Connection::opened(socket, peer, limits, line, answer)
         }
     };
     let ring = Ring {
@@ -228,7 +245,7 @@
         connection: Mutex::new(Some(connection)),
         ended: AtomicBool::new(false),
     };
-    Ok(Some(Held { ring: Arc::new(ring), fd }))
+    Some(Held { ring: Arc::new(ring), fd })
 }
 
 fn prepare(poll: &Poll, socket: &TcpStream, key: usize) -> io::Result<RawFd> {
@@ -244,6 +261,7 @@
     let mut held: Vec<Option<Held>> = Vec::new();
     let mut free: Vec<usize> = Vec::new();
     let mut due: Vec<usize> = Vec::new();
+    let mut waiting: Vec<Waiting> = Vec::new();
     let mut events = Events::with_capacity(1024);
     let mut next_tick = Instant::now() + TICK;
     loop {
@@ -255,20 +273,30 @@
         due.clear();
         due.extend(events.iter().map(|event| event.token()).filter(|t| *t != WAKE).map(|t| t.0));
         bell.take(&mut due);
-        while let Ok(what) = inbox.try_recv() {
-            if matches!(what, Adopt::Stop) {
+        let now = Instant::now();
+        waiting.extend(inbox.try_iter().map(|what| Waiting { what, since: now }));
+        for Waiting { what, since } in std::mem::take(&mut waiting) {
+            let Some((socket, within)) = what.socket() else {
                 held.into_iter().flatten().for_each(Held::close);
                 return Ok(());
-            }
+            };
             let key = free.pop().unwrap_or(held.len());
             held.resize_with(held.len().max(key + 1), || None);
-            match take_on(&poll, bell, key, what) {
-                Ok(taken) => held[key] = taken,
-                Err(error) => error!(%error, "a socket could not be taken on"),
+            match prepare(&poll, socket, key) {
+                Ok(fd) => held[key] = take_on(bell, key, fd, what),
+                Err(error) => {
+                    free.push(key);
+                    if is_scarce(&error) && since.elapsed() < within {
+                        // Looked at again with the next event or tick.
+                        waiting.push(Waiting { what, since });
+                    } else {
+                        error!(%error, "a socket could not be taken on");
+                    }
+                    continue;
+                }
             }
             due.push(key);
         }
-        let now = Instant::now();
         let ticked = now >= next_tick;
         if ticked {
             next_tick = now + TICK;
--- a/crates/whinhill-transport/src/error.rs
+++ b/crates/whinhill-transport/src/error.rs
@@ -58,6 +58,8 @@
 pub enum NeverRan {
     /// No connection could be opened.
     NoConnection,
+    /// This system had no socket, port or route to try it with: the peer was not asked.
+    NotTried,
     /// The connection ended before the request's first byte was handed to it.
     NeverWritten,
     /// The server reset the stream with REFUSED_STREAM (RFC 9113, 8.7).
--- a/crates/whinhill-transport/src/lib.rs
+++ b/crates/whinhill-transport/src/lib.rs
@@ -23,6 +23,7 @@
 mod limits;
 mod park;
 mod relay;
+mod scarce;
 mod socket;
 mod turning;
 mod workers;
