Go on, and start, while the disk refuses writes, and after a start that broke off

`StatusFile` has a thread of its own, counts what is lost, and begins a new line after a torn one. New in status: `history_failures`, `status_lost`. - SIGTERM during such a wait ends the process with 0.

--- a/crates/whinhill-assigner/src/assigner.rs
+++ b/crates/whinhill-assigner/src/assigner.rs
@@ -1,8 +1,9 @@
 //! Puts an assigner together: its threads, and the loop of the one that decides.
 
 use std::collections::BTreeMap;
-use std::io::{self, Write};
+use std::io;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, PoisonError};
 use std::thread;
@@ -30,8 +31,10 @@
 use crate::last_list::LastList;
 use crate::names::PAST;
 use crate::probes::Prober;
+use crate::retry::{may_pass, Retry};
 use crate::roster::Feed;
 use crate::status::{process_figures, Counters, Status};
+use crate::status_file::StatusFile;
 use crate::stewards::{Charge, Steward};
 
 /// Inputs that may wait for the decision thread; whoever brings more waits.
@@ -45,6 +48,8 @@
 const ASK_WITHIN: Duration = Duration::from_secs(10);
 /// The shortest time between two batches: what comes meanwhile is decided together.
 const ROUND: Duration = Duration::from_millis(2);
+/// How long a disk may refuse what a start needs. Whoever supervises the process then hears of it.
+const DISK_WITHIN: Duration = Duration::from_secs(30);
 const STACK: usize = 512 << 10;
 
 #[derive(Debug, thiserror::Error)]
@@ -61,6 +66,15 @@
     Io(#[from] io::Error),
 }
 
+/// Tells `whinhill table` and its like where operators are listened to.
+fn keep_operators_addr(path: &Path, addr: SocketAddr, stop: &AtomicBool) {
+    let retry = Retry { within: Duration::MAX, stop };
+    let write = || std::fs::write(path, addr.to_string());
+    if let Err(error) = retry.until_done("writing the operators' address", may_pass, write) {
+        warn!(path = %path.display(), %error, "the operators' address is not written");
+    }
+}
+
 /// A running assigner. [`Assigner::stop`] ends it in order.
 pub struct Assigner {
     addr: SocketAddr,
@@ -72,7 +86,22 @@
 }
 
 impl Assigner {
+    /// Starts one.
+    ///
+    /// # Errors
+    /// As for [`Assigner::start_unless_stopped`].
     pub fn start(config: AssignerConfig) -> Result<Self, StartError> {
+        Self::start_unless_stopped(config, &AtomicBool::new(false))
+    }
+
+    /// Starts one; what a disk refuses for the moment is tried again until `told_to_stop` is set.
+    ///
+    /// # Errors
+    /// When the configuration has faults, no socket or thread can be had, or the history cannot be opened.
+    pub fn start_unless_stopped(
+        config: AssignerConfig,
+        told_to_stop: &AtomicBool,
+    ) -> Result<Self, StartError> {
         let faults = config.check();
         if !faults.is_empty() {
             return Err(StartError::Config(faults));
@@ -86,7 +115,6 @@
         let seed = config.seed.unwrap_or_else(|| rand::rng().random());
         let life = rand::rng().random();
         info!(name = %config.name, life = format!("{life:x}"), seed, "assigner starts");
-        let start = Instant::now();
         let (stop, charge) = (Arc::new(AtomicBool::new(false)), Arc::new(Charge::default()));
         let counters = Arc::new(Counters::default());
         let (inputs, inbox) = bounded(INBOX);
@@ -98,7 +126,9 @@
             let path = dir.join("history.redb");
             let limits = config.history.limits();
             let failed = |error| StartError::History { path: path.display().to_string(), error };
-            let (file, history, rollbacks) = HistoryFile::open(&path, limits).map_err(failed)?;
+            let retry = Retry { within: DISK_WITHIN, stop: told_to_stop };
+            let (file, history, rollbacks) =
+                HistoryFile::open_again(&path, limits, &retry).map_err(failed)?;
             info!(
                 version = history.current().id().number,
                 kept = history.entries().count(),
@@ -107,9 +137,10 @@
             );
             core.restore(history, rollbacks, PAST, unix_ms());
             let (to_book, pages) = bounded(PAGES);
-            let (inputs, stop) = (inputs.clone(), stop.clone());
-            keeping = Some((to_book, Bookkeeper { file, pages, inputs, stop }));
+            let (inputs, counters, stop) = (inputs.clone(), counters.clone(), stop.clone());
+            keeping = Some((to_book, Bookkeeper { file, pages, inputs, counters, stop }));
         }
+        let start = Instant::now();
         let (asks, asked) = bounded(ASKS);
         let operators = match config.operators {
             Some(addr) => Some(listen_to_operators(&config.name, addr, &drivers, asks)?),
@@ -216,7 +247,7 @@
             prober: Prober::new(drivers, inputs),
             counters,
             status: Status { name: config.name.clone(), ..Status::default() },
-            status_file: config.status_file.clone(),
+            status_file: config.status_file.as_deref().map(StatusFile::start).transpose()?,
             start,
             stop: stop.clone(),
         };
@@ -230,8 +261,11 @@
             spawn("history", Box::new(move || bookkeeper.run()))?;
         }
         if let (Some(listener), Some(dir)) = (&operators, &config.state_dir) {
-            std::fs::write(dir.join("operators"), listener.addr().to_string())?;
-            info!(addr = %listener.addr(), "operators are listened to");
+            let (path, addr, stop) = (dir.join("operators"), listener.addr(), stop.clone());
+            if std::fs::write(&path, addr.to_string()).is_err() {
+                spawn("operators", Box::new(move || keep_operators_addr(&path, addr, &stop)))?;
+            }
+            info!(%addr, "operators are listened to");
         }
         info!(%addr, "assigner listens");
         Ok(Assigner { addr, stop, hub, listener: Some(listener), operators, threads })
@@ -348,7 +382,7 @@
     prober: Prober,
     counters: Arc<Counters>,
     status: Status,
-    status_file: Option<std::path::PathBuf>,
+    status_file: Option<StatusFile>,
     start: Instant,
     stop: Arc<AtomicBool>,
 }
@@ -359,13 +393,6 @@
     }
 
     fn run(mut self) {
-        let mut file = self.status_file.clone().and_then(|path| match std::fs::File::create(&path) {
-            Ok(file) => Some(file),
-            Err(error) => {
-                warn!(path = %path.display(), %error, "no status is written");
-                None
-            }
-        });
         let mut next_status = Instant::now() + Duration::from_secs(1);
         let mut due = self.now();
         loop {
@@ -416,10 +443,10 @@
             self.look_at_proxies();
             if Instant::now() >= next_status {
                 next_status += Duration::from_secs(1);
-                self.write_status(&mut file);
+                self.write_status();
             }
             if self.stop.load(Ordering::Relaxed) && self.counters.slices.load(Ordering::Relaxed) == 0 {
-                self.write_status(&mut file);
+                self.write_status();
                 return;
             }
         }
@@ -572,7 +599,7 @@
         }
     }
 
-    fn write_status(&mut self, file: &mut Option<std::fs::File>) {
+    fn write_status(&mut self) {
         let get = Counters::get;
         self.status.uptime_ms = self.start.elapsed().as_millis() as u64;
         self.status.slices = self.core.keeper().published().len() as u64;
@@ -607,11 +634,9 @@
             (quantile(answers, 0.5), quantile(answers, 0.99));
         (self.status.all_us_p50, self.status.all_us_p99) = (quantile(rounds, 0.5), quantile(rounds, 0.99));
         (self.status.cpu_ms, self.status.rss_kb) = process_figures();
-        let Some(out) = file else { return };
-        let line = serde_json::to_string(&self.status).unwrap_or_default();
-        if let Err(error) = writeln!(out, "{line}") {
-            warn!(%error, "no further status is written");
-            *file = None;
-        }
+        let Some(file) = &self.status_file else { return };
+        self.status.history_failures = get(&self.counters.history_failures);
+        self.status.status_lost = file.lost();
+        file.write(serde_json::to_string(&self.status).unwrap_or_default());
     }
 }
--- a/crates/whinhill-assigner/src/book.rs
+++ b/crates/whinhill-assigner/src/book.rs
@@ -11,6 +11,7 @@
 use crate::chronicle::Numbered;
 use crate::core::Input;
 use crate::history_file::{HistoryFile, Kept};
+use crate::status::Counters;
 
 const LOOK: Duration = Duration::from_millis(100);
 /// Between two attempts while the disk refuses.
@@ -20,6 +21,7 @@
     pub file: HistoryFile,
     pub pages: Receiver<Numbered>,
     pub inputs: Sender<(Input, Option<Sender<()>>)>,
+    pub counters: Arc<Counters>,
     pub stop: Arc<AtomicBool>,
 }
 
@@ -45,6 +47,7 @@
                     }
                 }
                 Err(error) => {
+                    Counters::add(&self.counters.history_failures, 1);
                     if std::mem::replace(&mut well, false) {
                         let path = self.file.path().display();
                         warn!(%error, %path, "the history can't be kept: grants wait, all else goes on");
--- a/crates/whinhill-assigner/src/book/tests.rs
+++ b/crates/whinhill-assigner/src/book/tests.rs
@@ -18,7 +18,14 @@
     let (to_book, pages) = bounded(8);
     let (inputs, heard) = bounded(8);
     let stop = Arc::new(AtomicBool::new(false));
-    let keeper = Bookkeeper { file: HistoryFile::unopened(&path, limits), pages, inputs, stop };
+    let counters = Arc::new(Counters::default());
+    let keeper = Bookkeeper {
+        file: HistoryFile::unopened(&path, limits),
+        pages,
+        inputs,
+        counters: counters.clone(),
+        stop,
+    };
     let thread = std::thread::spawn(move || keeper.run());
     to_book.send(page(1, 4)).unwrap();
     to_book.send(page(2, 5)).unwrap();
--- a/crates/whinhill-assigner/src/history_file.rs
+++ b/crates/whinhill-assigner/src/history_file.rs
@@ -8,6 +8,7 @@
 use whinhill_tables::{History, Limits};
 
 use crate::chronicle::Numbered;
+use crate::retry::Retry;
 
 /// What the file holds for certain.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -40,6 +41,18 @@
         Ok((file, history, rollbacks))
     }
 
+    /// The same, made again while the disk refuses.
+    ///
+    /// # Errors
+    /// When the file is no history, or the disk refuses it for as long as is waited.
+    pub fn open_again(
+        path: &Path,
+        limits: Limits,
+        retry: &Retry<'_>,
+    ) -> Result<(Self, History, Vec<Rollback>), BookError> {
+        retry.until_done("opening the history", BookError::may_pass, || Self::open(path, limits))
+    }
+
     pub fn path(&self) -> &Path {
         &self.path
     }
--- a/crates/whinhill-assigner/src/lib.rs
+++ b/crates/whinhill-assigner/src/lib.rs
@@ -22,8 +22,10 @@
 mod operator;
 mod probes;
 mod reports;
+mod retry;
 mod roster;
 mod status;
+mod status_file;
 mod stewards;
 
 pub use crate::core::{Core, Effects, Input};
@@ -42,5 +44,7 @@
 pub use names::Names;
 pub use operator::{ask, AskError};
 pub use reports::{event, read_report};
+pub use retry::{may_pass, Retry};
 pub use roster::{read_roster, RosterEntry, RosterFile, RosterState};
 pub use status::{process_figures_of, Status};
+pub use status_file::StatusFile;
--- a/crates/whinhill-assigner/src/status.rs
+++ b/crates/whinhill-assigner/src/status.rs
@@ -44,6 +44,9 @@
     pub batch_us_sum: u64,
     pub bytes_sent: u64,
     pub store_failures: u64,
+    /// Attempts to keep the history that the disk refused, and status lines that it did not take.
+    pub history_failures: u64,
+    pub status_lost: u64,
     /// From an order to its answer by one proxy, and by the last of those that had joined.
     pub answer_us_p50: u64,
     pub answer_us_p99: u64,
@@ -83,6 +86,7 @@
     pub differing: AtomicU64,
     pub bytes: AtomicU64,
     pub store_failures: AtomicU64,
+    pub history_failures: AtomicU64,
     pub slices: AtomicU64,
 }
 
--- a/crates/whinhill-cli/src/main.rs
+++ b/crates/whinhill-cli/src/main.rs
@@ -18,11 +18,12 @@
 use std::io::Write;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::sync::atomic::Ordering;
 
 use clap::{Parser, Subcommand};
 use logging::Log;
 use tracing::error;
-use whinhill_assigner::{Assigner, AssignerConfig};
+use whinhill_assigner::{Assigner, AssignerConfig, StartError};
 use whinhill_standins::day::Day;
 
 /// Exit codes: 0 well; 1 it failed while running; 2 wrong usage or configuration; 3 a rule was broken on a day.
@@ -199,13 +200,15 @@
 
 fn assigner(config: AssignerConfig, ready_file: Option<PathBuf>) -> Result<(), Failed> {
     let stop = until_stopped::listen()?;
-    let running = Assigner::start(config).map_err(|error| match error {
-        whinhill_assigner::StartError::Config(_) | whinhill_assigner::StartError::Settings(_) => {
-            Failed::Usage(error.to_string())
+    let running = match Assigner::start_unless_stopped(config, &stop) {
+        Ok(running) => running,
+        Err(error @ (StartError::Config(_) | StartError::Settings(_))) => {
+            return Err(Failed::Usage(error.to_string()));
         }
-        other => Failed::Running(other.to_string()),
-    })?;
-    until_stopped::say_ready(ready_file.as_deref(), running.addr())?;
+        Err(_) if stop.load(Ordering::Relaxed) => return Ok(()),
+        Err(error) => return Err(Failed::Running(error.to_string())),
+    };
+    until_stopped::say_ready(ready_file.as_deref(), running.addr(), &stop)?;
     until_stopped::wait(&stop);
     running.stop();
     Ok(())
--- a/crates/whinhill-cli/src/proxy.rs
+++ b/crates/whinhill-cli/src/proxy.rs
@@ -1,6 +1,5 @@
 //! `whinhill proxy`: reads its configuration and runs it.
 
-use std::io::Write;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
@@ -8,7 +7,7 @@
 
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
-use whinhill_assigner::{Fault, ServiceConfig};
+use whinhill_assigner::{Fault, ServiceConfig, StatusFile};
 use whinhill_proxy::{Dial, Pick, PoolLimits, Proxy, ProxyConfig, Sabotage};
 use whinhill_standins::running::ProxyFigures;
 use whinhill_transport::{Drivers, Limits, Workers};
@@ -159,17 +158,17 @@
     let proxy = Proxy::start(config, &drivers, &workers).map_err(|error| failed(&error))?;
     if let Some(addr) = proxy.addr() {
         tracing::info!(id = proxy.id(), %addr, "proxy listens");
-        until_stopped::say_ready(ready_file, addr)?;
+        until_stopped::say_ready(ready_file, addr, &stop)?;
     }
     let Some(path) = file.status_file else {
         until_stopped::wait(&stop);
         return Ok(());
     };
-    let mut status = std::fs::File::create(&path).map_err(|error| failed(&error))?;
+    let status = StatusFile::start(&path).map_err(|error| failed(&error))?;
     loop {
         let stopped = until_stopped::wait_for(&stop, Duration::from_millis(200));
         let line = serde_json::to_string(&ProxyFigures::of(&proxy)).unwrap_or_default();
-        writeln!(status, "{line}").map_err(|error| failed(&error))?;
+        status.write(line);
         if stopped {
             return Ok(());
         }
--- a/crates/whinhill-cli/src/standin.rs
+++ b/crates/whinhill-cli/src/standin.rs
@@ -45,7 +45,7 @@
         StandinCommand::Store { listen, ready_file } => {
             let store = StoreStandIn::start(listen, &record).map_err(failed)?;
             tracing::info!(addr = %store.addr(), "store listens");
-            until_stopped::say_ready(ready_file.as_deref(), store.addr())?;
+            until_stopped::say_ready(ready_file.as_deref(), store.addr(), &stop)?;
             until_stopped::wait(&stop);
         }
         StandinCommand::Server { day, listen, cold, ready_file } => {
@@ -67,7 +67,7 @@
                     .map_err(failed)?;
             let addr: SocketAddr = server.name().parse().map_err(|_| Failed::Running("no address".into()))?;
             tracing::info!(%addr, "server listens");
-            until_stopped::say_ready(ready_file.as_deref(), addr)?;
+            until_stopped::say_ready(ready_file.as_deref(), addr, &stop)?;
             until_stopped::wait(&stop);
         }
     }
--- a/crates/whinhill-cli/src/until_stopped.rs
+++ b/crates/whinhill-cli/src/until_stopped.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use signal_hook::consts::{SIGINT, SIGTERM};
+use whinhill_assigner::{may_pass, Retry};
 
 use crate::Failed;
 
@@ -32,10 +33,15 @@
     stop.load(Ordering::Relaxed)
 }
 
-/// Writes an address, whole or not at all: whoever waits for it may look at any moment.
-pub fn say_ready(path: Option<&Path>, addr: SocketAddr) -> Result<(), Failed> {
+/// Writes an address, whole or not at all: whoever waits for it may look at any moment. While the disk refuses it is
+/// tried again, until the process is told to end: what serves already goes on.
+pub fn say_ready(path: Option<&Path>, addr: SocketAddr, stop: &AtomicBool) -> Result<(), Failed> {
     let Some(path) = path else { return Ok(()) };
     let beside = path.with_extension("new");
-    let written = std::fs::write(&beside, addr.to_string()).and_then(|()| std::fs::rename(&beside, path));
-    written.map_err(|error| Failed::Running(format!("{}: {error}", path.display())))
+    let write = || std::fs::write(&beside, addr.to_string()).and_then(|()| std::fs::rename(&beside, path));
+    let written = Retry { within: Duration::MAX, stop }.until_done("writing the address", may_pass, write);
+    match written {
+        Err(_) if stop.load(Ordering::Relaxed) => Ok(()),
+        written => written.map_err(|error| Failed::Running(format!("{}: {error}", path.display()))),
+    }
 }
--- a/crates/whinhill-cli/tests/processes.rs
+++ b/crates/whinhill-cli/tests/processes.rs
@@ -206,7 +206,7 @@
     let faults = "file-write=ENOSPC:0-2 sync=EIO:0-2";
     let args = ["assigner", "--config", &config];
     let running = Running::start_with_faults(site.folder(), "assigner", &args, faults);
-    logged(site.folder(), "assigner", "the history can't be opened, and is tried again");
+    logged(site.folder(), "assigner", "opening the history fails, and is tried again");
     let _proxy = site.start_proxy(addr(site.folder(), "assigner"));
     let drivers = Drivers::start("test", 1).unwrap();
     let client = Client::connect(addr(site.folder(), "proxy"), Limits::default(), &drivers).unwrap();
--- a/crates/whinhill-history/src/lib.rs
+++ b/crates/whinhill-history/src/lib.rs
@@ -18,6 +18,8 @@
 //! # Ok::<(), Box<dyn std::error::Error>>(())
 //! ```
 
+use std::fs;
+use std::io;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::path::Path;
 
@@ -58,12 +60,20 @@
 impl BookError {
     /// Whether the same may succeed later and untouched: the disk was full, or failed for a moment.
     pub fn may_pass(&self) -> bool {
-        use std::io::ErrorKind::{InvalidInput, IsADirectory, NotADirectory, NotFound, PermissionDenied};
+        use io::ErrorKind::{
+            InvalidData, InvalidInput, IsADirectory, NotADirectory, NotFound, PermissionDenied, UnexpectedEof,
+        };
         let BookError::Storage(error) = self else { return false };
         match &**error {
             redb::Error::Io(error) => !matches!(
                 error.kind(),
-                InvalidInput | IsADirectory | NotADirectory | NotFound | PermissionDenied
+                InvalidData
+                    | UnexpectedEof
+                    | InvalidInput
+                    | IsADirectory
+                    | NotADirectory
+                    | NotFound
+                    | PermissionDenied
             ),
             redb::Error::PreviousIo => true,
             _ => false,
@@ -82,6 +92,12 @@
     };
 }
 
+impl From<io::Error> for BookError {
+    fn from(error: io::Error) -> Self {
+        BookError::Storage(Box::new(redb::Error::Io(error)))
+    }
+}
+
 from_redb!(DatabaseError, TransactionError, TableError, StorageError, CommitError, SetDurabilityError);
 
 /// The embedded store checks what it reads, but some damage it meets with a panic: found by mangling files
@@ -98,9 +114,29 @@
 impl Book {
     /// Opens the file or begins one, and rebuilds the history that it holds.
     pub fn open(path: &Path, limits: Limits) -> Result<(Self, History), BookError> {
+        if !path.try_exists()? {
+            Self::create(path, limits)?;
+        }
         guarded(|| Self::begin(Database::create(path)?, limits))
     }
 
+    /// Makes an empty history beside its place and moves it there once it is whole. One whose making broke off in its
+    /// place could not be opened again.
+    fn create(path: &Path, limits: Limits) -> Result<(), BookError> {
+        let beside = path.with_extension("new");
+        match fs::remove_file(&beside) {
+            Err(error) if error.kind() != io::ErrorKind::NotFound => return Err(error.into()),
+            _ => {}
+        }
+        let made = guarded(|| Self::begin(Database::create(&beside)?, limits))?;
+        drop(made);
+        fs::rename(&beside, path)?;
+        if let Some(folder) = path.parent().filter(|folder| !folder.as_os_str().is_empty()) {
+            fs::File::open(folder)?.sync_all()?;
+        }
+        Ok(())
+    }
+
     /// The same on any storage: for tests that let it fail.
     pub fn open_on(storage: impl StorageBackend, limits: Limits) -> Result<(Self, History), BookError> {
         guarded(|| Self::begin(Database::builder().create_with_backend(storage)?, limits))
