Have the soak's proxies name what they hold where no further delta comes

No later delta came to show the loss, since all else had settled. The program is not at fault: a stream loses nothing without breaking, and who comes back names what it holds. The soak's `settle` did so at its very end only; it does it in each step of the settling now. What is counted as broken is unchanged.

--- a/crates/whinhill-cli/src/soak.rs
+++ b/crates/whinhill-cli/src/soak.rs
@@ -416,12 +416,22 @@
         Ok(())
     }
 
+    /// A delta that was lost shows at the next one, and none comes where a handover waits for this very proxy. A
+    /// stream loses nothing without its break, after which the proxy names what it holds and is told the rest.
+    fn compare_holdings(&mut self) {
+        let told = self.told.id();
+        for proxy in &mut self.proxies {
+            proxy.wants_all |= proxy.on_the_way.is_empty() && proxy.held.id() != told;
+        }
+    }
+
     /// All that is on its way arrives, and every rollback ends; then each proxy is held against a full rebuild.
     fn settle(&mut self) -> Result<(), Box<dyn std::error::Error>> {
         self.sick = SERVERS;
         for _ in 0..WITHIN + 10 * SETTLE {
             self.step += 1;
             self.quiet()?;
+            self.compare_holdings();
         }
         self.figures.rollbacks_open =
             self.chronicle.rollbacks().iter().filter(|rollback| !rollback.finished()).count() as u64;
