--- a/crates/whinhill-faults/src/lib.rs
+++ b/crates/whinhill-faults/src/lib.rs
@@ -8,6 +8,9 @@
 
 mod next;
 
+use std::ffi::{CStr, OsStr};
+use std::os::unix::ffi::OsStrExt;
+use std::path::Path;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::OnceLock;
 
@@ -19,12 +22,15 @@
 const VARIABLE: &str = "WHINHILL_FAULTS";
 /// Names the one program, by the name of its file, whose calls fail; without it all do.
 const PROGRAM: &str = "WHINHILL_FAULTS_PROGRAM";
+/// A part of the paths of the files whose writes, syncs and renames fail; without it all do.
+const FILES: &str = "WHINHILL_FAULTS_FILES";
 const NANOS: f64 = 1e9;
 
 /// The schedule in force, and when the process started by the monotonic clock, in seconds.
 struct Running {
     schedule: Schedule,
     started: f64,
+    files: Option<String>,
 }
 
 static RUNNING: OnceLock<Option<Running>> = OnceLock::new();
@@ -40,7 +46,9 @@
             return None;
         }
         match text.parse() {
-            Ok(schedule) => Some(Running { schedule, started: monotonic() }),
+            Ok(schedule) => {
+                Some(Running { schedule, started: monotonic(), files: std::env::var(FILES).ok() })
+            }
             Err(error) => {
                 eprintln!("{VARIABLE}: {error}");
                 std::process::abort()
@@ -108,6 +116,26 @@
     }
 }
 
+/// Whether calls on a file of this path may fail.
+fn is_meant(path: &Path) -> bool {
+    let part = running().and_then(|running| running.files.as_deref());
+    part.is_none_or(|part| path.to_string_lossy().contains(part))
+}
+
+/// What a call on a file meets.
+fn file_fault(fd: c_int, call: Call) -> Option<Fault> {
+    let path = std::fs::read_link(format!("/proc/self/fd/{fd}")).ok()?;
+    is_meant(&path).then(|| fault(call)).flatten()
+}
+
+/// Syncs a file unless that meets an error.
+fn sync(fd: c_int, make: impl FnOnce() -> c_int) -> c_int {
+    match file_fault(fd, Call::Sync) {
+        Some(Fault::Error(number)) => fail(number),
+        _ => make(),
+    }
+}
+
 /// What a call on a socket meets. Only where the socket does not block may a call say that it would.
 fn socket_fault(fd: c_int, call: Call) -> Option<Fault> {
     let fault = fault(call)?;
@@ -129,7 +157,7 @@
 fn write_fault(fd: c_int) -> Option<Fault> {
     match leads(fd) {
         Leads::Tcp => socket_fault(fd, Call::Write),
-        Leads::File => fault(Call::FileWrite),
+        Leads::File => file_fault(fd, Call::FileWrite),
         Leads::Log => fault(Call::Log),
         Leads::Elsewhere => None,
     }
@@ -291,20 +319,24 @@
 /// As for the C library's `fsync`.
 #[no_mangle]
 pub unsafe extern "C" fn fsync(fd: c_int) -> c_int {
-    attempt(Call::Sync, || unsafe { next::fsync()(fd) })
+    sync(fd, || unsafe { next::fsync()(fd) })
 }
 
 /// # Safety
 /// As for the C library's `fdatasync`.
 #[no_mangle]
 pub unsafe extern "C" fn fdatasync(fd: c_int) -> c_int {
-    attempt(Call::Sync, || unsafe { next::fdatasync()(fd) })
+    sync(fd, || unsafe { next::fdatasync()(fd) })
 }
 
 /// # Safety
 /// As for the C library's `rename`.
 #[no_mangle]
 pub unsafe extern "C" fn rename(from: *const c_char, to: *const c_char) -> c_int {
+    let target = unsafe { CStr::from_ptr(to) };
+    if !is_meant(Path::new(OsStr::from_bytes(target.to_bytes()))) {
+        return unsafe { next::rename()(from, to) };
+    }
     attempt(Call::Rename, || unsafe { next::rename()(from, to) })
 }
 
