Test paths that fall silent one way, and probes whose connects fail at once

Calls that vanish, news that do not arrive and a watch that does not answer are each made up for; a server to which six connects in ten fail at once (EADDRNOTAVAIL, ENETUNREACH) never counts as silent in 30 probes.

--- a/crates/whinhill-cli/tests/owed_answers.rs
+++ b/crates/whinhill-cli/tests/owed_answers.rs
@@ -6,15 +6,13 @@
 use std::fs;
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
-use std::path::PathBuf;
 use std::sync::mpsc::channel;
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use rustix::process::Signal;
-use tempfile::TempDir;
 
-use support::config::config;
+use support::config::{config, configured};
 use support::discovery::{chunk, discovery, entry, list_of, Discovery};
 use support::relay::Relay;
 use support::running::{command, Running};
@@ -26,14 +24,6 @@
 /// The platform's bound on the answer to a client that sends what cannot be read.
 const ANSWER_WITHIN: Duration = Duration::from_secs(3);
 
-/// A configuration in a folder of its own.
-fn configured(text: &str) -> (TempDir, PathBuf) {
-    let folder = tempfile::tempdir().unwrap();
-    let path = folder.path().join("config.json");
-    fs::write(&path, text).unwrap();
-    (folder, path)
-}
-
 /// All that a client is sent until its connection ends, in order.
 fn read_to_end(mut stream: TcpStream) -> std::io::Result<String> {
     stream.set_read_timeout(Some(ANSWER_WITHIN)).unwrap();
--- /dev/null
+++ b/crates/whinhill-cli/tests/silent_links.rs
@@ -0,0 +1,122 @@
+//! Paths that go silent one way while their connections stand, and connects that fail at once.
+
+mod support;
+
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::sync::mpsc::channel;
+use std::thread;
+
+use whinhill_standins::link::{Direction, Link};
+
+use support::config::{config, configured};
+use support::discovery::{entry, list_of, Discovery};
+use support::relay::Relay;
+use support::running::{command_with_faults_and_log, Running};
+use support::{orders_with, wait_for, Saw};
+
+/// A first list with one server, and the change that a drain of it and a second server make.
+fn first() -> String {
+    list_of(1, true, &[entry("s-1", "SERVING", 0)])
+}
+
+fn change() -> String {
+    list_of(2, false, &[entry("s-2", "SERVING", 0), entry("s-1", "DRAINING", 0)])
+}
+
+/// What the assigner sends vanishes for a while, and the news go on: the call is in doubt, and is made again.
+#[test]
+fn a_call_that_vanishes_on_the_way_is_made_again() {
+    let (sender, saw) = channel();
+    let discovery = Discovery::start(first());
+    let relay = Relay::start("s-1", sender);
+    relay.keep_alive();
+    let link = Link::start(relay.addr, |_| {}).unwrap();
+    let (_folder, path) = configured(&config(link.addr(), discovery.addr));
+    let (running, _) = Running::start(&path);
+    discovery.wait_for_watch();
+    wait_for(&saw, "the news", |saw| *saw == Saw::Watch);
+    running.wait_for_log("news of the relay stand");
+    link.stall(Direction::To, true);
+    discovery.tell(&change());
+    running.wait_for_log("a call's outcome is unknown");
+    link.stall(Direction::To, false);
+    wait_for(&saw, "a grant to the other server", orders_with("put,0,s-2,1"));
+}
+
+/// Neither answers nor news arrive, while what the assigner sends does: after a while the news count as lost, and what
+/// stands is told anew on another connection.
+#[test]
+fn news_that_fall_silent_are_asked_for_again() {
+    let (sender, saw) = channel();
+    let discovery = Discovery::start(first());
+    let relay = Relay::start("s-1", sender);
+    relay.keep_alive();
+    let link = Link::start(relay.addr, |_| {}).unwrap();
+    let (_folder, path) = configured(&config(link.addr(), discovery.addr));
+    let (running, _) = Running::start(&path);
+    discovery.wait_for_watch();
+    running.wait_for_log("news of the relay stand");
+    link.stall(Direction::Back, true);
+    running.wait_for_log("no news of the relay");
+    discovery.tell(&change());
+    link.stall(Direction::Back, false);
+    running.wait_for_log("news of the relay stand");
+    wait_for(&saw, "a grant to the other server", orders_with("put,0,s-2,1"));
+}
+
+/// Discovery's answers do not arrive: the watch is given up, others are opened, and the change comes with the first
+/// that is answered.
+#[test]
+fn a_watch_that_falls_silent_is_opened_again() {
+    let (sender, saw) = channel();
+    let discovery = Discovery::start(first());
+    let relay = Relay::start("s-1", sender);
+    relay.keep_alive();
+    let link = Link::start(discovery.addr, |_| {}).unwrap();
+    let (_folder, path) = configured(&config(relay.addr, link.addr()));
+    let (running, _) = Running::start(&path);
+    discovery.wait_for_watch();
+    wait_for(&saw, "the news", |saw| *saw == Saw::Watch);
+    link.stall(Direction::Back, true);
+    running.wait_for_log("discovery fails");
+    link.cut(true);
+    link.stall(Direction::Back, false);
+    link.cut(false);
+    running.wait_for_log("discovery answers again");
+    discovery.use_newest_watch();
+    discovery.tell(&change());
+    wait_for(&saw, "a grant to the other server", orders_with("put,0,s-2,1"));
+}
+
+/// A server that answers each question about its load.
+fn probed_server() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let mut request = String::new();
+            let _ = BufReader::new(stream.try_clone().unwrap()).read_line(&mut request);
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\ninflight=7");
+        }
+    });
+    addr
+}
+
+/// A connect that fails at once has asked nobody: the probe is made again, and the server does not count as silent.
+#[test]
+fn a_server_is_not_silent_when_connects_to_it_fail_at_once() {
+    const PROBES: usize = 30;
+    let (sender, _saw) = channel();
+    let server = entry("s-1", "SERVING", 0).replace("127.0.0.1:9", &probed_server().to_string());
+    let discovery = Discovery::start(list_of(1, true, &[server]));
+    let relay = Relay::start("s-1", sender);
+    relay.keep_alive();
+    let text = config(relay.addr, discovery.addr).replace(r#""mayProbe":false"#, r#""mayProbe":true"#);
+    let (_folder, path) = configured(&text);
+    let faults = "seed=7 connect=EADDRNOTAVAIL|ENETUNREACH@0.6";
+    let command = command_with_faults_and_log(faults, "info,whinhill::trace=trace");
+    let (running, _) = Running::spawn(command, &path);
+    let probed: Vec<String> = (0..PROBES).flat_map(|_| running.log_until("event Probed")).collect();
+    assert_eq!(probed.iter().find(|line| line.contains("Unanswered")), None, "{probed:#?}");
+}
--- a/crates/whinhill-cli/tests/support/config.rs
+++ b/crates/whinhill-cli/tests/support/config.rs
@@ -1,6 +1,10 @@
 //! The configuration file.
 
+use std::fs;
 use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use tempfile::TempDir;
 
 pub fn config(relay: SocketAddr, discovery: SocketAddr) -> String {
     config_with(relay, discovery, 256)
@@ -19,3 +23,11 @@
         "known":{{"index":0,"snapshot":true,"endpoints":[]}},"settings":{settings}}}"#
     )
 }
+
+/// A configuration in a folder of its own.
+pub fn configured(text: &str) -> (TempDir, PathBuf) {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("config.json");
+    fs::write(&path, text).unwrap();
+    (folder, path)
+}
--- a/crates/whinhill-cli/tests/support/discovery.rs
+++ b/crates/whinhill-cli/tests/support/discovery.rs
@@ -42,6 +42,14 @@
         *self.watch.lock().unwrap() = Some(self.watches.recv_timeout(WITHIN).expect("a watch"));
     }
 
+    /// From now on lists are told on the newest watch of those that were opened meanwhile.
+    pub fn use_newest_watch(&self) {
+        self.wait_for_watch();
+        while let Ok(watch) = self.watches.try_recv() {
+            *self.watch.lock().unwrap() = Some(watch);
+        }
+    }
+
     /// Tells a list.
     pub fn tell(&self, list: &str) {
         self.send(&chunk(list));
--- a/crates/whinhill-cli/tests/support/running.rs
+++ b/crates/whinhill-cli/tests/support/running.rs
@@ -112,7 +112,11 @@
 
 /// The assigner's command with calls that fail.
 pub fn command_with_faults(faults: &str) -> Command {
-    let mut command = command("info");
+    command_with_faults_and_log(faults, "info")
+}
+
+pub fn command_with_faults_and_log(faults: &str, level: &str) -> Command {
+    let mut command = command(level);
     let library = std::env::current_exe().unwrap().with_file_name("libwhinhill_faults.so");
     assert!(library.exists(), "{} is not built", library.display());
     command.env("LD_PRELOAD", library).env("WHINHILL_FAULTS", faults);
