Show that a disk which refuses the history keeps proxies without a line

Cause: `Chronicle` (whinhill-assigner/src/chronicle.rs, `record` and `holds_back`) withholds a granted owner until the file has its version, however long the file refuses.

--- a/crates/whinhill-cli/tests/processes.rs
+++ b/crates/whinhill-cli/tests/processes.rs
@@ -254,3 +254,20 @@
     let status = fs::read_to_string(site.at("proxy.status")).unwrap();
     assert!(status.ends_with("}\n"), "{status}");
 }
+
+/// The disk refuses the history for good. The store holds who owns a slice, and proxies must not go without a line for
+/// want of a history.
+#[test]
+fn an_assigner_whose_history_cannot_be_kept_serves_all_the_same() {
+    let site = Site::start();
+    let _store = site.start_store();
+    let config = site.configure_assigner();
+    let args = ["assigner", "--config", &config];
+    let running = Running::start_with_faults(site.folder(), "assigner", &args, "file-write=ENOSPC:0.5-1000");
+    let _proxy = site.start_proxy(addr(site.folder(), "assigner"));
+    let drivers = Drivers::start("test", 1).unwrap();
+    let client = Client::connect(addr(site.folder(), "proxy"), Limits::default(), &drivers).unwrap();
+    site.wait_until_served(&client);
+    logged(site.folder(), "assigner", "the history can't be kept");
+    assert_eq!(running.end(), Some(0));
+}
