Tell an owner without the history where the disk refuses it for long

The shared store, which holds the owner first as before, is what safety rests on; the history is what rollbacks and operators read.

Change: `Chronicle` withholds an owner for a tenth of `rules.empty_ms` at most (chronicle.rs `overdue`, core.rs `withheld_most`), then it is told, logged and counted (`told_unkept` in status). The version is kept once the file takes it. docs/tables.md said that whatever a proxy holds the history knows: that has this exception now.

Ruled out: trying the disk more often (one that stays full takes nothing); custody given up to another assigner (its slices would be without an owner for the lease, and its disk may be the same).

--- a/crates/whinhill-assigner/src/assigner.rs
+++ b/crates/whinhill-assigner/src/assigner.rs
@@ -637,6 +637,7 @@
         let Some(file) = &self.status_file else { return };
         self.status.history_failures = get(&self.counters.history_failures);
         self.status.status_lost = file.lost();
+        self.status.told_unkept = self.core.chronicle().told_unkept();
         file.write(serde_json::to_string(&self.status).unwrap_or_default());
     }
 }
--- a/crates/whinhill-assigner/src/chronicle.rs
+++ b/crates/whinhill-assigner/src/chronicle.rs
@@ -2,8 +2,9 @@
 //! rollbacks that are under way. No I/O, no clock.
 //!
 //! A grant is told to a proxy only after the shared store holds it *and* the version that names it is in our own
-//! file: so whatever a proxy may hold of owners, the history knows. Stops, ends and levels are told at once and
-//! kept after: a disk that is full or slow delays no safety order.
+//! file: so whatever a proxy may hold of owners, the history knows. Where the file refuses for long the grant is told
+//! without it, since a proxy must not go without a line for want of a history; that is counted. Stops, ends and
+//! levels are told at once and kept after: a disk that is full or slow delays no safety order.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -60,6 +61,15 @@
     TooMany(usize),
 }
 
+/// What an owner that is not told yet waits for.
+#[derive(Clone, Copy, Debug)]
+struct Withheld {
+    /// The number of the page that names it.
+    seq: u64,
+    /// When it is told whatever the file does.
+    until: Duration,
+}
+
 #[derive(Debug)]
 pub struct Chronicle {
     history: History,
@@ -69,8 +79,12 @@
     /// The last page that is known to be kept.
     kept: u64,
     page: Option<Page>,
-    /// Slices with an owner that must not be told before the page of that number is kept.
-    unkept: BTreeMap<SliceId, u64>,
+    /// Slices with an owner that must not be told before a page is kept.
+    unkept: BTreeMap<SliceId, Withheld>,
+    /// How long an owner is withheld.
+    withheld_most: Duration,
+    /// Owners told before the file had them.
+    told_unkept: u64,
     rollbacks: Vec<Rollback>,
     /// Rollbacks that wait for their page: nothing of them is done before.
     unkept_rollbacks: BTreeMap<u64, u64>,
@@ -78,8 +92,15 @@
 }
 
 impl Chronicle {
-    /// Takes up what the file held. The sets of a former life are nobody's now: custody comes anew.
-    pub fn new(history: History, mut rollbacks: Vec<Rollback>, now: Duration, unix_ms: u64) -> Self {
+    /// Takes up what the file held. The sets of a former life are nobody's now: custody comes anew. An owner waits
+    /// for the file for `withheld_most`.
+    pub fn new(
+        history: History,
+        mut rollbacks: Vec<Rollback>,
+        withheld_most: Duration,
+        now: Duration,
+        unix_ms: u64,
+    ) -> Self {
         let last = history.entries().last().map_or(Duration::ZERO, |entry| entry.at);
         rollbacks.iter_mut().for_each(|rollback| rollback.recovered(now));
         let mut chronicle = Chronicle {
@@ -89,6 +110,8 @@
             kept: 0,
             page: None,
             unkept: BTreeMap::new(),
+            withheld_most,
+            told_unkept: 0,
             rollbacks,
             unkept_rollbacks: BTreeMap::new(),
             next_look: Duration::ZERO,
@@ -151,7 +174,8 @@
         self.advance(changes, author, &cause, now, unix_ms);
         // A set that says nothing new makes no page, and then there is none to wait for.
         if self.seq > self.kept {
-            self.unkept.extend(granted.iter().map(|slice| (*slice, self.seq)));
+            let withheld = Withheld { seq: self.seq, until: now.saturating_add(self.withheld_most) };
+            self.unkept.extend(granted.iter().map(|slice| (*slice, withheld)));
         }
         // The end of an owner who was never told is safe to tell at once.
         self.unkept.retain(|slice, _| published.get(slice).is_some_and(|table| table.owner.is_some()));
@@ -181,12 +205,31 @@
     pub fn kept(&mut self, seq: u64) -> BTreeSet<SliceId> {
         self.kept = self.kept.max(seq);
         let ready: BTreeSet<SliceId> =
-            self.unkept.iter().filter(|(_, waits)| **waits <= seq).map(|(slice, _)| *slice).collect();
-        self.unkept.retain(|_, waits| *waits > seq);
+            self.unkept.iter().filter(|(_, waits)| waits.seq <= seq).map(|(slice, _)| *slice).collect();
+        self.unkept.retain(|_, waits| waits.seq > seq);
         self.unkept_rollbacks.retain(|_, waits| *waits > seq);
         ready
     }
 
+    /// Slices whose owner has waited for the file as long as it may: they are told now.
+    pub fn overdue(&mut self, now: Duration) -> BTreeSet<SliceId> {
+        let overdue = self.unkept.iter().filter(|(_, waits)| waits.until <= now);
+        let overdue: BTreeSet<SliceId> = overdue.map(|(slice, _)| *slice).collect();
+        self.unkept.retain(|slice, _| !overdue.contains(slice));
+        self.told_unkept += overdue.len() as u64;
+        overdue
+    }
+
+    /// When the next owner has waited as long as it may.
+    pub fn next_overdue(&self) -> Option<Duration> {
+        self.unkept.values().map(|waits| waits.until).min()
+    }
+
+    /// Owners told before the file had them.
+    pub fn told_unkept(&self) -> u64 {
+        self.told_unkept
+    }
+
     /// What a rollback to a kept version would do.
     pub fn dry_run(
         &self,
--- a/crates/whinhill-assigner/src/chronicle/tests.rs
+++ b/crates/whinhill-assigner/src/chronicle/tests.rs
@@ -5,6 +5,7 @@
 use super::*;
 
 const LIMITS: Limits = Limits { entries: 50, bytes: 1 << 20, age: Duration::from_secs(10_000) };
+const WITHHELD_MOST: Duration = Duration::from_secs(5);
 const WITHIN: Duration = Duration::from_secs(60);
 
 struct Calm;
@@ -45,7 +46,7 @@
 }
 
 fn fresh() -> Chronicle {
-    Chronicle::new(History::new(LIMITS, 0, TableSet::new()), Vec::new(), s(0), 0)
+    Chronicle::new(History::new(LIMITS, 0, TableSet::new()), Vec::new(), WITHHELD_MOST, s(0), 0)
 }
 
 #[test]
@@ -62,6 +63,22 @@
     assert_eq!(chronicle.held_back(), 0);
 }
 
+#[test]
+fn a_granted_owner_waits_for_the_file_no_longer_than_it_may() {
+    let mut chronicle = fresh();
+    record(&mut chronicle, 1, &set(&[Some("a")]), &[0], &[0]);
+    record(&mut chronicle, 3, &set(&[Some("a"), Some("b")]), &[1], &[1]);
+    assert_eq!(chronicle.next_overdue(), Some(s(6)));
+    assert_eq!(chronicle.overdue(s(5)), BTreeSet::new());
+    assert_eq!(chronicle.overdue(s(6)), [0].into());
+    assert!(!chronicle.holds_back(0) && chronicle.holds_back(1));
+    assert_eq!((chronicle.told_unkept(), chronicle.next_overdue()), (1, Some(s(8))));
+    // The file takes all of it after that: what was told is not told again.
+    let page = chronicle.take_page().unwrap();
+    assert_eq!(chronicle.kept(page.seq), [1].into());
+    assert_eq!((chronicle.overdue(s(9)), chronicle.next_overdue()), (BTreeSet::new(), None));
+}
+
 #[test]
 fn pages_that_the_file_did_not_take_are_folded_into_one() {
     let mut chronicle = fresh();
@@ -101,7 +118,7 @@
     let folder = tempfile::tempdir().unwrap();
     let path = folder.path().join("history.redb");
     let (mut book, history) = Book::open(&path, LIMITS).unwrap();
-    let mut chronicle = Chronicle::new(history, Vec::new(), s(0), 0);
+    let mut chronicle = Chronicle::new(history, Vec::new(), WITHHELD_MOST, s(0), 0);
     let now = set(&[Some("b"), Some("b")]);
     record(&mut chronicle, 1, &set(&[Some("a"), Some("a")]), &[0, 1], &[]);
     record(&mut chronicle, 2, &now, &[0, 1], &[]);
@@ -117,7 +134,7 @@
     book.keep(&chronicle.take_page().unwrap().page).unwrap();
     drop((book, chronicle));
     let (book, history) = Book::open(&path, LIMITS).unwrap();
-    let mut chronicle = Chronicle::new(history, book.rollbacks().unwrap(), s(0), 9000);
+    let mut chronicle = Chronicle::new(history, book.rollbacks().unwrap(), WITHHELD_MOST, s(0), 9000);
     let newest = chronicle.history().entries().last().unwrap().clone();
     assert_eq!((&newest.author, newest.slices().count()), (&Author::Recovery, 2));
     // Custody comes back late, and slice 0 has moved on meanwhile: what was done is not done again.
--- a/crates/whinhill-assigner/src/core.rs
+++ b/crates/whinhill-assigner/src/core.rs
@@ -134,6 +134,7 @@
     /// Too little is heard for anything to be decided on.
     blind: bool,
     chronicle: Chronicle,
+    withheld_most: Duration,
     unix_ms: u64,
     asked: Vec<(u64, Ask)>,
 }
@@ -193,9 +194,11 @@
             chronicle: Chronicle::new(
                 History::new(config.history.limits(), 0, TableSet::new()),
                 Vec::new(),
+                withheld_most(config),
                 Duration::ZERO,
                 0,
             ),
+            withheld_most: withheld_most(config),
             unix_ms: 0,
             asked: Vec::new(),
         })
@@ -203,7 +206,7 @@
 
     /// Takes up the history and the rollbacks that the file held.
     pub fn restore(&mut self, history: History, rollbacks: Vec<Rollback>, now: Duration, unix_ms: u64) {
-        self.chronicle = Chronicle::new(history, rollbacks, now, unix_ms);
+        self.chronicle = Chronicle::new(history, rollbacks, self.withheld_most, now, unix_ms);
     }
 
     /// The time by the wall, for those who read the history.
@@ -239,7 +242,7 @@
 
     /// When to call [`Core::handle`] next even if nothing happens.
     pub fn wake(&self) -> Duration {
-        self.wake
+        self.chronicle.next_overdue().map_or(self.wake, |overdue| overdue.min(self.wake))
     }
 
     /// The id of a proxy by its name.
@@ -259,8 +262,15 @@
         for input in inputs {
             self.take(now, input, &mut events, &mut effects, &mut granted);
         }
+        let overdue = self.chronicle.overdue(now);
+        let told = overdue.len();
+        effects.lines += told as u32;
+        effects.changed.extend(overdue);
         self.decide(now, events, &mut effects);
         self.remember(now, granted, &mut effects);
+        if told > 0 {
+            effects.log.push(format!("{told} owners are told before the history has them"));
+        }
         effects
     }
 
@@ -601,5 +611,11 @@
     }
 }
 
+/// How long an owner waits for the file that is to keep it: a small part of the time that a proxy may be without one.
+fn withheld_most(config: &AssignerConfig) -> Duration {
+    const PART: u64 = 10;
+    Duration::from_millis(config.rules.empty_ms / PART)
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/whinhill-assigner/src/status.rs
+++ b/crates/whinhill-assigner/src/status.rs
@@ -47,6 +47,8 @@
     /// Attempts to keep the history that the disk refused, and status lines that it did not take.
     pub history_failures: u64,
     pub status_lost: u64,
+    /// Owners told before the history had them.
+    pub told_unkept: u64,
     /// From an order to its answer by one proxy, and by the last of those that had joined.
     pub answer_us_p50: u64,
     pub answer_us_p99: u64,
--- a/crates/whinhill-cli/src/soak.rs
+++ b/crates/whinhill-cli/src/soak.rs
@@ -53,6 +53,8 @@
     refused_deltas: u64,
     /// Attempts to keep a page, or to open the file, that the disk refused.
     refused_by_disk: u64,
+    /// Owners told before the file had them, since it refused for long.
+    told_unkept: u64,
     /// Restarts that did not find what the file was said to hold.
     lost_versions: u64,
     mismatches: u64,
@@ -66,6 +68,8 @@
 const LIMITS: Limits = Limits { entries: 400, bytes: 1 << 20, age: Duration::from_secs(100_000) };
 /// Steps from an owner's stop until the next one may be granted: answers and leases, in quick motion.
 const SETTLE: u64 = 5;
+/// Steps, of a second each, for which an owner waits for the file.
+const WITHHELD_MOST: Duration = Duration::from_secs(3);
 /// Attempts in a row that a disk may refuse.
 const REFUSALS_MOST: usize = 1000;
 /// Steps after which a rollback gives up what has found no room.
@@ -135,7 +139,7 @@
             path,
             file: Some(file),
             keeper: keeper(args.slices),
-            chronicle: Chronicle::new(history, rollbacks, Duration::ZERO, 0),
+            chronicle: Chronicle::new(history, rollbacks, WITHHELD_MOST, Duration::ZERO, 0),
             proxies: (0..args.proxies).map(|_| Proxy { wants_all: true, ..Proxy::default() }).collect(),
             store: (0..args.slices).map(owner).collect(),
             turns: vec![BTreeMap::new(); args.slices],
@@ -356,7 +360,8 @@
         let (file, history, rollbacks) = open(self.path, &mut self.figures)?;
         self.figures.lost_versions += u64::from(history.current().id().number < self.figures.versions);
         let (now, unix_ms) = (Duration::from_secs(self.step), self.step * 1000);
-        (self.file, self.chronicle) = (Some(file), Chronicle::new(history, rollbacks, now, unix_ms));
+        (self.file, self.chronicle) =
+            (Some(file), Chronicle::new(history, rollbacks, WITHHELD_MOST, now, unix_ms));
         for proxy in &mut self.proxies {
             proxy.on_the_way.clear();
             // Its stream broke: it names what it holds, and is told a delta from there or the full set.
@@ -395,6 +400,7 @@
 
     /// What goes on in every step.
     fn quiet(&mut self) -> Result<(), Box<dyn std::error::Error>> {
+        self.figures.told_unkept += self.chronicle.overdue(Duration::from_secs(self.step)).len() as u64;
         self.grant()?;
         let eyes = Eyes { handovers: &self.handovers, sick: self.sick };
         let now = Duration::from_secs(self.step);
