--- a/crates/whinhill-assigner/src/book.rs
+++ b/crates/whinhill-assigner/src/book.rs
@@ -50,7 +50,7 @@
                     Counters::add(&self.counters.history_failures, 1);
                     if std::mem::replace(&mut well, false) {
                         let path = self.file.path().display();
-                        warn!(%error, %path, "the history can't be kept: grants wait, all else goes on");
+                        warn!(%error, %path, "the history can't be kept: grants wait a while, all else goes on");
                     }
                     if self.stop.load(Ordering::Relaxed) {
                         return;
