Show that an empty stored list ends every line before discovery answers

Cause: `Node::start` (whinhill-node/src/node.rs) opens the relay's news at once. Where the stored list is empty, or cannot be used, the module takes each owner that the relay names for gone and ends its line within 10 ms, so a slow discovery empties all slices in our charge. The xDS assigner asks for no custody before it has a list (roster.rs, `listed`).

--- a/crates/whinhill-cli/tests/silent_links.rs
+++ b/crates/whinhill-cli/tests/silent_links.rs
@@ -120,3 +120,27 @@
     let probed: Vec<String> = (0..PROBES).flat_map(|_| running.log_until("event Probed")).collect();
     assert_eq!(probed.iter().find(|line| line.contains("Unanswered")), None, "{probed:#?}");
 }
+
+/// The stored list is empty and discovery does not answer: a server that the relay names as an owner is not gone for
+/// want of a list.
+#[test]
+fn no_line_is_ended_before_any_list_was_had() {
+    let (sender, saw) = channel();
+    let discovery = Discovery::start(first());
+    let relay = Relay::start("s-1", sender);
+    relay.keep_alive();
+    let link = Link::start(discovery.addr, |_| {}).unwrap();
+    link.stall(Direction::Back, true);
+    let (_folder, path) = configured(&config(relay.addr, link.addr()));
+    let (running, _) = Running::start(&path);
+    running.wait_for_log("discovery fails");
+    let ended: Vec<Saw> = saw.try_iter().filter(|saw| *saw != Saw::Watch).collect();
+    assert_eq!(ended, []);
+    link.cut(true);
+    link.stall(Direction::Back, false);
+    link.cut(false);
+    running.wait_for_log("news of the relay stand");
+    discovery.use_newest_watch();
+    discovery.tell(&change());
+    wait_for(&saw, "a grant to the other server", orders_with("put,0,s-2,1"));
+}
