--- a/crates/whinhill-node/src/discovery.rs
+++ b/crates/whinhill-node/src/discovery.rs
@@ -106,6 +106,9 @@
             info!(version = list.version, "discovery answers again");
         }
         self.push_list(kind, list);
+        if std::mem::take(&mut self.news_await_list) {
+            self.open_news();
+        }
         true
     }
 
--- a/crates/whinhill-node/src/node.rs
+++ b/crates/whinhill-node/src/node.rs
@@ -84,6 +84,8 @@
     pub news_again: Duration,
     pub version: Version,
     pub starts: Starts,
+    /// The relay is not asked before discovery has told a list.
+    pub news_await_list: bool,
     pub watch_at: Option<Id>,
     /// Whether the last word of discovery, and of the relay's news, was a failure: told once, when it changes.
     pub discovery_fails: bool,
@@ -179,6 +181,7 @@
             news_next_at: None,
             news_moved: false,
             news_again: NEWS_AGAIN.0,
+            news_await_list: false,
             watch_at: None,
             discovery_fails: false,
             news_fail: false,
@@ -194,6 +197,8 @@
             config,
         };
         node.push_list(ListKind::Stored, &known);
+        // To the module an owner that no list names is gone: it must hear of none before it has a list.
+        node.news_await_list = known.servers.is_empty();
         node.open_news();
         node.deadlines.set(Due::Status, node.clock.now() + STATUS_EVERY);
         node.deadlines.set(Due::Look, node.clock.now() + LOOK_EVERY);
--- a/crates/whinhill-node/src/relay.rs
+++ b/crates/whinhill-node/src/relay.rs
@@ -22,6 +22,9 @@
 
     /// Asks for news at the relay's address: in place of what has ended, or beside a former address.
     pub fn open_news(&mut self) {
+        if self.news_await_list {
+            return;
+        }
         let place = match (self.news_at, self.news_next_at) {
             (None, None) => Place::Current,
             (Some(_), None) if self.news_moved => Place::Next,
