Measure the module, news and list at a fleet's size

`whinhill bench decisions` plays made-up events of 2,400 proxies, 200 servers and 900 slices: a start, steady periods, and releases that replace every server ten times.

--- a/crates/whinhill-cli/src/bench.rs
+++ b/crates/whinhill-cli/src/bench.rs
@@ -10,6 +10,7 @@
 use whinhill_standins::day::Day;
 use whinhill_tables::{Author, Changes, Limits, SliceTable, Version};
 
+use crate::bench_decisions::{self, DecisionsBench};
 use crate::bench_proxy::{self, ProxyBench};
 use crate::{config, Failed};
 
@@ -36,6 +37,8 @@
     /// One proxy's process against its server direct: RPCs a second a core, what it adds at half load, what a full
     /// set of tables costs meanwhile, and memory by RPCs in hand.
     Proxy(ProxyBench),
+    /// The module at a fleet's size: its first batch, batches of steady periods and of releases, and memory.
+    Decisions(DecisionsBench),
 }
 
 pub fn run(command: BenchCommand) -> Result<(), Failed> {
@@ -55,6 +58,7 @@
                 history(&path, versions, slices.max(1), changes.max(1)).map_err(|error| failed(&error))?;
             print(&figures)
         }
+        BenchCommand::Decisions(args) => print(&bench_decisions::measure(&args)?),
         BenchCommand::Proxy(args) => print(&bench_proxy::measure(&args, &program, scratch.path())?),
     }
 }
--- a/crates/whinhill-cli/src/main.rs
+++ b/crates/whinhill-cli/src/main.rs
@@ -1,6 +1,7 @@
 //! `whinhill`: runs an assigner, plays scripted days, checks configuration. No logic of its own.
 
 mod bench;
+mod bench_decisions;
 mod bench_proxy;
 mod config;
 mod day;
