Document the public items of the history's file and of retries

Cause: reading the whole change again, `HistoryFile`, `HistoryFile::path` and the fields of `Retry` had no doc comment, and `HistoryFile::open` did not say when it fails.

--- a/crates/whinhill-assigner/src/history_file.rs
+++ b/crates/whinhill-assigner/src/history_file.rs
@@ -19,6 +19,7 @@
     pub version: u64,
 }
 
+/// The file and the page that waits for it. Whoever holds it is the only one that writes there.
 pub struct HistoryFile {
     path: PathBuf,
     limits: Limits,
@@ -34,6 +35,9 @@
     }
 
     /// Opens the file or begins one; returns the history and the rollbacks that it holds.
+    ///
+    /// # Errors
+    /// When the disk refuses it, or the file is no history.
     pub fn open(path: &Path, limits: Limits) -> Result<(Self, History, Vec<Rollback>), BookError> {
         let (book, history) = Book::open(path, limits)?;
         let rollbacks = book.rollbacks()?;
@@ -53,6 +57,7 @@
         retry.until_done("opening the history", BookError::may_pass, || Self::open(path, limits))
     }
 
+    /// Where the file is.
     pub fn path(&self) -> &Path {
         &self.path
     }
--- a/crates/whinhill-assigner/src/retry.rs
+++ b/crates/whinhill-assigner/src/retry.rs
@@ -18,7 +18,9 @@
 
 /// How long a call is made again, and what ends that early.
 pub struct Retry<'a> {
+    /// Real time, from the first attempt.
     pub within: Duration,
+    /// Set from elsewhere: the attempt that is under way is the last.
     pub stop: &'a AtomicBool,
 }
 
