Show that requests on open connections lose their answers: three failing tests

Clients in a closed loop over real sockets (whinhill-standins platform::clients), recorded from their side.

--- /dev/null
+++ b/crates/whinhill-cli/tests/open_connections.rs
@@ -0,0 +1,109 @@
+//! Clients that keep asking on open connections: each request gets its final answer, through signals, crowds and
+//! transfers that fail for a moment.
+
+mod support;
+
+use std::path::Path;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use rand::seq::SliceRandom;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rustix::process::Signal;
+use whinhill_standins::platform::clients::{Clients, Plan, Request, Tally};
+
+use support::config::{config, configured};
+use support::nobody;
+use support::running::Running;
+
+/// The platform kills a process no sooner than this after SIGTERM.
+const KILL_AFTER: Duration = Duration::from_millis(700);
+/// Clients that were told to stop have had their answers within this.
+const ANSWER_WITHIN: Duration = Duration::from_secs(3);
+
+fn plan(clients: usize, seed: u64) -> Plan {
+    Plan { clients, think_most: Duration::from_millis(50), answer_within: ANSWER_WITHIN, seed }
+}
+
+/// Those that got no final answer.
+fn unanswered(requests: &[Request]) -> Vec<&Request> {
+    requests.iter().filter(|request| !request.ending.is_answer()).collect()
+}
+
+/// Clients ask for a time while nothing else happens but what the faults do.
+fn ask_for(path: &Path, faults: &str, clients: usize, time: Duration) -> Vec<Request> {
+    let (_running, addr) = Running::start_with_faults(path, faults);
+    let clients = Clients::start(addr, plan(clients, 1)).unwrap();
+    thread::sleep(time);
+    clients.stop()
+}
+
+/// SIGHUP and SIGTERM come in series, and the process is killed at the page's earliest. Whoever has asked by then on
+/// a connection that was taken has an answer.
+#[test]
+fn requests_are_answered_through_series_of_signals() {
+    for seed in 0..6 {
+        let crowd = if seed % 3 == 0 { 200 } else { 0 };
+        let (_folder, path) = configured(&config(nobody(), nobody()));
+        let (mut running, addr) = Running::start(&path);
+        let clients = Clients::start(addr, plan(40 + crowd, seed)).unwrap();
+        thread::sleep(Duration::from_millis(600));
+        let terminated = send_series(&running, seed);
+        thread::sleep(KILL_AFTER.saturating_sub(terminated.elapsed()));
+        running.signal(Signal::KILL);
+        running.0.wait().unwrap();
+        let requests = clients.stop();
+        assert!(requests.len() > 100, "seed {seed}: {} requests", requests.len());
+        assert!(unanswered(&requests).is_empty(), "seed {seed}: {:#?}", unanswered(&requests));
+    }
+}
+
+/// Sends signals in an order drawn by the seed, milliseconds apart; when the first SIGTERM was sent.
+fn send_series(running: &Running, seed: u64) -> Instant {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut series = [Signal::HUP, Signal::HUP, Signal::TERM, Signal::TERM];
+    series.shuffle(&mut random);
+    let mut terminated = None;
+    for signal in series {
+        if signal == Signal::TERM {
+            terminated.get_or_insert_with(Instant::now);
+        }
+        running.signal(signal);
+        thread::sleep(Duration::from_micros(random.random_range(0..5_000)));
+    }
+    terminated.unwrap_or_else(Instant::now)
+}
+
+/// The system is short of memory or buffers at some transfers: that says nothing of the other side.
+#[test]
+fn transfers_that_fail_for_a_moment_cost_no_answer() {
+    let schedules =
+        ["write=ENOBUFS@0.3", "read=ENOBUFS|ENOMEM@0.05 write=ENOBUFS|ENOMEM@0.05", "read=ENOMEM@0.2"];
+    let (_folder, path) = configured(&config(nobody(), nobody()));
+    for faults in schedules {
+        let requests = ask_for(&path, faults, 40, Duration::from_secs(2));
+        assert!(unanswered(&requests).is_empty(), "{faults}: {:?}", Tally::of(&requests));
+    }
+}
+
+/// Calls say that they would block though there is something to take, or room to write. Answers are no later than
+/// by a tenth of a second, or by a second where hardly a call accepts.
+#[test]
+fn answers_are_soon_though_calls_say_that_they_would_block() {
+    let schedules = [
+        ("read=EAGAIN@0.1 write=EAGAIN@0.1", 100),
+        ("read=EAGAIN@0.6 write=EAGAIN@0.6", 100),
+        ("read=EAGAIN|short@0.6 write=EAGAIN|short@0.6 accept=EAGAIN@0.6", 100),
+        ("accept=EAGAIN@0.97", 1000),
+    ];
+    let (_folder, path) = configured(&config(nobody(), nobody()));
+    // What the machine itself costs at this moment.
+    let plain = Tally::of(&ask_for(&path, "", 40, Duration::from_secs(2))).slowest;
+    for (faults, later_ms) in schedules {
+        let requests = ask_for(&path, faults, 40, Duration::from_secs(2));
+        assert!(unanswered(&requests).is_empty(), "{faults}: {:?}", Tally::of(&requests));
+        let slowest = Tally::of(&requests).slowest;
+        assert!(slowest < plain + Duration::from_millis(later_ms), "{faults}: {slowest:?}, plain {plain:?}");
+    }
+}
--- a/crates/whinhill-standins/src/lib.rs
+++ b/crates/whinhill-standins/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod from_bench;
 pub mod hops;
 pub mod link;
+pub mod platform;
 pub mod play;
 pub mod record;
 pub mod roster;
