Keep connections through short transfers, and end them right after an answer

Cause: any error of a transfer but EINTR, EAGAIN and ENOTCONN ended the connection (connection.rs read, flush), for clients, news, calls, watch and probes alike; a call that said too early that it would block left its socket alone for 100 ms (sockets.rs); what arrived after a refusal or at the end was read and thrown away (peers.rs begin_close and discard, leaving.rs end_client); a crowd's oldest were closed under their requests (evict_stranger). Change: ENOBUFS and ENOMEM are tried again each 5 ms, for connections of every kind; a socket that the poll told of in vain is looked at again, 8 times 5 ms apart; a time limit is put off while reads fail. A client ends with its next answer: after a warning for its silence, when others wait for its place, and after SIGTERM, when clients are served on for 0.45 s. Whoever keeps asking is not refused. Who finds no place waits in the listen queue. Signals are waited for before the configuration is read. Requests, answers and their times are counted, failures named with address and errno. peers.rs is split into accepting.rs and clients.rs. Ruled out: the fault library; its plain run is in the same test.

--- a/crates/whinhill-node/src/connection.rs
+++ b/crates/whinhill-node/src/connection.rs
@@ -6,17 +6,23 @@
 
 use mio::net::TcpStream;
 use mio::{Interest, Registry, Token};
+use rustix::io::Errno;
 use whinhill::interface::Ep;
 use whinhill_platform::discovery::Asking;
 use whinhill_platform::lines::Lines;
 use whinhill_platform::peer::Peer;
 use whinhill_platform::probe::Probing;
 
+use crate::answers::Answers;
+
 /// Bytes that may wait for a peer to read them. Ours are requests of a call's size at most.
 const OUT_MOST: usize = 128 * 1024;
 
 pub enum Kind {
-    Peer(Peer),
+    Client {
+        peer: Peer,
+        stage: Stage,
+    },
     /// A client that has had its last answer: what it still sends is read and thrown away, so that the close does
     /// not reset the connection under that answer.
     Closing {
@@ -31,12 +37,64 @@
     },
 }
 
+/// How far a client is on its way to its last answer. A connection ends right after an answer wherever possible: a
+/// client that has just asked would lose its request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    Open,
+    /// It was told that it has been silent for too long, and may still ask once.
+    Warned,
+    /// Others wait for its place: it gives it up with its next answer.
+    Leaving,
+    /// It has had its last answer; its connection ends once all that had arrived by then is answered.
+    Answered,
+}
+
+/// What a read found.
+#[derive(Debug)]
+pub enum Incoming {
+    Bytes(usize),
+    /// The other side has ended.
+    End,
+    /// Nothing for now, by the system's word.
+    Blocked,
+    /// The system was short of something: the call says nothing of the other side.
+    Short(io::Error),
+}
+
+/// What became of what was to be written.
+#[derive(Debug)]
+pub enum Outgoing {
+    Written,
+    /// The rest waits for room.
+    Blocked,
+    /// The connection is not up yet.
+    NotConnected,
+    /// As for [`Incoming::Short`].
+    Short(io::Error),
+}
+
 pub struct Connection {
     pub kind: Kind,
     /// When it was opened, for its age alone.
     pub opened: Duration,
-    /// Whether the other side has sent anything.
+    /// Whether the other side has sent anything, and when it last did.
     pub heard: bool,
+    pub heard_at: Duration,
+    /// Whether it has asked for a sign of life.
+    pub has_asked: bool,
+    /// Looks that are still made at the socket though the poll tells nothing.
+    pub looks_left: u32,
+    /// Something was read before the poll told of it.
+    pub read_untold: bool,
+    /// The last read failed for want of something.
+    pub read_failed: bool,
+    /// How often its deadline was put off for that.
+    pub postponed: u32,
+    /// Requests that wait for their answers to be written.
+    pub answers: Answers,
+    /// The other side's address.
+    pub remote: SocketAddr,
     /// Whether our side has ended.
     ended: bool,
     stream: TcpStream,
@@ -45,32 +103,37 @@
 }
 
 impl Connection {
-    pub fn accepted(stream: TcpStream, now: Duration) -> Self {
+    fn new(stream: TcpStream, remote: SocketAddr, kind: Kind, first: &[u8], now: Duration) -> Self {
         Connection {
-            kind: Kind::Peer(Peer::default()),
+            kind,
             opened: now,
             heard: false,
+            heard_at: now,
+            has_asked: false,
+            looks_left: 0,
+            read_untold: false,
+            read_failed: false,
+            postponed: 0,
+            answers: Answers::default(),
+            remote,
             ended: false,
             stream,
-            out: Vec::new(),
+            out: first.to_vec(),
             written: 0,
         }
     }
 
+    pub fn accepted(stream: TcpStream, remote: SocketAddr, now: Duration) -> Self {
+        let kind = Kind::Client { peer: Peer::default(), stage: Stage::Open };
+        Self::new(stream, remote, kind, &[], now)
+    }
+
     /// Starts to connect; `first` is written as soon as it is up.
     pub fn connect(addr: SocketAddr, kind: Kind, first: &[u8], now: Duration) -> io::Result<Self> {
         let stream = TcpStream::connect(addr)?;
         // Calls are small and each waits for its answer.
         let _ = stream.set_nodelay(true);
-        Ok(Connection {
-            kind,
-            opened: now,
-            heard: false,
-            ended: false,
-            stream,
-            out: first.to_vec(),
-            written: 0,
-        })
+        Ok(Self::new(stream, addr, kind, first, now))
     }
 
     pub fn register(&mut self, registry: &Registry, token: Token) -> io::Result<()> {
@@ -82,8 +145,9 @@
         let _ = registry.deregister(&mut self.stream);
     }
 
-    /// Writes what the socket takes now; the rest goes when it can be written again.
-    pub fn send(&mut self, bytes: &[u8]) -> io::Result<()> {
+    /// Writes what the socket takes now; the rest goes when it can be written again. Fails where the other side
+    /// leaves too much unread, or the connection is broken.
+    pub fn send(&mut self, bytes: &[u8]) -> io::Result<Outgoing> {
         if self.out.len() - self.written + bytes.len() > OUT_MOST {
             return Err(io::Error::other("the peer does not read"));
         }
@@ -91,21 +155,25 @@
         self.flush()
     }
 
-    pub fn flush(&mut self) -> io::Result<()> {
+    /// Writes what is left. Fails where the connection is broken.
+    pub fn flush(&mut self) -> io::Result<Outgoing> {
         while self.written < self.out.len() {
             match self.stream.write(&self.out[self.written..]) {
                 Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
-                Ok(n) => self.written += n,
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::NotConnected) => {
-                    return Ok(());
+                Ok(n) => {
+                    self.written += n;
+                    self.answers.written(n);
                 }
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(Outgoing::Blocked),
+                Err(e) if e.kind() == io::ErrorKind::NotConnected => return Ok(Outgoing::NotConnected),
+                Err(e) if is_shortage(&e) => return Ok(Outgoing::Short(e)),
                 Err(e) => return Err(e),
             }
         }
         self.out.clear();
         self.written = 0;
-        Ok(())
+        Ok(Outgoing::Written)
     }
 
     /// Whether all that was given to write has left.
@@ -125,25 +193,32 @@
     /// Reads and throws away what has arrived, up to a bound.
     pub fn discard(&mut self, most: usize) {
         let (mut buffer, mut left) = ([0; 4096], most);
-        while let Ok(Some(n)) = self.read(&mut buffer) {
+        while let Ok(Incoming::Bytes(n)) = self.read(&mut buffer) {
             left = left.saturating_sub(n);
-            if n == 0 || left == 0 {
+            if left == 0 {
                 return;
             }
         }
     }
 
-    /// `None`: nothing to read now.
-    pub fn read(&mut self, buffer: &mut [u8]) -> io::Result<Option<usize>> {
+    /// Reads once. Fails where the connection is broken.
+    pub fn read(&mut self, buffer: &mut [u8]) -> io::Result<Incoming> {
+        self.read_failed = false;
         loop {
             match self.stream.read(buffer) {
+                Ok(0) => return Ok(Incoming::End),
                 Ok(n) => {
-                    self.heard |= n > 0;
-                    return Ok(Some(n));
+                    self.heard = true;
+                    self.postponed = 0;
+                    return Ok(Incoming::Bytes(n));
                 }
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::NotConnected) => {
-                    return Ok(None);
+                    return Ok(Incoming::Blocked);
+                }
+                Err(e) if is_shortage(&e) => {
+                    self.read_failed = true;
+                    return Ok(Incoming::Short(e));
                 }
                 Err(e) => return Err(e),
             }
@@ -151,6 +226,37 @@
     }
 
     pub fn joined(&self) -> bool {
-        matches!(&self.kind, Kind::Peer(peer) if peer.joined())
+        matches!(&self.kind, Kind::Client { peer, .. } if peer.joined())
+    }
+
+    /// Whether it is a client that has not joined.
+    pub fn is_stranger(&self) -> bool {
+        matches!(&self.kind, Kind::Client { peer, .. } if !peer.joined())
+    }
+
+    /// Whether a client has sent a part of a message and not its end.
+    pub fn is_unfinished(&self) -> bool {
+        matches!(&self.kind, Kind::Client { peer, .. } if peer.unfinished())
+    }
+
+    /// What it is for, in the log.
+    pub fn purpose(&self) -> &'static str {
+        match &self.kind {
+            Kind::Client { peer, .. } if peer.joined() => "collector",
+            Kind::Client { .. } => "client",
+            Kind::Closing { .. } => "refused client",
+            Kind::News => "news",
+            Kind::Calls(_) => "calls",
+            Kind::Asking(asking) if asking.is_watch() => "watch",
+            Kind::Asking(_) => "list",
+            Kind::Probe { .. } => "probe",
+        }
     }
 }
+
+/// Whether a transfer failed for want of memory or buffers on this machine: it may succeed the next moment, and says
+/// nothing of the connection (recv(2), send(2): ENOMEM, ENOBUFS).
+fn is_shortage(error: &io::Error) -> bool {
+    let number = error.raw_os_error();
+    [Errno::NOMEM, Errno::NOBUFS].iter().any(|errno| number == Some(errno.raw_os_error()))
+}
--- a/crates/whinhill-node/src/deadlines.rs
+++ b/crates/whinhill-node/src/deadlines.rs
@@ -36,12 +36,14 @@
     Status,
     /// What the module believes is logged.
     Beliefs,
-    /// The end, after SIGTERM.
+    /// The end, after SIGTERM, comes a step further.
     End,
     /// A connection has taken too long.
     Connection(Id),
     /// The poll is asked again to tell of a connection.
     Register(Id),
+    /// A connection is looked at again, without the poll's having told of it.
+    Transfer(Id),
 }
 
 #[derive(Debug, Default)]
@@ -71,11 +73,6 @@
         }
     }
 
-    /// Whether a deadline for this stands.
-    pub fn is_set(&self, due: Due) -> bool {
-        self.at.contains_key(&due)
-    }
-
     pub fn next_at(&self) -> Option<Duration> {
         self.queue.first().map(|(at, _)| *at)
     }
--- a/crates/whinhill-node/src/discovery.rs
+++ b/crates/whinhill-node/src/discovery.rs
@@ -105,6 +105,9 @@
         if std::mem::take(&mut self.discovery_fails) {
             info!(version = list.version, "discovery answers again");
         }
+        let servers = list.servers.len();
+        info!(version = list.version, whole = list.whole, servers, "a list is taken");
+        self.counts.lists += 1;
         self.push_list(kind, list);
         if std::mem::take(&mut self.news_await_list) {
             self.open_news();
--- a/crates/whinhill-node/src/event_loop.rs
+++ b/crates/whinhill-node/src/event_loop.rs
@@ -6,6 +6,7 @@
 use mio::Events;
 use whinhill::interface::Event;
 
+use crate::accepting::Look;
 use crate::connections::Id;
 use crate::deadlines::Due;
 use crate::limits::*;
@@ -19,13 +20,10 @@
     pub fn serve(mut self) -> Result<(), NodeError> {
         loop {
             self.advance();
-            if self.ending && self.calls.waiting() == 0 && !self.calls.under_way() {
+            if self.may_leave() {
                 return self.leave();
             }
             self.turn(None)?;
-            if self.out_of_time {
-                return self.leave();
-            }
         }
     }
 
@@ -86,15 +84,16 @@
 
     fn take_event(&mut self, event: &mio::event::Event) {
         match event.token() {
-            LISTENER => self.accept(ACCEPT_LOOKS, true),
+            LISTENER => self.accept(Look::Told),
             SIGNALS => self.take_signals(),
             token => {
                 let id = Id::of(token);
                 if event.is_writable() {
                     self.writable(id);
                 }
-                if event.is_readable() || event.is_read_closed() || event.is_error() {
-                    self.readable(id);
+                let told = event.is_readable() || event.is_read_closed() || event.is_error();
+                if told {
+                    self.readable_by_poll(id);
                 }
             }
         }
@@ -116,7 +115,7 @@
 
     /// Hands over a batch and starts a call where they are due.
     fn advance(&mut self) {
-        if self.ending {
+        if self.ending.is_some() {
             self.deadlines.clear(Due::Batch);
         } else if !self.pending.is_empty() {
             let now = self.clock.now();
@@ -137,17 +136,19 @@
             Due::News(place) => self.news_passed(place),
             Due::OpenNews => self.open_news(),
             Due::Call => {}
-            Due::Accept => self.accept(ACCEPT_LOOKS, true),
+            Due::Accept => self.accept(Look::Again),
             Due::Look => self.look_at_all(),
             Due::Status => self.report(),
             Due::Beliefs => self.report_beliefs(),
             Due::Connection(id) => self.timed_out(id),
             Due::Register(id) => self.register_client(id),
+            Due::Transfer(id) => self.look_again_at(id),
             Due::Config => self.read_config(),
             Due::Watch => self.watch_again(),
             Due::Fetch => self.fetch(),
             Due::Probes => self.probe_again(),
-            Due::End => self.out_of_time = true,
+            // The loop looks at how far the end has come.
+            Due::End => {}
         }
     }
 }
--- a/crates/whinhill-node/src/leaving.rs
+++ b/crates/whinhill-node/src/leaving.rs
@@ -1,28 +1,59 @@
-//! The end, after SIGTERM or SIGINT: whoever has asked by then is answered first.
+//! The end, after SIGTERM or SIGINT: open connections are served on, then each ends with its next answer.
 
 use tracing::info;
 
+use crate::clients::Refusal;
 use crate::connection::{Connection, Kind};
 use crate::connections::Id;
 use crate::deadlines::Due;
-use crate::limits::{ACCEPT_LOOKS, ASK_WITHIN, DISCARD_MOST, LEAVE_WITHIN};
+use crate::limits::*;
 use crate::node::Node;
-use crate::peers::Refusal;
 use crate::NodeError;
 
 impl Node {
-    /// Takes the listen queue, answers what has arrived, and ends once that has left.
+    /// SIGTERM or SIGINT has come; only the first counts.
+    pub fn begin_end(&mut self) {
+        if self.ending.is_some() {
+            return;
+        }
+        let now = self.clock.now();
+        info!(waiting = self.calls.waiting(), clients = self.peers, "told to end");
+        self.ending = Some(now);
+        self.deadlines.set(Due::End, now + LAST_ANSWERS_AFTER);
+    }
+
+    /// Whether the end has come. As long as clients use their connections it waits, up to a bound; from
+    /// [`LAST_ANSWERS_AFTER`] on each answer is a connection's last.
+    pub fn may_leave(&mut self) -> bool {
+        let Some(since) = self.ending else { return false };
+        let passed = self.clock.now().saturating_sub(since);
+        if passed >= END_AFTER {
+            return true;
+        }
+        if passed >= LAST_ANSWERS_AFTER {
+            self.last_answers = true;
+        }
+        let calls = self.calls.waiting() > 0 || self.calls.under_way();
+        if calls && passed < CALLS_END_AFTER || self.is_owed() {
+            self.deadlines.set(Due::End, self.clock.now() + END_LOOKS);
+            return false;
+        }
+        true
+    }
+
+    /// Takes the listen queue and stops listening, answers whoever has just come, and ends.
     pub fn leave(mut self) -> Result<(), NodeError> {
-        let until = self.clock.now() + LEAVE_WITHIN;
-        self.answer_all();
+        self.last_answers = true;
+        self.stop_listening();
+        let until = self.clock.now() + ASK_WITHIN;
         while self.is_owed() && self.clock.now() < until {
             self.turn(Some(until.saturating_sub(self.clock.now())))?;
         }
-        // Whoever came meanwhile: the listener's end resets what it has not handed over.
-        self.answer_all();
         self.clients().into_iter().for_each(|id| self.end_client(id));
+        self.counts.log();
         info!(
-            answered = self.counts.answered,
+            requests = self.counts.requests,
+            unanswered = self.counts.unanswered,
             closed_unanswered = self.counts.closed_unanswered,
             waiting = self.calls.waiting(),
             "ends"
@@ -30,18 +61,11 @@
         Ok(())
     }
 
-    /// Accepts whoever waits, and answers what has arrived.
-    fn answer_all(&mut self) {
-        self.accept(ACCEPT_LOOKS, true);
-        self.clients().into_iter().for_each(|id| self.look_at(id));
-    }
-
-    /// Ends one client's connection: half a message gets an error, and with nothing left to read the close resets
-    /// no answer.
+    /// Ends one client's connection after a last look: half a message gets an error, and with nothing left to read
+    /// the close resets no answer.
     fn end_client(&mut self, id: Id) {
-        let half =
-            |c: &Connection| matches!(&c.kind, Kind::Peer(peer) if peer.unfinished() && !peer.joined());
-        if self.connections.get(id).is_some_and(half) {
+        self.look_at(id);
+        if self.connections.get(id).is_some_and(|c| c.is_stranger() && c.is_unfinished()) {
             self.refuse(id, Refusal::Unreadable);
         }
         if let Some(connection) = self.connections.get_mut(id) {
@@ -52,17 +76,19 @@
     }
 
     fn clients(&self) -> Vec<Id> {
-        let client = |c: &Connection| matches!(c.kind, Kind::Peer(_) | Kind::Closing { .. });
+        let client = |c: &Connection| matches!(c.kind, Kind::Client { .. } | Kind::Closing { .. });
         self.connections.iter().filter(|(_, c)| client(c)).map(|(id, _)| id).collect()
     }
 
-    /// Whether a client waits to be accepted, read or written to, or has just come and not asked yet.
+    /// Whether a client waits to be accepted, read or written to, or has come or asked so recently that it may be
+    /// about to ask.
     fn is_owed(&self) -> bool {
         let now = self.clock.now();
-        let waits = |id: &Id| {
-            let connection = self.connections.get(*id);
-            connection.is_some_and(|c| !c.all_written() || !c.heard && now < c.opened + ASK_WITHIN)
+        let waits = |c: &Connection| {
+            let may_ask = matches!(c.kind, Kind::Client { .. }) && (c.has_asked || !c.heard);
+            !c.all_written() || may_ask && now < c.heard_at + ASK_WITHIN
         };
-        self.deadlines.is_set(Due::Accept) || !self.unread.is_empty() || self.clients().iter().any(waits)
+        let waiting = self.clients().iter().filter_map(|id| self.connections.get(*id)).any(waits);
+        self.next_client.is_some() || !self.unread.is_empty() || waiting
     }
 }
--- a/crates/whinhill-node/src/lib.rs
+++ b/crates/whinhill-node/src/lib.rs
@@ -3,16 +3,19 @@
 //! [`run`] is the one call that matters: it reads the configuration, listens, and serves until SIGTERM.
 //! The protocol stands in `whinhill-platform`, every decision in `whinhill`.
 
+mod accepting;
+mod answers;
+mod clients;
 mod clock;
 mod connection;
 mod connections;
 mod deadlines;
 mod discovery;
 mod event_loop;
+mod failures;
 mod leaving;
 mod limits;
 mod node;
-mod peers;
 mod probes;
 mod relay;
 mod report;
--- a/crates/whinhill-node/src/limits.rs
+++ b/crates/whinhill-node/src/limits.rs
@@ -39,15 +39,33 @@
 pub const RESERVED: usize = 20 + PROBES_MOST;
 /// Failures of `accept` in one turn: most pass at once, and a client that waits is late soon.
 pub const ACCEPT_FAILURES_MOST: u32 = 16;
-/// Accepting goes on after so many failures in this time.
+/// Accepting goes on after this: after failures, while all places are taken, and where somebody may still wait.
 pub const ACCEPT_AGAIN: Duration = Duration::from_millis(5);
 /// Looks at the listen queue after the poll has told of it. A call may say too early that it would block.
 pub const ACCEPT_LOOKS: u32 = 16;
 /// And without its having told.
 pub const ACCEPT_LOOKS_UNTOLD: u32 = 4;
+/// Where the poll told of somebody and nobody was found, the queue is looked at again so often, each
+/// [`ACCEPT_AGAIN`]: for 0.2 s, after which the looks at everything go on.
+pub const ACCEPT_LOOKS_AGAIN: u32 = 40;
+/// A stranger that has been silent for less may be about to ask: closed then it would lose its request.
+pub const EVICT_IDLE: Duration = Duration::from_millis(100);
+/// Strangers at a time that give their places up with their next answers.
+pub const LEAVING_MOST: usize = 16;
 /// The poll tells of each arrival once: after this every socket is looked at all the same. Shorter costs calls of
 /// the system; longer delays whoever is waited for behind a call that said too early that it would block.
 pub const LOOK_EVERY: Duration = Duration::from_millis(100);
+/// A socket is looked at after this where a transfer failed for want of memory or buffers, or may have said too
+/// early that it would block.
+pub const TRANSFER_AGAIN: Duration = Duration::from_millis(5);
+/// So many looks follow a call that may have said so too early, each with so many tries.
+pub const LOOKS_SOON: u32 = 8;
+pub const TRIES_A_LOOK: u32 = 4;
+/// So long after such a call every read is followed by looks.
+pub const LOOK_CLOSELY_FOR: Duration = Duration::from_secs(1);
+/// A time limit is put off so often, each time by [`TRANSFER_AGAIN`], while reads fail for want of something: for
+/// 0.5 s, which the rules leave beyond each limit.
+pub const POSTPONED_MOST: u32 = 100;
 /// The poll would not take a connection: it is asked again.
 pub const REGISTER_AGAIN: Duration = Duration::from_millis(5);
 /// A connect that fails before anything was sent says nothing of the other side, and is tried again.
@@ -74,9 +92,18 @@
 pub const LET_GO_AFTER: Duration = Duration::from_secs(20);
 /// What the module believes goes into the log this often, where it is asked for: as often as servers are judged.
 pub const BELIEFS_EVERY: Duration = Duration::from_secs(1);
-/// After SIGTERM, calls in line may still leave for this long; SIGKILL follows no sooner than 0.7 s.
-pub const END_WITHIN: Duration = Duration::from_millis(250);
-/// After that, whoever has connected by then is answered within this.
-pub const LEAVE_WITHIN: Duration = Duration::from_millis(200);
-/// And whoever has just connected may ask within this: a request follows its connection within a round trip.
-pub const ASK_WITHIN: Duration = Duration::from_millis(50);
+/// A client that was told of its silence may still ask within this.
+pub const WARNED_WITHIN: Duration = Duration::from_millis(500);
+/// After SIGTERM, calls in line may still leave for this long. SIGKILL follows no sooner than 0.7 s; all that
+/// follows here leaves 0.1 s of that to a signal that is noticed late.
+pub const CALLS_END_AFTER: Duration = Duration::from_millis(250);
+/// From then on each answer is the last on its connection: so long whoever keeps asking has to ask once more.
+pub const LAST_ANSWERS_AFTER: Duration = Duration::from_millis(350);
+/// And then nobody new is accepted.
+pub const END_AFTER: Duration = Duration::from_millis(450);
+/// Whoever has come or asked within this may be about to ask, and is waited for.
+pub const ASK_WITHIN: Duration = Duration::from_millis(150);
+/// How often it is looked at whether anybody is.
+pub const END_LOOKS: Duration = Duration::from_millis(10);
+/// Clients taken from the listen queue as it closes, at most: those that it may hold.
+pub const LAST_CLIENTS_MOST: usize = 1024;
--- a/crates/whinhill-node/src/node.rs
+++ b/crates/whinhill-node/src/node.rs
@@ -23,9 +23,11 @@
 use whinhill_platform::roster::Roster;
 use whinhill_starts::{Reading, Starts};
 
+use crate::accepting::NextClient;
 use crate::clock::Clock;
 use crate::connections::{Connections, Id};
 use crate::deadlines::{Deadlines, Due};
+use crate::failures::FailureLog;
 use crate::limits::*;
 use crate::probes::Again;
 use crate::report::Counts;
@@ -45,7 +47,12 @@
 
 pub(crate) struct Node {
     pub poll: Poll,
-    pub listener: TcpListener,
+    /// Until the end has come.
+    pub listener: Option<TcpListener>,
+    /// Accepted, and without a place yet.
+    pub next_client: Option<NextClient>,
+    /// Looks that are still made at the listen queue though it seems empty.
+    pub accept_looks_left: u32,
     pub signals: Signals,
     pub clock: Clock,
     pub deadlines: Deadlines,
@@ -103,13 +110,21 @@
     /// The longest that anything due has waited since the last status: for the work of one turn, or for the
     /// processor.
     pub longest_pause: Duration,
-    pub ending: bool,
-    /// Calls in line have had their time to leave.
-    pub out_of_time: bool,
+    /// Since when the end was asked for.
+    pub ending: Option<Duration>,
+    /// Each answer is the last on its connection.
+    pub last_answers: bool,
+    /// Until when reads are followed by further looks: a call has been wrong of late.
+    pub look_closely_until: Duration,
+    pub failures: FailureLog,
 }
 
 impl Node {
     pub fn start(path: &Path, log_dropped: Arc<AtomicU64>) -> Result<Self, NodeError> {
+        // First of all: a signal that nobody waits for yet would end the process.
+        let io = |what| move |source| NodeError::Io { what, source };
+        let signals = until_had("signals", || Signals::new([SIGHUP, SIGTERM, SIGINT]));
+        let mut signals = signals.map_err(io("signals"))?;
         let mut config = read_until_had(path)?;
         let none = Roster { version: 0, whole: true, servers: Vec::new() };
         let known = std::mem::replace(&mut config.known, Ok(none.clone())).unwrap_or_else(|error| {
@@ -119,14 +134,13 @@
         let faulty = |source| NodeError::Settings { path: path.into(), source };
         let assigner = Assigner::new(&config.settings, config.seed).map_err(faulty)?;
         let round = config.settings.span("round").map_err(faulty)?;
-        let io = |what| move |source| NodeError::Io { what, source };
         let poll = until_had("poll", Poll::new).map_err(io("poll"))?;
-        let signals = until_had("signals", || {
-            let mut signals = Signals::new([SIGHUP, SIGTERM, SIGINT])?;
-            poll.registry().register(&mut signals, SIGNALS, Interest::READABLE)?;
-            Ok(signals)
+        let registered = until_had("signals", || {
+            let registered = poll.registry().register(&mut signals, SIGNALS, Interest::READABLE);
+            // Or it would count as registered the next time.
+            registered.inspect_err(|_| drop(poll.registry().deregister(&mut signals)))
         });
-        let signals = signals.map_err(io("signals"))?;
+        registered.map_err(io("signals"))?;
         let addr = config.listen;
         let listen = |source| NodeError::Listen { addr, source };
         let listener = until_had("the address to listen on", || {
@@ -153,7 +167,9 @@
             starts: Starts::default(),
             peers_most: config.limits.sockets.saturating_sub(RESERVED).max(8),
             poll,
-            listener,
+            listener: Some(listener),
+            next_client: None,
+            accept_looks_left: 0,
             signals,
             clock,
             deadlines: Deadlines::default(),
@@ -192,8 +208,10 @@
             counts: Counts::default(),
             log_dropped,
             longest_pause: Duration::ZERO,
-            ending: false,
-            out_of_time: false,
+            ending: None,
+            last_answers: false,
+            look_closely_until: Duration::ZERO,
+            failures: FailureLog::default(),
             config,
         };
         node.push_list(ListKind::Stored, &known);
@@ -241,16 +259,17 @@
         for signal in signals {
             if signal == SIGHUP {
                 self.read_config_until_had();
-            } else if !self.ending {
-                info!(waiting = self.calls.waiting(), "told to end");
-                self.ending = true;
-                self.deadlines.set(Due::End, self.clock.now() + END_WITHIN);
+            } else {
+                self.begin_end();
             }
         }
     }
 
     /// The configuration is to be read again, from now on until it could be read.
     pub fn read_config_until_had(&mut self) {
+        if self.ending.is_some() {
+            return;
+        }
         self.config_until = self.clock.now() + CONFIG_WITHIN;
         self.config_fails = false;
         self.read_config();
--- a/crates/whinhill-node/src/probes.rs
+++ b/crates/whinhill-node/src/probes.rs
@@ -96,8 +96,13 @@
     }
 
     fn probed(&mut self, id: Id, ep: Ep, result: Probe, load: LoadReport) {
-        self.close(id);
-        self.counts.probes_unanswered += u64::from(result == Probe::Unanswered);
+        if let Some(connection) = self.close(id).filter(|_| result == Probe::Unanswered) {
+            self.counts.probes_unanswered += 1;
+            let name = self.names.server(ep.index).unwrap_or("-");
+            let why =
+                if connection.heard { "a probe's answer cannot be read" } else { "a probe is not answered" };
+            self.failures.log_server(name, connection.remote, why);
+        }
         self.pending.push(Event::Probed { ep, result, load });
     }
 }
--- a/crates/whinhill-node/src/relay.rs
+++ b/crates/whinhill-node/src/relay.rs
@@ -83,7 +83,9 @@
             Place::Next => self.news_next_at,
         };
         // What has arrived counts before the time does.
-        at.into_iter().for_each(|id| self.readable(id));
+        if at.is_some_and(|id| self.look_before_limit(id)) {
+            return self.deadlines.set(Due::News(place), self.clock.now() + TRANSFER_AGAIN);
+        }
         let (now, mut told) = (self.clock.now(), Vec::new());
         let owed = owed(&self.calls, &self.assigner);
         let alive = self.news.passed(place, now, &mut self.names, owed, &mut told);
@@ -202,10 +204,10 @@
         self.calls_used = now;
         self.counts.calls += 1;
         if let Some(id) = self.calls_at {
-            if self.connections.get_mut(id).is_none_or(|c| c.send(text.as_bytes()).is_err()) {
-                return self.call_lost("broken");
-            }
-            return self.deadlines.set(Due::Connection(id), now + CALL_WITHIN);
+            let sent = self.connections.get_mut(id).map(|c| c.send(text.as_bytes()));
+            let Some(Ok(outgoing)) = sent else { return self.call_lost("broken") };
+            self.deadlines.set(Due::Connection(id), now + CALL_WITHIN);
+            return self.flushed(id, Ok(outgoing));
         }
         let kind = Kind::Calls(Lines::new(ANSWER_MOST));
         self.calls_at = self.connect(self.config.relay, kind, text.as_bytes(), CONNECT_WITHIN);
--- a/crates/whinhill-node/src/report.rs
+++ b/crates/whinhill-node/src/report.rs
@@ -3,6 +3,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use hdrhistogram::Histogram;
 use tracing::{debug, enabled, info, Level};
 use whinhill::interface::Health;
 
@@ -22,8 +23,17 @@
 
     // Whoever connects.
     pub accepted: u64,
-    /// Requests for a sign of life.
+    /// Requests for a sign of life that were read, and those whose answers have left.
+    pub requests: u64,
     pub answered: u64,
+    /// Requests that were read and whose connections we ended without an answer: none is meant to.
+    pub unanswered: u64,
+    /// Requests whose clients broke the connection before their answers had left.
+    pub abandoned: u64,
+    /// Clients that sent on after their last answers.
+    pub sent_after_end: u64,
+    /// How long answers have taken since the last status, from the read of a request to the end of the write.
+    pub answer_times: AnswerTimes,
     pub refused_unreadable: u64,
     pub refused_silent: u64,
     pub refused_crowded_out: u64,
@@ -41,6 +51,10 @@
     pub connects_failed: u64,
     pub registers_failed: u64,
     pub transfers_failed: u64,
+    /// Transfers that failed for want of memory or buffers, and were made again.
+    pub transfers_short: u64,
+    /// Times that the poll told of something to read and the read found nothing.
+    pub reads_missed: u64,
     pub polls_failed: u64,
     pub polls_interrupted: u64,
 
@@ -53,6 +67,7 @@
     pub anew: u64,
 
     // Discovery and servers.
+    pub lists: u64,
     pub watches: u64,
     pub discovery_failed: u64,
     pub probes: u64,
@@ -61,6 +76,25 @@
     pub probes_again: u64,
 }
 
+/// How long answers took, in microseconds.
+#[derive(Debug)]
+pub(crate) struct AnswerTimes(Histogram<u64>);
+
+impl Default for AnswerTimes {
+    fn default() -> Self {
+        // Two digits of any time up to the largest that the type holds.
+        AnswerTimes(Histogram::new(2).expect("two digits are among those that a histogram may have"))
+    }
+}
+
+impl Counts {
+    /// An answer has left that long after its request was read.
+    pub fn answer_left(&mut self, after: Duration) {
+        self.answered += 1;
+        self.answer_times.0.saturating_record(after.as_micros() as u64);
+    }
+}
+
 impl Node {
     /// Logs the state and the counts, in lines short enough for a log that cuts long ones.
     pub fn report(&mut self) {
@@ -81,13 +115,37 @@
             "status"
         );
         self.longest_pause = Duration::ZERO;
+        self.report_answers();
         self.counts.log();
         self.deadlines.set(Due::Status, self.clock.now() + STATUS_EVERY);
     }
+
+    /// Requests against answers, and how long answers took since the last such line.
+    fn report_answers(&mut self) {
+        let oldest = self.connections.iter().filter_map(|(_, c)| c.answers.oldest()).min();
+        let oldest = oldest.map_or(Duration::ZERO, |at| self.clock.now().saturating_sub(at));
+        let owed: usize = self.connections.iter().map(|(_, c)| c.answers.owed()).sum();
+        let times = &mut self.counts.answer_times.0;
+        info!(
+            requests = self.counts.requests,
+            answered = self.counts.answered,
+            owed,
+            oldest_ms = oldest.as_millis() as u64,
+            unanswered = self.counts.unanswered,
+            abandoned = self.counts.abandoned,
+            sent_after_end = self.counts.sent_after_end,
+            p50_us = times.value_at_quantile(0.5),
+            p99_us = times.value_at_quantile(0.99),
+            most_us = times.max(),
+            failures_not_logged = self.failures.begin_period(),
+            "answers"
+        );
+        times.reset();
+    }
 }
 
 impl Counts {
-    fn log(&self) {
+    pub fn log(&self) {
         info!(
             accepted = self.accepted,
             answered = self.answered,
@@ -108,6 +166,8 @@
             connect = self.connects_failed,
             register = self.registers_failed,
             transfer = self.transfers_failed,
+            transfer_short = self.transfers_short,
+            read_missed = self.reads_missed,
             poll = self.polls_failed,
             poll_interrupted = self.polls_interrupted,
             clock_steps = self.clock_steps,
@@ -124,6 +184,7 @@
             "relay"
         );
         info!(
+            lists = self.lists,
             watches = self.watches,
             failed = self.discovery_failed,
             probes = self.probes,
--- a/crates/whinhill-node/src/sockets.rs
+++ b/crates/whinhill-node/src/sockets.rs
@@ -4,14 +4,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use tracing::debug;
-
-use crate::connection::{Connection, Kind};
+use crate::accepting::Look;
+use crate::clients::Refusal;
+use crate::connection::{Connection, Incoming, Kind, Outgoing, Stage};
 use crate::connections::Id;
 use crate::deadlines::Due;
 use crate::limits::*;
 use crate::node::Node;
-use crate::peers::Refusal;
 
 impl Node {
     /// Connects; `None` where that fails at once.
@@ -22,7 +21,7 @@
             Ok(connection) => self.connections.insert(connection),
             Err(error) => {
                 self.counts.connects_failed += 1;
-                tracing::debug!(%addr, "connect: {error}");
+                self.failures.log_to("connect", addr, &error);
                 return None;
             }
         };
@@ -41,7 +40,7 @@
         // Or it would count as registered the next time.
         connection.deregister(registry);
         self.counts.registers_failed += 1;
-        debug!(?id, "register: {error}");
+        self.failures.log("register", &error);
         false
     }
 
@@ -51,9 +50,10 @@
         connection.deregister(self.poll.registry());
         self.deadlines.clear(Due::Connection(id));
         self.deadlines.clear(Due::Register(id));
+        self.deadlines.clear(Due::Transfer(id));
         match &connection.kind {
             Kind::Closing { .. } => self.peers -= 1,
-            Kind::Peer(peer) => {
+            Kind::Client { peer, .. } => {
                 self.peers -= 1;
                 self.strangers -= usize::from(!peer.joined());
             }
@@ -68,25 +68,99 @@
 
     pub fn writable(&mut self, id: Id) {
         let Some(connection) = self.connections.get_mut(id) else { return };
-        match connection.flush() {
-            Ok(()) if matches!(connection.kind, Kind::Closing { .. }) => connection.end_writing(),
-            Ok(()) => {}
+        let flushed = connection.flush();
+        self.flushed(id, flushed);
+    }
+
+    /// Follows an attempt to write: the poll tells of room only where the system truly had none.
+    pub fn flushed(&mut self, id: Id, flushed: io::Result<Outgoing>) {
+        self.count_answers(id);
+        let Some(connection) = self.connections.get_mut(id) else { return };
+        match flushed {
+            Ok(Outgoing::Written) if matches!(connection.kind, Kind::Closing { .. }) => {
+                connection.end_writing()
+            }
+            Ok(Outgoing::Written | Outgoing::NotConnected) => {}
+            Ok(Outgoing::Blocked) => self.look_soon(id),
+            Ok(Outgoing::Short(error)) => self.fell_short(id, "write", &error),
             Err(error) => self.broken(id, &error),
         }
     }
 
+    fn count_answers(&mut self, id: Id) {
+        let Some(connection) = self.connections.get_mut(id) else { return };
+        let now = self.clock.now();
+        for received in connection.answers.take_left() {
+            self.counts.answer_left(now.saturating_sub(received));
+        }
+    }
+
+    /// A transfer failed for want of something on this machine: it is tried again soon.
+    fn fell_short(&mut self, id: Id, call: &'static str, error: &io::Error) {
+        self.counts.transfers_short += 1;
+        if let Some(connection) = self.connections.get(id) {
+            self.failures.log_on(id, connection, call, error);
+        }
+        self.look_soon(id);
+    }
+
     /// A connection's transfer failed.
     fn broken(&mut self, id: Id, error: &io::Error) {
         self.counts.transfers_failed += 1;
-        debug!(?id, "broken: {error}");
-        match self.connections.get(id).map(|c| &c.kind) {
+        let Some(connection) = self.connections.get(id) else { return };
+        self.failures.log_on(id, connection, "transfer", error);
+        match &connection.kind {
             // Nobody is left to answer.
-            Some(Kind::Peer(_) | Kind::Closing { .. }) => drop(self.close(id)),
+            Kind::Client { .. } | Kind::Closing { .. } => {
+                self.counts.abandoned += connection.answers.owed() as u64;
+                self.close(id);
+            }
             _ => self.ended(id),
         }
     }
 
-    pub fn readable(&mut self, id: Id) {
+    /// The poll told of something to read. If there is nothing the call may have said so too early, and if we had
+    /// not read it before we were told, calls do that at present.
+    pub fn readable_by_poll(&mut self, id: Id) {
+        let heard = self.readable(id);
+        let Some(connection) = self.connections.get_mut(id) else { return };
+        let before = std::mem::take(&mut connection.read_untold);
+        if heard {
+            return;
+        }
+        if !before {
+            self.counts.reads_missed += 1;
+            self.look_closely_until = self.clock.now() + LOOK_CLOSELY_FOR;
+        }
+        self.look_soon(id);
+    }
+
+    /// Has a socket looked at soon, a few times, though the poll tells nothing.
+    fn look_soon(&mut self, id: Id) {
+        let Some(connection) = self.connections.get_mut(id) else { return };
+        connection.looks_left = LOOKS_SOON;
+        self.deadlines.set_by(Due::Transfer(id), self.clock.now() + TRANSFER_AGAIN);
+    }
+
+    /// One of those looks. A call that keeps saying that it would block is believed after all of them; a shortage
+    /// is not, as long as it lasts.
+    pub fn look_again_at(&mut self, id: Id) {
+        let Some(connection) = self.connections.get(id) else { return };
+        let left = connection.looks_left.saturating_sub(1);
+        let short = self.counts.transfers_short;
+        let heard = (0..TRIES_A_LOOK).fold(false, |heard, _| self.look_at(id) || heard);
+        let Some(connection) = self.connections.get_mut(id) else { return };
+        let in_vain = !heard && self.counts.transfers_short == short;
+        connection.looks_left = if in_vain { left } else { LOOKS_SOON };
+        if connection.looks_left > 0 {
+            self.deadlines.set(Due::Transfer(id), self.clock.now() + TRANSFER_AGAIN);
+        } else {
+            self.deadlines.clear(Due::Transfer(id));
+        }
+    }
+
+    /// Reads what has arrived; whether there was anything, the end included.
+    pub fn readable(&mut self, id: Id) -> bool {
         let mut buffer = std::mem::take(&mut self.buffer);
         let mut reads = 0;
         while let Some(connection) = self.connections.get_mut(id) {
@@ -95,27 +169,46 @@
                 self.unread.push(id);
                 break;
             }
-            reads += 1;
             match connection.read(&mut buffer) {
-                Ok(None) => break,
-                Ok(Some(0)) => {
+                Ok(Incoming::Bytes(n)) => self.bytes(id, &buffer[..n]),
+                Ok(Incoming::End) => {
+                    reads += 1;
                     self.ended(id);
                     break;
                 }
+                Ok(Incoming::Blocked) => break,
+                Ok(Incoming::Short(error)) => {
+                    self.fell_short(id, "read", &error);
+                    break;
+                }
                 Err(error) => {
+                    reads += 1;
                     self.broken(id, &error);
                     break;
                 }
-                Ok(Some(n)) => self.bytes(id, &buffer[..n]),
             }
+            reads += 1;
         }
         self.buffer = buffer;
+        self.follow_reads(id, reads > 0);
+        reads > 0
+    }
+
+    /// After reads: more may be there than the last call told, if half a message is, or calls have been wrong of
+    /// late. Then a client that is to end does so.
+    fn follow_reads(&mut self, id: Id, heard: bool) {
+        let Some(connection) = self.connections.get(id) else { return };
+        let closely = heard && self.clock.now() < self.look_closely_until;
+        if closely || connection.is_unfinished() && connection.looks_left == 0 && heard {
+            self.look_soon(id);
+        }
+        self.end_after_answer(id);
     }
 
     fn bytes(&mut self, id: Id, bytes: &[u8]) {
         let Some(connection) = self.connections.get_mut(id) else { return };
         match &mut connection.kind {
-            Kind::Peer(_) => self.peer_bytes(id, bytes),
+            Kind::Client { .. } => self.client_bytes(id, bytes),
             Kind::Closing { .. } => self.discard(id, bytes.len()),
             Kind::News => self.news_bytes(id, bytes),
             Kind::Calls(_) => self.call_bytes(id, bytes),
@@ -128,7 +221,7 @@
     fn ended(&mut self, id: Id) {
         let Some(connection) = self.connections.get(id) else { return };
         match &connection.kind {
-            Kind::Peer(_) => self.client_ended(id),
+            Kind::Client { .. } => self.client_ended(id),
             // What is still to be written may be read; the deadline bounds it.
             Kind::Closing { .. } if !connection.all_written() => {}
             Kind::Closing { .. } => self.close_client(id),
@@ -141,32 +234,53 @@
 
     /// Looks at every socket, and for signals, without having been told to by the poll.
     pub fn look_at_all(&mut self) {
-        self.accept(ACCEPT_LOOKS_UNTOLD, false);
+        self.accept(Look::Untold);
         self.take_signals();
         let all: Vec<Id> = self.connections.iter().map(|(id, _)| id).collect();
-        all.into_iter().for_each(|id| self.look_at(id));
+        for id in all {
+            self.look_at(id);
+        }
         self.deadlines.set(Due::Look, self.clock.now() + LOOK_EVERY);
     }
 
-    /// Writes what is still to be written and reads what has arrived.
-    pub fn look_at(&mut self, id: Id) {
+    /// Writes what is still to be written and reads what has arrived; whether there was anything to read.
+    pub fn look_at(&mut self, id: Id) -> bool {
         if self.connections.get(id).is_some_and(|c| !c.all_written()) {
             self.writable(id);
         }
-        self.readable(id);
+        let heard = self.readable(id);
+        if let Some(connection) = self.connections.get_mut(id) {
+            connection.read_untold |= heard;
+        }
+        heard
+    }
+
+    /// Looks at a connection whose time is over. True: whether anything has arrived is not known, since reads fail
+    /// for want of something, and the limit is to be put off; that is so for a bounded time.
+    pub fn look_before_limit(&mut self, id: Id) -> bool {
+        self.look_at(id);
+        let Some(connection) = self.connections.get_mut(id) else { return false };
+        let unknown = connection.read_failed && connection.postponed < POSTPONED_MOST;
+        connection.postponed += u32::from(unknown);
+        unknown
     }
 
     /// A connection's time is over, unless what has arrived gives it more or ends what it waits for.
     pub fn timed_out(&mut self, id: Id) {
         let now = self.clock.now();
         self.deadlines.set(Due::Connection(id), now);
-        self.look_at(id);
+        let unknown = self.look_before_limit(id);
         if !self.deadlines.pop_at(Due::Connection(id), now) {
             return;
         }
+        if unknown {
+            return self.deadlines.set(Due::Connection(id), now + TRANSFER_AGAIN);
+        }
         let Some(connection) = self.connections.get(id) else { return };
         match &connection.kind {
-            Kind::Peer(_) => self.refuse(id, Refusal::Silent),
+            Kind::Client { stage: Stage::Open, .. } => self.warn(id),
+            Kind::Client { stage: Stage::Leaving, .. } => self.refuse(id, Refusal::Silent),
+            Kind::Client { .. } => self.begin_close(id),
             Kind::Closing { .. } => self.close_client(id),
             Kind::News => self.news_ended(id, "never came up"),
             Kind::Calls(_) => self.call_lost("silent"),
