Add a soak of the platform's front over real processes, with an auditor of both ends

The auditor judges by the clients' records and the proxies' tables: unanswered, late, no line, drain, two writers, limits, crashes.

--- a/crates/whinhill-cli/src/main.rs
+++ b/crates/whinhill-cli/src/main.rs
@@ -9,6 +9,7 @@
 mod log_queue;
 mod logging;
 mod platform;
+mod platform_soak;
 mod proxy;
 mod reports;
 mod soak;
@@ -86,6 +87,11 @@
         #[command(subcommand)]
         command: day::DayCommand,
     },
+    /// The operators' platform, on stand-ins.
+    Platform {
+        #[command(subcommand)]
+        command: PlatformCommand,
+    },
     /// Measurements on loopback, printed as JSON lines.
     Bench {
         #[command(subcommand)]
@@ -98,6 +104,12 @@
     },
 }
 
+#[derive(Subcommand)]
+enum PlatformCommand {
+    /// Play assigners as processes through drawn troubles, and audit what clients and proxies met.
+    Soak(platform_soak::SoakArgs),
+}
+
 #[derive(Subcommand)]
 enum ConfigCommand {
     /// Name every fault of a file.
@@ -175,6 +187,7 @@
         Command::Table(args) => table::run(args),
         Command::Reports(args) => reports::run(args),
         Command::Day { command } => day::run(command),
+        Command::Platform { command: PlatformCommand::Soak(args) } => platform_soak::run(&args),
         Command::Bench { command } => bench::run(command),
         Command::Config { command: ConfigCommand::Check { file, kind } } => {
             match kind {
--- a/crates/whinhill-standins/src/platform/clients.rs
+++ b/crates/whinhill-standins/src/platform/clients.rs
@@ -98,10 +98,19 @@
         Ok(clients)
     }
 
-    /// Has each client end after the request that it waits for, and returns all requests in the order in which they
-    /// were sent.
-    pub fn stop(mut self) -> Vec<Request> {
+    /// Has each client end after the request that it waits for.
+    pub fn finish(&self) {
         self.stop.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether all have ended.
+    pub fn is_finished(&self) -> bool {
+        self.threads.iter().all(JoinHandle::is_finished)
+    }
+
+    /// Has them end, waits for that, and returns all requests in the order in which they were sent.
+    pub fn stop(mut self) -> Vec<Request> {
+        self.finish();
         let joined = self.threads.drain(..).flat_map(|thread| thread.join().unwrap_or_default());
         let mut requests: Vec<Request> = joined.collect();
         requests.sort_by_key(|request| request.sent);
--- /dev/null
+++ b/crates/whinhill-standins/src/platform/script.rs
@@ -0,0 +1,231 @@
+//! What happens to the assigners and round them in one seed: drawn once, the same for the same seed.
+
+use std::time::Duration;
+
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde::Serialize;
+
+use crate::link::Direction;
+
+/// Kinds of trouble, to be drawn or asked for by name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Trouble {
+    /// SIGHUP and SIGTERM, in series.
+    Signals,
+    /// SIGKILL without a word before.
+    Kills,
+    /// SIGSTOP for a while.
+    Pauses,
+    /// Reads and writes fall short of memory or buffers, say too early that they would block, or are interrupted.
+    Transfers,
+    /// Accepts, sockets and connects fail.
+    Connects,
+    /// Waits and registers fail.
+    Waits,
+    /// The wall clock is stepped.
+    Clock,
+    /// Paths to relay and discovery break, fall silent one way or both, or are slow.
+    Paths,
+    /// Lists come late.
+    Lists,
+    /// Servers fall silent or are slow, some of them by the quarter, and return cold.
+    Servers,
+    /// Clients come by the hundred.
+    Crowds,
+}
+
+/// All of them.
+pub const TROUBLES: [Trouble; 11] = [
+    Trouble::Signals,
+    Trouble::Kills,
+    Trouble::Pauses,
+    Trouble::Transfers,
+    Trouble::Connects,
+    Trouble::Waits,
+    Trouble::Clock,
+    Trouble::Paths,
+    Trouble::Lists,
+    Trouble::Servers,
+    Trouble::Crowds,
+];
+
+/// Which path of an assigner.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Path {
+    Relay,
+    Discovery,
+}
+
+/// One thing that happens.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// A series of signals, milliseconds apart: true is SIGTERM, false SIGHUP. The process starts again after
+    /// `down`.
+    Series {
+        node: usize,
+        terms: Vec<bool>,
+        down: Duration,
+    },
+    Reload {
+        node: usize,
+    },
+    Kill {
+        node: usize,
+        down: Duration,
+    },
+    Pause {
+        node: usize,
+        time: Duration,
+    },
+    /// A path's connections are reset, and new ones refused for a time.
+    Cut {
+        node: usize,
+        path: Path,
+        time: Duration,
+    },
+    Stall {
+        node: usize,
+        path: Path,
+        direction: Direction,
+        time: Duration,
+    },
+    Delay {
+        node: usize,
+        path: Path,
+        by: Duration,
+        time: Duration,
+    },
+    LateLists {
+        node: usize,
+        by: Duration,
+        time: Duration,
+    },
+    /// A part of the servers is silent for a time, and starts anew then.
+    Silence {
+        share: f64,
+        time: Duration,
+    },
+    Slow {
+        times: u32,
+        time: Duration,
+    },
+    Crowd {
+        node: usize,
+        clients: usize,
+        time: Duration,
+    },
+}
+
+/// All that a seed holds.
+#[derive(Clone, Debug)]
+pub struct Script {
+    pub nodes: usize,
+    pub troubles: Vec<Trouble>,
+    /// In the order of time.
+    pub actions: Vec<(Duration, Action)>,
+    seed: u64,
+}
+
+/// Nothing happens before: the first start and the first lines are of another concern.
+const QUIET: Duration = Duration::from_secs(3);
+/// And nothing begins so shortly before the end.
+const TAIL: Duration = Duration::from_secs(5);
+/// Mean time between two actions.
+const EVERY: Duration = Duration::from_millis(2500);
+const NODES_MOST: usize = 4;
+
+impl Script {
+    /// Draws a seed's script. `only`: the kinds of trouble that may be drawn, all of which then are.
+    pub fn draw(seed: u64, time: Duration, only: &[Trouble]) -> Self {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let nodes = random.random_range(1..=NODES_MOST);
+        let troubles: Vec<Trouble> = if only.is_empty() {
+            let count = random.random_range(2..=6);
+            let mut drawn: Vec<_> = TROUBLES.choose_multiple(&mut random, count).copied().collect();
+            drawn.sort_unstable();
+            drawn
+        } else {
+            only.to_vec()
+        };
+        let mut script = Script { nodes, troubles, actions: Vec::new(), seed };
+        let mut at = QUIET;
+        while at + TAIL < time {
+            if let Some(action) = script.draw_action(&mut random) {
+                script.actions.push((at, action));
+            }
+            at += EVERY.mul_f64(random.random_range(0.2..1.8));
+        }
+        script
+    }
+
+    fn draw_action(&self, random: &mut ChaCha8Rng) -> Option<Action> {
+        let node = random.random_range(0..self.nodes);
+        let time = Duration::from_millis(random.random_range(200..4000));
+        let path = if random.random() { Path::Relay } else { Path::Discovery };
+        let down = Duration::from_millis(random.random_range(100..2500));
+        Some(match self.troubles.choose(random)? {
+            Trouble::Signals if random.random_bool(0.4) => Action::Reload { node },
+            Trouble::Signals => {
+                let mut terms: Vec<bool> = (0..random.random_range(1..5)).map(|_| random.random()).collect();
+                terms.push(true);
+                Action::Series { node, terms, down }
+            }
+            Trouble::Kills => Action::Kill { node, down },
+            Trouble::Pauses => Action::Pause { node, time: time.mul_f64(0.5) },
+            Trouble::Paths => match random.random_range(0..3) {
+                0 => Action::Cut { node, path, time: time.mul_f64(0.5) },
+                1 => {
+                    let ways = [Direction::To, Direction::Back, Direction::Both];
+                    Action::Stall { node, path, direction: *ways.choose(random)?, time: time.mul_f64(0.8) }
+                }
+                _ => {
+                    Action::Delay { node, path, by: Duration::from_millis(random.random_range(5..60)), time }
+                }
+            },
+            Trouble::Lists => {
+                Action::LateLists { node, by: Duration::from_millis(random.random_range(200..2500)), time }
+            }
+            Trouble::Servers if random.random() => Action::Silence { share: 0.25, time },
+            Trouble::Servers => Action::Slow { times: random.random_range(4..20), time },
+            Trouble::Crowds => Action::Crowd { node, clients: random.random_range(100..400), time },
+            // These are the library's, for the whole life of a process.
+            Trouble::Transfers | Trouble::Connects | Trouble::Waits | Trouble::Clock => return None,
+        })
+    }
+
+    /// The schedule of failing calls for a process's `start`th start; `None`: none fail.
+    pub fn failing_calls(&self, node: usize, start: usize) -> Option<String> {
+        let mut random = ChaCha8Rng::seed_from_u64(self.seed ^ (node as u64) << 40 ^ (start as u64) << 48);
+        let mut parts = Vec::new();
+        for trouble in &self.troubles {
+            let chance = [0.01, 0.05, 0.2][random.random_range(0..3)];
+            match trouble {
+                Trouble::Transfers => parts.push(match random.random_range(0..4) {
+                    0 => format!("read=ENOBUFS|ENOMEM@{chance} write=ENOBUFS|ENOMEM@{chance}"),
+                    1 => "read=EAGAIN@0.5 write=EAGAIN@0.5".to_string(),
+                    2 => "read=short|EINTR@0.6 write=short|EINTR@0.6".to_string(),
+                    _ => format!("read=EAGAIN|short|ENOMEM@{chance} write=EAGAIN|short|ENOBUFS@{chance}"),
+                }),
+                Trouble::Connects => parts.push(match random.random_range(0..3) {
+                    0 => "accept=EAGAIN@0.9".to_string(),
+                    1 => format!(
+                        "accept=ENFILE|ENOBUFS|ECONNABORTED|EMFILE@0.5 socket=ENFILE|ENOBUFS@{chance}"
+                    ),
+                    _ => {
+                        format!("connect=EADDRNOTAVAIL|ENETUNREACH|ENOBUFS@{chance} accept=ECONNABORTED@0.3")
+                    }
+                }),
+                Trouble::Waits => parts.push("wait=EINTR@0.5 register=ENOMEM@0.1".to_string()),
+                Trouble::Clock => {
+                    let by = *[-3600, 3600, -7, 7].choose(&mut random).unwrap_or(&7);
+                    parts.push(format!("clock={by:+}:{}", random.random_range(0..20)));
+                }
+                _ => {}
+            }
+        }
+        (!parts.is_empty()).then(|| format!("seed={} {}", random.random_range(1..1000), parts.join(" ")))
+    }
+}
--- /dev/null
+++ b/crates/whinhill-standins/src/platform/soak.rs
@@ -0,0 +1,315 @@
+//! One seed of the soak: assigners as processes, with all that surrounds them on the platform, through the troubles
+//! of a script.
+
+use std::fs;
+use std::io::{self, Write as _};
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde::Serialize;
+
+use super::audit::{Broken, RequestAudit, Rule, TableAudit};
+use super::custody;
+use super::node::{Environment, Node};
+use super::page::*;
+use super::script::{Action, Script, Trouble};
+use super::traffic::{Outcomes, Traffic};
+use super::world::{Condition, Sabotage, Shared, Status, World};
+use super::{collectors, servers};
+
+/// How often everything is looked at.
+const TICK: Duration = Duration::from_millis(5);
+/// How often slices are dealt out anew.
+const DEAL_EVERY: Duration = Duration::from_millis(50);
+/// How often a process's memory and descriptors are looked at.
+const MEASURE_EVERY: Duration = Duration::from_millis(500);
+/// Servers at the start, and how often one of them is replaced.
+const SERVERS: usize = 9;
+const REPLACE_EVERY: Duration = Duration::from_millis(2000);
+/// From draining to gone.
+const DRAIN_LASTS: Duration = Duration::from_millis(4500);
+/// Broken rules that a report names; the rest are counted.
+const BROKEN_MOST: usize = 20;
+
+/// What a seed is played with.
+#[derive(Clone, Debug)]
+pub struct Options {
+    pub seed: u64,
+    pub time: Duration,
+    /// The kinds of trouble; empty: drawn.
+    pub only: Vec<Trouble>,
+    pub sabotage: Option<Sabotage>,
+    /// The `whinhill` program.
+    pub program: PathBuf,
+    /// The library that makes calls fail; without it none fail.
+    pub library: Option<PathBuf>,
+    /// Where configurations, logs and time lines go.
+    pub folder: PathBuf,
+}
+
+/// What a seed has shown.
+#[derive(Clone, Debug, Serialize)]
+pub struct Report {
+    pub seed: u64,
+    pub nodes: usize,
+    pub troubles: Vec<Trouble>,
+    pub actions: usize,
+    pub starts: usize,
+    /// Starts that were ready later than the page asks of nine in ten.
+    pub slow_starts: usize,
+    pub ready_ms_most: u64,
+    pub memory_kb_most: u64,
+    pub descriptors_most: usize,
+    pub requests: RequestAudit,
+    pub rpcs: Outcomes,
+    pub broken_rules: usize,
+    pub broken: Vec<Broken>,
+}
+
+/// Plays one seed. Fails where a process or an address is not to be had.
+pub fn run(options: &Options) -> io::Result<Report> {
+    Soak::start(options)?.play()
+}
+
+struct Soak<'a> {
+    options: &'a Options,
+    script: Script,
+    world: Arc<Shared>,
+    nodes: Vec<Node>,
+    traffic: Traffic,
+    tables: TableAudit,
+    random: ChaCha8Rng,
+    broken: Vec<Broken>,
+    /// Servers that change their condition, and when.
+    to_restart: Vec<(Duration, usize)>,
+    to_mend: Vec<(Duration, usize)>,
+    to_go: Vec<(Duration, usize)>,
+}
+
+impl<'a> Soak<'a> {
+    fn start(options: &'a Options) -> io::Result<Self> {
+        fs::create_dir_all(&options.folder)?;
+        let script = Script::draw(options.seed, options.time, &options.only);
+        let world = Arc::new(Shared::new(World::new(script.nodes, options.seed, options.sabotage)));
+        let mut soak = Soak {
+            options,
+            traffic: Traffic::new(script.nodes, options.seed),
+            tables: TableAudit::default(),
+            random: ChaCha8Rng::seed_from_u64(options.seed ^ 0x50a4),
+            script,
+            world,
+            nodes: Vec::new(),
+            broken: Vec::new(),
+            to_restart: Vec::new(),
+            to_mend: Vec::new(),
+            to_go: Vec::new(),
+        };
+        for number in 0..SERVERS {
+            soak.add_server(number, true)?;
+        }
+        for number in 0..soak.script.nodes {
+            let environment = Environment {
+                world: soak.world.clone(),
+                program: options.program.clone(),
+                library: options.library.clone(),
+                folder: options.folder.clone(),
+                sabotage: options.sabotage,
+                seed: options.seed,
+            };
+            soak.nodes.push(Node::start(number, environment, &soak.script)?);
+        }
+        Ok(soak)
+    }
+
+    fn add_server(&mut self, zone: usize, old: bool) -> io::Result<()> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let addr = listener.local_addr()?;
+        let name = format!("s-{:08x}", self.random.random::<u32>());
+        let place = self.world.lock().add_server(name, zone, addr, old);
+        servers::start(self.world.clone(), listener, place).map(drop)
+    }
+
+    fn play(mut self) -> io::Result<Report> {
+        let (mut deal, mut measure, mut report) = (Duration::ZERO, Duration::ZERO, PERIOD);
+        let mut replace = REPLACE_EVERY;
+        let mut actions = std::mem::take(&mut self.script.actions).into_iter().peekable();
+        let played = actions.len();
+        loop {
+            let now = self.world.lock().now();
+            if now >= self.options.time {
+                break;
+            }
+            while let Some((_, action)) = actions.next_if(|(at, _)| *at <= now) {
+                self.act(now, &action)?;
+            }
+            for node in &mut self.nodes {
+                node.look(now, &self.script, &mut self.broken)?;
+            }
+            self.change_servers(now);
+            if now >= replace {
+                replace = now + REPLACE_EVERY;
+                self.replace_server(now)?;
+            }
+            if now >= deal {
+                deal = now + DEAL_EVERY;
+                let serving: Vec<bool> = self.nodes.iter().map(Node::takes_slices).collect();
+                custody::deal(&mut self.world.lock(), &serving);
+            }
+            {
+                let mut world = self.world.lock();
+                world.apply_due();
+                self.traffic.play(&mut world);
+                self.tables.look(&world);
+            }
+            if now >= report {
+                report = now + PERIOD;
+                self.report();
+            }
+            if now >= measure {
+                measure = now + MEASURE_EVERY;
+                self.nodes.iter_mut().for_each(|node| node.measure(now, &mut self.broken));
+            }
+            thread::sleep(TICK);
+        }
+        self.end(played)
+    }
+
+    /// The collectors send what was met.
+    fn report(&mut self) {
+        let world = self.world.lock();
+        for (node, sums) in self.nodes.iter().zip(&mut self.traffic.sums) {
+            node.report(collectors::reports(&world, &std::mem::take(sums)));
+        }
+    }
+
+    fn act(&mut self, now: Duration, action: &Action) -> io::Result<()> {
+        self.world.lock().note(format!("{action:?}"));
+        match action {
+            Action::Series { node, .. }
+            | Action::Reload { node }
+            | Action::Kill { node, .. }
+            | Action::Pause { node, .. }
+            | Action::Cut { node, .. }
+            | Action::Stall { node, .. }
+            | Action::Delay { node, .. }
+            | Action::LateLists { node, .. }
+            | Action::Crowd { node, .. } => self.nodes[*node].act(now, action),
+            Action::Silence { share, time } => {
+                let count = (self.ready_servers().len() as f64 * share).ceil() as usize;
+                for server in self.draw_servers(count) {
+                    self.world.lock().servers[server].condition = Condition::Silent;
+                    self.to_restart.push((now + *time, server));
+                }
+                Ok(())
+            }
+            Action::Slow { times, time } => {
+                for server in self.draw_servers(1) {
+                    self.world.lock().servers[server].condition = Condition::Slow(*times);
+                    self.to_mend.push((now + *time, server));
+                }
+                Ok(())
+            }
+        }
+    }
+
+    fn ready_servers(&self) -> Vec<usize> {
+        let world = self.world.lock();
+        let ready = |server: &super::world::Server| {
+            server.status == Status::Ready && server.condition == Condition::Well
+        };
+        (0..world.servers.len()).filter(|place| ready(&world.servers[*place])).collect()
+    }
+
+    fn draw_servers(&mut self, count: usize) -> Vec<usize> {
+        let ready = self.ready_servers();
+        ready.choose_multiple(&mut self.random, count).copied().collect()
+    }
+
+    fn change_servers(&mut self, now: Duration) {
+        let mut world = self.world.lock();
+        let due = |waiting: &mut Vec<(Duration, usize)>| {
+            let (due, later): (Vec<_>, Vec<_>) = waiting.drain(..).partition(|(at, _)| *at <= now);
+            *waiting = later;
+            due.into_iter().map(|(_, server)| server).collect::<Vec<_>>()
+        };
+        for server in due(&mut self.to_restart) {
+            // One that drains meanwhile is not started anew.
+            if world.servers[server].status == Status::Ready {
+                world.restart_server(server);
+            }
+        }
+        for server in due(&mut self.to_mend) {
+            world.servers[server].condition = Condition::Well;
+        }
+        for server in due(&mut self.to_go) {
+            world.servers[server].condition = Condition::Dead;
+            world.list(server, Status::Gone);
+        }
+    }
+
+    /// The server that has been ready for longest drains, and a new one takes its place.
+    fn replace_server(&mut self, now: Duration) -> io::Result<()> {
+        let Some(server) = self.ready_servers().first().copied() else { return Ok(()) };
+        let zone = self.world.lock().servers[server].zone;
+        self.world.lock().list(server, Status::Draining);
+        self.to_go.push((now + DRAIN_LASTS, server));
+        self.add_server(zone, false)
+    }
+
+    fn end(mut self, actions: usize) -> io::Result<Report> {
+        let mut requests = RequestAudit::default();
+        for node in &mut self.nodes {
+            requests.add(node.stop_clients());
+        }
+        let rpcs = self.traffic.outcomes;
+        let mut broken = std::mem::take(&mut self.tables.broken);
+        broken.append(&mut self.broken);
+        broken.append(&mut requests.broken);
+        broken.sort_by_key(|broken| broken.at_ms);
+        let starts = self.nodes.iter().map(|node| node.starts).sum();
+        let ready: Vec<Duration> = self.nodes.iter().flat_map(|node| node.ready.iter().copied()).collect();
+        self.keep_time_line(&broken)?;
+        let broken_rules = broken.len();
+        broken.truncate(BROKEN_MOST);
+        Ok(Report {
+            seed: self.options.seed,
+            nodes: self.script.nodes,
+            troubles: self.script.troubles.clone(),
+            actions,
+            starts,
+            slow_starts: ready.iter().filter(|took| **took > READY_WITHIN).count(),
+            ready_ms_most: ready.iter().max().map_or(0, |took| took.as_millis() as u64),
+            memory_kb_most: self.nodes.iter().map(|node| node.memory_kb).max().unwrap_or(0),
+            descriptors_most: self.nodes.iter().map(|node| node.descriptors).max().unwrap_or(0),
+            requests,
+            rpcs,
+            broken_rules,
+            broken,
+        })
+    }
+
+    /// Writes what happened, and what was broken between, into a file beside the logs.
+    fn keep_time_line(&self, broken: &[Broken]) -> io::Result<()> {
+        let world = self.world.lock();
+        let mut lines: Vec<(u64, String)> =
+            world.happened.iter().map(|(at, what)| (at.as_millis() as u64, what.clone())).collect();
+        lines.extend(broken.iter().map(|b| (b.at_ms, format!("BROKEN {:?}: {}", b.rule, b.what))));
+        lines.sort_by_key(|(at, _)| *at);
+        let mut file = fs::File::create(self.options.folder.join("time-line"))?;
+        for (at, what) in lines {
+            writeln!(file, "{:8.3} {what}", at as f64 / 1e3)?;
+        }
+        Ok(())
+    }
+}
+
+/// Whether a rule of a kind was broken.
+pub fn broke(report: &Report, rule: Rule) -> bool {
+    report.broken.iter().any(|broken| broken.rule == rule)
+}
--- /dev/null
+++ b/crates/whinhill-standins/src/platform/world.rs
@@ -0,0 +1,371 @@
+//! What stands round the assigners: servers, slices with their holders and lines, and the proxies' tables.
+//!
+//! One lock holds it all. The relay writes orders into it, discovery reads the servers, traffic picks by the tables,
+//! and the auditor looks at them.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::mpsc::SyncSender;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::page::{CLASSES, PROXIES, SLICES, ZONES};
+
+/// Where discovery lists a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Status {
+    Ready,
+    Draining,
+    Gone,
+}
+
+impl Status {
+    /// The word on the wire.
+    pub fn word(self) -> &'static str {
+        match self {
+            Status::Ready => "SERVING",
+            Status::Draining => "DRAINING",
+            Status::Gone => "DELETED",
+        }
+    }
+}
+
+/// How a server behaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Condition {
+    Well,
+    /// It takes connections and requests, and answers none.
+    Silent,
+    /// Its work takes this many times as long.
+    Slow(u32),
+    /// Its process is dead.
+    Dead,
+}
+
+/// One server.
+#[derive(Debug)]
+pub struct Server {
+    pub name: String,
+    pub zone: usize,
+    pub addr: SocketAddr,
+    pub status: Status,
+    pub condition: Condition,
+    /// Since the world's start; `None`: long before it.
+    pub started: Option<Duration>,
+    pub started_unix_ms: u64,
+    /// When each of its workers is free.
+    pub workers: [Duration; WORKERS],
+}
+
+/// RPCs that a server works on at a time.
+pub const WORKERS: usize = 4;
+/// Longest way of an order to a proxy.
+const WAY_MOST: Duration = Duration::from_millis(40);
+
+/// An entry of the list that changed.
+#[derive(Clone, Copy, Debug)]
+pub struct Change {
+    pub version: u64,
+    pub at: Duration,
+    pub server: usize,
+}
+
+/// The table of one slice at one proxy.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Table {
+    pub server: Option<usize>,
+    /// The share that is let in, by class.
+    pub levels: [f64; CLASSES.len()],
+}
+
+const OPEN: Table = Table { server: None, levels: [1.0; CLASSES.len()] };
+
+/// One slice as the store has it.
+#[derive(Clone, Debug)]
+pub struct Slice {
+    pub holder: Option<usize>,
+    pub line: Option<usize>,
+    /// Grows with each change of hands: what an earlier holder ordered is no longer applied.
+    pub epoch: u64,
+    pub given_at: Duration,
+}
+
+/// What an order does at a proxy.
+#[derive(Clone, Copy, Debug)]
+pub enum Effect {
+    Line { slice: usize, server: Option<usize> },
+    Level { slice: usize, class: Option<usize>, share: f64 },
+    Mark { node: usize, mark: u16 },
+}
+
+#[derive(Debug)]
+struct Travelling {
+    due: Duration,
+    sent: Duration,
+    proxy: usize,
+    epochs: Vec<(Effect, u64)>,
+}
+
+/// One assigner as the relay and the auditor see it.
+#[derive(Debug, Default)]
+pub struct Node {
+    /// Readers of news, newest last.
+    pub news: Vec<SyncSender<String>>,
+    pub left_at: Option<Duration>,
+    pub first_answer: Option<Duration>,
+    /// Time limits do not run until then.
+    pub excused_until: Duration,
+    /// By version of the list, when discovery wrote it to this assigner.
+    pub told: Vec<(u64, Duration)>,
+    /// Lists reach it so much later.
+    pub list_delay: Duration,
+    pub terminated: bool,
+}
+
+/// Defects put into the stand-ins on purpose, to show that the auditor finds what they cause.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sabotage {
+    /// Answers at the assigners' addresses are cut off.
+    LostAnswers,
+    /// They come late.
+    LateAnswers,
+    /// One slice's line is lost on its way to the proxies.
+    NoLine,
+    /// Lines at draining servers stay.
+    LateDrain,
+    /// Half of the proxies keep a former line, open for writes.
+    TwoWriters,
+}
+
+/// All of it.
+#[derive(Debug)]
+pub struct World {
+    pub started: Instant,
+    pub servers: Vec<Server>,
+    pub version: u64,
+    pub changes: Vec<Change>,
+    pub slices: Vec<Slice>,
+    pub tables: Vec<Vec<Table>>,
+    pub nodes: Vec<Node>,
+    pub sabotage: Option<Sabotage>,
+    travelling: VecDeque<Travelling>,
+    random: ChaCha8Rng,
+    /// What happened, for the time line of a broken seed.
+    pub happened: Vec<(Duration, String)>,
+}
+
+/// The world behind its lock.
+#[derive(Debug)]
+pub struct Shared(Mutex<World>);
+
+impl Shared {
+    /// A world to be shared by the stand-ins' threads.
+    pub fn new(world: World) -> Self {
+        Shared(Mutex::new(world))
+    }
+
+    /// Locks it. A thread that panicked has left it whole: each change is one step.
+    pub fn lock(&self) -> MutexGuard<'_, World> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Most lines of the time line that are kept.
+const HAPPENED_MOST: usize = 4000;
+
+impl World {
+    /// A world without servers yet, for so many assigners.
+    pub fn new(nodes: usize, seed: u64, sabotage: Option<Sabotage>) -> Self {
+        let slice = Slice { holder: None, line: None, epoch: 0, given_at: Duration::ZERO };
+        World {
+            started: Instant::now(),
+            servers: Vec::new(),
+            version: 1,
+            changes: Vec::new(),
+            slices: vec![slice; SLICES],
+            tables: vec![vec![OPEN; SLICES]; PROXIES],
+            nodes: (0..nodes).map(|_| Node::default()).collect(),
+            sabotage,
+            travelling: VecDeque::new(),
+            random: ChaCha8Rng::seed_from_u64(seed),
+            happened: Vec::new(),
+        }
+    }
+
+    /// Since the start.
+    pub fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    /// Notes something for the time line.
+    pub fn note(&mut self, what: String) {
+        if self.happened.len() < HAPPENED_MOST {
+            let now = self.now();
+            self.happened.push((now, what));
+        }
+    }
+
+    /// A server that discovery lists as ready from now on; `old`: it has served for long.
+    pub fn add_server(&mut self, name: String, zone: usize, addr: SocketAddr, old: bool) -> usize {
+        let now = self.now();
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        self.servers.push(Server {
+            name,
+            zone: zone % ZONES.len(),
+            addr,
+            status: Status::Ready,
+            condition: Condition::Well,
+            started: (!old).then_some(now),
+            started_unix_ms: if old { 0 } else { unix.as_millis() as u64 },
+            workers: [Duration::ZERO; WORKERS],
+        });
+        let server = self.servers.len() - 1;
+        self.list(server, Status::Ready);
+        server
+    }
+
+    /// The list names another status for a server.
+    pub fn list(&mut self, server: usize, status: Status) {
+        self.servers[server].status = status;
+        self.version += 1;
+        let change = Change { version: self.version, at: self.now(), server };
+        self.changes.push(change);
+        self.note(format!("list {} {} {status:?}", self.version, self.servers[server].name));
+    }
+
+    /// A server's process starts anew, and is cold.
+    pub fn restart_server(&mut self, server: usize) {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let now = self.now();
+        let state = &mut self.servers[server];
+        (state.condition, state.started) = (Condition::Well, Some(now));
+        state.started_unix_ms = unix.as_millis() as u64;
+        state.workers = [now; WORKERS];
+        self.list(server, Status::Ready);
+    }
+
+    /// The place of a server by its name.
+    pub fn server_named(&self, name: &str) -> Option<usize> {
+        self.servers.iter().position(|server| server.name == name)
+    }
+
+    /// Time limits of an assigner's slices wait so much longer.
+    pub fn excuse(&mut self, node: usize, wait: Duration) {
+        let until = self.now() + wait;
+        self.nodes[node].excused_until = self.nodes[node].excused_until.max(until);
+    }
+
+    /// Sends news to an assigner; a reader that is too far behind is dropped.
+    pub fn tell(&mut self, node: usize, line: &str) {
+        self.nodes[node].news.retain(|reader| reader.try_send(line.to_string()).is_ok());
+    }
+
+    /// Gives a slice to an assigner, or takes it away.
+    pub fn give(&mut self, slice: usize, holder: Option<usize>) {
+        let now = self.now();
+        let former = std::mem::replace(&mut self.slices[slice].holder, holder);
+        if former == holder {
+            return;
+        }
+        self.slices[slice].epoch += 1;
+        self.slices[slice].given_at = now;
+        if let Some(former) = former {
+            self.tell(former, &format!("* lease {slice} 0\r\n"));
+        }
+        if let Some(holder) = holder {
+            self.tell(holder, &format!("* lease {slice} 1\r\n"));
+            if let Some(server) = self.slices[slice].line {
+                let name = &self.servers[server].name;
+                let line = format!("* line {slice} {name} 1.0\r\n");
+                self.tell(holder, &line);
+            }
+        }
+        // Proxies read the store anew.
+        let line = self.slices[slice].line;
+        for table in self.tables.iter_mut().map(|tables| &mut tables[slice]) {
+            *table = Table { server: line, ..OPEN };
+        }
+        self.note(format!("slice {slice} from {former:?} to {holder:?}"));
+    }
+
+    /// Sends effects to all proxies, each with a way of its own.
+    pub fn send(&mut self, effects: &[Effect]) {
+        let now = self.now();
+        let epoch = |effect: &Effect| match effect {
+            Effect::Line { slice, .. } | Effect::Level { slice, .. } => self.slices[*slice].epoch,
+            Effect::Mark { .. } => 0,
+        };
+        let epochs: Vec<(Effect, u64)> = effects.iter().map(|effect| (*effect, epoch(effect))).collect();
+        for proxy in 0..PROXIES {
+            let way = self.random.random_range(Duration::from_millis(1)..WAY_MOST);
+            // Orders reach a proxy in the order in which they were sent.
+            let last = self.travelling.iter().rev().find(|t| t.proxy == proxy).map_or(now, |t| t.due);
+            let due = (now + way).max(last);
+            self.travelling.push_back(Travelling { due, sent: now, proxy, epochs: epochs.clone() });
+        }
+    }
+
+    /// Applies what has reached the proxies by now.
+    pub fn apply_due(&mut self) {
+        let now = self.now();
+        let (due, later): (VecDeque<_>, VecDeque<_>) =
+            std::mem::take(&mut self.travelling).into_iter().partition(|t| t.due <= now);
+        self.travelling = later;
+        for travelling in due {
+            self.apply(&travelling);
+        }
+    }
+
+    fn apply(&mut self, travelling: &Travelling) {
+        let proxy = travelling.proxy;
+        for (effect, epoch) in &travelling.epochs {
+            match *effect {
+                Effect::Line { slice, server } if *epoch == self.slices[slice].epoch => {
+                    let kept = match self.sabotage {
+                        Some(Sabotage::NoLine) if slice == 0 => continue,
+                        Some(Sabotage::TwoWriters) => proxy.is_multiple_of(2),
+                        _ => false,
+                    };
+                    let drains = |at: usize| self.servers[at].status != Status::Ready;
+                    let former = self.tables[proxy][slice].server;
+                    let late = self.sabotage == Some(Sabotage::LateDrain) && former.is_some_and(drains);
+                    let stays = late || kept && former.is_some();
+                    if !stays {
+                        self.tables[proxy][slice].server = server;
+                    }
+                }
+                Effect::Level { slice, class, share } if *epoch == self.slices[slice].epoch => {
+                    let kept = self.sabotage == Some(Sabotage::TwoWriters) && proxy.is_multiple_of(2);
+                    for (number, level) in self.tables[proxy][slice].levels.iter_mut().enumerate() {
+                        if class.is_none_or(|class| class == number) && !kept {
+                            *level = share;
+                        }
+                    }
+                }
+                Effect::Mark { node, mark } => {
+                    let way = (travelling.due - travelling.sent).as_secs_f64() * 1e3;
+                    self.tell(node, &format!("* ack {proxy} {mark} {way:.1}\r\n"));
+                }
+                Effect::Line { .. } | Effect::Level { .. } => {}
+            }
+        }
+    }
+
+    /// Whether some server is ready, well and warm.
+    pub fn has_warm_server(&self) -> bool {
+        let now = self.now();
+        let warm = |started: Option<Duration>| started.is_none_or(|at| now >= at + super::page::WARM_AFTER);
+        self.servers
+            .iter()
+            .any(|s| s.status == Status::Ready && s.condition == Condition::Well && warm(s.started))
+    }
+
+    /// When an assigner counts as told of a version.
+    pub fn told_at(&self, node: usize, change: &Change) -> Duration {
+        let told = self.nodes[node].told.iter().find(|(version, _)| *version >= change.version);
+        told.map_or(Duration::MAX, |(_, at)| *at).min(change.at + super::page::TOLD_WITHIN)
+    }
+}
