--- a/crates/whinhill-cli/tests/processes.rs
+++ b/crates/whinhill-cli/tests/processes.rs
@@ -271,3 +271,25 @@
     logged(site.folder(), "assigner", "the history can't be kept");
     assert_eq!(running.end(), Some(0));
 }
+
+/// Buffers or memory are short at a fifth of the transfers, at the proxy and at the assigner: that says nothing of
+/// whoever is at the other end, so no call fails for it and the store is not taken to be away.
+#[test]
+fn transfers_that_fall_short_end_no_stream() {
+    const SHORT: &str = "seed=4 read=ENOBUFS|ENOMEM@0.2 write=ENOBUFS|ENOMEM@0.2";
+    let site = Site::start();
+    let _store = site.start_store();
+    let config = site.configure_assigner();
+    let args = ["assigner", "--config", &config];
+    let assigner = Running::start_with_faults(site.folder(), "assigner", &args, SHORT);
+    let _proxy = site.start_proxy_with_faults(addr(site.folder(), "assigner"), SHORT);
+    let drivers = Drivers::start("test", 1).unwrap();
+    let client = Client::connect(addr(site.folder(), "proxy"), Limits::default(), &drivers).unwrap();
+    site.wait_until_served(&client);
+    for call in 0..100 {
+        assert_eq!(site.call(&client, PATHS[0]), Ok(()), "call {call}");
+    }
+    assert_eq!(assigner.end(), Some(0));
+    let log = fs::read_to_string(site.at("assigner.log")).unwrap();
+    assert!(!log.contains("the store fails"), "{log}");
+}
