Go on after short transfers behind xDS and to the store; one list of errors that pass

Cause: whinhill-transport's socket and the store's connection took ENOBUFS and ENOMEM for the end of the connection (socket.rs ready, resp.rs exchange and fill), as the platform's front did. Change: such a transfer is made again, with the driver's next tick or 5 ms later within the exchange's time. Which errors pass was listed in whinhill-node, whinhill-transport, whinhill-assigner and whinhill-history; it stands in whinhill-errors now, without I/O.

--- a/crates/whinhill-assigner/src/assigner.rs
+++ b/crates/whinhill-assigner/src/assigner.rs
@@ -13,6 +13,7 @@
 use rand::Rng;
 use tracing::{error, info, warn};
 use whinhill::interface::{ProxyId, SettingsError, SliceId};
+use whinhill_errors::may_pass_on_disk;
 use whinhill_history::BookError;
 use whinhill_store::{Custody, CustodyConfig, Identity, RespConfig, RespStore, Store};
 use whinhill_tables::PendingGrant;
@@ -31,7 +32,7 @@
 use crate::last_list::LastList;
 use crate::names::PAST;
 use crate::probes::Prober;
-use crate::retry::{may_pass, Retry};
+use crate::retry::Retry;
 use crate::roster::Feed;
 use crate::status::{process_figures, Counters, Status};
 use crate::status_file::StatusFile;
@@ -70,7 +71,7 @@
 fn keep_operators_addr(path: &Path, addr: SocketAddr, stop: &AtomicBool) {
     let retry = Retry { within: Duration::MAX, stop };
     let write = || std::fs::write(path, addr.to_string());
-    if let Err(error) = retry.until_done("writing the operators' address", may_pass, write) {
+    if let Err(error) = retry.until_done("writing the operators' address", may_pass_on_disk, write) {
         warn!(path = %path.display(), %error, "the operators' address is not written");
     }
 }
--- a/crates/whinhill-assigner/src/lib.rs
+++ b/crates/whinhill-assigner/src/lib.rs
@@ -44,7 +44,7 @@
 pub use names::Names;
 pub use operator::{ask, AskError};
 pub use reports::{event, read_report};
-pub use retry::{may_pass, Retry};
+pub use retry::Retry;
 pub use roster::{read_roster, RosterEntry, RosterFile, RosterState};
 pub use status::{process_figures_of, Status};
 pub use status_file::StatusFile;
--- a/crates/whinhill-assigner/src/retry.rs
+++ b/crates/whinhill-assigner/src/retry.rs
@@ -1,7 +1,6 @@
 //! Calls that fail while a disk is full or failing, made again until it takes them.
 
 use std::fmt::Display;
-use std::io;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
@@ -10,12 +9,6 @@
 /// Between two attempts, as long as an operator hardly notices and a busy disk is left alone.
 const AGAIN: Duration = Duration::from_millis(250);
 
-/// Whether the same call may succeed later and untouched.
-pub fn may_pass(error: &io::Error) -> bool {
-    use io::ErrorKind::{InvalidInput, IsADirectory, NotADirectory, NotFound, PermissionDenied};
-    !matches!(error.kind(), InvalidInput | IsADirectory | NotADirectory | NotFound | PermissionDenied)
-}
-
 /// How long a call is made again, and what ends that early.
 pub struct Retry<'a> {
     /// Real time, from the first attempt.
--- a/crates/whinhill-cli/src/until_stopped.rs
+++ b/crates/whinhill-cli/src/until_stopped.rs
@@ -7,7 +7,8 @@
 use std::time::Duration;
 
 use signal_hook::consts::{SIGINT, SIGTERM};
-use whinhill_assigner::{may_pass, Retry};
+use whinhill_assigner::Retry;
+use whinhill_errors::may_pass_on_disk;
 
 use crate::Failed;
 
@@ -39,7 +40,8 @@
     let Some(path) = path else { return Ok(()) };
     let beside = path.with_extension("new");
     let write = || std::fs::write(&beside, addr.to_string()).and_then(|()| std::fs::rename(&beside, path));
-    let written = Retry { within: Duration::MAX, stop }.until_done("writing the address", may_pass, write);
+    let written =
+        Retry { within: Duration::MAX, stop }.until_done("writing the address", may_pass_on_disk, write);
     match written {
         Err(_) if stop.load(Ordering::Relaxed) => Ok(()),
         written => written.map_err(|error| Failed::Running(format!("{}: {error}", path.display()))),
--- a/crates/whinhill-history/src/lib.rs
+++ b/crates/whinhill-history/src/lib.rs
@@ -29,6 +29,7 @@
 };
 use serde::de::DeserializeOwned;
 use serde::Serialize;
+use whinhill_errors::may_pass_on_disk;
 use whinhill_tables::rollback::Rollback;
 use whinhill_tables::{Held, History, Limits, Page, RestoreError, SliceTable, TableSet};
 
@@ -60,21 +61,12 @@
 impl BookError {
     /// Whether the same may succeed later and untouched: the disk was full, or failed for a moment.
     pub fn may_pass(&self) -> bool {
-        use io::ErrorKind::{
-            InvalidData, InvalidInput, IsADirectory, NotADirectory, NotFound, PermissionDenied, UnexpectedEof,
-        };
+        use io::ErrorKind::{InvalidData, UnexpectedEof};
         let BookError::Storage(error) = self else { return false };
         match &**error {
-            redb::Error::Io(error) => !matches!(
-                error.kind(),
-                InvalidData
-                    | UnexpectedEof
-                    | InvalidInput
-                    | IsADirectory
-                    | NotADirectory
-                    | NotFound
-                    | PermissionDenied
-            ),
+            redb::Error::Io(error) => {
+                may_pass_on_disk(error) && !matches!(error.kind(), InvalidData | UnexpectedEof)
+            }
             redb::Error::PreviousIo => true,
             _ => false,
         }
--- a/crates/whinhill-node/src/connection.rs
+++ b/crates/whinhill-node/src/connection.rs
@@ -6,8 +6,8 @@
 
 use mio::net::TcpStream;
 use mio::{Interest, Registry, Token};
-use rustix::io::Errno;
 use whinhill::interface::Ep;
+use whinhill_errors::is_short_of_memory;
 use whinhill_platform::discovery::Asking;
 use whinhill_platform::lines::Lines;
 use whinhill_platform::peer::Peer;
@@ -167,7 +167,7 @@
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(Outgoing::Blocked),
                 Err(e) if e.kind() == io::ErrorKind::NotConnected => return Ok(Outgoing::NotConnected),
-                Err(e) if is_shortage(&e) => return Ok(Outgoing::Short(e)),
+                Err(e) if is_short_of_memory(&e) => return Ok(Outgoing::Short(e)),
                 Err(e) => return Err(e),
             }
         }
@@ -216,7 +216,7 @@
                 Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::NotConnected) => {
                     return Ok(Incoming::Blocked);
                 }
-                Err(e) if is_shortage(&e) => {
+                Err(e) if is_short_of_memory(&e) => {
                     self.read_failed = true;
                     return Ok(Incoming::Short(e));
                 }
@@ -253,10 +253,3 @@
         }
     }
 }
-
-/// Whether a transfer failed for want of memory or buffers on this machine: it may succeed the next moment, and says
-/// nothing of the connection (recv(2), send(2): ENOMEM, ENOBUFS).
-fn is_shortage(error: &io::Error) -> bool {
-    let number = error.raw_os_error();
-    [Errno::NOMEM, Errno::NOBUFS].iter().any(|errno| number == Some(errno.raw_os_error()))
-}
--- a/crates/whinhill-node/src/starting.rs
+++ b/crates/whinhill-node/src/starting.rs
@@ -6,6 +6,7 @@
 
 use tracing::warn;
 
+use whinhill_errors::may_pass_on_disk;
 use whinhill_platform::config::PlatformConfig;
 
 use crate::limits::{START_AGAIN, START_WITHIN};
@@ -34,16 +35,12 @@
     let started = Instant::now();
     loop {
         match crate::read(path) {
-            Err(NodeError::Read { source, .. }) if may_pass(&source) && started.elapsed() < START_WITHIN => {
+            Err(NodeError::Read { source, .. })
+                if may_pass_on_disk(&source) && started.elapsed() < START_WITHIN =>
+            {
                 std::thread::sleep(START_AGAIN);
             }
             read => return read,
         }
     }
 }
-
-/// Whether a file that cannot be read now may be readable soon, untouched.
-fn may_pass(error: &io::Error) -> bool {
-    use io::ErrorKind::{InvalidInput, IsADirectory, NotADirectory, NotFound, PermissionDenied};
-    !matches!(error.kind(), InvalidInput | IsADirectory | NotADirectory | NotFound | PermissionDenied)
-}
--- a/crates/whinhill-store/src/resp.rs
+++ b/crates/whinhill-store/src/resp.rs
@@ -1,7 +1,8 @@
 //! One connection that speaks RESP2: commands out in one write, answers in as many.
 
-use std::io::{Read, Write};
+use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::thread;
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
@@ -9,10 +10,14 @@
 use redis_protocol::resp2::encode::extend_encode;
 pub use redis_protocol::resp2::types::BytesFrame as Frame;
 
+use whinhill_errors::is_short_of_memory;
+
 use crate::store::StoreFault;
 
 /// The longest answer taken in: far over the records of any deployment.
 const ANSWER_MOST: usize = 64 << 20;
+/// Between two attempts of a transfer that fell short: little against the time of an exchange.
+const AGAIN: Duration = Duration::from_millis(5);
 
 pub struct Connection {
     stream: TcpStream,
@@ -56,7 +61,7 @@
         // Part of it may have arrived even where the write fails.
         let lost = |error: std::io::Error| Failed { fault: io_fault(&error, within), sent: true };
         self.stream.set_write_timeout(Some(within)).map_err(lost)?;
-        self.stream.write_all(&out).map_err(lost)?;
+        self.write_until(&out, until).map_err(lost)?;
         let mut answers = Vec::with_capacity(commands.len());
         while answers.len() < commands.len() {
             match decode_bytes_mut(&mut self.held) {
@@ -74,6 +79,20 @@
         Ok(answers)
     }
 
+    /// Writes all, and goes on after a write that falls short while there is time.
+    fn write_until(&mut self, mut out: &[u8], until: Instant) -> std::io::Result<()> {
+        while !out.is_empty() {
+            match self.stream.write(out) {
+                Ok(0) => return Err(ErrorKind::WriteZero.into()),
+                Ok(count) => out = &out[count..],
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(error) if is_short_of_memory(&error) && Instant::now() < until => thread::sleep(AGAIN),
+                Err(error) => return Err(error),
+            }
+        }
+        Ok(())
+    }
+
     fn fill(&mut self, until: Instant, within: Duration) -> Result<(), StoreFault> {
         let left = until.saturating_duration_since(Instant::now());
         if left.is_zero() {
@@ -91,7 +110,11 @@
                 Ok(())
             }
             // Whoever fills goes on while there is time.
-            Err(error) if error.kind() == std::io::ErrorKind::Interrupted => Ok(()),
+            Err(error) if error.kind() == ErrorKind::Interrupted => Ok(()),
+            Err(error) if is_short_of_memory(&error) => {
+                thread::sleep(AGAIN);
+                Ok(())
+            }
             Err(error) => Err(io_fault(&error, within)),
         }
     }
@@ -99,7 +122,7 @@
 
 fn io_fault(error: &std::io::Error, within: Duration) -> StoreFault {
     match error.kind() {
-        std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut => StoreFault::Timeout(within),
+        ErrorKind::WouldBlock | ErrorKind::TimedOut => StoreFault::Timeout(within),
         _ => StoreFault::Unreachable(error.to_string()),
     }
 }
--- a/crates/whinhill-transport/src/driver.rs
+++ b/crates/whinhill-transport/src/driver.rs
@@ -14,10 +14,11 @@
 use mio::unix::SourceFd;
 use mio::{Events, Interest, Poll, Token};
 use tracing::error;
+use whinhill_errors::is_scarce;
 
 use crate::connection::{Connection, Counted, Handler, Line};
 use crate::limits::Limits;
-use crate::scarce::{is_scarce, until_had};
+use crate::scarce::until_had;
 use crate::socket::Socket;
 use crate::turning::{Turn, Turned};
 
--- a/crates/whinhill-transport/src/scarce/tests.rs
+++ b/crates/whinhill-transport/src/scarce/tests.rs
@@ -1,3 +1,6 @@
+use rustix::io::Errno;
+use whinhill_errors::{is_local, is_scarce};
+
 use super::*;
 
 const WITHIN: Duration = Duration::from_secs(20);
--- a/crates/whinhill-transport/src/socket.rs
+++ b/crates/whinhill-transport/src/socket.rs
@@ -14,6 +14,8 @@
 use rustix::net::sockopt::set_socket_linger;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
+use whinhill_errors::is_short_of_memory;
+
 /// What can carry a connection: a plain socket today, TLS over one later.
 pub trait Wire: Read + Write + Send {
     fn socket(&self) -> &TcpStream;
@@ -48,9 +50,13 @@
     }
 }
 
+/// What would block, or falls short of memory or buffers, is made again: on the next event, or with the driver's next
+/// tick, which turns every connection.
 fn ready<T>(result: io::Result<T>) -> Poll<io::Result<T>> {
     match result {
-        Err(error) if error.kind() == io::ErrorKind::WouldBlock => Poll::Pending,
+        Err(error) if error.kind() == io::ErrorKind::WouldBlock || is_short_of_memory(&error) => {
+            Poll::Pending
+        }
         other => Poll::Ready(other),
     }
 }
