--- a/crates/whinhill-cli/tests/open_connections.rs
+++ b/crates/whinhill-cli/tests/open_connections.rs
@@ -3,6 +3,7 @@
 
 mod support;
 
+use std::collections::BTreeSet;
 use std::path::Path;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -121,6 +122,9 @@
     let requests = few.stop();
     let tally = Tally::of(&requests);
     assert_eq!((tally.refused, tally.unanswered), (0, 0), "{tally:?}: {:#?}", unanswered(&requests));
+    // Each went on using its first connection.
+    let connections: BTreeSet<_> = requests.iter().map(|request| request.local).collect();
+    assert_eq!(connections.len(), 60);
     let crowd = Clients::start(addr, plan(400, 2)).unwrap();
     thread::sleep(Duration::from_secs(3));
     let requests = crowd.stop();
