Count an unchanged list of servers as current behind xDS

Cause: only a list that was told made the list current (core.rs take), so after minutes without a change a new server stamped by a clock that is minutes behind counted as old, and warm. Change: the feed says each second that its source was read, or answers, and has nothing new.

--- a/crates/whinhill-assigner/src/core.rs
+++ b/crates/whinhill-assigner/src/core.rs
@@ -32,6 +32,8 @@
         entries: Vec<RosterEntry>,
         unix_ms: u64,
     },
+    /// The list that was told last still stands: its source was read, or answers, and has nothing new.
+    RosterIsCurrent,
     Joined {
         proxy: String,
         zone: String,
@@ -353,6 +355,7 @@
                 }
                 events.push(Event::List { kind, entries });
             }
+            Input::RosterIsCurrent => self.names.list_is_current(now),
             Input::Joined { proxy, zone, stream } => {
                 let (id, zone) = (self.names.proxy(&proxy), self.names.zone(&zone));
                 if self.joined.insert(id, stream).is_some() {
--- a/crates/whinhill-assigner/src/core/tests.rs
+++ b/crates/whinhill-assigner/src/core/tests.rs
@@ -316,3 +316,17 @@
     assert!(matches!(&effects.answers[0], (1, 0, Answer::History { .. })), "{:?}", effects.answers);
     assert!(matches!(&effects.answers[1], (2, after, Answer::Pinned { .. }) if *after == seq));
 }
+
+/// A list that has not changed for long is current all the same: a server that it names then has just started,
+/// whatever another machine's clock says of it.
+#[test]
+fn a_new_server_on_a_list_long_unchanged_is_new() {
+    let mut core = running();
+    for second in 7..40 {
+        core.handle(s(f64::from(second)), vec![Input::RosterIsCurrent]);
+    }
+    // Our clock says 1,040 s; the clock that stamped the start was 30 s behind.
+    let name: ServerName = "10.0.0.9:7".into();
+    let started = core.names.started(&name, Some(1_010_000), 1_040_000, s(40.0));
+    assert_eq!(started, Some(s(40.0)));
+}
--- a/crates/whinhill-assigner/src/roster.rs
+++ b/crates/whinhill-assigner/src/roster.rs
@@ -78,6 +78,8 @@
 const LOOK: Duration = Duration::from_millis(100);
 /// A file that can't be read, and a stream that is silent, count as failed after this.
 const SILENT: Duration = Duration::from_secs(3);
+/// How often an unchanged list is told to be current: often against the 15 s within which a new server is listed.
+const CURRENT_EVERY: Duration = Duration::from_secs(1);
 const BACK_OFF: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(2));
 
 pub struct Feed {
@@ -126,12 +128,21 @@
         }
     }
 
+    /// The list that was told last still stands; said now and then.
+    fn is_current(&self, told: &mut Instant) {
+        if told.elapsed() >= CURRENT_EVERY {
+            *told = Instant::now();
+            let _ = self.inputs.send(Input::RosterIsCurrent);
+        }
+    }
+
     fn failed(&self) {
         let _ = self.inputs.send(Input::Roster { kind: ListKind::Failed, entries: Vec::new(), unix_ms: 0 });
     }
 
     fn follow_file(&self, path: &Path) {
         let (mut held, mut good, mut told_bad) = (String::new(), Instant::now(), false);
+        let mut current = Instant::now();
         while !self.stopping() {
             let read = fs::read_to_string(path).map_err(|error| error.to_string());
             match read.and_then(|text| {
@@ -146,6 +157,8 @@
                     if let Some((text, roster)) = new {
                         held = text;
                         self.tell(roster);
+                    } else {
+                        self.is_current(&mut current);
                     }
                 }
                 // A file half written is whole again in a moment; only one that stays bad is a failure.
@@ -197,11 +210,17 @@
             writer.send(&request.encode(), SILENT)?;
         }
         let mut reader = pending.head(SILENT)?.reader;
+        let mut current = Instant::now();
         let malformed = |_| CallError::Malformed("a message that is none of the protocol's");
         while !self.stopping() {
             let message = match reader.recv(LOOK) {
                 // Silence is no failure while the connection answers pings: nothing has changed.
-                Err(CallError::Deadline(_)) => continue,
+                Err(CallError::Deadline(_)) => {
+                    if *heard {
+                        self.is_current(&mut current);
+                    }
+                    continue;
+                }
                 other => other?.ok_or_else(|| CallError::Reset("the roster ended the stream".into()))?,
             };
             let response = Response::decode(client.variant(), &message).map_err(malformed)?;
@@ -257,3 +276,6 @@
     }
     Ok(Some(RosterFile { servers }))
 }
+
+#[cfg(test)]
+mod tests;
