Have the soak's discovery count as told only what reaches an assigner

Discovery looks for the end first now, and what is held on a silent way counts as told when it is let go.

--- a/crates/whinhill-standins/src/platform/discovery.rs
+++ b/crates/whinhill-standins/src/platform/discovery.rs
@@ -49,6 +49,10 @@
         thread::sleep(LOOK_EVERY);
         let (newest, list) = list_after(&world.lock(), node, Some(version));
         if newest > version {
+            // What is written after the end reaches nobody, though the first such write succeeds.
+            if has_ended(&stream)? {
+                return Ok(());
+            }
             stream.write_all(chunk(&list).as_bytes())?;
             version = newest;
             note_told(world, node, version);
@@ -61,10 +65,17 @@
     }
 }
 
+fn has_ended(stream: &TcpStream) -> io::Result<bool> {
+    stream.set_nonblocking(true)?;
+    let peeked = stream.peek(&mut [0]);
+    stream.set_nonblocking(false)?;
+    Ok(!matches!(peeked, Err(error) if error.kind() == io::ErrorKind::WouldBlock))
+}
+
 fn note_told(world: &Shared, node: usize, version: u64) {
     let mut world = world.lock();
-    let now = world.now();
-    world.nodes[node].told.push((version, now));
+    let arrives = world.now().max(world.nodes[node].lists_held_until);
+    world.nodes[node].told.push((version, arrives));
 }
 
 /// The changes after a version that an assigner may know of by now, or the whole list.
--- a/crates/whinhill-standins/src/platform/node.rs
+++ b/crates/whinhill-standins/src/platform/node.rs
@@ -241,6 +241,9 @@
             Action::Stall { path, direction, time, .. } => {
                 self.path(*path).stall(*direction, true);
                 self.wait_after(*path, now, *time);
+                if *path == Path::Discovery {
+                    self.environment.world.lock().nodes[self.number].lists_held_until = now + *time;
+                }
                 Ok(())
             }
             Action::Delay { path, by, time, .. } => {
--- a/crates/whinhill-standins/src/platform/world.rs
+++ b/crates/whinhill-standins/src/platform/world.rs
@@ -122,6 +122,8 @@
     pub told: Vec<(u64, Duration)>,
     /// Lists reach it so much later.
     pub list_delay: Duration,
+    /// What discovery writes to it is held on the way until then.
+    pub lists_held_until: Duration,
     pub terminated: bool,
 }
 
