--- a/crates/whinhill-cli/src/platform_soak.rs
+++ b/crates/whinhill-cli/src/platform_soak.rs
@@ -5,7 +5,7 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
-use clap::{Args, ValueEnum};
+use clap::Args;
 use tracing::warn;
 use whinhill_standins::platform::script::Trouble;
 use whinhill_standins::platform::soak::{self, Options, Report};
@@ -32,11 +32,11 @@
     #[arg(long = "for", default_value = "60s", value_parser = read_time)]
     time: Duration,
     /// Only these kinds of trouble, all of them in each seed; without it each seed draws its own.
-    #[arg(long, value_enum)]
-    fault: Vec<Fault>,
+    #[arg(long)]
+    fault: Vec<Trouble>,
     /// Put a defect into the stand-ins: the auditor must find what it causes.
-    #[arg(long, value_enum)]
-    sabotage: Option<Defect>,
+    #[arg(long)]
+    sabotage: Option<Sabotage>,
     /// Seeds played side by side.
     #[arg(long, default_value_t = 2)]
     jobs: usize,
@@ -60,61 +60,6 @@
     last: u64,
 }
 
-/// The kinds of trouble, by the names of the command line.
-#[derive(Clone, Copy, ValueEnum)]
-enum Fault {
-    Signals,
-    Kills,
-    Pauses,
-    Transfers,
-    Connects,
-    Waits,
-    Clock,
-    Paths,
-    Lists,
-    Servers,
-    Crowds,
-}
-
-impl Fault {
-    fn trouble(self) -> Trouble {
-        match self {
-            Fault::Signals => Trouble::Signals,
-            Fault::Kills => Trouble::Kills,
-            Fault::Pauses => Trouble::Pauses,
-            Fault::Transfers => Trouble::Transfers,
-            Fault::Connects => Trouble::Connects,
-            Fault::Waits => Trouble::Waits,
-            Fault::Clock => Trouble::Clock,
-            Fault::Paths => Trouble::Paths,
-            Fault::Lists => Trouble::Lists,
-            Fault::Servers => Trouble::Servers,
-            Fault::Crowds => Trouble::Crowds,
-        }
-    }
-}
-
-#[derive(Clone, Copy, ValueEnum)]
-enum Defect {
-    LostAnswers,
-    LateAnswers,
-    NoLine,
-    LateDrain,
-    TwoWriters,
-}
-
-impl Defect {
-    fn sabotage(self) -> Sabotage {
-        match self {
-            Defect::LostAnswers => Sabotage::LostAnswers,
-            Defect::LateAnswers => Sabotage::LateAnswers,
-            Defect::NoLine => Sabotage::NoLine,
-            Defect::LateDrain => Sabotage::LateDrain,
-            Defect::TwoWriters => Sabotage::TwoWriters,
-        }
-    }
-}
-
 fn read_seeds(text: &str) -> Result<Seeds, String> {
     let (first, last) = text.split_once('-').unwrap_or((text, text));
     let read = |word: &str| word.parse::<u64>().map_err(|_| format!("'{word}' is no seed"));
@@ -197,8 +142,8 @@
     let options = Options {
         seed,
         time: args.time,
-        only: args.fault.iter().map(|fault| fault.trouble()).collect(),
-        sabotage: args.sabotage.map(Defect::sabotage),
+        only: args.fault.clone(),
+        sabotage: args.sabotage,
         program: program.to_path_buf(),
         library: library.cloned(),
         folder: folder.clone(),
--- a/crates/whinhill-cli/tests/platform_soak.rs
+++ b/crates/whinhill-cli/tests/platform_soak.rs
@@ -72,6 +72,8 @@
         ["--for", "3s"],
         ["--for", "60"],
         ["--jobs", "0"],
+        ["--fault", "weather"],
+        ["--sabotage", "nothing"],
         ["--program", "/nowhere/whinhill"],
     ];
     for arguments in bad {
--- a/crates/whinhill-standins/src/platform/script.rs
+++ b/crates/whinhill-standins/src/platform/script.rs
@@ -1,5 +1,6 @@
 //! What happens to the assigners and round them in one seed: drawn once, the same for the same seed.
 
+use std::str::FromStr;
 use std::time::Duration;
 
 use rand::seq::IndexedRandom;
@@ -37,21 +38,46 @@
     Crowds,
 }
 
-/// All of them.
-pub const TROUBLES: [Trouble; 11] = [
-    Trouble::Signals,
-    Trouble::Kills,
-    Trouble::Pauses,
-    Trouble::Transfers,
-    Trouble::Connects,
-    Trouble::Waits,
-    Trouble::Clock,
-    Trouble::Paths,
-    Trouble::Lists,
-    Trouble::Servers,
-    Trouble::Crowds,
+/// All of them, with the names by which they are asked for.
+pub const TROUBLES: [(&str, Trouble); 11] = [
+    ("signals", Trouble::Signals),
+    ("kills", Trouble::Kills),
+    ("pauses", Trouble::Pauses),
+    ("transfers", Trouble::Transfers),
+    ("connects", Trouble::Connects),
+    ("waits", Trouble::Waits),
+    ("clock", Trouble::Clock),
+    ("paths", Trouble::Paths),
+    ("lists", Trouble::Lists),
+    ("servers", Trouble::Servers),
+    ("crowds", Trouble::Crowds),
 ];
 
+/// A name that is none of those that exist.
+#[derive(Debug, PartialEq, Eq, thiserror::Error)]
+#[error("'{name}' is none of {known}")]
+pub struct UnknownName {
+    name: String,
+    known: String,
+}
+
+/// Looks a name up in a table of all that exist.
+pub(super) fn by_name<T: Copy>(name: &str, table: &[(&str, T)]) -> Result<T, UnknownName> {
+    let found = table.iter().find(|(known, _)| *known == name).map(|(_, value)| *value);
+    found.ok_or_else(|| {
+        let known: Vec<&str> = table.iter().map(|(known, _)| *known).collect();
+        UnknownName { name: name.to_string(), known: known.join(", ") }
+    })
+}
+
+impl FromStr for Trouble {
+    type Err = UnknownName;
+
+    fn from_str(name: &str) -> Result<Self, UnknownName> {
+        by_name(name, &TROUBLES)
+    }
+}
+
 /// Which path of an assigner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Path {
@@ -144,7 +170,8 @@
         let nodes = random.random_range(1..=NODES_MOST);
         let troubles: Vec<Trouble> = if only.is_empty() {
             let count = random.random_range(2..=6);
-            let mut drawn: Vec<_> = TROUBLES.choose_multiple(&mut random, count).copied().collect();
+            let drawn = TROUBLES.choose_multiple(&mut random, count);
+            let mut drawn: Vec<_> = drawn.map(|(_, trouble)| *trouble).collect();
             drawn.sort_unstable();
             drawn
         } else {
--- a/crates/whinhill-standins/src/platform/world.rs
+++ b/crates/whinhill-standins/src/platform/world.rs
@@ -5,6 +5,7 @@
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
+use std::str::FromStr;
 use std::sync::mpsc::SyncSender;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -13,6 +14,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::page::{CLASSES, PROXIES, SLICES, ZONES};
+use super::script::{by_name, UnknownName};
 
 /// Where discovery lists a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -142,6 +144,23 @@
     TwoWriters,
 }
 
+/// All of them, with the names by which they are asked for.
+pub const SABOTAGES: [(&str, Sabotage); 5] = [
+    ("lost-answers", Sabotage::LostAnswers),
+    ("late-answers", Sabotage::LateAnswers),
+    ("no-line", Sabotage::NoLine),
+    ("late-drain", Sabotage::LateDrain),
+    ("two-writers", Sabotage::TwoWriters),
+];
+
+impl FromStr for Sabotage {
+    type Err = UnknownName;
+
+    fn from_str(name: &str) -> Result<Self, UnknownName> {
+        by_name(name, &SABOTAGES)
+    }
+}
+
 /// All of it.
 #[derive(Debug)]
 pub struct World {
