--- a/crates/whinhill-cli/tests/processes.rs
+++ b/crates/whinhill-cli/tests/processes.rs
@@ -293,3 +293,38 @@
     let log = fs::read_to_string(site.at("assigner.log")).unwrap();
     assert!(!log.contains("the store fails"), "{log}");
 }
+
+/// Callers whose calls are in hand when the proxy is told to end are answered; those that come later learn that
+/// theirs never ran.
+#[test]
+fn calls_in_hand_at_sigterm_are_answered_by_a_proxy() {
+    let site = Site::start();
+    let _store = site.start_store();
+    let config = site.configure_assigner();
+    let args = ["assigner", "--config", &config];
+    let _assigner = Running::start(site.folder(), "assigner", &args);
+    let proxy = site.start_proxy(addr(site.folder(), "assigner"));
+    let at = addr(site.folder(), "proxy");
+    let drivers = Drivers::start("test", 2).unwrap();
+    let client = Client::connect(at, Limits::default(), &drivers).unwrap();
+    site.wait_until_served(&client);
+    std::thread::scope(|scope| {
+        let callers: Vec<_> = (0..16)
+            .map(|_| {
+                let client = Client::connect(at, Limits::default(), &drivers).unwrap();
+                let site = &site;
+                scope.spawn(move || loop {
+                    if let Err(error) = site.call(&client, PATHS[0]) {
+                        return error;
+                    }
+                })
+            })
+            .collect();
+        std::thread::sleep(Duration::from_millis(300));
+        assert_eq!(proxy.end(), Some(0));
+        for caller in callers {
+            let error = caller.join().unwrap();
+            assert!(error.contains("never ran"), "{error}");
+        }
+    });
+}
