Let a proxy's calls in hand finish before its process ends

Cause: whinhill-cli's proxy::run returned at SIGTERM, which dropped the drivers with every connection they held. Change: Listener::drain takes nobody in any more, ends each connection by GOAWAY, and waits for the calls in hand, for the longest deadline of the service's methods at most.

--- a/crates/whinhill-cli/src/proxy.rs
+++ b/crates/whinhill-cli/src/proxy.rs
@@ -155,13 +155,14 @@
         pick: file.pick,
         sabotage: Sabotage::default(),
     };
-    let proxy = Proxy::start(config, &drivers, &workers).map_err(|error| failed(&error))?;
+    let mut proxy = Proxy::start(config, &drivers, &workers).map_err(|error| failed(&error))?;
     if let Some(addr) = proxy.addr() {
         tracing::info!(id = proxy.id(), %addr, "proxy listens");
         until_stopped::say_ready(ready_file, addr, &stop)?;
     }
     let Some(path) = file.status_file else {
         until_stopped::wait(&stop);
+        drain(&mut proxy);
         return Ok(());
     };
     let status = StatusFile::start(&path).map_err(|error| failed(&error))?;
@@ -170,7 +171,14 @@
         let line = serde_json::to_string(&ProxyFigures::of(&proxy)).unwrap_or_default();
         status.write(line);
         if stopped {
+            drain(&mut proxy);
             return Ok(());
         }
     }
 }
+
+/// RPCs in hand finish before the process ends.
+fn drain(proxy: &mut Proxy) {
+    let left = proxy.drain();
+    tracing::info!(id = proxy.id(), left, "proxy ends");
+}
--- a/crates/whinhill-proxy/src/proxy.rs
+++ b/crates/whinhill-proxy/src/proxy.rs
@@ -153,6 +153,14 @@
         self.forwarder.pool.standing()
     }
 
+    /// Takes no more RPCs in, and lets those in hand finish, for as long as a call may take. How many connections of
+    /// clients were left then.
+    pub fn drain(&mut self) -> usize {
+        let Some(listener) = self.listener.take() else { return 0 };
+        let deadlines = self.shared.service.methods.iter().map(|method| method.deadline);
+        listener.drain(deadlines.max().unwrap_or_default())
+    }
+
     /// Tells its threads to end, without waiting: many can then be dropped in the time of one.
     pub fn begin_stop(&self) {
         self.shared.stop.store(true, Ordering::Relaxed);
--- a/crates/whinhill-transport/src/call.rs
+++ b/crates/whinhill-transport/src/call.rs
@@ -17,7 +17,7 @@
 use tracing::{debug, warn};
 use whinhill_errors::{is_local, is_scarce};
 
-use crate::connection::{micros_now, Counted, Handler, Line};
+use crate::connection::{micros_now, Admitted, Counted, Ending, Handler, Line};
 use crate::error::{CallError, Code, NeverRan};
 use crate::limits::Limits;
 use crate::park::{wait, wait_for};
@@ -29,6 +29,8 @@
 pub type Trailers = HeaderMap;
 
 pub(crate) const PREFIX: usize = 5;
+/// How often a draining listener looks whether its connections have ended.
+const DRAIN_LOOKS: Duration = Duration::from_millis(10);
 /// How long a system short of descriptors or memory may keep a listener from its start or its end.
 const LISTEN_WITHIN: Duration = Duration::from_secs(5);
 /// How long a connect that reaches nobody is made again: a small part of any deadline, since whoever waits for it may
@@ -257,7 +259,7 @@
 /// Takes connections in. Dropping it stops that; connections that stand go on until their drivers end.
 pub struct Listener {
     addr: SocketAddr,
-    stop: Arc<AtomicBool>,
+    ending: Arc<Ending>,
     count: Arc<AtomicUsize>,
     thread: Option<thread::JoinHandle<()>>,
 }
@@ -273,8 +275,8 @@
     ) -> io::Result<Self> {
         let socket = until_had(LISTEN_WITHIN, is_scarce, || TcpListener::bind(addr))?;
         let addr = socket.local_addr()?;
-        let (stop, count) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicUsize::new(0)));
-        let (stopped, counter, drivers) = (stop.clone(), count.clone(), drivers.clone());
+        let (ending, count): (Arc<Ending>, _) = (Arc::default(), Arc::new(AtomicUsize::new(0)));
+        let (ends, counter, drivers) = (ending.clone(), count.clone(), drivers.clone());
         let handler: Handler = Arc::new(handler);
         let builder = thread::Builder::new().name(format!("{name}-accept")).stack_size(64 << 10);
         let thread = builder.spawn(move || {
@@ -282,14 +284,15 @@
             let (mut refused, mut told) = (0u64, Instant::now() - Duration::from_secs(1));
             loop {
                 let accepted = socket.accept();
-                if stopped.load(Ordering::Relaxed) {
+                if ends.stop.load(Ordering::Relaxed) {
                     break;
                 }
                 let taken = accepted.and_then(|(stream, peer)| {
                     let counted = Counted::take(&counter, limits.connections_most).ok_or_else(|| {
                         io::Error::other(format!("over {} connections", limits.connections_most))
                     })?;
-                    drivers.accepted(stream, peer, limits.clone(), handler.clone(), counted)
+                    let admitted = Admitted::new(counted, ends.clone());
+                    drivers.accepted(stream, peer, limits.clone(), handler.clone(), admitted)
                 });
                 let Err(error) = taken else { continue };
                 refused += 1;
@@ -305,7 +308,7 @@
             }
             debug!(%addr, "listener ended");
         })?;
-        Ok(Listener { addr, stop, count, thread: Some(thread) })
+        Ok(Listener { addr, ending, count, thread: Some(thread) })
     }
 
     pub fn addr(&self) -> SocketAddr {
@@ -318,9 +321,22 @@
     }
 }
 
-impl Drop for Listener {
-    fn drop(&mut self) {
-        self.stop.store(true, Ordering::Relaxed);
+impl Listener {
+    /// Takes no more connections in, and ends those that stand in good order (GOAWAY, RFC 9113, 6.8): calls in hand
+    /// may finish, later ones learn that they never ran. Waits until all have ended, or the time is up; how many
+    /// are left then.
+    pub fn drain(mut self, within: Duration) -> usize {
+        let until = Instant::now() + within;
+        self.stop_accepting();
+        self.ending.draining.store(true, Ordering::Relaxed);
+        while self.connections() > 0 && Instant::now() < until {
+            thread::park_timeout(DRAIN_LOOKS);
+        }
+        self.connections()
+    }
+
+    fn stop_accepting(&mut self) {
+        self.ending.stop.store(true, Ordering::Relaxed);
         // Wakes the accept; it sees the flag.
         let wake = || TcpStream::connect_timeout(&self.addr, Duration::from_secs(1));
         let woken = until_had(LISTEN_WITHIN, is_local, wake).is_ok();
@@ -330,6 +346,14 @@
     }
 }
 
+impl Drop for Listener {
+    fn drop(&mut self) {
+        if self.thread.is_some() {
+            self.stop_accepting();
+        }
+    }
+}
+
 /// One connection to a server, for many calls at a time.
 #[derive(Clone)]
 pub struct Client {
--- a/crates/whinhill-transport/src/connection.rs
+++ b/crates/whinhill-transport/src/connection.rs
@@ -80,6 +80,27 @@
     }
 }
 
+/// How far a listener is on its way to its end.
+#[derive(Debug, Default)]
+pub struct Ending {
+    /// It takes nobody in any more.
+    pub stop: AtomicBool,
+    /// And ends the connections that stand, in good order.
+    pub draining: AtomicBool,
+}
+
+/// A connection that a listener has taken in: it counts there, and learns when that listener drains.
+pub struct Admitted {
+    _counted: Counted,
+    ending: Arc<Ending>,
+}
+
+impl Admitted {
+    pub fn new(counted: Counted, ending: Arc<Ending>) -> Self {
+        Admitted { _counted: counted, ending }
+    }
+}
+
 pub struct Connection {
     role: Role,
     peer: SocketAddr,
@@ -93,7 +114,7 @@
     pings: Option<PingPong>,
     pinged: Option<Instant>,
     closing: bool,
-    _counted: Option<Counted>,
+    admitted: Option<Admitted>,
 }
 
 impl Connection {
@@ -103,7 +124,7 @@
         reads: Arc<AtomicU64>,
         limits: Limits,
         handler: Handler,
-        counted: Counted,
+        admitted: Admitted,
     ) -> Self {
         let mut builder = server::Builder::new();
         builder
@@ -114,7 +135,7 @@
             .max_concurrent_reset_streams(limits.streams_most as usize)
             .max_send_buffer_size(limits.message_most + (64 << 10));
         let role = Role::Accepting(builder.handshake(socket), handler);
-        Connection::new(role, peer, limits, Line::new(reads), Some(counted))
+        Connection::new(role, peer, limits, Line::new(reads), Some(admitted))
     }
 
     pub fn opened(
@@ -135,7 +156,7 @@
         Connection::new(Role::Opening(Box::pin(opening), answer), peer, limits, line, None)
     }
 
-    fn new(role: Role, peer: SocketAddr, limits: Limits, line: Line, counted: Option<Counted>) -> Self {
+    fn new(role: Role, peer: SocketAddr, limits: Limits, line: Line, admitted: Option<Admitted>) -> Self {
         let now = Instant::now();
         Connection {
             role,
@@ -149,7 +170,7 @@
             pings: None,
             pinged: None,
             closing: false,
-            _counted: counted,
+            admitted,
         }
     }
 
@@ -263,6 +284,9 @@
             debug!(peer = %self.peer, "idle connection closed");
             self.close();
         }
+        if self.admitted.as_ref().is_some_and(|admitted| admitted.ending.draining.load(Ordering::Relaxed)) {
+            self.close();
+        }
         true
     }
 
--- a/crates/whinhill-transport/src/driver.rs
+++ b/crates/whinhill-transport/src/driver.rs
@@ -16,7 +16,7 @@
 use tracing::error;
 use whinhill_errors::is_scarce;
 
-use crate::connection::{Connection, Counted, Handler, Line};
+use crate::connection::{Admitted, Connection, Handler, Line};
 use crate::limits::Limits;
 use crate::scarce::until_had;
 use crate::socket::Socket;
@@ -112,7 +112,7 @@
 }
 
 enum Adopt {
-    Accepted { socket: TcpStream, peer: SocketAddr, limits: Limits, handler: Handler, counted: Counted },
+    Accepted { socket: TcpStream, peer: SocketAddr, limits: Limits, handler: Handler, admitted: Admitted },
     Opened { socket: TcpStream, peer: SocketAddr, limits: Limits, line: Line, answer: Answer },
     Stop,
 }
@@ -208,9 +208,9 @@
         peer: SocketAddr,
         limits: Limits,
         handler: Handler,
-        counted: Counted,
+        admitted: Admitted,
     ) -> io::Result<()> {
-        self.adopt(Adopt::Accepted { socket, peer, limits, handler, counted })
+        self.adopt(Adopt::Accepted { socket, peer, limits, handler, admitted })
     }
 
     pub(crate) fn opened(
@@ -229,10 +229,10 @@
 fn take_on(bell: &Arc<Bell>, key: usize, fd: RawFd, what: Adopt) -> Option<Held> {
     let connection = match what {
         Adopt::Stop => return None,
-        Adopt::Accepted { socket, peer, limits, handler, counted } => {
+        Adopt::Accepted { socket, peer, limits, handler, admitted } => {
             let reads = Arc::new(AtomicU64::new(0));
             let socket = Socket::new(Box::new(socket), reads.clone(), Arc::default());
-            Connection::accepted(socket, peer, reads, limits, handler, counted)
+            Connection::accepted(socket, peer, reads, limits, handler, admitted)
         }
         Adopt::Opened { socket, peer, limits, line, answer } => {
             let socket = Socket::new(Box::new(socket), line.reads.clone(), line.severed.clone());
