--- a/crates/whinhill-cli/tests/open_connections.rs
+++ b/crates/whinhill-cli/tests/open_connections.rs
@@ -132,3 +132,11 @@
     assert!(unanswered(&requests).is_empty(), "{tally:?}: {:#?}", unanswered(&requests));
     assert!(tally.slowest < Duration::from_secs(2), "{tally:?}");
 }
+
+/// Places are short, and answers wait to be written: no connection ends before its answer has left.
+#[test]
+fn a_crowd_is_answered_though_writes_would_block() {
+    let (_folder, path) = configured(&config(nobody(), nobody()));
+    let requests = ask_for(&path, "read=EAGAIN@0.5 write=EAGAIN@0.5", 300, Duration::from_secs(2));
+    assert!(unanswered(&requests).is_empty(), "{:?}", Tally::of(&requests));
+}
