Close no client before its answer has left, send last answers with the end, empty the queue first

(2) An answer and the end of our side left in two packets: a process that lost the processor between them had the next request cross the end. (3) Between the last accept and the listener's close clients were reset. Change: only a client whose answer has left makes a place; last answers go with TCP_CORK, so that answer and end leave in one packet; before the listener closes, a socket filter drops first packets and the queue is emptied.

--- a/crates/whinhill-node/src/accepting.rs
+++ b/crates/whinhill-node/src/accepting.rs
@@ -4,6 +4,7 @@
 
 use mio::net::TcpStream;
 use rustix::io::{fcntl_dupfd_cloexec, Errno};
+use socket2::{SockFilter, SockRef};
 use tracing::debug;
 use whinhill_platform::peer::ERROR;
 
@@ -35,6 +36,9 @@
     Never,
 }
 
+/// A filter of one instruction, "return 0 bytes" (BPF_RET | BPF_K, socket(7), SO_ATTACH_FILTER).
+const DROP_ALL: SockFilter = SockFilter::new(0x06, 0, 0, 0);
+
 impl Node {
     /// Takes whoever waits in the listen queue, until it seems empty several times in a row: a call may say too
     /// early that it would block.
@@ -128,47 +132,40 @@
     /// for longest. Where all are busy asking, those that have been there longest give theirs up with their next
     /// answer, so that none loses a request that is on its way.
     fn make_place(&mut self) -> Place {
-        let closing = self.connections.iter().filter(|(_, c)| matches!(c.kind, Kind::Closing { .. }));
+        let closing = self.connections.iter().filter(|(_, c)| c.has_had_all());
         if let Some((id, _)) = closing.min_by_key(|(id, c)| (c.opened, *id)) {
             // With nothing left to read the close resets no answer.
             self.connections.get_mut(id).into_iter().for_each(|c| c.discard(DISCARD_MOST));
             self.close_client(id);
             return Place::Free;
         }
-        if self.evict_idle_stranger() {
-            return Place::Free;
-        }
-        self.ask_strangers_to_leave()
+        self.evict_idle_stranger().unwrap_or_else(|| self.ask_strangers_to_leave())
     }
 
     /// Closes the stranger that has been silent for longest, after a look at what it has sent: in a crowd that
-    /// arrives at once, a collector's first message may be waiting to be read. False: none is idle.
-    fn evict_idle_stranger(&mut self) -> bool {
+    /// arrives at once, a collector's first message may be waiting to be read. `None`: none is idle.
+    fn evict_idle_stranger(&mut self) -> Option<Place> {
         loop {
             let strangers = self.connections.iter().filter(|(_, c)| c.is_stranger());
-            let Some((id, heard_at)) =
-                strangers.map(|(id, c)| (id, c.heard_at)).min_by_key(|(id, at)| (*at, *id))
-            else {
-                return false;
-            };
+            let idle_since = strangers.map(|(id, c)| (c.heard_at, id));
+            let (heard_at, id) = idle_since.min()?;
             if self.clock.now() < heard_at + EVICT_IDLE {
-                return false;
+                return None;
             }
             let heard = self.readable(id);
-            let Some(connection) = self.connections.get(id) else { return true };
-            match &connection.kind {
-                Kind::Client { .. } if heard || connection.joined() => {}
-                Kind::Client { .. } => {
-                    self.refuse(id, Refusal::CrowdedOut);
-                    self.close_client(id);
-                    return true;
-                }
-                // It was refused for what it had sent, and has its answer.
-                _ => {
-                    self.close_client(id);
-                    return true;
+            let Some(connection) = self.connections.get(id) else { return Some(Place::Free) };
+            if matches!(connection.kind, Kind::Client { .. }) {
+                if heard || connection.joined() {
+                    continue;
                 }
+                self.refuse(id, Refusal::CrowdedOut);
+            }
+            // It has been refused, now or for what it had sent, and goes once it has been told.
+            if self.connections.get(id).is_some_and(|c| !c.has_had_all()) {
+                return Some(Place::Soon);
             }
+            self.close_client(id);
+            return Some(Place::Free);
         }
     }
 
@@ -176,6 +173,7 @@
     fn ask_strangers_to_leave(&mut self) -> Place {
         let stage = |connection: &Connection| match &connection.kind {
             Kind::Client { peer, stage } if !peer.joined() => Some(*stage),
+            Kind::Closing { .. } => Some(Stage::Answered),
             _ => None,
         };
         let mut open = Vec::new();
@@ -197,9 +195,21 @@
         Place::Soon
     }
 
+    /// Has the system drop the first packet of whoever wants to connect from now on: it is sent again after a second,
+    /// and finds the next process. Who is in the queue stays there, so that it can be emptied before the listener
+    /// closes: what comes between the last look and the close would be reset. (A backlog of 0 would not do: clients
+    /// whose last packet of the handshake finds the queue full think that they are connected.)
+    pub fn hold_back_clients(&self) {
+        let Some(listener) = &self.listener else { return };
+        if let Err(error) = SockRef::from(listener).attach_filter(&[DROP_ALL]) {
+            debug!("attach a filter: {error}");
+        }
+    }
+
     /// Takes all that still wait, whatever places there are, and listens no more: what the queue holds after that
     /// is reset.
     pub fn stop_listening(&mut self) {
+        self.hold_back_clients();
         let Some(listener) = self.listener.take() else { return };
         let mut accepted: Vec<_> = self.next_client.take().into_iter().collect();
         let mut empty = 0;
--- a/crates/whinhill-node/src/clients.rs
+++ b/crates/whinhill-node/src/clients.rs
@@ -76,10 +76,13 @@
 
     /// Ends a connection whose client has had its last answer, once all that had arrived is answered.
     pub fn end_after_answer(&mut self, id: Id) {
-        let Some(connection) = self.connections.get(id) else { return };
-        if matches!(connection.kind, Kind::Client { stage: Stage::Answered, .. })
-            && !connection.is_unfinished()
-        {
+        let Some(connection) = self.connections.get_mut(id) else { return };
+        if !matches!(connection.kind, Kind::Client { stage: Stage::Answered, .. }) {
+            return;
+        }
+        if connection.is_unfinished() {
+            connection.put_off_end();
+        } else {
             self.begin_close(id);
         }
     }
@@ -171,7 +174,10 @@
         self.counts.requests += asked as u64;
         connection.has_asked = true;
         (0..asked).for_each(|_| connection.answers.queue(now, ALIVE.len()));
-        let sent = connection.send(&ALIVE.repeat(asked));
+        let is_open = matches!(connection.kind, Kind::Client { stage: Stage::Open, .. });
+        let last = !is_open || self.last_answers;
+        let answers = ALIVE.repeat(asked);
+        let sent = if last { connection.send_with_end(&answers) } else { connection.send(&answers) };
         let Ok(outgoing) = sent else {
             debug!(?id, "closed: it does not read its answers");
             self.counts.closed_unread += 1;
@@ -179,7 +185,7 @@
             return false;
         };
         if let Kind::Client { peer, stage } = &mut connection.kind {
-            if *stage != Stage::Open || self.last_answers {
+            if last {
                 *stage = Stage::Answered;
             } else if !peer.joined() {
                 // Whoever asks is not silent.
--- a/crates/whinhill-node/src/connection.rs
+++ b/crates/whinhill-node/src/connection.rs
@@ -6,6 +6,7 @@
 
 use mio::net::TcpStream;
 use mio::{Interest, Registry, Token};
+use socket2::SockRef;
 use whinhill::interface::Ep;
 use whinhill_errors::is_short_of_memory;
 use whinhill_platform::discovery::Asking;
@@ -158,6 +159,19 @@
         self.flush()
     }
 
+    /// As [`Connection::send`], for an answer that the end of our side follows: both leave together, so that nobody
+    /// who has the answer can ask before the end has come (tcp(7), TCP_CORK).
+    pub fn send_with_end(&mut self, bytes: &[u8]) -> io::Result<Outgoing> {
+        // Where it fails the end only follows a little later.
+        let _ = SockRef::from(&self.stream).set_tcp_cork(true);
+        self.send(bytes)
+    }
+
+    /// The end does not follow yet: what was sent must not wait for it.
+    pub fn put_off_end(&mut self) {
+        let _ = SockRef::from(&self.stream).set_tcp_cork(false);
+    }
+
     /// Writes what is left. Fails where the connection is broken.
     pub fn flush(&mut self) -> io::Result<Outgoing> {
         while self.written < self.out.len() {
@@ -248,6 +262,11 @@
         matches!(&self.kind, Kind::Client { peer, .. } if peer.unfinished())
     }
 
+    /// Whether it is a client that has been sent all that it is owed, its last answer and our end.
+    pub fn has_had_all(&self) -> bool {
+        matches!(self.kind, Kind::Closing { .. }) && self.all_written()
+    }
+
     /// What it is for, in the log.
     pub fn purpose(&self) -> &'static str {
         match &self.kind {
--- a/crates/whinhill-node/src/leaving.rs
+++ b/crates/whinhill-node/src/leaving.rs
@@ -30,8 +30,8 @@
         if passed >= END_AFTER {
             return true;
         }
-        if passed >= LAST_ANSWERS_AFTER {
-            self.last_answers = true;
+        if passed >= LAST_ANSWERS_AFTER && !std::mem::replace(&mut self.last_answers, true) {
+            self.hold_back_clients();
         }
         let calls = self.calls.waiting() > 0 || self.calls.under_way();
         if calls && passed < CALLS_END_AFTER || self.is_owed() {
@@ -69,6 +69,8 @@
         if self.connections.get(id).is_some_and(|c| c.is_stranger() && c.is_unfinished()) {
             self.refuse(id, Refusal::Unreadable);
         }
+        // A write may say too early that it would block.
+        (0..TRIES_A_LOOK).for_each(|_| self.writable(id));
         if let Some(connection) = self.connections.get_mut(id) {
             connection.end_writing();
             connection.discard(DISCARD_MOST);
