--- a/crates/whinhill-standins/src/platform/audit.rs
+++ b/crates/whinhill-standins/src/platform/audit.rs
@@ -140,8 +140,8 @@
 /// What was done to a process that excuses a request's ending or its lateness.
 #[derive(Clone, Debug, Default)]
 pub struct Excuses {
-    /// Kills without a word before.
-    pub kills: Vec<Duration>,
+    /// Kills without a word before: when each was begun, and when the process was gone.
+    pub kills: Vec<(Duration, Duration)>,
     /// SIGSTOP to SIGCONT.
     pub pauses: Vec<(Duration, Duration)>,
 }
@@ -180,7 +180,8 @@
         audit.requests += 1;
         let (from, until) = (since + request.sent, since + request.sent + request.took);
         if !request.ending.is_answer() {
-            let under = |kill: &Duration| from <= *kill && *kill <= until + NOTICED_WITHIN;
+            let under =
+                |(begun, gone): &(Duration, Duration)| from <= *gone && *begun <= until + NOTICED_WITHIN;
             if excuses.kills.iter().any(under) {
                 audit.killed += 1;
                 continue;
