--- a/crates/whinhill-standins/src/platform/soak.rs
+++ b/crates/whinhill-standins/src/platform/soak.rs
@@ -308,8 +308,3 @@
         Ok(())
     }
 }
-
-/// Whether a rule of a kind was broken.
-pub fn broke(report: &Report, rule: Rule) -> bool {
-    report.broken.iter().any(|broken| broken.rule == rule)
-}
