--- a/crates/whinhill-node/src/node.rs
+++ b/crates/whinhill-node/src/node.rs
@@ -12,7 +12,7 @@
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook_mio::v1_0::Signals;
 use tracing::{debug, info, trace, warn};
-use whinhill::interface::{Entry, Event, ListKind, Listed, Order};
+use whinhill::interface::{Event, ListKind, Order};
 use whinhill::Assigner;
 use whinhill_names::Names;
 use whinhill_platform::config::PlatformConfig;
@@ -21,7 +21,7 @@
 use whinhill_platform::relay::news::News;
 use whinhill_platform::relay::orders::RelayOrder;
 use whinhill_platform::roster::Roster;
-use whinhill_starts::{Reading, Starts};
+use whinhill_starts::Starts;
 
 use crate::accepting::NextClient;
 use crate::clock::Clock;
@@ -39,7 +39,7 @@
 pub const SIGNALS: Token = Token(usize::MAX - 2);
 /// The log target of all that the module hears and orders: `--log-level whinhill::trace=debug` without reports,
 /// probes and answers, `=trace` with them. Servers are named by their indices, which the `server` lines explain.
-const TRACE: &str = "whinhill::trace";
+pub const TRACE: &str = "whinhill::trace";
 /// Bytes read at a time.
 const BUFFER: usize = 64 * 1024;
 /// Events taken at a time.
@@ -62,17 +62,17 @@
     pub poll_failures: u32,
     /// Connections with more to read than one turn allows.
     pub unread: Vec<Id>,
-    path: PathBuf,
+    pub path: PathBuf,
     /// Until when a file that cannot be read is tried again, and whether that was told.
-    config_until: Duration,
-    config_fails: bool,
+    pub config_until: Duration,
+    pub config_fails: bool,
     pub config: PlatformConfig,
     pub names: Names,
     /// Where each server listens, by its index.
     pub addrs: Vec<Option<SocketAddr>>,
     /// Servers that no list names any more, and since when.
-    gone: BTreeMap<usize, Duration>,
-    listed: BTreeSet<usize>,
+    pub gone: BTreeMap<usize, Duration>,
+    pub listed: BTreeSet<usize>,
     pub assigner: Assigner,
     pub pending: Vec<Event>,
     pub last_batch: Duration,
@@ -253,96 +253,6 @@
         }
         self.calls.push(now, relay);
     }
-
-    pub fn take_signals(&mut self) {
-        let signals: Vec<i32> = self.signals.pending().collect();
-        for signal in signals {
-            if signal == SIGHUP {
-                self.read_config_until_had();
-            } else {
-                self.begin_end();
-            }
-        }
-    }
-
-    /// The configuration is to be read again, from now on until it could be read.
-    pub fn read_config_until_had(&mut self) {
-        if self.ending.is_some() {
-            return;
-        }
-        self.config_until = self.clock.now() + CONFIG_WITHIN;
-        self.config_fails = false;
-        self.read_config();
-    }
-
-    /// A new configuration moves discovery and relay; a bad one leaves the old in force. Where the file cannot be
-    /// read at all that may pass, and no second signal tells of it.
-    pub fn read_config(&mut self) {
-        let new = match crate::read(&self.path) {
-            Ok(new) => new,
-            Err(error) => {
-                if !std::mem::replace(&mut self.config_fails, true) {
-                    warn!("the configuration in force stays: {error}");
-                }
-                let now = self.clock.now();
-                if matches!(error, NodeError::Read { .. }) && now < self.config_until {
-                    self.deadlines.set(Due::Config, now + CONFIG_AGAIN);
-                }
-                return;
-            }
-        };
-        info!(discovery = %new.discovery, relay = %new.relay, "new configuration");
-        if new.discovery != self.config.discovery {
-            self.config.discovery = new.discovery;
-            self.move_watch();
-        }
-        if new.relay != self.config.relay {
-            self.config.relay = new.relay;
-            self.move_relay();
-        }
-    }
-
-    /// A list for the module.
-    pub fn push_list(&mut self, kind: ListKind, list: &Roster) {
-        let mut entries = Vec::with_capacity(list.servers.len());
-        if list.whole {
-            self.listed.clear();
-        }
-        for server in &list.servers {
-            let ep = self.names.ep(&server.name);
-            if self.addrs.get(ep.index).copied().flatten() != Some(server.addr) {
-                debug!(target: TRACE, "server {} is {} at {}", ep.index, server.name, server.addr);
-            }
-            self.addrs.resize(self.addrs.len().max(ep.index + 1), None);
-            self.addrs[ep.index] = Some(server.addr);
-            match server.listed {
-                Listed::Gone => self.listed.remove(&ep.index),
-                _ => self.listed.insert(ep.index),
-            };
-            let reading = Reading { now: self.clock.now(), wall: self.clock.wall() };
-            let started = self.starts.started(reading, &server.name, server.started_ms);
-            let zone = self.names.zone(&server.zone);
-            entries.push(Entry { ep, zone, listed: server.listed, size: server.size, started });
-        }
-        self.pending.push(Event::List { kind, entries });
-    }
-
-    /// Lets servers go that have been off the list for long and that nothing names any more: where each server
-    /// is replaced under a new name, those that are gone would pile up.
-    pub fn let_go(&mut self) {
-        let now = self.clock.now();
-        let unlisted: BTreeSet<usize> = self.names.servers().filter(|i| !self.listed.contains(i)).collect();
-        self.gone.retain(|index, _| unlisted.contains(index));
-        for index in unlisted {
-            let since = *self.gone.entry(index).or_insert(now);
-            if now >= since + LET_GO_AFTER && self.assigner.is_done_with(index) {
-                self.names.let_go(index);
-                self.gone.remove(&index);
-                self.addrs.get_mut(index).into_iter().for_each(|addr| *addr = None);
-                self.counts.let_go += 1;
-            }
-        }
-    }
 }
 
 fn trace_event(event: &Event) {
