Excuse requests that a client was about to send as its process was killed

Such a request is excused if it was sent within 50 ms of the kill; a process is down for 100 ms or more.

--- a/crates/whinhill-standins/src/platform/audit.rs
+++ b/crates/whinhill-standins/src/platform/audit.rs
@@ -158,6 +158,10 @@
 /// How much later than a kill its clients may notice, on a busy machine.
 const NOTICED_WITHIN: Duration = Duration::from_millis(300);
 
+/// A client that looked at its connection, and lost the processor before it asked, asks so much later at most. Shorter
+/// than any process is down: what comes after the next start is not excused.
+const LOOKED_BEFORE: Duration = Duration::from_millis(50);
+
 /// A client's requests in figures.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct RequestAudit {
@@ -180,8 +184,9 @@
         audit.requests += 1;
         let (from, until) = (since + request.sent, since + request.sent + request.took);
         if !request.ending.is_answer() {
-            let under =
-                |(begun, gone): &(Duration, Duration)| from <= *gone && *begun <= until + NOTICED_WITHIN;
+            let under = |(begun, gone): &(Duration, Duration)| {
+                from <= *gone + LOOKED_BEFORE && *begun <= until + NOTICED_WITHIN
+            };
             if excuses.kills.iter().any(under) {
                 audit.killed += 1;
                 continue;
--- a/crates/whinhill-standins/src/platform/soak.rs
+++ b/crates/whinhill-standins/src/platform/soak.rs
@@ -14,7 +14,7 @@
 use rand_chacha::ChaCha8Rng;
 use serde::Serialize;
 
-use super::audit::{Broken, RequestAudit, Rule, TableAudit};
+use super::audit::{Broken, RequestAudit, TableAudit};
 use super::custody;
 use super::node::{Environment, Node};
 use super::page::*;
