--- a/crates/whinhill-standins/src/platform/node.rs
+++ b/crates/whinhill-standins/src/platform/node.rs
@@ -425,7 +425,9 @@
 
     /// Takes note of memory and descriptors.
     pub fn measure(&mut self, now: Duration, broken: &mut Vec<Broken>) {
-        let Some((memory_kb, descriptors)) = self.process.as_ref().and_then(Process::usage) else { return };
+        // Before it is ready it may still be a copy of this process, with the descriptors of this one.
+        let ready = self.process.as_ref().filter(|process| process.ready_after.is_some());
+        let Some((memory_kb, descriptors)) = ready.and_then(Process::usage) else { return };
         self.memory_kb = self.memory_kb.max(memory_kb);
         self.descriptors = self.descriptors.max(descriptors);
         let over = memory_kb > MEMORY_MB * 1024 || descriptors > SOCKETS;
