Test which orders count as keeping RPCs away from a server

Cause: no order of the present program shuts a server out or sets all classes to 0, so the parts of the measure that read `eject` and `gate` had not been run. Change: a table of orders, among them those that must not count.

--- a/crates/whinhill-cli/tests/silent_servers.rs
+++ b/crates/whinhill-cli/tests/silent_servers.rs
@@ -10,8 +10,9 @@
 use std::time::{Duration, Instant};
 
 use fleet::collectors::Meets;
+use fleet::relay::Came;
 use fleet::server::Does;
-use fleet::{name, wait_until, zone, Fleet, Size, Trace, NEVER, PERIOD, ZONES};
+use fleet::{kept_away, name, wait_until, zone, Fleet, Size, Trace, NEVER, PERIOD, ZONES};
 
 /// From silence to the last RPC sent there p99 is to be under 1 s (issue 40): what is left of it is the order's way.
 const ORDERED_WITHIN: Duration = Duration::from_millis(900);
@@ -73,6 +74,33 @@
     traces.iter().filter(|trace| is_late(trace)).map(|trace| format!("{case}: {trace}")).collect()
 }
 
+#[test]
+fn orders_that_keep_rpcs_away_are_told_from_others() {
+    let at = Instant::now();
+    let cases: [(&[&str], Option<usize>); 12] = [
+        (&["put,7,s-4,0"], Some(0)),
+        (&["put,7,s-5,1"], Some(0)),
+        (&["eject,s-4"], Some(0)),
+        (&["gate,7,*,0.000,0"], Some(0)),
+        (&["gate,7,look+book,0.000,0"], Some(0)),
+        (&["gate,7,book,0.000,0", "gate,7,look,0.000,0"], Some(1)),
+        (&["gate,7,book,0.000,0", "gate,7,book,1.000,0", "gate,7,look,0.000,0"], None),
+        (&["gate,7,look,0.050,0", "gate,7,book,0.000,0"], None),
+        (&["put,8,s-4,0", "gate,8,*,0.000,0"], None),
+        (&["put,7,s-4,1", "put,7,s-5,0"], None),
+        (&["eject,s-5", "uneject,s-4"], None),
+        (&["fence,7,1", "fence,8,1", "put,7,s-4,0"], Some(2)),
+    ];
+    for (orders, wanted) in cases {
+        let came = |(ms, order): (usize, &&str)| Came {
+            at: at + Duration::from_millis(ms as u64),
+            order: order.to_string(),
+        };
+        let came: Vec<Came> = orders.iter().enumerate().map(came).collect();
+        assert_eq!(kept_away(&came, 4, 7), wanted.map(|ms| came[ms].at), "{orders:?}");
+    }
+}
+
 #[test]
 fn rpcs_are_kept_from_servers_that_fail_in_time() {
     let quarter: Vec<usize> = (0..INCIDENT.servers).step_by(4).collect();
--- a/crates/whinhill-cli/tests/support/fleet/mod.rs
+++ b/crates/whinhill-cli/tests/support/fleet/mod.rs
@@ -232,8 +232,9 @@
     shut.extend(CLASSES.into_iter().filter(|class| none && named(class)));
 }
 
-/// When the first order came that keeps a slice's RPCs away from a server.
-fn kept_away(orders: &[Came], server: usize, slice: usize) -> Option<Instant> {
+/// When the order came from which on a slice's RPCs are kept away from a server: its line ended or another's, all
+/// classes shut out by levels, or the server shut out at all proxies.
+pub fn kept_away(orders: &[Came], server: usize, slice: usize) -> Option<Instant> {
     let (server, mut shut) = (name(server), Vec::new());
     for came in orders {
         let words: Vec<&str> = came.order.split(',').collect();
