Split the decision module by its jobs

Cause: one file of 910 lines held list, health, estimates, plan, evacuation, handover, admission and channel. Each is a module now, tuned values stand in one.

--- /dev/null
+++ b/crates/whinhill/src/assigner/admission.rs
@@ -0,0 +1,75 @@
+//! What servers are let in: limits, cold budgets and levels.
+
+use super::*;
+
+impl Assigner {
+    /// The work a second that each server can do: as learned there, else as learned at the others.
+    pub(super) fn limits(&self) -> Vec<f64> {
+        let ready = || self.servers.iter().filter(|s| usable(s));
+        let learned: Vec<f64> = ready().filter_map(|s| s.limit.map(|limit| limit / s.size)).collect();
+        let median = (learned.len() * 4 > ready().count()).then(|| middle(learned)).flatten();
+        let shown = ready().filter(|s| !s.late).map(|s| s.oks.rate(self.now, self.half) / s.size);
+        let usual = median.map_or(f64::INFINITY, |median| shown.fold(median, f64::max));
+        self.servers.iter().map(|s| s.limit.unwrap_or(usual * s.size)).collect()
+    }
+
+    /// Draws each server's line of criticality by its limit, and by its budget while it is cold.
+    pub(super) fn draw_lines(&mut self) {
+        let view = self.view();
+        let offered = self.demand_by(&view.demand, |s| s.owner);
+        let work = |m: &usize| self.came[*m].read(self.now, self.half) * self.work(*m);
+        let works: Vec<f64> = self.cfg.ranks.iter().map(work).collect();
+        let all = works.iter().sum::<f64>().max(1e-9);
+        for (i, offered) in offered.into_iter().enumerate() {
+            let budget = self.cold(i).then(|| self.cold_budget() / view.units[i].max(1e-9));
+            let limit = budget.map_or(view.limits[i], |budget| budget.min(view.limits[i]));
+            let mut over = (1.0 - limit / offered.max(1e-9)).clamp(0.0, 0.9);
+            self.servers[i].shut_out = over;
+            let mut line = 0.0;
+            for part in works.iter().map(|work| (work / all).max(1e-9)) {
+                line += (over / part).clamp(0.0, 1.0);
+                over -= part;
+            }
+            self.servers[i].line = line.min(works.len() as f64 - 0.5);
+        }
+    }
+
+    /// Load that our slices may bring a cold server.
+    pub(super) fn cold_budget(&self) -> f64 {
+        (self.cfg.fall_multiple * COLD.0).min(COLD.1) * self.our_share().powf(COLD.2)
+    }
+
+    /// Orders the shares that differ from what proxies were told: none of the writes during a handover. What
+    /// only tunes waits for a period and an ack of the last: the slowest of channels must not fill.
+    pub(super) fn order_levels(&mut self, period: bool) {
+        let open = period && self.channel.tuned.is_none();
+        for id in 0..self.slices.len() {
+            let slice = &self.slices[id];
+            let moving = slice.handover.as_ref().filter(|_| self.cfg.guarded);
+            let (stopped, cut) = moving.map_or((false, false), |h| (true, h.cut));
+            let Some(owner) = slice.owner else { continue };
+            let line = self.servers[owner].line;
+            let cold = period && self.cold(owner) && self.has_room(0.5);
+            let tune = slice.stays == self.now + STAY || cold || open && self.has_room(LEAVE_ROOM.0);
+            let mut wanted = slice.told.clone();
+            for (rank, method) in self.cfg.ranks.iter().enumerate() {
+                let told = &mut wanted[*method];
+                if stopped && !cut && self.cfg.methods[*method].writes {
+                    *told = 0.0;
+                } else if tune && !cut || *told == 0.0 {
+                    *told = ((1.0 - (line - rank as f64)).clamp(0.0, 1.0) * 20.0).round() / 20.0;
+                }
+            }
+            for (method, share) in wanted.iter().enumerate().filter(|(m, share)| slice.told[*m] != **share) {
+                let all = self.cfg.admission == Admission::Rate && *share > 0.0;
+                let share = if all { ALL_LET_IN } else { *share };
+                let (methods, tries) = (1 << method, self.cfg.tries);
+                self.out.push(Order::Level { slice: id, share, methods, tries });
+                if open {
+                    (self.channel.mark_wanted, self.channel.tuned) = (true, Some(self.channel.marks + 1));
+                }
+            }
+            self.slices[id].told = wanted;
+        }
+    }
+}
--- /dev/null
+++ b/crates/whinhill/src/assigner/evacuation.rs
@@ -0,0 +1,62 @@
+//! Slices that leave their owners outside of plans, and where they go.
+
+use super::*;
+
+impl Assigner {
+    /// Slices whose owner is gone, draining or sick leave at once, and, where there is room for them, those
+    /// that bring a cold one over its budget: they may come into demand sooner than levels tell.
+    pub(super) fn evacuate(&mut self) {
+        // After a drain is told, reads may stay as long as their end still arrives within the grace, behind
+        // what waits in the channel. Where that would fill the channel, or time is short, they end at once.
+        let (guarded, out) = (self.cfg.guarded, |o: usize| self.servers[o].listed != Listed::Ready);
+        let drains = self.slices.iter().filter(|s| s.owner.is_some_and(out));
+        let uncut = drains.filter(|s| s.handover.as_ref().is_none_or(|h| !h.cut)).count();
+        let lines = self.channel.lines + self.lines(if guarded { 2 * uncut } else { uncut });
+        let behind = Duration::from_secs_f64(lines / self.cfg.lines_per_s);
+        let lead = self.cfg.grace.saturating_sub(self.cfg.way_most.mul_f64(DRAIN_WAYS) + behind);
+        let short = lines > PLAN_ROOM * self.cfg.backlog || lead < self.cfg.way_most / 2;
+        let heads = HEADS * self.cfg.head * self.joined() as f64 / self.cfg.backlog;
+        let from = DRAIN_ROOM.0.min(DRAIN_ROOM.1 - heads).max(LEAVE_ROOM.1);
+        let (mut view, drain, leave) = (None, self.has_room(from), self.has_room(LEAVE_ROOM.0));
+        for id in 0..self.slices.len() {
+            let Some(owner) = self.slices[id].owner else { continue };
+            let server = &self.servers[owner];
+            let (well, listed) = (usable(server), server.listed);
+            let late = self.now >= server.told + lead;
+            let cut = listed != Listed::Draining || server.sick.is_some() || short;
+            let cut = if guarded { cut } else { listed != Listed::Ready && late };
+            match &self.slices[id].handover {
+                Some(moving) if well || moving.cut => {}
+                Some(_) if cut || late => self.cut(id),
+                None if drain && listed != Listed::Ready && self.has_room(DRAIN_ROOM.1)
+                    || leave && (!well || self.cold(owner)) && self.has_room(LEAVE_ROOM.1) =>
+                {
+                    let v: &mut View = view.get_or_insert_with(|| self.view());
+                    let to = self.destination(id, v);
+                    let add = to.map_or(0.0, |to| self.add(v, id, to));
+                    let over = v.own[owner] > self.cold_budget() && to.is_some_and(|to| v.rooms[to] >= add);
+                    if !well || over {
+                        v.own[owner] -= v.demand[id] * v.units[owner];
+                        if let Some(to) = to {
+                            (v.loads[to], v.rooms[to]) = (v.loads[to] + add, v.rooms[to] - add);
+                        }
+                        self.stop(id, to, cut);
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Where a slice that must leave goes: the less loaded of its first usable candidates, walking on in
+    /// its hash order past those without room; failing that the least loaded one that is not cold and full.
+    pub(super) fn destination(&self, id: SliceId, view: &View) -> Option<usize> {
+        let add = |i: &usize| self.add(view, id, *i);
+        let fits = |i: &usize| usable(&self.servers[*i]) && view.rooms[*i] >= add(i);
+        let least = |a: &usize, b: &usize| (view.loads[*a] + add(a)).total_cmp(&(view.loads[*b] + add(b)));
+        let first = self.others(id).filter(fits).take(CANDIDATES).min_by(least);
+        let full = |i: &usize| (self.cold(*i) || !self.servers[*i].proven) && !fits(i);
+        let unfit = |i: &usize| (!usable(&self.servers[*i]), full(i));
+        first.or_else(|| self.others(id).min_by(|a, b| unfit(a).cmp(&unfit(b)).then(least(a, b))))
+    }
+}
--- /dev/null
+++ b/crates/whinhill/src/assigner/load.rs
@@ -0,0 +1,110 @@
+//! Estimates of demand and load. Measures halve in a report's usual stretch: longer finds trouble late,
+//! shorter is noise.
+
+use super::*;
+
+impl Assigner {
+    /// Work of a method's RPC against the average: soft deadlines are the one hint at it.
+    pub(super) fn work(&self, method: MethodId) -> f64 {
+        self.cfg.methods[method].soft.as_secs_f64() / self.cfg.mean_soft.max(1e-6)
+    }
+
+    /// Work that comes in a second, in average RPCs; for a slice not heard of yet, the others' mean.
+    pub(super) fn demand(&self) -> Vec<f64> {
+        let heard = |s: &Slice| s.ours && self.now > s.given + self.half * 2;
+        let rate = |s: &Slice| heard(s).then(|| s.demand.rate(self.now, self.half));
+        let rates: Vec<Option<f64>> = self.slices.iter().map(rate).collect();
+        let mean = rates.iter().flatten().sum::<f64>() / rates.iter().flatten().count().max(1) as f64;
+        let or_mean = |(rate, s): (Option<f64>, &Slice)| rate.unwrap_or(if s.ours { mean } else { 0.0 });
+        rates.into_iter().zip(&self.slices).map(or_mean).collect()
+    }
+
+    pub(super) fn demand_by(&self, demand: &[f64], place: impl Fn(&Slice) -> Option<usize>) -> Vec<f64> {
+        let mut sums = vec![0.0; self.servers.len()];
+        let placed = self.slices.iter().zip(demand).filter_map(|(s, demand)| Some((place(s)?, demand)));
+        placed.for_each(|(place, demand)| sums[place] += demand);
+        sums
+    }
+
+    /// Our share of all slices.
+    pub(super) fn our_share(&self) -> f64 {
+        self.slices.iter().filter(|s| s.ours).count() as f64 / self.slices.len().max(1) as f64
+    }
+
+    /// Present capacity as a part of the full one, at the slowest ramp that the rules allow.
+    pub(super) fn ramp(&self, server: &Server) -> f64 {
+        let Some(started) = server.started else { return 1.0 };
+        let age = self.now.saturating_sub(started).as_secs_f64() / self.cfg.warm_after.as_secs_f64();
+        (self.cfg.cold_from + (1.0 - self.cfg.cold_from) * age).min(1.0)
+    }
+
+    pub(super) fn cold(&self, server: usize) -> bool {
+        self.ramp(&self.servers[server]) < 1.0
+    }
+
+    /// Whether answers wait at a server: without that it isn't hot, however its load compares.
+    pub(super) fn waits(&self, server: &Server) -> bool {
+        let free = server.service.map(|service| service.min(self.slow)).or(server.base);
+        server.wait(self.now, self.half).zip(free).is_some_and(|(wait, free)| wait > WAITING * free)
+    }
+
+    /// Splits each server's load over the slices it serves. Where servers don't report how busy they are, it
+    /// is demand over the capacity learned; until any is learned, demand by size, at `USUAL` on average.
+    pub(super) fn view(&self) -> View {
+        let (now, share, fresh) = (self.now, self.our_share(), self.cfg.period * 3);
+        // Loads count a slice where it is going, since reports lag; costs count it where it is served.
+        let place = |s: &Slice| s.handover.as_ref().and_then(|h| h.to).or(s.owner);
+        let demand = self.demand();
+        let owned = self.demand_by(&demand, place);
+        let ready: Vec<&Server> = self.servers.iter().filter(|s| s.listed == Listed::Ready).collect();
+        let count = ready.len().max(1) as f64;
+        // A stale report is unknown, not idle. Of a server's load, our share of slices is taken to be ours.
+        let told = |s: &Server| s.cpu.filter(|(_, at)| now < *at + fresh).map(|(cpu, _)| cpu);
+        let busy = ready.iter().any(|s| told(s).is_some());
+        let served = self.demand_by(&demand, |s| s.owner.filter(|_| s.handover.is_none()));
+        let known = ready.iter().filter_map(|s| {
+            let own = served[s.ep.index] * (1.0 - s.shut_out) / s.size;
+            told(s).or((!busy).then_some(USUAL)).map(|load| (load * share, own))
+        });
+        let (loads, owns) = known.fold((0.0, 0.0), |sum, one| (sum.0 + one.0, sum.1 + one.1));
+        let usual = if owns > 0.0 { loads / owns } else { 0.0 };
+        // Lost tries show more load than that; a cold server must not learn it by falling (after a return
+        // nothing else is known). Harm: where answers are lost for another reason, cold servers fill later.
+        let sum = |f: fn(&Server) -> &Sum| ready.iter().map(|s| f(s).read(now, self.half)).sum::<f64>();
+        let served_part = 1.0 - sum(|s| &s.lost) / sum(|s| &s.tries).max(1.0);
+        let pressed = usual / served_part.clamp(PRESSED, 1.0);
+        let pad = PAD * owned.iter().sum::<f64>() / count;
+        let idle = CROWD * owned.iter().sum::<f64>() / (share * self.slices.len() as f64).max(1.0);
+        let mut view = View { demand, limits: self.limits(), idle, ..View::default() };
+        let held = self.demand_by(&vec![1.0; self.slices.len()], place);
+        for ((server, owned), held) in self.servers.iter().zip(&owned).zip(held) {
+            let ramp = self.ramp(server);
+            let let_in = owned * (1.0 - server.shut_out);
+            let unit = match (told(server), view.limits[server.ep.index]) {
+                (Some(cpu), _) if ramp >= 1.0 => (cpu * share + usual * pad) / (let_in + pad).max(1e-9),
+                (None, limit) if !busy && limit.is_finite() => 1.0 / limit.max(1e-9),
+                _ => (if ramp < 1.0 && !busy { pressed } else { usual }) / server.size.max(1e-3),
+            };
+            let own = owned * unit / ramp;
+            let untried = !server.proven && (self.cfg.probes || held >= UNPROVEN);
+            let crowd = own.max(view.idle * held * unit / ramp);
+            let load = own + told(server).unwrap_or(USUAL) * (1.0 - share) / ramp;
+            let load = if self.waits(server) { load } else { load.min(THRESHOLD) };
+            let (part, most) =
+                if ramp < 1.0 { (NEW_OFFERS, self.cold_budget() - crowd) } else { (1.0, f64::MAX) };
+            let room = ((THRESHOLD / ramp - load) * part * share).clamp(0.0, most.max(0.0));
+            view.own.push(own);
+            view.loads.push(load);
+            view.units.push(unit / ramp);
+            view.rooms.push(if usable(server) && !untried { room } else { 0.0 });
+        }
+        view.average = ready.iter().map(|s| view.loads[s.ep.index]).sum::<f64>() / count;
+        view
+    }
+
+    /// Load that a slice brings a server. To a cold one even an idle slice counts: it may come into demand.
+    pub(super) fn add(&self, view: &View, id: SliceId, to: usize) -> f64 {
+        let least = if self.cold(to) { view.idle } else { 0.0 };
+        view.demand[id].max(least) * view.units[to]
+    }
+}
--- /dev/null
+++ b/crates/whinhill/src/assigner/plan.rs
@@ -0,0 +1,138 @@
+//! SWAT's three stages, and the batches that carry a plan out.
+
+use super::*;
+
+impl Assigner {
+    /// The ready servers beside the owner, in the slice's hash order, alike at every assigner.
+    pub(super) fn others(&self, id: SliceId) -> impl Iterator<Item = usize> + '_ {
+        let fit =
+            move |i: &usize| Some(*i) != self.slices[id].owner && self.servers[*i].listed == Listed::Ready;
+        self.orders[id].iter().copied().filter(fit)
+    }
+
+    pub(super) fn movable(&self, slice: &Slice) -> bool {
+        slice.handover.is_none() && slice.owner.is_some() && self.now >= slice.stays
+    }
+
+    /// The greedy pass: moves that bring every server of ours under `limit`, with little demand moved.
+    /// With `partly`, it keeps what it found even if some servers stay above.
+    pub(super) fn pass(&self, view: &View, limit: f64, partly: bool) -> Option<Vec<Move>> {
+        let (mut loads, mut rooms) = (view.loads.clone(), view.rooms.clone());
+        let (mut moves, mut stuck) = (Vec::<Move>::new(), vec![false; loads.len()]);
+        loop {
+            let fit = |i: &usize| !stuck[*i] && loads[*i] > limit && self.servers[*i].listed == Listed::Ready;
+            let over = self.slices.iter().filter_map(|s| s.owner).filter(fit);
+            let over = over.min_by(|a, b| loads[*b].total_cmp(&loads[*a]).then(b.cmp(a)));
+            let Some(from) = over else { return Some(moves) };
+            let mut best: Option<((u8, f64), Move)> = None;
+            for (id, slice) in self.slices.iter().enumerate() {
+                let moved = moves.iter().any(|(s, _)| *s == id);
+                if !self.movable(slice) || slice.owner != Some(from) || moved || view.demand[id] <= 0.0 {
+                    continue;
+                }
+                // The least demand that does it; where none does, the most.
+                let off = view.demand[id] * view.units[from];
+                let cost = if off >= loads[from] - limit { (0, off) } else { (1, -off) };
+                for to in self.others(id).take(CANDIDATES) {
+                    let add = self.add(view, id, to);
+                    let fits = usable(&self.servers[to]) && add <= rooms[to] && loads[to] + add <= limit;
+                    if fits && best.is_none_or(|(least, _)| cost < least) {
+                        best = Some((cost, (id, to)));
+                    }
+                }
+            }
+            match best {
+                Some((_, (id, to))) => {
+                    loads[from] -= view.demand[id] * view.units[from];
+                    loads[to] += view.demand[id] * view.units[to];
+                    rooms[to] -= self.add(view, id, to);
+                    moves.push((id, to));
+                }
+                None if partly => stuck[from] = true,
+                None => return None,
+            }
+        }
+    }
+
+    /// SWAT's three stages in order; the first that finds moves fills the batches.
+    pub(super) fn make_plan(&mut self) {
+        // A proxy that left lately would stall a batch to its lease's end.
+        let absent = self.proxies.values().any(|p| !p.joined && self.now < p.since + self.cfg.lease);
+        if absent || !self.plan.batch.is_empty() || !self.plan.batches.is_empty() {
+            return;
+        }
+        let view = self.view();
+        let wished = self.fitting_wishes(&view);
+        if !wished.is_empty() {
+            self.out.push(Order::Log { text: format!("wishes: {} moves", wished.len()) });
+            // An operator's word goes before the time that a moved slice stays.
+            wished.iter().for_each(|(id, _)| self.slices[*id].stays = self.now);
+            self.plan.batches = self.sequence(wished, &view);
+            return;
+        }
+        let fit = || view.loads.iter().zip(&self.servers).filter(|(_, s)| usable(s) && s.proven);
+        let hot = fit().any(|(load, _)| *load > THRESHOLD);
+        let off = |load: f64| (load - view.average).abs() > SKEW * view.average;
+        let skewed = fit().any(|(load, _)| off(*load)) && fit().any(|(_, s)| self.waits(s));
+        self.plan.skewed = if skewed { self.plan.skewed + 1 } else { 0 };
+        let find = |limit: f64, partly| self.pass(&view, limit, partly).filter(|moves| !moves.is_empty());
+        let level = || TARGETS.iter().find_map(|t| find((t * view.average).min(THRESHOLD), false));
+        let cool = |partly| if hot { find(THRESHOLD, partly) } else { None };
+        let leveling = (self.plan.skewed >= SKEW_ROUNDS).then(level).flatten();
+        let found = leveling.map(|moves| ("leveling", moves));
+        let found = found.or_else(|| cool(false).map(|moves| ("elimination", moves)));
+        let found = found.or_else(|| cool(true).map(|moves| ("mitigation", moves)));
+        let Some((stage, moves)) = found else { return };
+        let text = format!("{stage}: {} moves, average {:.2}", moves.len(), view.average);
+        self.out.push(Order::Log { text });
+        (self.plan.skewed, self.plan.batches) = (0, self.sequence(moves, &view));
+    }
+
+    /// Wishes that fit now. What doesn't is let go: whoever wished may wish again.
+    pub(super) fn fitting_wishes(&mut self, view: &View) -> Vec<Move> {
+        let (mut rooms, wishes) = (view.rooms.clone(), std::mem::take(&mut self.plan.wishes));
+        let fits = |(id, to): &Move| {
+            let (slice, server, add) = (&self.slices[*id], &self.servers[*to], self.add(view, *id, *to));
+            let free = slice.handover.is_none() && slice.owner.is_some_and(|owner| owner != *to);
+            let fits = free && usable(server) && server.proven && add <= rooms[*to];
+            rooms[*to] -= if fits { add } else { 0.0 };
+            fits
+        };
+        wishes.into_iter().filter(fits).collect()
+    }
+
+    /// Sinks first; a cycle breaks at the server least loaded after its incoming moves.
+    pub(super) fn sequence(&self, mut moves: Vec<Move>, view: &View) -> VecDeque<Vec<Move>> {
+        let mut batches = VecDeque::new();
+        while !moves.is_empty() {
+            let leaves = |i: usize| moves.iter().any(|(s, _)| self.slices[*s].owner == Some(i));
+            let mut sinks: Vec<usize> = moves.iter().map(|m| m.1).filter(|to| !leaves(*to)).collect();
+            if sinks.is_empty() {
+                let after = |i: usize| -> f64 {
+                    let incoming = moves.iter().filter(|m| m.1 == i);
+                    view.loads[i] + incoming.map(|m| view.demand[m.0] * view.units[i]).sum::<f64>()
+                };
+                sinks.extend(moves.iter().map(|m| m.1).min_by(|a, b| after(*a).total_cmp(&after(*b))));
+            }
+            let (now, later) = moves.into_iter().partition(|m| sinks.contains(&m.1));
+            batches.push_back(now);
+            moves = later;
+        }
+        batches
+    }
+
+    /// Starts a batch once the one before is done.
+    pub(super) fn run_batches(&mut self) {
+        self.plan.batch.retain(|id| self.slices[*id].handover.is_some());
+        if !self.plan.batch.is_empty() || !self.has_room(PLAN_ROOM) {
+            return;
+        }
+        let Some(moves) = self.plan.batches.pop_front() else { return };
+        for (slice, to) in moves {
+            if self.movable(&self.slices[slice]) && usable(&self.servers[to]) {
+                self.stop(slice, Some(to), false);
+                self.plan.batch.push(slice);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/whinhill/src/assigner/tuning.rs
@@ -0,0 +1,68 @@
+//! Tuned values of the decisions.
+
+use std::time::Duration;
+
+/// Share of capacity above which a server is hot (design page). Higher: waiting starts before we act.
+pub(super) const THRESHOLD: f64 = 0.8;
+/// Leveling starts this far above or below the average (design page). Lower: moves that don't pay.
+pub(super) const SKEW: f64 = 0.5;
+/// Rounds in a row that skew must last (design page). Fewer: moves after noise; more: hot slices stay.
+pub(super) const SKEW_ROUNDS: u32 = 3;
+/// Leveling's targets, times the average load (design page).
+pub(super) const TARGETS: [f64; 3] = [1.1, 1.3, 1.5];
+/// Hashed candidates beside the owner (design page). More: better fits, but caches go cold farther afield.
+pub(super) const CANDIDATES: usize = 2;
+/// How long a moved slice stays (design page). Shorter: slices swing; longer: errors stay.
+pub(super) const STAY: Duration = Duration::from_secs(20);
+/// The first wait after a failed call for the list; it doubles. Shorter: the list's service stays jammed.
+pub(super) const ASK_AGAIN: Duration = Duration::from_millis(500);
+/// Part of an average slice that an idle one counts for on a cold server. Less: idle slices crowd there.
+pub(super) const CROWD: f64 = 0.6;
+/// Longest ways of a message kept for taking a drained line away. Fewer: a filled channel breaks the grace.
+pub(super) const DRAIN_WAYS: f64 = 1.75;
+/// Part of its room that a cold server offers (design page). More: it is pushed over.
+pub(super) const NEW_OFFERS: f64 = 0.5;
+/// Times the free time of an answer from which answers wait. Lower: moves after noise.
+pub(super) const WAITING: f64 = 3.0;
+/// Times the middle of its peers' times of service from which a server is slow, whatever its own usual one.
+/// Lower: slow kinds of machine lose slices for nothing; higher: a server that ages is found late.
+pub(super) const SLOWER: f64 = 1.5;
+/// How often handovers, drains and calls under way are looked at. Longer: slices stay without an owner.
+pub(super) const TICK: Duration = Duration::from_millis(50);
+/// Parts of a period by which reports start its work early, and after which it starts alone. Else: acts late.
+pub(super) const PERIOD: (f64, f64) = (0.35, 1.25);
+/// Demand, against a server's average, that counts at the fleet's usual cost. Less: costs follow noise.
+pub(super) const PAD: f64 = 0.3;
+/// Load that the average server is taken to have where servers don't report how busy they are.
+pub(super) const USUAL: f64 = 0.5;
+/// Least part of tries served that a cold server's load is reckoned with where no capacity is learned.
+/// Lower: cold servers idle where answers are lost; higher: they are pushed over after a return.
+pub(super) const PRESSED: f64 = 0.2;
+/// Share of tries lost, and times the others' share, that make a server sick. Lower: healthy ones go.
+pub(super) const SICK: (f64, f64) = (0.3, 3.0);
+/// Tries (or RPCs expected) below which nothing is said about a server.
+pub(super) const ENOUGH: f64 = 6.0;
+/// Slices that a server never seen to serve may hold. More: a false list takes them; fewer: releases wait.
+pub(super) const UNPROVEN: f64 = 4.0;
+/// How long a sick server is left alone. Shorter: slices go back to a server still sick.
+pub(super) const SICK_FOR: Duration = Duration::from_secs(8);
+/// Most of the ready servers that may be held sick at a time. Higher: the rest fall over.
+pub(super) const SICK_MOST: f64 = 0.5;
+/// A cold server's budget: part of what topples it, most of its capacity, and a power of our share of slices
+/// (others give it some unseen). More: it topples; less: it idles while warm ones are full.
+pub(super) const COLD: (f64, f64, f64) = (0.35, 1.3, 1.5);
+/// Parts of the backlog under which plans go out; and under which departures from sick or cold owners (levels
+/// to the start too), grants and drains start, and stop. Higher: no room for safety; lower: moves trickle.
+pub(super) const PLAN_ROOM: f64 = 0.25;
+pub(super) const LEAVE_ROOM: (f64, f64) = (0.3, 0.6);
+pub(super) const GRANT_ROOM: (f64, f64) = (0.3, 0.5);
+pub(super) const DRAIN_ROOM: (f64, f64) = (0.8, 0.9);
+/// Heads that fit between where drains start and stop, at least. Fewer: the channel carries little but heads.
+pub(super) const HEADS: f64 = 4.0;
+/// The channel may run this many times slower than stated, and as often again while an answer is overdue.
+/// Lower: the queue's rule is at risk; higher: where answers are lost it stays shut for long.
+pub(super) const SLOW_CHANNEL: f64 = 4.0;
+/// Mean wait, as a part of the soft deadline, at which a server counts as overloaded.
+pub(super) const LATE: f64 = 0.4;
+/// What an overloaded server is let, times what it did; and how that grows in a period without lateness.
+pub(super) const LIMIT_STEP: (f64, f64) = (0.9, 1.06);
