Probe every server of a large fleet: those beyond the bound wait their turn

Callers saw RPCs sent to servers that had been silent for seconds, at fleets over 48 servers.

Cause: a period's probes all opened in one loop, 48 at a time at most, and the others were left out until the next period, where the same first 48 by index won again (probes.rs, limits.rs).

Change: servers wait in a queue, each at most once, and are probed as others' probes end; the bound follows the descriptors (a fifth, 16 to 256), and what is left for clients shrinks by as much. A probe's time is its own across a second connection; before, the second began it anew.

--- a/crates/whinhill-node/src/connection.rs
+++ b/crates/whinhill-node/src/connection.rs
@@ -35,6 +35,8 @@
     Probe {
         ep: Ep,
         probing: Probing,
+        /// When its time is over.
+        until: Duration,
     },
 }
 
--- a/crates/whinhill-node/src/lib.rs
+++ b/crates/whinhill-node/src/lib.rs
@@ -17,6 +17,7 @@
 mod limits;
 mod listing;
 mod node;
+mod probe_queue;
 mod probes;
 mod relay;
 mod reloading;
--- a/crates/whinhill-node/src/limits.rs
+++ b/crates/whinhill-node/src/limits.rs
@@ -30,13 +30,14 @@
 pub const BATCH_MOST: usize = 8192;
 /// Reads of one connection in a turn, of 64 KiB each: then the others have theirs.
 pub const READS_MOST: usize = 8;
-/// Probes under way at a time.
-pub const PROBES_MOST: usize = 48;
+/// Probes under way at a time: a part of the descriptors, within bounds. A silent server holds one for its whole time.
+pub const PROBES_PART: usize = 5;
+pub const PROBES_MOST: (usize, usize) = (16, 256);
 /// Connections of one zone's collector: the newest is the real one, others may not have noticed their end.
 pub const COLLECTORS_MOST: usize = 3;
 /// Descriptors that nobody who connects may take: standard streams, poll, signals, listener, the configuration
-/// file (12), relay and discovery, each with one to replace it (8), and probes.
-pub const RESERVED: usize = 20 + PROBES_MOST;
+/// file (12), relay and discovery, each with one to replace it (8). Probes come on top.
+pub const RESERVED: usize = 20;
 /// Failures of `accept` in one turn: most pass at once, and a client that waits is late soon.
 pub const ACCEPT_FAILURES_MOST: u32 = 16;
 /// Accepting goes on after this: after failures, while all places are taken, and where somebody may still wait.
--- a/crates/whinhill-node/src/listing.rs
+++ b/crates/whinhill-node/src/listing.rs
@@ -46,6 +46,7 @@
             let since = *self.gone.entry(index).or_insert(now);
             if now >= since + LET_GO_AFTER && self.assigner.is_done_with(index) {
                 self.names.let_go(index);
+                self.probes.forget(index);
                 self.gone.remove(&index);
                 self.addrs.get_mut(index).into_iter().for_each(|addr| *addr = None);
                 self.counts.let_go += 1;
--- a/crates/whinhill-node/src/node.rs
+++ b/crates/whinhill-node/src/node.rs
@@ -29,6 +29,7 @@
 use crate::deadlines::{Deadlines, Due};
 use crate::failures::FailureLog;
 use crate::limits::*;
+use crate::probe_queue::ProbeQueue;
 use crate::probes::Again;
 use crate::report::Counts;
 use crate::starting::{read_until_had, until_had};
@@ -97,7 +98,7 @@
     /// Whether the last word of discovery, and of the relay's news, was a failure: told once, when it changes.
     pub discovery_fails: bool,
     pub news_fail: bool,
-    pub probing: usize,
+    pub probes: ProbeQueue,
     /// Probes whose connects failed at once, to be made again.
     pub probes_again: Vec<Again>,
     /// Whoever connected and is connected, and those of them who have not joined.
@@ -161,11 +162,12 @@
             "assigner starts"
         );
         debug!(target: TRACE, "settings {:?}", config.settings.0);
+        let probes_most = (config.limits.sockets / PROBES_PART).clamp(PROBES_MOST.0, PROBES_MOST.1);
         let mut node = Node {
             names: Names::new(&config.settings),
             version: Version::new(known.version),
             starts: Starts::default(),
-            peers_most: config.limits.sockets.saturating_sub(RESERVED).max(8),
+            peers_most: config.limits.sockets.saturating_sub(RESERVED + probes_most).max(8),
             poll,
             listener: Some(listener),
             next_client: None,
@@ -201,7 +203,7 @@
             watch_at: None,
             discovery_fails: false,
             news_fail: false,
-            probing: 0,
+            probes: ProbeQueue::new(probes_most),
             probes_again: Vec::new(),
             peers: 0,
             strangers: 0,
--- a/crates/whinhill-node/src/probes.rs
+++ b/crates/whinhill-node/src/probes.rs
@@ -22,24 +22,27 @@
 }
 
 impl Node {
-    /// Where too many are under way the server is left for the next period.
+    /// Probes a server now, or as soon as another probe has ended.
     pub fn probe(&mut self, ep: Ep) {
-        let Some(addr) = self.addrs.get(ep.index).copied().flatten() else { return };
-        if self.probing >= PROBES_MOST {
-            self.counts.probes_left += 1;
-            return;
+        self.counts.probes_left += u64::from(!self.probes.push(ep));
+        self.start_probes();
+    }
+
+    fn start_probes(&mut self) {
+        while let Some(ep) = self.probes.next() {
+            let Some(addr) = self.addrs.get(ep.index).copied().flatten() else { continue };
+            self.counts.probes += 1;
+            self.open_probe(ep, addr, Probing::default(), self.clock.now() + PROBE_WITHIN);
         }
-        self.counts.probes += 1;
-        self.open_probe(ep, addr, Probing::default(), self.clock.now() + PROBE_WITHIN);
     }
 
     fn open_probe(&mut self, ep: Ep, addr: SocketAddr, probing: Probing, until: Duration) {
-        self.probing += 1;
         let (again, left) = (probing.clone(), until.saturating_sub(self.clock.now()));
-        let kind = Kind::Probe { ep, probing };
-        if self.connect(addr, kind, &probe::request(addr), left).is_none() {
+        let kind = Kind::Probe { ep, probing, until };
+        if self.connect(addr, kind, &probe::request(addr), left).is_some() {
+            self.probes.opened(ep.index);
+        } else {
             // Nothing is known of the server: it is ours that failed, and may not the next moment.
-            self.probing -= 1;
             self.probes_again.push(Again { ep, probing: again, until });
             self.deadlines.set_by(Due::Probes, self.clock.now() + CONNECT_AGAIN);
         }
@@ -50,14 +53,15 @@
         let now = self.clock.now();
         for Again { ep, probing, until } in std::mem::take(&mut self.probes_again) {
             let addr = self.addrs.get(ep.index).copied().flatten();
-            if let Some(addr) = addr.filter(|_| now < until && self.probing < PROBES_MOST) {
+            if let Some(addr) = addr.filter(|_| now < until && self.probes.has_room()) {
                 self.open_probe(ep, addr, probing, until);
             }
         }
     }
 
     pub fn probe_bytes(&mut self, id: Id, bytes: &[u8]) {
-        let Some(Connection { kind: Kind::Probe { ep, probing }, .. }) = self.connections.get_mut(id) else {
+        let Some(Connection { kind: Kind::Probe { ep, probing, .. }, .. }) = self.connections.get_mut(id)
+        else {
             return;
         };
         let ep = *ep;
@@ -69,11 +73,11 @@
     /// Its connection ended.
     pub fn probe_ended(&mut self, id: Id) {
         let now = self.clock.now();
-        let Some(Connection { kind: Kind::Probe { ep, probing }, opened, .. }) = self.connections.get_mut(id)
+        let Some(Connection { kind: Kind::Probe { ep, probing, until }, .. }) = self.connections.get_mut(id)
         else {
             return;
         };
-        let (ep, until) = (*ep, *opened + PROBE_WITHIN);
+        let (ep, until) = (*ep, *until);
         if let Some((result, load)) = probing.ended() {
             return self.probed(id, ep, result, load);
         }
@@ -104,5 +108,6 @@
             self.failures.log_server(name, connection.remote, why);
         }
         self.pending.push(Event::Probed { ep, result, load });
+        self.start_probes();
     }
 }
--- a/crates/whinhill-node/src/sockets.rs
+++ b/crates/whinhill-node/src/sockets.rs
@@ -57,7 +57,7 @@
                 self.peers -= 1;
                 self.strangers -= usize::from(!peer.joined());
             }
-            Kind::Probe { .. } => self.probing -= 1,
+            Kind::Probe { ep, .. } => self.probes.closed(ep.index),
             _ => {}
         }
         for at in [&mut self.calls_at, &mut self.news_at, &mut self.news_next_at, &mut self.watch_at] {
