Shut suspected servers out as soon as they miss a probe, and judge cut zones by it

Callers saw RPCs without an answer for 1.8 to 3.0 s after a server fell silent, and for 5.2 s and more at servers of a zone that was cut off: they were sent there by our tables.

Cause: health was judged when the assigner's own period came round, on two missed probes a period apart and on sums that halve; a zone whose proxies had left was not judged at all. Nothing acted on the first evidence. Traced on real processes: the second miss known at 1.56 to 2.48 s, the order up to 0.5 s later (crates/whinhill-cli/tests/silent_servers.rs).

Change (circuit breaker, docs/design.md): a server that misses a probe is asked again at once, and levels shut it out until it answers, in one line a slice. How many misses that takes follows how often probes were missed by chance of late; more than half of the fleet at once tells nothing unless whole zones fall silent; a server where answers wait or cores are busy is not suspected; reports of later answers contradict it. Servers are probed up to three times a period, as long as that is at most 0.3 probes an RPC. Moves still wait for what made a server sick before; a cut zone is left alone for a move there and back, not one. The test of cut zones has its times doubled for that, and its demand raised so that it is still due after them.

--- a/crates/whinhill/src/assigner.rs
+++ b/crates/whinhill/src/assigner.rs
@@ -23,12 +23,14 @@
 mod plan;
 mod resent;
 mod shown;
+mod suspicion;
 #[cfg(test)]
 mod tests;
 mod tuning;
 
 use health::usable;
 use tuning::*;
+pub(crate) use tuning::{REPORTS_LAG, TRUST_HALVES};
 
 /// Every decision of one assigner, and what it remembers.
 pub struct Assigner {
@@ -46,6 +48,7 @@
     /// Time of service in seconds from which a server counts as slow against its peers.
     slow: f64,
     next_period: Duration,
+    next_probes: Duration,
     list: Following,
     plan: Plan,
     channel: Channel,
@@ -67,6 +70,7 @@
             proxies: BTreeMap::new(),
             slow: f64::MAX,
             next_period: Duration::ZERO,
+            next_probes: Duration::ZERO,
             list: Following::default(),
             plan: Plan::default(),
             channel: Channel::default(),
@@ -91,14 +95,14 @@
             self.out.extend(self.cfg.watch.then_some(Order::Watch));
             self.list.ask_at = Some(now + self.cfg.must_ask / 2);
         }
+        self.weigh_probes();
         let period = told || now >= self.next_period;
         if period {
             self.next_period = now + self.cfg.period.mul_f64(PERIOD.1);
             self.judge();
             self.make_plan();
-            let probed = self.servers.iter().filter(|s| self.cfg.probes && s.listed == Listed::Ready);
-            self.out.extend(probed.map(|s| Order::Probe { ep: s.ep }));
         }
+        self.order_probes(period);
         if now >= self.channel.wake && self.has_room(0.5) {
             self.tell_joined();
         }
@@ -127,11 +131,7 @@
                 self.slices[*slice].demand.add(now, half, work, *span);
             }
             Event::Probed { ep, result, load } => {
-                let server = self.server(*ep);
-                if *result != Probe::PushedBack {
-                    server.unanswered = if *result == Probe::Unanswered { server.unanswered + 1 } else { 0 };
-                    server.proven |= *result == Probe::Ok;
-                }
+                self.take_probe(*ep, *result);
                 self.take_load(*ep, load);
             }
             Event::Joined { proxy, zone } => self.join(*proxy, *zone),
--- a/crates/whinhill/src/assigner/admission.rs
+++ b/crates/whinhill/src/assigner/admission.rs
@@ -39,37 +39,73 @@
         (self.cfg.fall_multiple * COLD.0).min(COLD.1) * self.our_share().powf(COLD.2)
     }
 
-    /// Orders the shares that differ from what proxies were told: none of the writes during a handover. What
-    /// only tunes waits for a period and an ack of the last: the slowest of channels must not fill.
+    /// Orders the shares that differ from what proxies were told: none of the writes during a handover, nothing at
+    /// a suspected owner. What only tunes waits for a period and an ack of the last: the slowest of channels must
+    /// not fill.
     pub(super) fn order_levels(&mut self, period: bool) {
         let open = period && self.channel.tuned.is_none();
         for id in 0..self.slices.len() {
-            let slice = &self.slices[id];
-            let moving = slice.handover.as_ref().filter(|_| self.cfg.guarded);
-            let (stopped, cut) = moving.map_or((false, false), |h| (true, h.cut));
-            let Some(owner) = slice.owner else { continue };
-            let line = self.servers[owner].line;
-            let cold = period && self.cold(owner) && self.has_room(0.5);
-            let tune = slice.stays == self.now + STAY || cold || open && self.has_room(LEAVE_ROOM.0);
-            let mut wanted = slice.told.clone();
-            for (rank, method) in self.cfg.ranks.iter().enumerate() {
-                let told = &mut wanted[*method];
-                if stopped && !cut && self.cfg.methods[*method].writes {
-                    *told = 0.0;
-                } else if tune && !cut || *told == 0.0 {
-                    *told = ((1.0 - (line - rank as f64)).clamp(0.0, 1.0) * 20.0).round() / 20.0;
-                }
-            }
-            for (method, share) in wanted.iter().enumerate().filter(|(m, share)| slice.told[*m] != **share) {
-                let all = self.cfg.admission == Admission::Rate && *share > 0.0;
-                let share = if all { ALL_LET_IN } else { *share };
-                let (methods, tries) = (1 << method, self.cfg.tries);
-                self.out.push(Order::Level { slice: id, share, methods, tries });
+            let Some(owner) = self.slices[id].owner else { continue };
+            let shut = self.is_shut(id, owner);
+            let wanted = self.wanted_levels(id, owner, shut, (period, open));
+            for (share, methods) in changed_levels(&self.slices[id].told, &wanted) {
+                let all = self.cfg.admission == Admission::Rate && share > 0.0;
+                let share = if all { ALL_LET_IN } else { share };
+                self.out.push(Order::Level { slice: id, share, methods, tries: self.cfg.tries });
                 if open {
                     (self.channel.mark_wanted, self.channel.tuned) = (true, Some(self.channel.marks + 1));
                 }
             }
-            self.slices[id].told = wanted;
+            (self.slices[id].told, self.slices[id].shut) = (wanted, shut);
+        }
+    }
+
+    /// Whether a slice is to be shut out, as its owner is suspected. Both ways it changes only with room in the
+    /// channel, since a whole zone may be suspected at once.
+    fn is_shut(&self, id: SliceId, owner: usize) -> bool {
+        let slice = &self.slices[id];
+        let cut = slice.handover.as_ref().is_some_and(|handover| handover.cut);
+        let suspected = self.servers[owner].suspected;
+        match slice.shut {
+            _ if cut => false,
+            true => suspected || !self.has_room(DRAIN_ROOM.0),
+            false => suspected && self.has_room(LEAVE_ROOM.1),
+        }
+    }
+
+    /// The share of each method that is to be let in for a slice. `period`: its work is done; `open`: and levels may
+    /// be tuned.
+    fn wanted_levels(&self, id: SliceId, owner: usize, shut: bool, (period, open): (bool, bool)) -> Vec<f64> {
+        let slice = &self.slices[id];
+        if shut {
+            return vec![0.0; slice.told.len()];
+        }
+        let moving = slice.handover.as_ref().filter(|_| self.cfg.guarded);
+        let (stopped, cut) = moving.map_or((false, false), |handover| (true, handover.cut));
+        let line = self.servers[owner].line;
+        let cold = period && self.cold(owner) && self.has_room(0.5);
+        let tune = slice.stays == self.now + STAY || cold || open && self.has_room(LEAVE_ROOM.0);
+        let mut wanted = slice.told.clone();
+        for (rank, method) in self.cfg.ranks.iter().enumerate() {
+            let told = &mut wanted[*method];
+            if stopped && !cut && self.cfg.methods[*method].writes {
+                *told = 0.0;
+            } else if tune && !cut || *told == 0.0 {
+                *told = ((1.0 - (line - rank as f64)).clamp(0.0, 1.0) * 20.0).round() / 20.0;
+            }
+        }
+        wanted
+    }
+}
+
+/// The levels that differ from what was told, each with the methods that it is for.
+fn changed_levels(told: &[f64], wanted: &[f64]) -> Vec<(f64, MethodMask)> {
+    let mut levels: Vec<(f64, MethodMask)> = Vec::new();
+    for (method, share) in wanted.iter().enumerate().filter(|(method, share)| told[*method] != **share) {
+        match levels.iter_mut().find(|(other, _)| other == share) {
+            Some((_, methods)) => *methods |= 1 << method,
+            None => levels.push((*share, 1 << method)),
         }
     }
+    levels
 }
--- a/crates/whinhill/src/assigner/tests.rs
+++ b/crates/whinhill/src/assigner/tests.rs
@@ -9,16 +9,16 @@
     rules.coldFrom=0.2 rules.fallMultiple=3 familyInfo.overhead=8 familyInfo.linesPerS=4000 \
     familyInfo.backlog=6000 familyInfo.messagesMost=0 familyInfo.reloadSpan=10000 familyInfo.shards=";
 
-fn s(seconds: f64) -> Duration {
+pub(super) fn s(seconds: f64) -> Duration {
     Duration::from_secs_f64(seconds)
 }
 
-fn ep(index: usize) -> Ep {
+pub(super) fn ep(index: usize) -> Ep {
     Ep { index, stable: (index as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15) }
 }
 
 /// An assigner at 100 s: ready servers, two joined proxies, and a slice for each owner named, with a demand.
-fn fleet(servers: usize, slices: &[(usize, f64)]) -> Assigner {
+pub(super) fn fleet(servers: usize, slices: &[(usize, f64)]) -> Assigner {
     let text = format!("{SETTINGS}{}", slices.len());
     let pairs = text.split_whitespace().map(|p| p.split_once('=').unwrap());
     let settings = Settings(pairs.map(|(k, v)| (k.to_string(), v.to_string())).collect());
@@ -388,7 +388,7 @@
 }
 
 /// Gives a server `tries` of which `lost` failed, and waits of `wait` seconds for the others.
-fn met(a: &mut Assigner, server: usize, tries: u64, lost: u64, wait: f64) {
+pub(super) fn met(a: &mut Assigner, server: usize, tries: u64, lost: u64, wait: f64) {
     let load = LoadReport::default();
     a.take(&Event::Met { ep: ep(server), zone: 0, tries, lost, wait: s(wait), span: s(1.0), load });
 }
@@ -452,10 +452,10 @@
 
 #[test]
 fn servers_of_a_zone_whose_proxies_all_left_are_cut_off_not_sick() {
-    let mut a = fleet(3, &[(0, 300.0), (1, 300.0), (2, 300.0)]);
+    let mut a = fleet(3, &[(0, 1e5), (1, 1e5), (2, 1e5)]);
     a.servers[0].zone = 1;
     a.proxies.insert(2, Proxy { zone: 1, joined: false, since: s(100.0) });
-    for (at, sick) in [(104.0, false), (106.0, true)] {
+    for (at, sick) in [(110.0, false), (111.0, true)] {
         a.now = s(at);
         (1..3).for_each(|i| met(&mut a, i, 20, 0, 0.1));
         a.judge();
@@ -723,7 +723,7 @@
     // It can do less than the slice brings.
     let full = with(&|a| {
         a.servers[1].limit = Some(0.5);
-        a.servers[1].limited = a.now;
+        a.servers[1].limited = Some(a.now);
     });
     assert_eq!(full, None);
 }
--- a/crates/whinhill/src/assigner/tuning.rs
+++ b/crates/whinhill/src/assigner/tuning.rs
@@ -66,3 +66,29 @@
 pub(super) const LATE: f64 = 0.4;
 /// What an overloaded server is let, times what it did; and how that grows in a period without lateness.
 pub(super) const LIMIT_STEP: (f64, f64) = (0.9, 1.06);
+/// Probes of each ready server in a period, at most. Fewer: silence is found later; more: servers work for probes.
+pub(super) const PROBE_ROUNDS: u32 = 3;
+/// Probes of all assigners for each RPC, at most, as long as there is a round a period.
+pub(super) const PROBES_PER_RPC: f64 = 0.3;
+/// Probes in a row without an answer after which a server is sick. Fewer: one lost packet costs moves.
+pub(super) const DEAD_AFTER: u32 = 2;
+/// How long a zone whose servers all fell silent is shut out before they count as dead: broken streams of its
+/// proxies are noticed by then.
+pub(super) const ZONE_SETTLES: Duration = Duration::from_secs(3);
+/// How long a server is left alone at least that is sick by its probes alone.
+pub(super) const UNANSWERED_FOR: Duration = Duration::from_secs(3);
+/// Busy share of its cores from which a server's probes may wait for load alone.
+pub(super) const BUSY: f64 = 0.9;
+/// How long slices stay at servers of a zone that is cut off, in moves: there and back.
+pub(super) const CUT_OFF_MOVES: u32 = 2;
+/// Part of the ready servers above which missed probes tell nothing of single servers. Higher: where probes are lost
+/// everywhere, servers that serve are shut out.
+pub(super) const SUSPECTED_MOST: f64 = 0.5;
+/// In this time the memory of probes that were missed by chance halves.
+pub(crate) const TRUST_HALVES: Duration = Duration::from_secs(10);
+/// Chance at which misses in a row are taken for silence.
+pub(super) const MISSES_BY_CHANCE: f64 = 0.01;
+/// Misses in a row that are always enough.
+pub(super) const MISSES_MOST: u32 = 10;
+/// Stretches of a report after which what is told of a server came about later than the probe that it missed first.
+pub(crate) const REPORTS_LAG: u32 = 3;
--- a/crates/whinhill/src/settings.rs
+++ b/crates/whinhill/src/settings.rs
@@ -42,6 +42,8 @@
     pub lease: Duration,
     /// All that there are, across all assigners.
     pub proxies: usize,
+    /// All that there are, this one with them.
+    pub assigners: usize,
     pub settle: Duration,
     /// How long a guarded move of a slice takes.
     pub move_time: Duration,
@@ -111,6 +113,7 @@
             move_time: lease + settle,
             // Absent where nobody counts them: then some may always be unheard of.
             proxies: settings.optional(settings.get("familyInfo.dataPlaneSize"))?.unwrap_or(usize::MAX),
+            assigners: settings.optional(settings.get("peersTotal"))?.unwrap_or(1),
             settle: waits(settle),
             grace: settings.span("rules.stopSendingWithin")?,
             way_most: settings.span("familyInfo.transitMax")?,
--- a/crates/whinhill/src/state.rs
+++ b/crates/whinhill/src/state.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
+use crate::assigner::{REPORTS_LAG, TRUST_HALVES};
 use crate::interface::{Entry, Ep, Listed, ProxyId, SliceId, ZoneId};
 
 /// A sum that halves every `half`, brought up to date when it is read. What a report tells counts as spread
@@ -62,12 +63,28 @@
     pub service: Option<f64>,
     pub cpu: Option<(f64, Duration)>,
     pub unanswered: u32,
+    /// When the first of them was found unanswered.
+    pub silent_since: Option<Duration>,
+    /// Probes that it answered of late, and times that it missed some and turned out well.
+    pub probes_answered: Sum,
+    pub probes_missed: Sum,
+    /// Misses in a row that make it suspected, and whether it is: then it is shut out.
+    pub misses_to_suspect: u32,
+    pub suspected: bool,
+    /// Its probes are not answered though it answers RPCs.
+    pub probes_mislead: bool,
     pub sick: Option<Duration>,
+    /// When it was called sick last, and what was told of it since.
+    pub called_sick: Duration,
+    pub tries_since: u64,
+    pub lost_since: u64,
     /// Whether its answers come late or are lost.
     pub late: bool,
+    /// Whether ok answers wait there: then lost tries and probes tell of load.
+    pub loaded: bool,
     /// Work a second that it was learned to do, and when that was last cut.
     pub limit: Option<f64>,
-    pub limited: Duration,
+    pub limited: Option<Duration>,
     /// The part of the work offered that is shut out.
     pub shut_out: f64,
     /// How many methods, from the least critical up, are shut out; the fraction is the next one's share.
@@ -83,15 +100,46 @@
     /// Counts what proxies met here.
     pub fn meet(&mut self, now: Duration, half: Duration, met: (u64, u64), wait: Duration, span: Duration) {
         let oks = met.0.saturating_sub(met.1) as f64;
+        self.tries_since = self.tries_since.saturating_add(met.0);
+        self.lost_since = self.lost_since.saturating_add(met.1);
         self.tries.add(now, half, met.0 as f64, span);
         self.lost.add(now, half, met.1 as f64, span);
         self.oks.add(now, half, oks, span);
         self.waits.add(now, half, oks * wait.as_secs_f64(), span);
         if oks > 0.0 {
             (self.last_ok, self.proven) = (self.last_ok.max(now), true);
+            self.probes_mislead |= self.silent_since.is_some_and(|since| now >= since + half * REPORTS_LAG);
         }
     }
 
+    /// A probe was answered: what it missed before was chance, or is over.
+    pub fn answer_probe(&mut self, now: Duration) {
+        if self.unanswered > 0 {
+            self.probes_missed.add(now, TRUST_HALVES, 1.0, Duration::ZERO);
+        }
+        self.probes_answered.add(now, TRUST_HALVES, 1.0, Duration::ZERO);
+        (self.unanswered, self.silent_since, self.probes_mislead) = (0, None, false);
+    }
+
+    /// The share of its probes that it missed of late though it was well.
+    pub fn miss_rate(&self, now: Duration) -> f64 {
+        let missed = self.probes_missed.read(now, TRUST_HALVES);
+        missed / (missed + self.probes_answered.read(now, TRUST_HALVES) + 1.0)
+    }
+
+    /// It is sick from now on, and left alone until a time.
+    pub fn call_sick(&mut self, now: Duration, until: Duration) {
+        (self.sick, self.called_sick) = (Some(until), now);
+        (self.tries_since, self.lost_since) = (0, 0);
+    }
+
+    /// Whether what was told since it was called sick shows that it went on answering RPCs: at least `enough`, of
+    /// which less than `share` were lost.
+    pub fn served_while_called_sick(&self, share: f64, enough: f64) -> bool {
+        let (tries, lost) = (self.tries_since as f64, self.lost_since as f64);
+        tries >= enough && lost < share * tries
+    }
+
     /// Mean wait of an ok answer in seconds.
     pub fn wait(&self, now: Duration, half: Duration) -> Option<f64> {
         let oks = self.oks.read(now, half);
@@ -132,6 +180,8 @@
     pub demand: Sum,
     /// The shares that proxies were told, by method.
     pub told: Vec<f64>,
+    /// All its methods are shut out, as its owner is suspected.
+    pub shut: bool,
 }
 
 /// What the plan works on: every server's load, room and cost, and each slice's demand.
