Do not end a connection as idle whose calls are short

Cause: a connection counted as used only when a call was under way at one of the driver's ticks, 50 ms apart. Calls of a millisecond went unseen, so a connection in use ended after the idle time and the next call failed with NeverWritten. Found by a process test of probes behind xDS: every ten seconds (the prober's idle time) one probe of a server that answers all of them was told to the decisions as Unanswered. Change: calls that were begun are counted, by both ends, and a tick compares the count. A call counts from before it is handed to h2, no longer after.

--- a/crates/whinhill-transport/src/call.rs
+++ b/crates/whinhill-transport/src/call.rs
@@ -97,7 +97,7 @@
 /// Writes messages of one direction of a call, waiting for the peer's window.
 pub struct MessageWriter {
     stream: SendStream<Bytes>,
-    _counted: Option<Counted>,
+    _counted: Counted,
 }
 
 fn framed(message: &[u8]) -> Bytes {
@@ -168,7 +168,7 @@
     pub(crate) body: RecvStream,
     pub(crate) respond: SendResponse<Bytes>,
     most: usize,
-    counted: Option<Counted>,
+    counted: Counted,
 }
 
 impl ServerCall {
@@ -177,7 +177,7 @@
         respond: SendResponse<Bytes>,
         peer: SocketAddr,
         most: usize,
-        counted: Option<Counted>,
+        counted: Counted,
     ) -> Self {
         let (head, body) = request.into_parts();
         ServerCall { head, peer, came: Instant::now(), body, respond, most, counted }
@@ -494,7 +494,7 @@
         path: &str,
         headers: HeaderMap,
         within: Duration,
-    ) -> Result<(SendStream<Bytes>, ResponseFuture, Option<Counted>), CallError> {
+    ) -> Result<(SendStream<Bytes>, ResponseFuture, Counted), CallError> {
         let mut uri = http::uri::Parts::default();
         uri.scheme = Some(http::uri::Scheme::HTTP);
         uri.authority = Some(self.authority.clone());
@@ -502,6 +502,8 @@
         let uri = Uri::from_parts(uri).map_err(|_| CallError::Malformed("a path"))?;
         let mut request = Request::new(());
         (*request.method_mut(), *request.uri_mut(), *request.headers_mut()) = (Method::POST, uri, headers);
+        // Counted first: a connection may end as idle only while nobody is about to use it.
+        let counted = self.line.begin_call();
         let mut send = self.request.lock().unwrap_or_else(PoisonError::into_inner).clone();
         let until = Instant::now() + within;
         let failed = |error: h2::Error| {
@@ -512,7 +514,7 @@
             .ok_or(CallError::NeverRan(NeverRan::NeverWritten))?
             .map_err(failed)?;
         let (future, stream) = send.send_request(request, false).map_err(failed)?;
-        Ok((stream, future, Counted::take(&self.line.streams, usize::MAX)))
+        Ok((stream, future, counted))
     }
 
     /// What an ended call says, and of the connection with it.
--- a/crates/whinhill-transport/src/connection.rs
+++ b/crates/whinhill-transport/src/connection.rs
@@ -36,6 +36,8 @@
 pub struct Line {
     /// Calls under way.
     pub streams: Arc<AtomicUsize>,
+    /// Calls that were begun, of which many are over before anybody looks.
+    begun: Arc<AtomicU64>,
     /// Reads that brought something, and when the last did, in microseconds after the process's first look.
     pub reads: Arc<AtomicU64>,
     pub read_at: Arc<AtomicU64>,
@@ -49,11 +51,18 @@
     pub fn new(reads: Arc<AtomicU64>) -> Self {
         Line {
             streams: Arc::default(),
+            begun: Arc::default(),
             reads,
             read_at: Arc::new(AtomicU64::new(micros_now())),
             severed: Arc::default(),
         }
     }
+
+    /// Counts a call from now until what is returned is dropped.
+    pub fn begin_call(&self) -> Counted {
+        self.begun.fetch_add(1, Ordering::Relaxed);
+        Counted::one_more(&self.streams)
+    }
 }
 
 /// The process's own clock, in microseconds.
@@ -72,6 +81,11 @@
         count.fetch_update(Ordering::Relaxed, Ordering::Relaxed, more).ok()?;
         Some(Counted(count.clone()))
     }
+
+    fn one_more(count: &Arc<AtomicUsize>) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        Counted(count.clone())
+    }
 }
 
 impl Drop for Counted {
@@ -111,6 +125,8 @@
     heard: Instant,
     /// When the last stream was there.
     busy: Instant,
+    /// The calls that had been begun by then.
+    begun_seen: u64,
     pings: Option<PingPong>,
     pinged: Option<Instant>,
     closing: bool,
@@ -167,6 +183,7 @@
             born: now,
             heard: now,
             busy: now,
+            begun_seen: 0,
             pings: None,
             pinged: None,
             closing: false,
@@ -190,14 +207,8 @@
                 Role::Serving(connection, handler) => match connection.poll_accept(cx) {
                     Poll::Pending => break,
                     Poll::Ready(Some(Ok((request, respond)))) => {
-                        let counted = Counted::take(&self.line.streams, usize::MAX);
-                        handler(ServerCall::new(
-                            request,
-                            respond,
-                            self.peer,
-                            self.limits.message_most,
-                            counted,
-                        ));
+                        let (most, counted) = (self.limits.message_most, self.line.begin_call());
+                        handler(ServerCall::new(request, respond, self.peer, most, counted));
                     }
                     Poll::Ready(Some(Err(error))) => return self.ended(&error.to_string()),
                     Poll::Ready(None) => return self.ended("closed"),
@@ -253,8 +264,9 @@
             warn!(peer = %self.peer, streams, "connection broken off: nothing was heard on it");
             return false;
         }
-        if streams > 0 {
-            self.busy = now;
+        let begun = self.line.begun.load(Ordering::Relaxed);
+        if streams > 0 || begun != self.begun_seen {
+            (self.busy, self.begun_seen) = (now, begun);
         }
         if matches!(self.role, Role::Accepting(..) | Role::Opening(..)) {
             if now.duration_since(self.born) > self.limits.handshake {
--- a/crates/whinhill-transport/src/relay.rs
+++ b/crates/whinhill-transport/src/relay.rs
@@ -123,7 +123,7 @@
     client: Client,
     /// The request's end was sent.
     done: bool,
-    counted: Option<Counted>,
+    counted: Counted,
 }
 
 /// A try whose answer has begun.
@@ -132,7 +132,7 @@
     up: SendStream<Bytes>,
     done: bool,
     down: RecvStream,
-    _counted: Option<Counted>,
+    _counted: Counted,
 }
 
 impl Answering {
--- a/crates/whinhill-transport/tests/bad_peers.rs
+++ b/crates/whinhill-transport/tests/bad_peers.rs
@@ -186,3 +186,19 @@
     let ended = peer.read_to_end(&mut Vec::new()).unwrap_err();
     assert_eq!(ended.kind(), std::io::ErrorKind::ConnectionReset);
 }
+
+/// Found by probes: calls that were over between two looks at the clock did not count, and every ten seconds a probe
+/// met a connection that had ended.
+#[test]
+fn a_connection_whose_calls_are_short_is_not_idle() {
+    let drivers = Drivers::start("idle", 1).unwrap();
+    let listener = server(&drivers);
+    let idle = Duration::from_millis(300);
+    let client = Client::connect(listener.addr(), Limits { idle, ..limits() }, &drivers).unwrap();
+    let started = Instant::now();
+    while started.elapsed() < idle * 5 {
+        let answer = client.unary("/echo", &[], Bytes::from_static(b"probe"), WITHIN);
+        assert!(answer.is_ok(), "after {:?}: {answer:?}", started.elapsed());
+        thread::sleep(Duration::from_millis(20));
+    }
+}
