Test start stamps and unreachable probes behind xDS over real processes

Change: a_new_server_is_cold_at_first_and_not_for_good_however_clocks_are_stepped plays the platform's eight cases with store, assigner, proxy and two servers each; a cold server shows by calls that its level turns away, a warm one by a hundred in a row that pass. a_probe_whose_connect_reaches_nobody_is_not_a_ servers_silence fails each connect with EADDRNOTAVAIL, ENETUNREACH or ENOBUFS for 4 s. The prober logs at debug what each probe told, or that none was made.

--- a/crates/whinhill-assigner/src/probes.rs
+++ b/crates/whinhill-assigner/src/probes.rs
@@ -7,6 +7,7 @@
 
 use crossbeam_channel::Sender;
 use prost::Message;
+use tracing::debug;
 use whinhill::interface::{LoadReport, Probe};
 use whinhill_tables::ServerName;
 use whinhill_transport::{CallError, Client, Code, Drivers, Limits, NeverRan, Workers};
@@ -43,7 +44,10 @@
     pub fn probe(&self, server: ServerName) {
         let me = self.clone();
         let _ = self.workers.run(move || {
-            let Some((result, load)) = me.ask(&server) else { return };
+            let Some((result, load)) = me.ask(&server) else {
+                return debug!(%server, "a server was not asked: the fault is this machine's");
+            };
+            debug!(%server, ?result, "a server was asked");
             let _ = me.inputs.try_send((Input::Probed { server, result, load }, None));
         });
     }
--- a/crates/whinhill-cli/tests/processes.rs
+++ b/crates/whinhill-cli/tests/processes.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
 use rustix::process::{kill_process, Pid, Signal};
@@ -34,6 +34,18 @@
         Self::spawn(command, folder, name, args)
     }
 
+    /// The same with another level of its log.
+    fn start_with_faults_and_log(
+        folder: &Path,
+        name: &str,
+        args: &[&str],
+        faults: &str,
+        level: &str,
+    ) -> Self {
+        let args = [&["--log-level", level], args].concat();
+        Self::start_with_faults(folder, name, &args, faults)
+    }
+
     fn spawn(mut command: Command, folder: &Path, name: &str, args: &[&str]) -> Self {
         let log = fs::File::create(folder.join(format!("{name}.log"))).unwrap();
         let ready = folder.join(format!("{name}.addr"));
@@ -74,10 +86,18 @@
     }
 }
 
+fn log_of(folder: &Path, name: &str) -> String {
+    fs::read_to_string(folder.join(format!("{name}.log"))).unwrap_or_default()
+}
+
 fn logged(folder: &Path, name: &str, text: &str) {
+    logged_times(folder, name, text, 1);
+}
+
+fn logged_times(folder: &Path, name: &str, text: &str, times: usize) {
     let until = Instant::now() + WITHIN;
-    while !fs::read_to_string(folder.join(format!("{name}.log"))).unwrap_or_default().contains(text) {
-        assert!(Instant::now() < until, "{name} never said {text:?}");
+    while log_of(folder, name).matches(text).count() < times {
+        assert!(Instant::now() < until, "{name} never said {text:?} so often: {}", log_of(folder, name));
         std::thread::park_timeout(Duration::from_millis(5));
     }
 }
@@ -90,6 +110,11 @@
   ],
 }"#;
 
+fn start_server(folder: &Path, name: &str) -> Running {
+    let day = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../days/quiet.json5");
+    Running::start(folder, name, &["standin", "server", "--day", day.to_str().unwrap()])
+}
+
 /// A server, its roster, and a store's address where nobody listens yet.
 struct Site {
     folder: tempfile::TempDir,
@@ -100,9 +125,7 @@
 impl Site {
     fn start() -> Self {
         let folder = tempfile::tempdir().unwrap();
-        let day = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../days/quiet.json5");
-        let args = ["standin", "server", "--day", day.to_str().unwrap()];
-        let _server = Running::start(folder.path(), "server", &args);
+        let _server = start_server(folder.path(), "server");
         let server = addr(folder.path(), "server");
         let roster = format!(r#"{{ servers: [{{ addr: "{server}", zone: "z", state: "ready" }}] }}"#);
         fs::write(folder.path().join("roster.json5"), roster).unwrap();
@@ -110,6 +133,10 @@
         Site { folder, store, _server }
     }
 
+    fn start_server(&self, name: &str) -> Running {
+        start_server(self.folder(), name)
+    }
+
     fn folder(&self) -> &Path {
         self.folder.path()
     }
@@ -118,6 +145,20 @@
         self.folder().join(name).to_str().unwrap().to_string()
     }
 
+    fn list(&self, servers: &str) {
+        fs::write(self.at("roster.new"), format!("{{ servers: [{servers}] }}")).unwrap();
+        fs::rename(self.at("roster.new"), self.at("roster.json5")).unwrap();
+    }
+
+    /// Writes the assigner's configuration with one part replaced; its path.
+    fn configure_assigner_with(&self, part: &str, other: &str) -> String {
+        let path = self.configure_assigner();
+        let config = fs::read_to_string(&path).unwrap();
+        assert!(config.contains(part), "{config}");
+        fs::write(&path, config.replace(part, other)).unwrap();
+        path
+    }
+
     /// Writes the assigner's configuration; its path.
     fn configure_assigner(&self) -> String {
         let config = format!(
@@ -328,3 +369,101 @@
         }
     });
 }
+
+/// Asks for probes, and lists a server whose first probes come while the assigner's calls fail.
+fn probe_while_calls_fail(faults: &str, failing: Duration) {
+    let site = Site::start();
+    let server = addr(site.folder(), "server");
+    let config = site.configure_assigner_with("report_period_ms: 300", "report_period_ms: 300, probes: true");
+    site.list("");
+    let started = Instant::now();
+    let args = ["assigner", "--config", &config];
+    let level = "info,whinhill_assigner::probes=debug";
+    let _running = Running::start_with_faults_and_log(site.folder(), "assigner", &args, faults, level);
+    std::thread::sleep(failing.saturating_sub(started.elapsed()));
+    site.list(&format!(r#"{{ addr: "{server}", zone: "z", state: "ready" }}"#));
+    logged_times(site.folder(), "assigner", "a server was not asked", 3);
+    logged(site.folder(), "assigner", "result=Ok");
+    let log = log_of(site.folder(), "assigner");
+    assert!(!log.contains("result=Unanswered"), "{log}");
+}
+
+#[test]
+fn a_probe_whose_connect_reaches_nobody_is_not_a_servers_silence() {
+    probe_while_calls_fail("connect=EADDRNOTAVAIL|ENETUNREACH|ENOBUFS:0-4", Duration::ZERO);
+}
+
+/// How the clocks stand: the assigner's by a schedule of steps, and by how many seconds the list's stamps are off.
+struct Clocks {
+    case: &'static str,
+    ours: &'static str,
+    stamps: i64,
+}
+
+const HOUR: i64 = 3600;
+/// Until the steps that come after the start have been made, counted from the start.
+const STEPPED: Duration = Duration::from_millis(1500);
+/// Cases that are played at once: each is five processes.
+const CASES_AT_ONCE: usize = 4;
+/// Calls in a row that no level turns away: a cold server's level lets so many pass with a chance of under 1%.
+const CALLS_OF_A_WARM_SERVER: usize = 100;
+
+/// A server that started just now is cold, whatever the clocks say, and is warm once its time has passed.
+#[test]
+fn a_new_server_is_cold_at_first_and_not_for_good_however_clocks_are_stepped() {
+    let cases = [
+        Clocks { case: "ours is ahead", ours: "clock=+3600:0", stamps: 0 },
+        Clocks { case: "ours is behind", ours: "clock=-3600:0", stamps: 0 },
+        Clocks { case: "all are set forward", ours: "clock=+3600:1", stamps: HOUR },
+        Clocks { case: "all are set back", ours: "clock=-3600:1", stamps: -HOUR },
+        Clocks { case: "ours is set forward", ours: "clock=+3600:1", stamps: 0 },
+        Clocks { case: "ours is set back", ours: "clock=-3600:1", stamps: 0 },
+        Clocks { case: "the others are set forward", ours: "", stamps: HOUR },
+        Clocks { case: "the others are set back", ours: "", stamps: -HOUR },
+    ];
+    for cases in cases.chunks(CASES_AT_ONCE) {
+        std::thread::scope(|scope| {
+            let playing: Vec<_> =
+                cases.iter().map(|clocks| (clocks, scope.spawn(|| play_a_new_server(clocks)))).collect();
+            for (clocks, played) in playing {
+                assert!(played.join().is_ok(), "{}", clocks.case);
+            }
+        });
+    }
+}
+
+fn play_a_new_server(clocks: &Clocks) {
+    let site = Site::start();
+    let _store = site.start_store();
+    let config = site.configure_assigner_with(
+        "warm_after_ms: 5000, cold_from: 0.2",
+        "warm_after_ms: 12000, cold_from: 0.05",
+    );
+    let args = ["assigner", "--config", &config];
+    let started = Instant::now();
+    let _running = Running::start_with_faults(site.folder(), "assigner", &args, clocks.ours);
+    let _proxy = site.start_proxy(addr(site.folder(), "assigner"));
+    let drivers = Drivers::start("test", 1).unwrap();
+    let client = Client::connect(addr(site.folder(), "proxy"), Limits::default(), &drivers).unwrap();
+    site.wait_until_served(&client);
+    std::thread::sleep(STEPPED.saturating_sub(started.elapsed()));
+    let _second = site.start_server("second");
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as i64;
+    let since = now + clocks.stamps * 1000;
+    let (first, second) = (addr(site.folder(), "server"), addr(site.folder(), "second"));
+    site.list(&format!(
+        r#"{{ addr: "{second}", zone: "z", state: "ready", started_unix_ms: {since} }},
+           {{ addr: "{first}", zone: "z", state: "draining" }}"#
+    ));
+    let turned_away =
+        || site.call(&client, PATHS[0]).is_err_and(|error| error.contains("pushed back: level"));
+    let until = Instant::now() + WITHIN;
+    while !turned_away() {
+        assert!(Instant::now() < until, "no call is turned away from a cold server");
+    }
+    let (until, mut in_a_row) = (Instant::now() + WITHIN, 0);
+    while in_a_row < CALLS_OF_A_WARM_SERVER {
+        in_a_row = if turned_away() { 0 } else { in_a_row + 1 };
+        assert!(Instant::now() < until, "calls are turned away from a warm server");
+    }
+}
