Do not take a socket that no driver could hold for a server's silence

Cause: a client's socket whose registration with epoll fails (ENOMEM), or that waits too long for a driver, was reported as NoConnection, which a probe tells the decisions as a server's silence. The fault is this machine's. Change: the connection's handle says whether a driver has taken the socket on; until then a connect that fails counts as not tried. The same where too many sockets wait for a driver.

--- a/crates/whinhill-cli/tests/processes.rs
+++ b/crates/whinhill-cli/tests/processes.rs
@@ -393,6 +393,12 @@
     probe_while_calls_fail("connect=EADDRNOTAVAIL|ENETUNREACH|ENOBUFS:0-4", Duration::ZERO);
 }
 
+#[test]
+fn a_probe_whose_socket_cannot_be_waited_on_is_not_a_servers_silence() {
+    // The driver's own waker needs a registration at its start.
+    probe_while_calls_fail("register=ENOMEM:1-7", Duration::from_secs(2));
+}
+
 /// How the clocks stand: the assigner's by a schedule of steps, and by how many seconds the list's stamps are off.
 struct Clocks {
     case: &'static str,
--- a/crates/whinhill-transport/src/call.rs
+++ b/crates/whinhill-transport/src/call.rs
@@ -427,7 +427,6 @@
 
 impl Client {
     pub fn connect(addr: SocketAddr, limits: Limits, drivers: &Drivers) -> Result<Self, CallError> {
-        let no_connection = |_| CallError::NeverRan(NeverRan::NoConnection);
         let dial = || TcpStream::connect_timeout(&addr, limits.handshake);
         let socket = until_had(CONNECT_AGAIN_WITHIN, is_local, dial).map_err(|error| {
             CallError::NeverRan(if is_local(&error) { NeverRan::NotTried } else { NeverRan::NoConnection })
@@ -435,9 +434,14 @@
         let (answer, opened) = bounded(1);
         let line = Line::new(Arc::default());
         let (most, within) = (limits.message_most, limits.handshake);
-        drivers.opened(socket, addr, limits, line.clone(), answer).map_err(no_connection)?;
-        let request = opened.recv_timeout(within).map_err(|_| CallError::NeverRan(NeverRan::NoConnection))?;
-        let request = request.map_err(|_| CallError::NeverRan(NeverRan::NoConnection))?;
+        let queued = drivers.opened(socket, addr, limits, line.clone(), answer);
+        queued.map_err(|_| CallError::NeverRan(NeverRan::NotTried))?;
+        let request = match opened.recv_timeout(within) {
+            Ok(Ok(request)) => request,
+            // No driver could take the socket on: nothing was said to the peer.
+            Err(_) if !line.is_taken_on() => return Err(CallError::NeverRan(NeverRan::NotTried)),
+            Ok(Err(_)) | Err(_) => return Err(CallError::NeverRan(NeverRan::NoConnection)),
+        };
         let authority = addr.to_string().parse().map_err(|_| CallError::NeverRan(NeverRan::NoConnection))?;
         let request = Arc::new(Mutex::new(request));
         Ok(Client { request, line, dead: Arc::default(), addr, authority, most })
--- a/crates/whinhill-transport/src/connection.rs
+++ b/crates/whinhill-transport/src/connection.rs
@@ -43,6 +43,8 @@
     pub read_at: Arc<AtomicU64>,
     /// It is to be broken off.
     pub severed: Arc<AtomicBool>,
+    /// A driver holds its socket.
+    taken_on: Arc<AtomicBool>,
 }
 
 impl Line {
@@ -55,9 +57,15 @@
             reads,
             read_at: Arc::new(AtomicU64::new(micros_now())),
             severed: Arc::default(),
+            taken_on: Arc::default(),
         }
     }
 
+    /// Whether a driver holds its socket. Until then nothing can have been sent, nor read.
+    pub fn is_taken_on(&self) -> bool {
+        self.taken_on.load(Ordering::Acquire)
+    }
+
     /// Counts a call from now until what is returned is dropped.
     pub fn begin_call(&self) -> Counted {
         self.begun.fetch_add(1, Ordering::Relaxed);
@@ -168,6 +176,7 @@
             .initial_window_size(limits.window)
             .initial_connection_window_size(limits.window.saturating_mul(16))
             .max_send_buffer_size(limits.message_most + (64 << 10));
+        line.taken_on.store(true, Ordering::Release);
         let opening = async move { builder.handshake(socket).await };
         Connection::new(Role::Opening(Box::pin(opening), answer), peer, limits, line, None)
     }
