Ask anew where a probe meets a connection that the server had ended

Cause: a server that ends connections in good order (an idle limit, a greatest age) had its next probe told as Unanswered: the call failed on the held connection before anything was sent, and no other was opened. Change: a probe that is known not to have run, since its connection had ended (NeverWritten, AboveGoAway), is made once on a new connection. Measured: a_connection_that_the_server_ended_in_good_order_is_no_silence was red before (Unanswered) and is green.

--- a/crates/whinhill-assigner/src/probes.rs
+++ b/crates/whinhill-assigner/src/probes.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use crossbeam_channel::Sender;
@@ -67,31 +67,51 @@
     }
 
     fn check(&self, server: &ServerName) -> Result<(HealthCheckResponse, LoadReport), CallError> {
-        let lock = || self.clients.lock().unwrap_or_else(PoisonError::into_inner);
-        let held = lock().get(server).filter(|client| client.alive()).cloned();
-        let client = match held {
-            Some(client) => client,
-            None => {
-                let addr: SocketAddr =
-                    server.parse().map_err(|_| CallError::Malformed("a server's name is its address"))?;
-                let limits = Limits { handshake: WITHIN, idle: Duration::from_secs(10), ..Limits::default() };
-                let client = Client::connect(addr, limits, &self.drivers)?;
-                lock().retain(|_, client| client.alive());
-                lock().insert(server.clone(), client.clone());
-                client
+        if let Some(client) = self.held(server) {
+            match check_by(&client) {
+                // Ended in good order before, by the server's limits for instance: it was not asked.
+                Err(CallError::NeverRan(NeverRan::NeverWritten | NeverRan::AboveGoAway)) => {}
+                result => return result,
             }
-        };
-        let request = HealthCheckRequest::default().encode_to_vec();
-        let (answer, trailers) = client.unary(HEALTH_PATH, &[], request.into(), WITHIN)?;
-        let answer =
-            HealthCheckResponse::decode(answer).map_err(|_| CallError::Malformed("a health answer"))?;
-        let told = trailers.get(ORCA_TRAILER).and_then(|value| value.to_str().ok()).and_then(unbase64);
-        let told = told.and_then(|bytes| OrcaLoadReport::decode(&bytes[..]).ok()).unwrap_or_default();
-        let mut load = LoadReport::default();
-        if told.cpu_utilization > 0.0 {
-            load.cpu = Some(told.cpu_utilization);
         }
-        told.named_metrics.iter().for_each(|(name, value)| read_load(&mut load, name, *value));
-        Ok((answer, load))
+        check_by(&self.connect(server)?)
+    }
+
+    fn clients(&self) -> MutexGuard<'_, HashMap<ServerName, Client>> {
+        self.clients.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// A connection to the server that stands, as far as is known.
+    fn held(&self, server: &ServerName) -> Option<Client> {
+        self.clients().get(server).filter(|client| client.alive()).cloned()
+    }
+
+    fn connect(&self, server: &ServerName) -> Result<Client, CallError> {
+        let addr: SocketAddr =
+            server.parse().map_err(|_| CallError::Malformed("a server's name is its address"))?;
+        let limits = Limits { handshake: WITHIN, idle: Duration::from_secs(10), ..Limits::default() };
+        let client = Client::connect(addr, limits, &self.drivers)?;
+        let mut clients = self.clients();
+        clients.retain(|_, client| client.alive());
+        clients.insert(server.clone(), client.clone());
+        Ok(client)
     }
 }
+
+/// Asks by a connection that stands.
+fn check_by(client: &Client) -> Result<(HealthCheckResponse, LoadReport), CallError> {
+    let request = HealthCheckRequest::default().encode_to_vec();
+    let (answer, trailers) = client.unary(HEALTH_PATH, &[], request.into(), WITHIN)?;
+    let answer = HealthCheckResponse::decode(answer).map_err(|_| CallError::Malformed("a health answer"))?;
+    let told = trailers.get(ORCA_TRAILER).and_then(|value| value.to_str().ok()).and_then(unbase64);
+    let told = told.and_then(|bytes| OrcaLoadReport::decode(&bytes[..]).ok()).unwrap_or_default();
+    let mut load = LoadReport::default();
+    if told.cpu_utilization > 0.0 {
+        load.cpu = Some(told.cpu_utilization);
+    }
+    told.named_metrics.iter().for_each(|(name, value)| read_load(&mut load, name, *value));
+    Ok((answer, load))
+}
+
+#[cfg(test)]
+mod tests;
