Do not report a proxy's own want of ports or routes as a server's losses

Cause: where a proxy's connect reached nobody (EADDRNOTAVAIL, ENETUNREACH, ENOBUFS), the try was reported to the assigner as lost at that server, which makes it look sick, and the pool kept away from the server for up to a second. Change: such a try counts for nothing in reports, as one that was not sent, and is no reason to keep away. The draws of ends in the trial's test and of events in the connections' test hold it too.

--- a/crates/whinhill-proxy/src/connections.rs
+++ b/crates/whinhill-proxy/src/connections.rs
@@ -170,6 +170,13 @@
         id
     }
 
+    /// None could be opened, for a reason of this machine's own: that is none to keep away from the server.
+    pub fn not_tried(&mut self, server: &Arc<str>) {
+        if let Some(one) = self.servers.get_mut(server) {
+            one.opening = one.opening.saturating_sub(1);
+        }
+    }
+
     /// None could be opened.
     pub fn refused(&mut self, now: Duration, server: &Arc<str>) {
         let limits = self.limits;
@@ -359,7 +366,13 @@
                         open.push((server.clone(), id));
                         out.push((server, id));
                     }
-                    5 if !opening.is_empty() => pool.refused(ms(now), &opening.swap_remove(0)),
+                    5 if !opening.is_empty() => {
+                        let server = opening.swap_remove(0);
+                        match rng.random_bool(0.5) {
+                            true => pool.refused(ms(now), &server),
+                            false => pool.not_tried(&server),
+                        }
+                    }
                     6 if !out.is_empty() => {
                         let (server, id) = out.swap_remove(rng.random_range(0..out.len()));
                         pool.done(ms(now), &server, id, rng.random_bool(0.7));
--- a/crates/whinhill-proxy/src/forward.rs
+++ b/crates/whinhill-proxy/src/forward.rs
@@ -9,8 +9,8 @@
 use whinhill::interface::{MethodId, SliceId};
 use whinhill_tables::Version;
 use whinhill_transport::{
-    grpc_timeout, Answering, BodyLimits, CallError, Client, Code, Passage, RelayError, ServerCall, Trailers,
-    Turn,
+    grpc_timeout, Answering, BodyLimits, CallError, Client, Code, NeverRan, Passage, RelayError, ServerCall,
+    Trailers, Turn,
 };
 use whinhill_xds::proto::OrcaLoadReport;
 
@@ -219,7 +219,10 @@
                         Err(_) => report::Ended::Lost,
                     };
                     match ended {
-                        Ended::NotSent => note(&|met, source| met.unsent(source, about, &server)),
+                        // Nothing of it says anything of the server.
+                        Ended::NotSent | Ended::NeverRan(NeverRan::NotTried) => {
+                            note(&|met, source| met.unsent(source, about, &server));
+                        }
                         _ => note(&|met, source| met.tried(source, about, &server, told, wait)),
                     }
                     if result.is_ok() || next == Next::Finish {
--- a/crates/whinhill-proxy/src/forward/tests.rs
+++ b/crates/whinhill-proxy/src/forward/tests.rs
@@ -2,7 +2,7 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
-use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::Relaxed};
 use std::sync::mpsc;
 use std::thread;
 
@@ -446,3 +446,29 @@
         assert_eq!(parse_timeout(bad), None, "{bad}");
     }
 }
+
+/// Nowhere that a connect can lead: the system refuses it at once (ENETUNREACH), whatever its routes.
+const NO_ROUTE: ([u8; 4], u16) = ([224, 0, 0, 1], 9);
+
+/// A proxy without a port or a route told its tries as lost at the server, which then looked sick, and kept away from
+/// it for a while.
+#[test]
+fn a_connect_that_reaches_nobody_is_no_failure_of_the_server() {
+    let cut_off = Arc::new(AtomicBool::new(true));
+    let dialed = cut_off.clone();
+    let rig = rig(move |_| {
+        let dialed = dialed.clone();
+        Dial(Some(Arc::new(move |addr| if dialed.load(Relaxed) { NO_ROUTE.into() } else { addr })))
+    });
+    let (listener, _told) = server(&rig.drivers, None);
+    rig.tell(1, listener.addr());
+    let failed = rig.call(READ, s(2.0));
+    assert!(status(&failed).1.contains("NotTried"), "{failed:?}");
+    let taken = lock(&rig.shared.met).take(0, rig.shared.now());
+    let report = lock(&rig.shared.met).report(&taken, &rig.shared.service);
+    let localities = report.cluster_stats.iter().flat_map(|cluster| &cluster.upstream_locality_stats);
+    let told: Vec<u64> = localities.map(|told| told.total_issued_requests).collect();
+    assert_eq!(told.iter().sum::<u64>(), 0, "{report:?}");
+    cut_off.store(false, Relaxed);
+    assert_eq!(answered_by(&rig.call(READ, s(2.0))), listener.addr().to_string());
+}
--- a/crates/whinhill-proxy/src/pool.rs
+++ b/crates/whinhill-proxy/src/pool.rs
@@ -141,7 +141,10 @@
                 Ok(Lease { pool: self, server: server.clone(), id, client, answered: false })
             }
             Err(error) => {
-                state.decides.refused(self.now(), server);
+                match error.never_ran() {
+                    Some(NeverRan::NotTried) => state.decides.not_tried(server),
+                    _ => state.decides.refused(self.now(), server),
+                }
                 Err(error)
             }
         };
