--- a/crates/whinhill-proxy/src/forward.rs
+++ b/crates/whinhill-proxy/src/forward.rs
@@ -219,10 +219,14 @@
                         Err(_) => report::Ended::Lost,
                     };
                     match ended {
-                        // Nothing of it says anything of the server.
-                        Ended::NotSent | Ended::NeverRan(NeverRan::NotTried) => {
-                            note(&|met, source| met.unsent(source, about, &server));
-                        }
+                        Ended::NotSent => note(&|met, source| met.unsent(source, about, &server)),
+                        // It says nothing of the server, but the RPC came.
+                        Ended::NeverRan(NeverRan::NotTried) => note(&|met, source| {
+                            met.unsent(source, about, &server);
+                            if next == Next::Finish {
+                                met.waited_out(source, rpc.slice, rpc.method);
+                            }
+                        }),
                         _ => note(&|met, source| met.tried(source, about, &server, told, wait)),
                     }
                     if result.is_ok() || next == Next::Finish {
--- a/crates/whinhill-proxy/src/forward/tests.rs
+++ b/crates/whinhill-proxy/src/forward/tests.rs
@@ -469,6 +469,9 @@
     let localities = report.cluster_stats.iter().flat_map(|cluster| &cluster.upstream_locality_stats);
     let told: Vec<u64> = localities.map(|told| told.total_issued_requests).collect();
     assert_eq!(told.iter().sum::<u64>(), 0, "{report:?}");
+    // It came all the same: demand that goes unserved must not look like none.
+    let came: u64 = report.cluster_stats.iter().map(|cluster| cluster.total_dropped_requests).sum();
+    assert_eq!(came, 1, "{report:?}");
     cut_off.store(false, Relaxed);
     assert_eq!(answered_by(&rig.call(READ, s(2.0))), listener.addr().to_string());
 }
--- a/crates/whinhill-proxy/src/report.rs
+++ b/crates/whinhill-proxy/src/report.rs
@@ -85,7 +85,7 @@
         self.came(source, slice, method).dropped += 1;
     }
 
-    /// One that found no server within the hold.
+    /// One that found no server within the hold, or for which this machine had no connection to offer.
     pub fn waited_out(&mut self, source: Source, slice: SliceId, method: MethodId) {
         self.came(source, slice, method).waited_out += 1;
     }
