Test a history page kept again after a sync that failed and forgot

The file is opened afresh and the same page is kept again in place; nothing showed that this does not rest on lost pages. Change: the disk of the tests can fail a sync and forget what it should have taken. The test asserts that it did forget in over half of the draws.

--- a/crates/whinhill-history/tests/crashes.rs
+++ b/crates/whinhill-history/tests/crashes.rs
@@ -20,6 +20,8 @@
     since: Vec<(u64, Vec<u8>)>,
     /// Writes that still succeed; then the disk is full.
     left: Option<u64>,
+    /// The next sync fails, and the system forgets what it should have taken (fsync(2)): later ones succeed without it.
+    forgets: bool,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -78,8 +80,15 @@
     fn sync_data(&self) -> io::Result<()> {
         let mut disk = self.0.lock().unwrap();
         Storage::spend(&mut disk)?;
-        disk.synced = disk.now.clone();
-        disk.since.clear();
+        let taken = std::mem::take(&mut disk.since);
+        if std::mem::take(&mut disk.forgets) {
+            return Err(io::Error::other("a failing disk"));
+        }
+        for (offset, data) in taken {
+            let end = (offset as usize + data.len()).min(disk.synced.len());
+            let part = end.saturating_sub(offset as usize);
+            disk.synced[offset as usize..end].copy_from_slice(&data[..part]);
+        }
         Ok(())
     }
 
@@ -154,12 +163,54 @@
     assert_eq!(found.current().id(), good.to);
 }
 
+/// What the machine finds when nothing that was not synced has reached the disk.
+fn lost_power(storage: &Storage) -> Storage {
+    let found = storage.0.lock().unwrap().synced.clone();
+    Storage(Arc::new(Mutex::new(Disk { now: found.clone(), synced: found, ..Disk::default() })))
+}
+
+/// So many that a change is in a part of the file alone.
+const MANY: Limits = Limits { entries: 200, ..LIMITS };
+
+/// A page that is kept again after a failed sync is on the disk whole, with all before it, though the system forgot
+/// what that sync should have taken and says nothing more of it.
+#[test]
+fn a_page_kept_again_after_a_failed_sync_does_not_rest_on_what_was_forgotten() {
+    let mut forgotten = 0;
+    for seed in 0..100 {
+        let storage = Storage::default();
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let (mut book, mut history) = Book::open_on(storage.clone(), MANY).unwrap();
+        let steps = rng.random_range(1..120);
+        for step in 1..steps {
+            let Some(delta) = change(&mut history, &mut rng, step) else { continue };
+            book.keep(&history.page(delta)).unwrap();
+        }
+        storage.0.lock().unwrap().forgets = true;
+        let Some(delta) = change(&mut history, &mut rng, steps) else { continue };
+        let page = history.page(delta);
+        book.keep(&page).unwrap_err();
+        drop(book);
+        let newest = history.current().id();
+        let found = Book::open_on(lost_power(&storage), MANY);
+        forgotten +=
+            u32::from(found.is_err() || found.is_ok_and(|(_, found)| found.current().id() != newest));
+        let (mut book, _) = Book::open_on(storage.clone(), MANY).unwrap();
+        book.keep(&page).unwrap();
+        drop(book);
+        let (_, found) = Book::open_on(lost_power(&storage), MANY).unwrap();
+        assert_eq!(found.current().id(), newest, "seed {seed}");
+        assert!(found.entries().eq(history.entries()), "seed {seed}");
+    }
+    assert!(forgotten > 50, "the disk forgot too little to tell: {forgotten}");
+}
+
 #[test]
 fn marks_and_compaction_survive_and_a_newer_form_is_not_touched() {
     let folder = tempfile::tempdir().unwrap();
     let path = folder.path().join("history.redb");
     let mut rng = ChaCha8Rng::seed_from_u64(2);
-    let (mut book, mut history) = Book::open(&path, LIMITS).unwrap();
+    let (mut book, mut history) = Book::open(&path, MANY).unwrap();
     for step in 1..80 {
         if let Some(delta) = change(&mut history, &mut rng, step) {
             book.keep(&history.page(delta)).unwrap();
@@ -172,7 +223,7 @@
     let was: Vec<_> = history.entries().cloned().collect();
     let good = history.rebuild(5);
     drop(book);
-    let (book, found) = Book::open(&path, LIMITS).unwrap();
+    let (book, found) = Book::open(&path, MANY).unwrap();
     assert_eq!(found.entries().cloned().collect::<Vec<_>>(), was);
     assert_eq!((found.rebuild(5), found.last_good()), (good, Some(5)));
     drop(book);
@@ -183,6 +234,6 @@
     transaction.commit().unwrap();
     drop(database);
     assert!(
-        matches!(Book::open(&path, LIMITS), Err(BookError::NewerFormat { found, known }) if found == known + 1)
+        matches!(Book::open(&path, MANY), Err(BookError::NewerFormat { found, known }) if found == known + 1)
     );
 }
