--- /dev/null
+++ b/crates/whinhill-standins/src/play/servers.rs
@@ -0,0 +1,129 @@
+//! The servers of a day: started, put on the list, drained, replaced and made to fail.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use rand::Rng;
+use whinhill_assigner::RosterState;
+use whinhill_store::Record;
+
+use super::error::io_at;
+use super::{loopback, ms, Fleet, PlayError};
+use crate::day::{Sabotage, Trouble};
+use crate::roster::entry;
+use crate::server::{Server, ServerConfig};
+
+/// How long a server that holds on to writes on purpose does so, in seconds.
+const HOLDS_ON_S: f64 = 4.0;
+
+/// A place in the fleet, in which one server follows another.
+pub(super) struct ServerSlot {
+    pub(super) server: Option<Server>,
+    pub(super) zone: String,
+    pub(super) speed: f64,
+}
+
+impl Fleet<'_> {
+    /// Makes a place for a server, in its zone and of its speed, and starts it there.
+    pub(super) fn add_server(&mut self, number: usize) -> Result<(), PlayError> {
+        let zone = self.day.zones[number % self.day.zones.len()].clone();
+        let [low, high] = self.day.servers.speed;
+        let speed = if high > low { self.rng.random_range(low..high) } else { low };
+        let server = Some(self.start_server(speed, false)?);
+        self.servers.push(ServerSlot { server, zone, speed });
+        Ok(())
+    }
+
+    fn start_server(&mut self, speed: f64, cold: bool) -> Result<Server, PlayError> {
+        let config = ServerConfig {
+            listen: loopback(),
+            cores: self.day.servers.cores,
+            speed,
+            cold,
+            cold_from: self.day.rules.cold_from,
+            warm_after: ms(self.day.rules.warm_after_ms),
+            queue_most: self.day.servers.queue,
+            work: self.day.load.mix.iter().map(|mix| mix.work_ms / 1e3).collect(),
+            service: self.service.clone(),
+            seed: self.rng.random(),
+        };
+        let server = Server::start(config, &self.workers, &self.record).map_err(io_at("a server"))?;
+        if self.day.sabotage.contains(&Sabotage::ServerHoldsOn) {
+            server.set_faults(|faults| faults.holds_on = HOLDS_ON_S);
+        }
+        Ok(server)
+    }
+
+    /// Puts servers on the list.
+    pub(super) fn list(&mut self, which: &[usize], started_now: bool) -> Result<(), PlayError> {
+        let servers = &self.servers;
+        let entries = which.iter().filter_map(|&number| {
+            let slot = &servers[number];
+            let addr: SocketAddr = slot.server.as_ref()?.name().parse().ok()?;
+            Some((addr, entry(addr, &slot.zone, slot.speed, started_now)))
+        });
+        let entries: Vec<_> = entries.collect();
+        self.roster.change(|list| list.extend(entries)).map_err(io_at("the roster"))
+    }
+
+    /// Every slice begins the day at some server, in nobody's charge.
+    pub(super) fn store_first_owners(&mut self) {
+        let names: Vec<Arc<str>> =
+            self.servers.iter().filter_map(|s| Some(s.server.as_ref()?.name().clone())).collect();
+        for slice in 0..self.service.slices {
+            let owner = names[self.rng.random_range(0..names.len())].to_string();
+            let record = Record { epoch: 1, number: 0, holder: None, owner: Some(owner) };
+            let key = format!("whinhill/{}/slice/{slice}", self.service.name);
+            self.store.put(&key, &record.to_string());
+        }
+    }
+
+    /// Marks servers as draining on the list.
+    pub(super) fn drain(&mut self, which: &[usize]) -> Result<(), PlayError> {
+        let addrs = self.addrs(which);
+        let changed = self.roster.change(|list| {
+            for addr in &addrs {
+                list.entry(*addr).and_modify(|entry| entry.state = RosterState::Draining);
+            }
+        });
+        changed.map_err(io_at("the roster"))
+    }
+
+    /// Takes servers off the list.
+    pub(super) fn unlist(&mut self, which: &[usize]) -> Result<(), PlayError> {
+        let addrs = self.addrs(which);
+        let changed = self.roster.change(|list| addrs.iter().for_each(|addr| drop(list.remove(addr))));
+        changed.map_err(io_at("the roster"))
+    }
+
+    /// Ends servers and starts cold ones in their places.
+    pub(super) fn replace(&mut self, which: &[usize]) -> Result<(), PlayError> {
+        self.unlist(which)?;
+        for &number in which {
+            self.servers[number].server = None;
+            let speed = self.servers[number].speed;
+            self.servers[number].server = Some(self.start_server(speed, true)?);
+        }
+        self.list(which, true)
+    }
+
+    fn addrs(&self, which: &[usize]) -> Vec<SocketAddr> {
+        which.iter().filter_map(|&n| self.servers[n].server.as_ref()?.name().parse().ok()).collect()
+    }
+
+    /// Lets servers fail as a trouble says, or serve well again.
+    pub(super) fn set_server_faults(&self, trouble: &Trouble, on: &[usize], begins: bool) {
+        let part = |value: f64| if begins { value } else { 0.0 };
+        for server in on.iter().filter_map(|&number| self.servers[number].server.as_ref()) {
+            server.set_faults(|faults| match trouble {
+                Trouble::SlowServers { times, .. } => faults.slow = part(*times),
+                Trouble::SilentServers { .. } => faults.silent = begins,
+                Trouble::FailingServers { share, method, .. } => {
+                    (faults.errors, faults.errors_method) = (part(*share), *method);
+                }
+                Trouble::AnswersLost { share, .. } => faults.answers_lost = part(*share),
+                _ => {}
+            });
+        }
+    }
+}
