Fold what stood twice in assigner and proxy: the wall clock's reading and back-off

Cause: unix_ms stood in two files of the assigner, the pauses between streams twice in the proxy's. Change: wall.rs and BackOff; no change of behaviour.

--- a/crates/whinhill-assigner/src/assigner.rs
+++ b/crates/whinhill-assigner/src/assigner.rs
@@ -37,6 +37,7 @@
 use crate::status::{process_figures, Counters, Status};
 use crate::status_file::StatusFile;
 use crate::stewards::{Charge, Steward};
+use crate::wall::unix_ms;
 
 /// Inputs that may wait for the decision thread; whoever brings more waits.
 const INBOX: usize = 8192;
@@ -353,11 +354,6 @@
     }
 }
 
-fn unix_ms() -> u64 {
-    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-    now.map_or(0, |span| span.as_millis() as u64)
-}
-
 struct Decider {
     core: Core,
     to_book: Option<Sender<Numbered>>,
--- a/crates/whinhill-assigner/src/lib.rs
+++ b/crates/whinhill-assigner/src/lib.rs
@@ -27,6 +27,7 @@
 mod status;
 mod status_file;
 mod stewards;
+mod wall;
 
 pub use crate::core::{Core, Effects, Input};
 pub use ask::{
--- a/crates/whinhill-assigner/src/roster.rs
+++ b/crates/whinhill-assigner/src/roster.rs
@@ -7,7 +7,7 @@
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 use crossbeam_channel::Sender;
 use prost::Message;
@@ -22,6 +22,7 @@
 use crate::config::RosterConfig;
 use crate::core::Input;
 use crate::last_list::Mailbox;
+use crate::wall::unix_ms;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "kebab-case")]
@@ -70,10 +71,6 @@
     Ok(roster)
 }
 
-pub fn unix_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |span| span.as_millis() as u64)
-}
-
 /// How often the file is looked at.
 const LOOK: Duration = Duration::from_millis(100);
 /// A file that can't be read, and a stream that is silent, count as failed after this.
--- a/crates/whinhill-proxy/src/streams.rs
+++ b/crates/whinhill-proxy/src/streams.rs
@@ -18,6 +18,7 @@
 use crate::shared::{lock, Shared};
 use crate::table::{Applied, Source};
 
+/// The pause after a first failure, and the longest.
 const BACK_OFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(2));
 /// How often a waiting thread looks whether it must stop.
 const LOOK: Duration = Duration::from_millis(500);
@@ -52,6 +53,34 @@
     Closed,
 }
 
+/// The pauses between a stream and the next: twice as long after each failure, spread so that not all come at once.
+struct BackOff<'a> {
+    shared: &'a Shared,
+    next: Duration,
+}
+
+impl<'a> BackOff<'a> {
+    fn new(shared: &'a Shared) -> Self {
+        BackOff { shared, next: BACK_OFF.0 }
+    }
+
+    /// A stream that began then has failed. Whether it had stood for long: then pauses are short again.
+    fn stood(&mut self, began: Instant) -> bool {
+        let stood = began.elapsed() > BACK_OFF.1;
+        if stood {
+            self.next = BACK_OFF.0;
+        }
+        stood
+    }
+
+    /// Pauses. False if the proxy stops.
+    fn pause(&mut self) -> bool {
+        let wait = self.next.mul_f64(0.5 + self.shared.draw());
+        self.next = (self.next * 2).min(BACK_OFF.1);
+        self.shared.pause(wait)
+    }
+}
+
 impl Streams {
     /// Follows tables until the proxy stops.
     pub fn follow(self) {
@@ -62,7 +91,7 @@
         let listeners: BTreeSet<String> = [false, true].map(|writes| service.listener_name(writes)).into();
         client.subscribe(Kind::Listener, false, listeners.clone());
         client.subscribe(Kind::Route, false, listeners);
-        let mut back_off = BACK_OFF.0;
+        let mut back_off = BackOff::new(&self.shared);
         while !self.shared.stopping() {
             let began = Instant::now();
             let error = match self.stream(&mut client) {
@@ -71,13 +100,10 @@
             };
             self.shared.change(|table| table.stream_lost(self.source));
             self.shared.counts.reconnects.fetch_add(1, Ordering::Relaxed);
-            if began.elapsed() > BACK_OFF.1 {
-                back_off = BACK_OFF.0;
+            if back_off.stood(began) {
                 info!(proxy = %self.node.id, assigner = %self.assigner, %error, "table stream lost");
             }
-            let wait = back_off.mul_f64(0.5 + self.shared.draw());
-            back_off = (back_off * 2).min(BACK_OFF.1);
-            if !self.shared.pause(wait) {
+            if !back_off.pause() {
                 return;
             }
         }
@@ -218,18 +244,14 @@
 
     /// Tells what was met until the proxy stops.
     pub fn report(self) {
-        let mut back_off = BACK_OFF.0;
+        let mut back_off = BackOff::new(&self.shared);
         while !self.shared.stopping() {
             let began = Instant::now();
             if self.report_stream().is_ok() {
                 return;
             }
-            if began.elapsed() > BACK_OFF.1 {
-                back_off = BACK_OFF.0;
-            }
-            let wait = back_off.mul_f64(0.5 + self.shared.draw());
-            back_off = (back_off * 2).min(BACK_OFF.1);
-            if !self.shared.pause(wait) {
+            back_off.stood(began);
+            if !back_off.pause() {
                 return;
             }
         }
