Never leave the operators' address half written

Cause: the file was written in place. While the disk refused writes in the middle, a reader found "127.0.0.1:3" for 127.0.0.1:38511, an address of somebody else. Change: it is written beside its place and moved there, as the ready file is.

--- a/crates/whinhill-assigner/src/assigner.rs
+++ b/crates/whinhill-assigner/src/assigner.rs
@@ -38,6 +38,7 @@
 use crate::status_file::StatusFile;
 use crate::stewards::{Charge, Steward};
 use crate::wall::unix_ms;
+use crate::whole_file::write_whole;
 
 /// Inputs that may wait for the decision thread; whoever brings more waits.
 const INBOX: usize = 8192;
@@ -71,7 +72,7 @@
 /// Tells `whinhill table` and its like where operators are listened to.
 fn keep_operators_addr(path: &Path, addr: SocketAddr, stop: &AtomicBool) {
     let retry = Retry { within: Duration::MAX, stop };
-    let write = || std::fs::write(path, addr.to_string());
+    let write = || write_whole(path, &addr.to_string());
     if let Err(error) = retry.until_done("writing the operators' address", may_pass_on_disk, write) {
         warn!(path = %path.display(), %error, "the operators' address is not written");
     }
@@ -264,7 +265,7 @@
         }
         if let (Some(listener), Some(dir)) = (&operators, &config.state_dir) {
             let (path, addr, stop) = (dir.join("operators"), listener.addr(), stop.clone());
-            if std::fs::write(&path, addr.to_string()).is_err() {
+            if write_whole(&path, &addr.to_string()).is_err() {
                 spawn("operators", Box::new(move || keep_operators_addr(&path, addr, &stop)))?;
             }
             info!(%addr, "operators are listened to");
--- a/crates/whinhill-assigner/src/lib.rs
+++ b/crates/whinhill-assigner/src/lib.rs
@@ -28,6 +28,7 @@
 mod status_file;
 mod stewards;
 mod wall;
+mod whole_file;
 
 pub use crate::core::{Core, Effects, Input};
 pub use ask::{
--- a/crates/whinhill-cli/tests/processes.rs
+++ b/crates/whinhill-cli/tests/processes.rs
@@ -407,6 +407,29 @@
     assert_eq!(running.end(), Some(0));
 }
 
+/// The file with the operators' address is written in short steps and the disk is full in between: whoever reads it
+/// finds the whole address or none, never the first digits of its port.
+#[test]
+fn the_operators_address_is_never_half_written() {
+    let site = Site::start();
+    let config = site.configure_assigner_with(
+        "report_period_ms: 300",
+        "report_period_ms: 300, operators: \"127.0.0.1:0\"",
+    );
+    let mut command = Command::new(env!("CARGO_BIN_EXE_whinhill"));
+    command.env("LD_PRELOAD", fault_library()).env("WHINHILL_FAULTS_FILES", "operators");
+    command.env("WHINHILL_FAULTS", "seed=3 file-write=ENOSPC@0.6:0-3 file-write=short:0-3");
+    let args = ["assigner", "--config", &config];
+    let _running = Running::spawn(command, site.folder(), "assigner", &args);
+    let until = Instant::now() + Duration::from_secs(4);
+    let mut found = Vec::new();
+    while Instant::now() < until {
+        found.extend(fs::read_to_string(site.at("operators")).ok().filter(|text| found.last() != Some(text)));
+        std::thread::park_timeout(Duration::from_millis(1));
+    }
+    assert!(found.len() == 1 && found[0].parse::<SocketAddr>().is_ok(), "{found:?}");
+}
+
 /// Asks for probes, and lists a server whose first probes come while the assigner's calls fail.
 fn probe_while_calls_fail(faults: &str, failing: Duration) {
     let site = Site::start();
