Make a connect to the store again that reached nobody

Cause: a moment without a port, route or buffer (EADDRNOTAVAIL, ENETUNREACH, ENOBUFS) was told as a store out of reach. Where a grant was on its way its slices were let go for it. Change: such a connect is made again while the exchange has time, as those to servers are. The loop that the transport had for that moves to whinhill-errors, its two tests with it, unchanged.

--- a/crates/whinhill-transport/src/scarce/tests.rs
+++ b/crates/whinhill-errors/src/again/tests.rs
@@ -1,7 +1,7 @@
 use rustix::io::Errno;
-use whinhill_errors::{is_local, is_scarce};
 
 use super::*;
+use crate::{is_local, is_scarce};
 
 const WITHIN: Duration = Duration::from_secs(20);
 
--- a/crates/whinhill-errors/src/lib.rs
+++ b/crates/whinhill-errors/src/lib.rs
@@ -4,10 +4,14 @@
 //! One list for all packages. An error that is taken for more than it says ends a connection, and with it whatever
 //! was owed on it; one that is taken for less is tried again for good.
 
+mod again;
+
 use std::io::{self, ErrorKind};
 
 use rustix::io::Errno;
 
+pub use again::until_had;
+
 fn is_one_of(error: &io::Error, numbers: &[Errno]) -> bool {
     Errno::from_io_error(error).is_some_and(|errno| numbers.contains(&errno))
 }
--- a/crates/whinhill-store/src/resp.rs
+++ b/crates/whinhill-store/src/resp.rs
@@ -10,7 +10,7 @@
 use redis_protocol::resp2::encode::extend_encode;
 pub use redis_protocol::resp2::types::BytesFrame as Frame;
 
-use whinhill_errors::is_short_of_memory;
+use whinhill_errors::{is_local, is_short_of_memory, until_had};
 
 use crate::store::StoreFault;
 
@@ -19,6 +19,9 @@
 /// Between two attempts of a transfer that fell short: little against the time of an exchange.
 const AGAIN: Duration = Duration::from_millis(5);
 
+/// The last connect within a time may take at least this.
+const CONNECT_LEAST: Duration = Duration::from_millis(1);
+
 pub struct Connection {
     stream: TcpStream,
     held: BytesMut,
@@ -39,8 +42,18 @@
 
 impl Connection {
     pub fn open(addr: SocketAddr, within: Duration) -> Result<Self, StoreFault> {
+        Self::open_by(addr, within, |left| TcpStream::connect_timeout(&addr, left))
+    }
+
+    fn open_by(
+        addr: SocketAddr,
+        within: Duration,
+        mut connect: impl FnMut(Duration) -> std::io::Result<TcpStream>,
+    ) -> Result<Self, StoreFault> {
         let unreachable = |error: std::io::Error| StoreFault::Unreachable(format!("{addr}: {error}"));
-        let stream = TcpStream::connect_timeout(&addr, within).map_err(unreachable)?;
+        let started = Instant::now();
+        let left = || within.saturating_sub(started.elapsed()).max(CONNECT_LEAST);
+        let stream = until_had(within, is_local, || connect(left())).map_err(unreachable)?;
         stream.set_nodelay(true).map_err(unreachable)?;
         Ok(Connection { stream, held: BytesMut::new() })
     }
@@ -126,3 +139,6 @@
         _ => StoreFault::Unreachable(error.to_string()),
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/whinhill-transport/src/call.rs
+++ b/crates/whinhill-transport/src/call.rs
@@ -15,13 +15,12 @@
 use http::uri::Authority;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, Uri};
 use tracing::{debug, warn};
-use whinhill_errors::{is_local, is_of_one_connection, is_scarce};
+use whinhill_errors::{is_local, is_of_one_connection, is_scarce, until_had};
 
 use crate::connection::{micros_now, Admitted, Counted, Ending, Handler, Line};
 use crate::error::{CallError, Code, NeverRan};
 use crate::limits::Limits;
 use crate::park::{wait, wait_for};
-use crate::scarce::until_had;
 use crate::turning::Turn;
 use crate::Drivers;
 
--- a/crates/whinhill-transport/src/driver.rs
+++ b/crates/whinhill-transport/src/driver.rs
@@ -14,11 +14,10 @@
 use mio::unix::SourceFd;
 use mio::{Events, Interest, Poll, Token};
 use tracing::error;
-use whinhill_errors::is_scarce;
+use whinhill_errors::{is_scarce, until_had};
 
 use crate::connection::{Admitted, Connection, Handler, Line};
 use crate::limits::Limits;
-use crate::scarce::until_had;
 use crate::socket::Socket;
 use crate::turning::{Turn, Turned};
 
--- a/crates/whinhill-transport/src/lib.rs
+++ b/crates/whinhill-transport/src/lib.rs
@@ -23,7 +23,6 @@
 mod limits;
 mod park;
 mod relay;
-mod scarce;
 mod socket;
 mod turning;
 mod workers;
