Tell a server that refuses or garbles a probe from a silent one

Cause: a probe refused unseen (REFUSED_STREAM, what a server does whose workers are all busy) and an answer that cannot be read were told as Unanswered, by which two in a row make a server sick. It had answered. Change: a refused stream is pushed back, an unreadable or too large answer is an error's answer, as the interface says of PushedBack and Aborted.

--- a/crates/whinhill-assigner/src/probes.rs
+++ b/crates/whinhill-assigner/src/probes.rs
@@ -58,10 +58,13 @@
             Err(CallError::NeverRan(NeverRan::NotTried)) => return None,
             Ok((HealthCheckResponse { status: SERVING }, load)) => (Probe::Ok, load),
             Ok((_, load)) => (Probe::PushedBack, load),
-            Err(CallError::Status { code: Code::Unavailable | Code::ResourceExhausted, .. }) => {
-                (Probe::PushedBack, LoadReport::default())
+            Err(
+                CallError::Status { code: Code::Unavailable | Code::ResourceExhausted, .. }
+                | CallError::NeverRan(NeverRan::RefusedStream),
+            ) => (Probe::PushedBack, LoadReport::default()),
+            Err(CallError::Status { .. } | CallError::Malformed(_) | CallError::TooLarge { .. }) => {
+                (Probe::Aborted, LoadReport::default())
             }
-            Err(CallError::Status { .. }) => (Probe::Aborted, LoadReport::default()),
             Err(_) => (Probe::Unanswered, LoadReport::default()),
         })
     }
--- a/crates/whinhill-assigner/src/probes/tests.rs
+++ b/crates/whinhill-assigner/src/probes/tests.rs
@@ -3,7 +3,7 @@
 use std::thread;
 use std::time::Instant;
 
-use crossbeam_channel::bounded;
+use crossbeam_channel::{bounded, Receiver};
 use whinhill_transport::{Listener, ServerCall, Trailers};
 
 use super::*;
@@ -18,22 +18,54 @@
     });
 }
 
+fn listen(limits: Limits, drivers: &Drivers, handler: fn(ServerCall)) -> (Listener, ServerName) {
+    let any = "127.0.0.1:0".parse().unwrap();
+    let listener = Listener::start("probed", any, limits, drivers, handler).unwrap();
+    let server = listener.addr().to_string().as_str().into();
+    (listener, server)
+}
+
+/// What a probe tells of a server.
+fn probe(prober: &Prober, server: &ServerName, told: &Receiver<(Input, Option<Sender<()>>)>) -> Probe {
+    prober.probe(server.clone());
+    match told.recv_timeout(TEST_WITHIN) {
+        Ok((Input::Probed { result, .. }, None)) => result,
+        other => panic!("no probe was told: {other:?}"),
+    }
+}
+
+#[test]
+fn a_server_that_refuses_a_probe_unseen_is_not_silent() {
+    let drivers = Drivers::start("probes", 1).unwrap();
+    let (_listener, server) = listen(Limits::default(), &drivers, ServerCall::refuse_unseen);
+    let (inputs, told) = bounded(16);
+    let prober = Prober::new(drivers, inputs);
+    assert_eq!(probe(&prober, &server, &told), Probe::PushedBack);
+}
+
+#[test]
+fn a_server_whose_answer_cannot_be_read_is_not_silent() {
+    let drivers = Drivers::start("probes", 1).unwrap();
+    let (_listener, server) = listen(Limits::default(), &drivers, |mut call| {
+        thread::spawn(move || {
+            let _request = call.message(TEST_WITHIN);
+            let _ = call.answer(b"\xff", Trailers::new(), TEST_WITHIN);
+        });
+    });
+    let (inputs, told) = bounded(16);
+    let prober = Prober::new(drivers, inputs);
+    assert_eq!(probe(&prober, &server, &told), Probe::Aborted);
+}
+
 #[test]
 fn a_connection_that_the_server_ended_in_good_order_is_no_silence() {
     let drivers = Drivers::start("probes", 1).unwrap();
     let idle = Duration::from_millis(100);
-    let limits = Limits { idle, ..Limits::default() };
-    let any = "127.0.0.1:0".parse().unwrap();
-    let listener = Listener::start("probed", any, limits, &drivers, answer_health).unwrap();
+    let (listener, server) = listen(Limits { idle, ..Limits::default() }, &drivers, answer_health);
     let (inputs, told) = bounded(16);
     let prober = Prober::new(drivers, inputs);
-    let server: ServerName = listener.addr().to_string().as_str().into();
     for turn in 0..5 {
-        prober.probe(server.clone());
-        let Ok((Input::Probed { result, .. }, None)) = told.recv_timeout(TEST_WITHIN) else {
-            panic!("no probe was told")
-        };
-        assert_eq!(result, Probe::Ok, "turn {turn}");
+        assert_eq!(probe(&prober, &server, &told), Probe::Ok, "turn {turn}");
         let until = Instant::now() + TEST_WITHIN;
         while listener.connections() > 0 {
             assert!(Instant::now() < until, "the server keeps an idle connection");
