Keep the tests' disk as strict where a file shrinks and grows again

Cause: since a sync of the tests' disk applies the writes since the last one, not a copy of all; a write past an end that was cut off would have come back with the file's growth. Change: such writes are dropped with the cut.

--- a/crates/whinhill-history/tests/crashes.rs
+++ b/crates/whinhill-history/tests/crashes.rs
@@ -74,6 +74,11 @@
         disk.now.resize(len as usize, 0);
         // The length of a file is taken to be kept at once; its content is not.
         disk.synced.resize(len as usize, 0);
+        // What was written past a new end is gone, also if the file grows again.
+        for (offset, data) in &mut disk.since {
+            data.truncate(len.saturating_sub(*offset) as usize);
+        }
+        disk.since.retain(|(_, data)| !data.is_empty());
         Ok(())
     }
 
@@ -85,9 +90,8 @@
             return Err(io::Error::other("a failing disk"));
         }
         for (offset, data) in taken {
-            let end = (offset as usize + data.len()).min(disk.synced.len());
-            let part = end.saturating_sub(offset as usize);
-            disk.synced[offset as usize..end].copy_from_slice(&data[..part]);
+            let end = offset as usize + data.len();
+            disk.synced[offset as usize..end].copy_from_slice(&data);
         }
         Ok(())
     }
