--- a/crates/whinhill-assigner/src/lib.rs
+++ b/crates/whinhill-assigner/src/lib.rs
@@ -27,6 +27,8 @@
 mod status;
 mod status_file;
 mod stewards;
+mod wall;
+mod whole_file;
 
 pub use crate::core::{Core, Effects, Input};
 pub use ask::{
--- a/crates/whinhill-assigner/src/probes.rs
+++ b/crates/whinhill-assigner/src/probes.rs
@@ -2,11 +2,12 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use crossbeam_channel::Sender;
 use prost::Message;
+use tracing::debug;
 use whinhill::interface::{LoadReport, Probe};
 use whinhill_tables::ServerName;
 use whinhill_transport::{CallError, Client, Code, Drivers, Limits, NeverRan, Workers};
@@ -43,7 +44,10 @@
     pub fn probe(&self, server: ServerName) {
         let me = self.clone();
         let _ = self.workers.run(move || {
-            let Some((result, load)) = me.ask(&server) else { return };
+            let Some((result, load)) = me.ask(&server) else {
+                return debug!(%server, "a server was not asked: the fault is this machine's");
+            };
+            debug!(%server, ?result, "a server was asked");
             let _ = me.inputs.try_send((Input::Probed { server, result, load }, None));
         });
     }
@@ -54,40 +58,63 @@
             Err(CallError::NeverRan(NeverRan::NotTried)) => return None,
             Ok((HealthCheckResponse { status: SERVING }, load)) => (Probe::Ok, load),
             Ok((_, load)) => (Probe::PushedBack, load),
-            Err(CallError::Status { code: Code::Unavailable | Code::ResourceExhausted, .. }) => {
-                (Probe::PushedBack, LoadReport::default())
+            Err(
+                CallError::Status { code: Code::Unavailable | Code::ResourceExhausted, .. }
+                | CallError::NeverRan(NeverRan::RefusedStream),
+            ) => (Probe::PushedBack, LoadReport::default()),
+            Err(CallError::Status { .. } | CallError::Malformed(_) | CallError::TooLarge { .. }) => {
+                (Probe::Aborted, LoadReport::default())
             }
-            Err(CallError::Status { .. }) => (Probe::Aborted, LoadReport::default()),
             Err(_) => (Probe::Unanswered, LoadReport::default()),
         })
     }
 
     fn check(&self, server: &ServerName) -> Result<(HealthCheckResponse, LoadReport), CallError> {
-        let lock = || self.clients.lock().unwrap_or_else(PoisonError::into_inner);
-        let held = lock().get(server).filter(|client| client.alive()).cloned();
-        let client = match held {
-            Some(client) => client,
-            None => {
-                let addr: SocketAddr =
-                    server.parse().map_err(|_| CallError::Malformed("a server's name is its address"))?;
-                let limits = Limits { handshake: WITHIN, idle: Duration::from_secs(10), ..Limits::default() };
-                let client = Client::connect(addr, limits, &self.drivers)?;
-                lock().retain(|_, client| client.alive());
-                lock().insert(server.clone(), client.clone());
-                client
+        if let Some(client) = self.held(server) {
+            match check_by(&client) {
+                // Ended in good order before, by the server's limits for instance: it was not asked.
+                Err(CallError::NeverRan(NeverRan::NeverWritten | NeverRan::AboveGoAway)) => {}
+                result => return result,
             }
-        };
-        let request = HealthCheckRequest::default().encode_to_vec();
-        let (answer, trailers) = client.unary(HEALTH_PATH, &[], request.into(), WITHIN)?;
-        let answer =
-            HealthCheckResponse::decode(answer).map_err(|_| CallError::Malformed("a health answer"))?;
-        let told = trailers.get(ORCA_TRAILER).and_then(|value| value.to_str().ok()).and_then(unbase64);
-        let told = told.and_then(|bytes| OrcaLoadReport::decode(&bytes[..]).ok()).unwrap_or_default();
-        let mut load = LoadReport::default();
-        if told.cpu_utilization > 0.0 {
-            load.cpu = Some(told.cpu_utilization);
         }
-        told.named_metrics.iter().for_each(|(name, value)| read_load(&mut load, name, *value));
-        Ok((answer, load))
+        check_by(&self.connect(server)?)
+    }
+
+    fn clients(&self) -> MutexGuard<'_, HashMap<ServerName, Client>> {
+        self.clients.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// A connection to the server that stands, as far as is known.
+    fn held(&self, server: &ServerName) -> Option<Client> {
+        self.clients().get(server).filter(|client| client.alive()).cloned()
+    }
+
+    fn connect(&self, server: &ServerName) -> Result<Client, CallError> {
+        let addr: SocketAddr =
+            server.parse().map_err(|_| CallError::Malformed("a server's name is its address"))?;
+        let limits = Limits { handshake: WITHIN, idle: Duration::from_secs(10), ..Limits::default() };
+        let client = Client::connect(addr, limits, &self.drivers)?;
+        let mut clients = self.clients();
+        clients.retain(|_, client| client.alive());
+        clients.insert(server.clone(), client.clone());
+        Ok(client)
     }
 }
+
+/// Asks by a connection that stands.
+fn check_by(client: &Client) -> Result<(HealthCheckResponse, LoadReport), CallError> {
+    let request = HealthCheckRequest::default().encode_to_vec();
+    let (answer, trailers) = client.unary(HEALTH_PATH, &[], request.into(), WITHIN)?;
+    let answer = HealthCheckResponse::decode(answer).map_err(|_| CallError::Malformed("a health answer"))?;
+    let told = trailers.get(ORCA_TRAILER).and_then(|value| value.to_str().ok()).and_then(unbase64);
+    let told = told.and_then(|bytes| OrcaLoadReport::decode(&bytes[..]).ok()).unwrap_or_default();
+    let mut load = LoadReport::default();
+    if told.cpu_utilization > 0.0 {
+        load.cpu = Some(told.cpu_utilization);
+    }
+    told.named_metrics.iter().for_each(|(name, value)| read_load(&mut load, name, *value));
+    Ok((answer, load))
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/whinhill-proxy/src/forward.rs
+++ b/crates/whinhill-proxy/src/forward.rs
@@ -9,8 +9,8 @@
 use whinhill::interface::{MethodId, SliceId};
 use whinhill_tables::Version;
 use whinhill_transport::{
-    grpc_timeout, Answering, BodyLimits, CallError, Client, Code, Passage, RelayError, ServerCall, Trailers,
-    Turn,
+    grpc_timeout, Answering, BodyLimits, CallError, Client, Code, NeverRan, Passage, RelayError, ServerCall,
+    Trailers, Turn,
 };
 use whinhill_xds::proto::OrcaLoadReport;
 
@@ -220,6 +220,13 @@
                     };
                     match ended {
                         Ended::NotSent => note(&|met, source| met.unsent(source, about, &server)),
+                        // It says nothing of the server, but the RPC came.
+                        Ended::NeverRan(NeverRan::NotTried) => note(&|met, source| {
+                            met.unsent(source, about, &server);
+                            if next == Next::Finish {
+                                met.waited_out(source, rpc.slice, rpc.method);
+                            }
+                        }),
                         _ => note(&|met, source| met.tried(source, about, &server, told, wait)),
                     }
                     if result.is_ok() || next == Next::Finish {
--- a/crates/whinhill-transport/src/call.rs
+++ b/crates/whinhill-transport/src/call.rs
@@ -15,13 +15,12 @@
 use http::uri::Authority;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, Uri};
 use tracing::{debug, warn};
-use whinhill_errors::{is_local, is_scarce};
+use whinhill_errors::{is_local, is_of_one_connection, is_scarce, until_had};
 
 use crate::connection::{micros_now, Admitted, Counted, Ending, Handler, Line};
 use crate::error::{CallError, Code, NeverRan};
 use crate::limits::Limits;
 use crate::park::{wait, wait_for};
-use crate::scarce::until_had;
 use crate::turning::Turn;
 use crate::Drivers;
 
@@ -33,6 +32,8 @@
 const DRAIN_LOOKS: Duration = Duration::from_millis(10);
 /// How long a system short of descriptors or memory may keep a listener from its start or its end.
 const LISTEN_WITHIN: Duration = Duration::from_secs(5);
+/// Between two accepts while the first fails for what passes by itself.
+const ACCEPT_AGAIN: Duration = Duration::from_millis(10);
 /// How long a connect that reaches nobody is made again: a small part of any deadline, since whoever waits for it may
 /// have somebody else to ask.
 const CONNECT_AGAIN_WITHIN: Duration = Duration::from_millis(100);
@@ -97,7 +98,7 @@
 /// Writes messages of one direction of a call, waiting for the peer's window.
 pub struct MessageWriter {
     stream: SendStream<Bytes>,
-    _counted: Option<Counted>,
+    _counted: Counted,
 }
 
 fn framed(message: &[u8]) -> Bytes {
@@ -168,7 +169,7 @@
     pub(crate) body: RecvStream,
     pub(crate) respond: SendResponse<Bytes>,
     most: usize,
-    counted: Option<Counted>,
+    counted: Counted,
 }
 
 impl ServerCall {
@@ -177,7 +178,7 @@
         respond: SendResponse<Bytes>,
         peer: SocketAddr,
         most: usize,
-        counted: Option<Counted>,
+        counted: Counted,
     ) -> Self {
         let (head, body) = request.into_parts();
         ServerCall { head, peer, came: Instant::now(), body, respond, most, counted }
@@ -301,9 +302,9 @@
                     (refused, told) = (0, Instant::now());
                 }
                 // A process out of file descriptors fails at once, again and again: it must neither spin here nor
-                // stop listening for good.
-                if error.raw_os_error().is_some() {
-                    thread::park_timeout(Duration::from_millis(10));
+                // stop listening for good. What concerns one connection holds up no other.
+                if error.raw_os_error().is_some() && !is_of_one_connection(&error) {
+                    thread::park_timeout(ACCEPT_AGAIN);
                 }
             }
             debug!(%addr, "listener ended");
@@ -427,7 +428,6 @@
 
 impl Client {
     pub fn connect(addr: SocketAddr, limits: Limits, drivers: &Drivers) -> Result<Self, CallError> {
-        let no_connection = |_| CallError::NeverRan(NeverRan::NoConnection);
         let dial = || TcpStream::connect_timeout(&addr, limits.handshake);
         let socket = until_had(CONNECT_AGAIN_WITHIN, is_local, dial).map_err(|error| {
             CallError::NeverRan(if is_local(&error) { NeverRan::NotTried } else { NeverRan::NoConnection })
@@ -435,9 +435,14 @@
         let (answer, opened) = bounded(1);
         let line = Line::new(Arc::default());
         let (most, within) = (limits.message_most, limits.handshake);
-        drivers.opened(socket, addr, limits, line.clone(), answer).map_err(no_connection)?;
-        let request = opened.recv_timeout(within).map_err(|_| CallError::NeverRan(NeverRan::NoConnection))?;
-        let request = request.map_err(|_| CallError::NeverRan(NeverRan::NoConnection))?;
+        let queued = drivers.opened(socket, addr, limits, line.clone(), answer);
+        queued.map_err(|_| CallError::NeverRan(NeverRan::NotTried))?;
+        let request = match opened.recv_timeout(within) {
+            Ok(Ok(request)) => request,
+            // No driver could take the socket on: nothing was said to the peer.
+            Err(_) if !line.is_taken_on() => return Err(CallError::NeverRan(NeverRan::NotTried)),
+            Ok(Err(_)) | Err(_) => return Err(CallError::NeverRan(NeverRan::NoConnection)),
+        };
         let authority = addr.to_string().parse().map_err(|_| CallError::NeverRan(NeverRan::NoConnection))?;
         let request = Arc::new(Mutex::new(request));
         Ok(Client { request, line, dead: Arc::default(), addr, authority, most })
@@ -494,7 +499,7 @@
         path: &str,
         headers: HeaderMap,
         within: Duration,
-    ) -> Result<(SendStream<Bytes>, ResponseFuture, Option<Counted>), CallError> {
+    ) -> Result<(SendStream<Bytes>, ResponseFuture, Counted), CallError> {
         let mut uri = http::uri::Parts::default();
         uri.scheme = Some(http::uri::Scheme::HTTP);
         uri.authority = Some(self.authority.clone());
@@ -502,6 +507,8 @@
         let uri = Uri::from_parts(uri).map_err(|_| CallError::Malformed("a path"))?;
         let mut request = Request::new(());
         (*request.method_mut(), *request.uri_mut(), *request.headers_mut()) = (Method::POST, uri, headers);
+        // Counted first: a connection may end as idle only while nobody is about to use it.
+        let counted = self.line.begin_call();
         let mut send = self.request.lock().unwrap_or_else(PoisonError::into_inner).clone();
         let until = Instant::now() + within;
         let failed = |error: h2::Error| {
@@ -512,7 +519,7 @@
             .ok_or(CallError::NeverRan(NeverRan::NeverWritten))?
             .map_err(failed)?;
         let (future, stream) = send.send_request(request, false).map_err(failed)?;
-        Ok((stream, future, Counted::take(&self.line.streams, usize::MAX)))
+        Ok((stream, future, counted))
     }
 
     /// What an ended call says, and of the connection with it.
