--- a/crates/whinhill-cli/tests/open_connections.rs
+++ b/crates/whinhill-cli/tests/open_connections.rs
@@ -6,11 +6,8 @@
 use std::collections::BTreeSet;
 use std::path::Path;
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use rand::seq::SliceRandom;
-use rand::{Rng, SeedableRng};
-use rand_chacha::ChaCha8Rng;
 use rustix::process::Signal;
 use whinhill_standins::platform::clients::{Clients, Plan, Request, Tally};
 
@@ -24,7 +21,7 @@
 const ANSWER_WITHIN: Duration = Duration::from_secs(3);
 
 fn plan(clients: usize, seed: u64) -> Plan {
-    Plan { clients, think_most: Duration::from_millis(50), answer_within: ANSWER_WITHIN, seed }
+    Plan { clients, never_look: 0, think_most: Duration::from_millis(50), answer_within: ANSWER_WITHIN, seed }
 }
 
 /// Those that got no final answer.
@@ -50,7 +47,7 @@
         let (mut running, addr) = Running::start(&path);
         let clients = Clients::start(addr, plan(40 + crowd, seed)).unwrap();
         thread::sleep(Duration::from_millis(600));
-        let terminated = send_series(&running, seed);
+        let terminated = running.send_series(seed);
         thread::sleep(KILL_AFTER.saturating_sub(terminated.elapsed()));
         running.signal(Signal::KILL);
         running.0.wait().unwrap();
@@ -60,22 +57,6 @@
     }
 }
 
-/// Sends signals in an order drawn by the seed, milliseconds apart; when the first SIGTERM was sent.
-fn send_series(running: &Running, seed: u64) -> Instant {
-    let mut random = ChaCha8Rng::seed_from_u64(seed);
-    let mut series = [Signal::HUP, Signal::HUP, Signal::TERM, Signal::TERM];
-    series.shuffle(&mut random);
-    let mut terminated = None;
-    for signal in series {
-        if signal == Signal::TERM {
-            terminated.get_or_insert_with(Instant::now);
-        }
-        running.signal(signal);
-        thread::sleep(Duration::from_micros(random.random_range(0..5_000)));
-    }
-    terminated.unwrap_or_else(Instant::now)
-}
-
 /// The system is short of memory or buffers at some transfers: that says nothing of the other side.
 #[test]
 fn transfers_that_fail_for_a_moment_cost_no_answer() {
--- a/crates/whinhill-cli/tests/support/running.rs
+++ b/crates/whinhill-cli/tests/support/running.rs
@@ -9,6 +9,9 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use rand::seq::SliceRandom;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use rustix::process::{kill_process, prlimit, Pid, Resource, Rlimit, Signal};
 
 use super::WITHIN;
@@ -101,6 +104,34 @@
     pub fn signal(&self, signal: Signal) {
         kill_process(Pid::from_raw(self.0.id() as i32).unwrap(), signal).unwrap();
     }
+
+    /// Sends signals in an order drawn by the seed, milliseconds apart; when the first SIGTERM was sent.
+    pub fn send_series(&self, seed: u64) -> Instant {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut series = [Signal::HUP, Signal::HUP, Signal::TERM, Signal::TERM];
+        series.shuffle(&mut random);
+        let mut terminated = None;
+        for signal in series {
+            if signal == Signal::TERM {
+                terminated.get_or_insert_with(Instant::now);
+            }
+            self.signal(signal);
+            thread::sleep(Duration::from_micros(random.random_range(0..5_000)));
+        }
+        terminated.unwrap_or_else(Instant::now)
+    }
+
+    /// Waits until it has ended by itself and in order.
+    pub fn wait_for_end(&mut self) {
+        let until = Instant::now() + WITHIN;
+        loop {
+            if let Some(status) = self.0.try_wait().unwrap() {
+                return assert!(status.success(), "{status}");
+            }
+            assert!(Instant::now() < until, "it does not end");
+            thread::sleep(Duration::from_millis(2));
+        }
+    }
 }
 
 /// The assigner's command with a log level.
--- a/crates/whinhill-standins/src/platform/clients.rs
+++ b/crates/whinhill-standins/src/platform/clients.rs
@@ -1,5 +1,5 @@
 //! Clients of an assigner's address in a closed loop: each asks for a sign of life, waits for the answer, thinks, and
-//! asks again on the same connection for as long as that stays open.
+//! asks again on the same connection for as long as that stays open. Some never look whether it does.
 //!
 //! Every request is recorded with its ending, from the client's side of the socket alone.
 
@@ -28,6 +28,8 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Plan {
     pub clients: usize,
+    /// The first so many never look whether the other side has ended the connection before they ask on it.
+    pub never_look: usize,
     /// Each thinks for a time drawn evenly from zero to this before it asks.
     pub think_most: Duration,
     /// An answer that takes longer counts as none.
@@ -67,12 +69,18 @@
     pub earlier: u32,
     /// Since the clients were started.
     pub sent: Duration,
+    /// When the system had taken all of it, or had refused to.
+    pub written: Duration,
+    /// The client never looks for the other side's end.
+    pub never_looks: bool,
     pub took: Duration,
     pub ending: Ending,
 }
 
 /// Clients that run until they are stopped.
 pub struct Clients {
+    /// The times of requests count from then.
+    pub started: Instant,
     stop: Arc<AtomicBool>,
     threads: Vec<JoinHandle<Vec<Request>>>,
 }
@@ -80,8 +88,8 @@
 impl Clients {
     /// Starts the clients of a plan. Fails where a thread cannot be started.
     pub fn start(addr: SocketAddr, plan: Plan) -> io::Result<Self> {
-        let mut clients = Clients { stop: Arc::default(), threads: Vec::new() };
         let started = Instant::now();
+        let mut clients = Clients { started, stop: Arc::default(), threads: Vec::new() };
         for number in 0..plan.clients {
             let client = Client {
                 number,
@@ -172,6 +180,10 @@
         self.stop.load(Ordering::Relaxed)
     }
 
+    fn never_looks(&self) -> bool {
+        self.number < self.plan.never_look
+    }
+
     /// Asks on one connection until that ends, or the clients are stopped.
     fn use_connection(&mut self, mut stream: TcpStream) -> io::Result<()> {
         let local = stream.local_addr()?;
@@ -180,15 +192,22 @@
         for earlier in 0.. {
             let think = self.random.random_range(Duration::ZERO..=self.plan.think_most);
             thread::sleep(think);
-            if self.stopped() || !is_quiet(&stream)? {
+            if self.stopped() || !self.never_looks() && !is_quiet(&stream)? {
                 break;
             }
             let sent = self.started.elapsed();
-            // What could not be sent was never asked.
-            stream.write_all(PROBE)?;
-            let ending = read_ending(&mut stream);
+            let asked = stream.write_all(PROBE);
+            let written = self.started.elapsed();
+            let ending = match asked {
+                Ok(()) => read_ending(&mut stream),
+                // It had no other way to learn that the connection is gone.
+                Err(_) if self.never_looks() => Ending::Reset,
+                // What could not be sent was never asked.
+                Err(error) => return Err(error),
+            };
+            let (client, never_looks) = (self.number, self.never_looks());
             let took = self.started.elapsed() - sent;
-            self.requests.push(Request { client: self.number, local, earlier, sent, took, ending });
+            self.requests.push(Request { client, local, earlier, sent, written, never_looks, took, ending });
             if ending != Ending::Answered {
                 break;
             }
--- a/crates/whinhill-standins/src/platform/node.rs
+++ b/crates/whinhill-standins/src/platform/node.rs
@@ -197,7 +197,7 @@
         let addr = self.sabotaged.as_ref().map_or(self.start.addr, Link::addr);
         let seed = self.environment.seed ^ (self.number as u64) << 20 ^ now.as_millis() as u64;
         let answer_within = Duration::from_secs(5);
-        let plan = Plan { clients, think_most: THINK_MOST, answer_within, seed };
+        let plan = Plan { clients, never_look: 0, think_most: THINK_MOST, answer_within, seed };
         let clients = Clients::start(addr, plan)?;
         self.asking.push(Asking { since: now, until, clients });
         Ok(())
