Serve the address for 0.75 s after SIGTERM, then on while somebody asks

Cause: the process stopped accepting 0.45 s after SIGTERM and ended after 0.39 to 0.50 s, where the platform kills no sooner than 0.7 s. Clients that do not look for our end lost the requests between.

Change: for 0.75 s after the signal is seen, clients are accepted and answered as ever; nobody is refused for silence, no collector of a zone is closed for a newer one, and nobody gives up a place: probes end at once, relay and discovery once no call waits (0.25 s at most), and their descriptors become clients' places. Then the process ends as soon as nobody has come or asked for 0.15 s. Where clients never stop, each answer is the last on its connection from 9.5 s on, and it ends within 10 s. Reports of collectors are dropped meanwhile and hold up nothing; a read that failed for want of memory, and looks at sockets or the listen queue that are still to be made, do.

--- a/crates/whinhill-cli/tests/support/discovery.rs
+++ b/crates/whinhill-cli/tests/support/discovery.rs
@@ -50,6 +50,11 @@
         }
     }
 
+    /// Whether it was asked since a watch was last waited for.
+    pub fn is_watched_again(&self) -> bool {
+        self.watches.try_recv().is_ok()
+    }
+
     /// Tells a list.
     pub fn tell(&self, list: &str) {
         self.send(&chunk(list));
--- a/crates/whinhill-node/src/clients.rs
+++ b/crates/whinhill-node/src/clients.rs
@@ -169,13 +169,17 @@
 
     /// Answers requests for a sign of life; false: the client does not read its answers, and is closed.
     fn answer(&mut self, id: Id, asked: usize) -> bool {
-        let now = self.clock.now();
+        let (now, serves_all) = (self.clock.now(), self.serves_all());
         let Some(connection) = self.connections.get_mut(id) else { return false };
         self.counts.requests += asked as u64;
-        connection.has_asked = true;
+        connection.asked_at = Some(now);
         (0..asked).for_each(|_| connection.answers.queue(now, ALIVE.len()));
-        let is_open = matches!(connection.kind, Kind::Client { stage: Stage::Open, .. });
-        let last = !is_open || self.last_answers;
+        let stays = match connection.kind {
+            Kind::Client { stage: Stage::Open, .. } => true,
+            Kind::Client { stage: Stage::Warned, .. } => serves_all,
+            _ => false,
+        };
+        let last = !stays || self.last_answers;
         let answers = ALIVE.repeat(asked);
         let sent = if last { connection.send_with_end(&answers) } else { connection.send(&answers) };
         let Ok(outgoing) = sent else {
@@ -187,9 +191,12 @@
         if let Kind::Client { peer, stage } = &mut connection.kind {
             if last {
                 *stage = Stage::Answered;
-            } else if !peer.joined() {
-                // Whoever asks is not silent.
-                self.deadlines.set(Due::Connection(id), now + JOIN_WITHIN);
+            } else {
+                *stage = Stage::Open;
+                if !peer.joined() {
+                    // Whoever asks is not silent.
+                    self.deadlines.set(Due::Connection(id), now + JOIN_WITHIN);
+                }
             }
         }
         self.flushed(id, Ok(outgoing));
@@ -199,6 +206,9 @@
     /// A collector that lost its connection comes back on a new one; the old may never tell that it ended. The one
     /// that joined last stays, though it may have connected first.
     fn bound_collectors(&mut self, newest: Id) {
+        if self.serves_all() {
+            return;
+        }
         let zone = |c: &Connection| match &c.kind {
             Kind::Client { peer, .. } => peer.zone(),
             _ => None,
--- a/crates/whinhill-node/src/connection.rs
+++ b/crates/whinhill-node/src/connection.rs
@@ -82,8 +82,8 @@
     /// Whether the other side has sent anything, and when it last did.
     pub heard: bool,
     pub heard_at: Duration,
-    /// Whether it has asked for a sign of life.
-    pub has_asked: bool,
+    /// When it last asked for a sign of life.
+    pub asked_at: Option<Duration>,
     /// Looks that are still made at the socket though the poll tells nothing.
     pub looks_left: u32,
     /// Something was read before the poll told of it.
@@ -112,7 +112,7 @@
             opened: now,
             heard: false,
             heard_at: now,
-            has_asked: false,
+            asked_at: None,
             looks_left: 0,
             read_untold: false,
             read_failed: false,
--- a/crates/whinhill-node/src/deadlines.rs
+++ b/crates/whinhill-node/src/deadlines.rs
@@ -67,6 +67,17 @@
         }
     }
 
+    /// Has one that stands come no earlier.
+    pub fn put_off(&mut self, due: Due, at: Duration) {
+        if self.at.get(&due).is_some_and(|earlier| *earlier < at) {
+            self.set(due, at);
+        }
+    }
+
+    pub fn is_set(&self, due: Due) -> bool {
+        self.at.contains_key(&due)
+    }
+
     pub fn clear(&mut self, due: Due) {
         if let Some(at) = self.at.remove(&due) {
             self.queue.remove(&(at, due));
--- a/crates/whinhill-node/src/event_loop.rs
+++ b/crates/whinhill-node/src/event_loop.rs
@@ -117,6 +117,7 @@
     fn advance(&mut self) {
         if self.ending.is_some() {
             self.deadlines.clear(Due::Batch);
+            self.pending.clear();
         } else if !self.pending.is_empty() {
             let now = self.clock.now();
             let full = self.pending.len() >= BATCH_MOST;
--- a/crates/whinhill-node/src/leaving.rs
+++ b/crates/whinhill-node/src/leaving.rs
@@ -1,9 +1,13 @@
-//! The end, after SIGTERM or SIGINT: open connections are served on, then each ends with its next answer.
+//! The end, after SIGTERM or SIGINT. Until the platform's earliest kill the address is served as before, and then for
+//! as long as anybody asks, up to a bound; each connection then ends with its next answer.
+
+use std::time::Duration;
 
 use tracing::info;
+use whinhill_platform::relay::news::Place;
 
 use crate::clients::Refusal;
-use crate::connection::{Connection, Kind};
+use crate::connection::{Connection, Kind, Stage};
 use crate::connections::Id;
 use crate::deadlines::Due;
 use crate::limits::*;
@@ -19,26 +23,83 @@
         let now = self.clock.now();
         info!(waiting = self.calls.waiting(), clients = self.peers, "told to end");
         self.ending = Some(now);
-        self.deadlines.set(Due::End, now + LAST_ANSWERS_AFTER);
+        self.deadlines.clear(Due::Config);
+        self.close_all(|kind| matches!(kind, Kind::Probe { .. }));
+        self.probes_again.clear();
+        self.make_places(RESERVED_OWN + RESERVED_PATHS);
+        self.keep_strangers(now + SILENCE_PUT_OFF);
+    }
+
+    /// Whether the signal has come and the kill may be yet to come: nobody's connection is closed.
+    pub fn serves_all(&self) -> bool {
+        self.ending.is_some_and(|since| self.clock.now() < since + SERVE_FOR)
     }
 
-    /// Whether the end has come. As long as clients use their connections it waits, up to a bound; from
-    /// [`LAST_ANSWERS_AFTER`] on each answer is a connection's last.
+    /// Whether the end has come.
     pub fn may_leave(&mut self) -> bool {
         let Some(since) = self.ending else { return false };
-        let passed = self.clock.now().saturating_sub(since);
+        let now = self.clock.now();
+        let passed = now.saturating_sub(since);
+        let calls = self.calls.waiting() > 0 || self.calls.under_way();
+        if !self.paths_closed && (!calls || passed >= CALLS_END_AFTER) {
+            self.close_paths();
+        }
         if passed >= END_AFTER {
             return true;
         }
         if passed >= LAST_ANSWERS_AFTER && !std::mem::replace(&mut self.last_answers, true) {
             self.hold_back_clients();
         }
-        let calls = self.calls.waiting() > 0 || self.calls.under_way();
-        if calls && passed < CALLS_END_AFTER || self.is_owed() {
-            self.deadlines.set(Due::End, self.clock.now() + END_LOOKS);
-            return false;
+        if passed >= SERVE_FOR && !self.is_owed() {
+            return true;
+        }
+        let next = match passed {
+            _ if !self.paths_closed => since + CALLS_END_AFTER,
+            _ if passed < SERVE_FOR => since + SERVE_FOR,
+            _ => now + END_LOOKS,
+        };
+        self.deadlines.set(Due::End, next);
+        false
+    }
+
+    /// Closes what leads to relay, discovery and servers, whose places clients may have.
+    fn close_paths(&mut self) {
+        self.paths_closed = true;
+        self.close_all(|kind| !matches!(kind, Kind::Client { .. } | Kind::Closing { .. }));
+        for place in [Place::Current, Place::Next] {
+            self.news.closed(place);
+            self.deadlines.clear(Due::News(place));
+        }
+        for due in [Due::Wake, Due::OpenNews, Due::Call, Due::Watch, Due::Fetch, Due::Probes] {
+            self.deadlines.clear(due);
+        }
+        self.make_places(RESERVED_OWN);
+    }
+
+    fn close_all(&mut self, wanted: fn(&Kind) -> bool) {
+        let ids: Vec<Id> =
+            self.connections.iter().filter(|(_, c)| wanted(&c.kind)).map(|(id, _)| id).collect();
+        ids.into_iter().for_each(|id| drop(self.close(id)));
+    }
+
+    /// Lets clients have all descriptors but so many; nobody has to leave for others now.
+    fn make_places(&mut self, reserved: usize) {
+        self.peers_most = self.peers_most.max(self.config.limits.sockets.saturating_sub(reserved));
+        for id in self.clients() {
+            let leaving = |c: &Connection| matches!(c.kind, Kind::Client { stage: Stage::Leaving, .. });
+            if self.connections.get(id).is_some_and(leaving) {
+                self.set_stage(id, Stage::Open);
+            }
+        }
+    }
+
+    /// Whoever has not joined is refused no sooner.
+    fn keep_strangers(&mut self, until: Duration) {
+        for id in self.clients() {
+            if self.connections.get(id).is_some_and(Connection::is_stranger) {
+                self.deadlines.put_off(Due::Connection(id), until);
+            }
         }
-        true
     }
 
     /// Takes the listen queue and stops listening, answers whoever has just come, and ends.
@@ -83,15 +144,30 @@
         self.connections.iter().filter(|(_, c)| client(c)).map(|(id, _)| id).collect()
     }
 
-    /// Whether a client waits to be accepted, read or written to, or has come or asked so recently that it may be
-    /// about to ask.
+    /// Whether a client waits to be accepted, read or written to, or may be about to ask.
     fn is_owed(&self) -> bool {
-        let now = self.clock.now();
-        let waits = |c: &Connection| {
-            let may_ask = matches!(c.kind, Kind::Client { .. }) && (c.has_asked || !c.heard);
-            !c.all_written() || may_ask && now < c.heard_at + ASK_WITHIN
-        };
-        let waiting = self.clients().iter().filter_map(|id| self.connections.get(*id)).any(waits);
-        self.next_client.is_some() || !self.unread.is_empty() || waiting
+        let mut clients = self.connections.iter().map(|(_, connection)| connection);
+        let may_wait = self.next_client.is_some() || self.deadlines.is_set(Due::Accept);
+        may_wait || !self.unread.is_empty() || clients.any(|client| self.is_owed_to(client))
+    }
+
+    fn is_owed_to(&self, client: &Connection) -> bool {
+        match client.kind {
+            Kind::Client { .. } => !client.all_written() || self.may_ask(client),
+            Kind::Closing { .. } => !client.all_written(),
+            _ => false,
+        }
+    }
+
+    /// Whether a client has come or asked so recently that it may be about to ask, or what it has sent is not known
+    /// for sure. Reports of a collector alone are no requests.
+    fn may_ask(&self, client: &Connection) -> bool {
+        if client.joined() && client.asked_at.is_none() {
+            return false;
+        }
+        let just_came = (!client.heard || client.is_unfinished()).then_some(client.heard_at);
+        let last = client.asked_at.max(just_came);
+        let recently = last.is_some_and(|at| self.clock.now() < at + ASK_WITHIN);
+        recently || client.read_failed || client.looks_left > 0
     }
 }
--- a/crates/whinhill-node/src/limits.rs
+++ b/crates/whinhill-node/src/limits.rs
@@ -34,9 +34,12 @@
 pub const PROBES_MOST: usize = 48;
 /// Connections of one zone's collector: the newest is the real one, others may not have noticed their end.
 pub const COLLECTORS_MOST: usize = 3;
-/// Descriptors that nobody who connects may take: standard streams, poll, signals, listener, the configuration
-/// file (12), relay and discovery, each with one to replace it (8), and probes.
-pub const RESERVED: usize = 20 + PROBES_MOST;
+/// Descriptors of our own: standard streams, poll, signals, listener, the configuration file.
+pub const RESERVED_OWN: usize = 12;
+/// And those of relay and discovery, each with one to replace it.
+pub const RESERVED_PATHS: usize = 8;
+/// Descriptors that nobody who connects may take, probes among them.
+pub const RESERVED: usize = RESERVED_OWN + RESERVED_PATHS + PROBES_MOST;
 /// Failures of `accept` in one turn: most pass at once, and a client that waits is late soon.
 pub const ACCEPT_FAILURES_MOST: u32 = 16;
 /// Accepting goes on after this: after failures, while all places are taken, and where somebody may still wait.
@@ -94,17 +97,23 @@
 pub const BELIEFS_EVERY: Duration = Duration::from_secs(1);
 /// A client that was told of its silence may still ask within this.
 pub const WARNED_WITHIN: Duration = Duration::from_millis(500);
-/// After SIGTERM, calls in line may still leave for this long. SIGKILL follows no sooner than 0.7 s; all that
-/// follows here leaves 0.1 s of that to a signal that is noticed late.
+/// After SIGTERM, calls in line may still leave for this long.
 pub const CALLS_END_AFTER: Duration = Duration::from_millis(250);
-/// From then on each answer is the last on its connection: so long whoever keeps asking has to ask once more.
-pub const LAST_ANSWERS_AFTER: Duration = Duration::from_millis(350);
+/// So long the address is served as before and no connection ends for the signal's sake: the platform kills no sooner
+/// than 0.7 s after SIGTERM, and some clients never look whether their connections still stand.
+pub const SERVE_FOR: Duration = Duration::from_millis(750);
+/// Then it is served on while anybody asks, until from now on each answer is the last on its connection: so long
+/// whoever keeps asking has to ask once more.
+pub const LAST_ANSWERS_AFTER: Duration = Duration::from_millis(9500);
 /// And then nobody new is accepted.
-pub const END_AFTER: Duration = Duration::from_millis(450);
-/// And the process ends, however late it came to stop accepting.
-pub const LEAVE_BY: Duration = Duration::from_millis(600);
+pub const END_AFTER: Duration = Duration::from_millis(9750);
+/// And the process ends, 10 s after SIGTERM.
+pub const LEAVE_BY: Duration = Duration::from_secs(10);
 /// Whoever has come or asked within this may be about to ask, and is waited for.
 pub const ASK_WITHIN: Duration = Duration::from_millis(150);
+/// Whoever would be refused for silence meanwhile is so no sooner than this after SIGTERM: 2.5 s after it connected at
+/// the latest, where the platform asks for it within 3 s.
+pub const SILENCE_PUT_OFF: Duration = SERVE_FOR.saturating_add(ASK_WITHIN);
 /// How often it is looked at whether anybody is.
 pub const END_LOOKS: Duration = Duration::from_millis(10);
 /// Clients taken from the listen queue as it closes, at most: those that it may hold.
--- a/crates/whinhill-node/src/node.rs
+++ b/crates/whinhill-node/src/node.rs
@@ -112,6 +112,8 @@
     pub longest_pause: Duration,
     /// Since when the end was asked for.
     pub ending: Option<Duration>,
+    /// Relay, discovery and servers have no connection of ours any more.
+    pub paths_closed: bool,
     /// Each answer is the last on its connection.
     pub last_answers: bool,
     /// Until when reads are followed by further looks: a call has been wrong of late.
@@ -209,6 +211,7 @@
             log_dropped,
             longest_pause: Duration::ZERO,
             ending: None,
+            paths_closed: false,
             last_answers: false,
             look_closely_until: Duration::ZERO,
             failures: FailureLog::default(),
