--- a/crates/whinhill-standins/src/platform/soak.rs
+++ b/crates/whinhill-standins/src/platform/soak.rs
@@ -199,7 +199,8 @@
             | Action::Stall { node, .. }
             | Action::Delay { node, .. }
             | Action::LateLists { node, .. }
-            | Action::Crowd { node, .. } => self.nodes[*node].act(now, action),
+            | Action::Crowd { node, .. }
+            | Action::Pieces { node, .. } => self.nodes[*node].act(now, action),
             Action::Silence { share, time } => {
                 let count = (self.ready_servers().len() as f64 * share).ceil() as usize;
                 for server in self.draw_servers(count) {
