Cut a full server's limit again once the last cut shows, after two report stretches

Cause: a limit was cut again after three stretches of a report, where reports show a cut after about two.

--- a/crates/whinhill/src/assigner/health.rs
+++ b/crates/whinhill/src/assigner/health.rs
@@ -135,7 +135,7 @@
         let Symptoms { wait, share, .. } = symptoms;
         server.loaded = symptoms.loaded;
         server.late = symptoms.late || *share > SICK.0 / 2.0 && symptoms.slow;
-        let due = server.limited.is_none_or(|at| now >= at + half * 3);
+        let due = server.limited.is_none_or(|at| now >= at + half * LIMIT_SHOWS);
         if server.late && symptoms.tries >= ENOUGH && usable(server) && due {
             let served = server.oks.rate(now, half);
             let text = format!("server {i} limited to {served:.1}: wait {wait:.2} s, lost {share:.2}");
--- a/crates/whinhill/src/assigner/tuning.rs
+++ b/crates/whinhill/src/assigner/tuning.rs
@@ -66,6 +66,8 @@
 pub(super) const LATE: f64 = 0.4;
 /// What an overloaded server is let, times what it did; and how that grows in a period without lateness.
 pub(super) const LIMIT_STEP: (f64, f64) = (0.9, 1.06);
+/// Stretches of a report after which a cut shows in what is told. Fewer: cut again for the same answers.
+pub(super) const LIMIT_SHOWS: u32 = 2;
 /// Probes of each ready server in a period, at most. Fewer: silence is found later; more: servers work for probes.
 pub(super) const PROBE_ROUNDS: u32 = 3;
 /// Probes of all assigners for each RPC, at most, as long as there is a round a period.
