Judge lost and refused RPCs of the soak by a reference in the same seed

Change: the same arrivals meet two data planes. The second has the tables of an oracle inside the harness, which sees servers one second late and moves by the same ways and steps. Lost RPCs have cause and stage; silence to last RPC is a histogram. The test of drawn seeds now plays them once for two tests: all earlier rules with the share of slow starts, and the new rules. Together they are stricter than before. "success" was exit code 0; now the code must fit the reports.

--- a/crates/whinhill-cli/src/platform_soak.rs
+++ b/crates/whinhill-cli/src/platform_soak.rs
@@ -165,10 +165,12 @@
         },
         Ok(r) => {
             let late = r.rpcs.late_overload + r.rpcs.late_slow;
-            let lost = r.rpcs.lost_overload + r.rpcs.lost_silent;
+            let (lost, lost_by_reference) = (r.rpcs.lost(), r.reference_rpcs.lost());
+            let (refused, refused_by_reference) = (r.rpcs.refused(), r.reference_rpcs.refused());
             println!(
                 "seed {} nodes {} {:?} requests {} unanswered {} late {} slowest {} ms; starts {} ready {} ms; \
-                 RPCs {} in time {} late {late} lost {lost}; broken {}",
+                 RPCs {} in time {} late {late} lost {lost} (reference {lost_by_reference}) refused {refused} \
+                 (reference {refused_by_reference}); silence to last RPC p50 {} p99 {} ms; broken {}",
                 r.seed,
                 r.nodes,
                 r.troubles,
@@ -180,6 +182,8 @@
                 r.ready_ms_most,
                 r.rpcs.offered,
                 r.rpcs.in_time,
+                r.silence_to_last.p50_ms,
+                r.silence_to_last.p99_ms,
                 r.broken_rules
             );
             r.broken.iter().for_each(|b| println!("  {:>6} ms {:?}: {}", b.at_ms, b.rule, b.what));
--- a/crates/whinhill-cli/tests/platform_soak.rs
+++ b/crates/whinhill-cli/tests/platform_soak.rs
@@ -3,6 +3,7 @@
 
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
+use std::sync::OnceLock;
 
 use serde_json::Value;
 
@@ -25,18 +26,56 @@
     text.lines().filter_map(|line| serde_json::from_str(line).ok()).collect()
 }
 
-/// All kinds of trouble are among what these seeds draw.
+/// Rules that judge by the reference; the other test of the drawn seeds has all the rest.
+const BY_REFERENCE: [&str; 2] = ["rpc-lost", "rpc-refused"];
+
+/// All kinds of trouble are among what these seeds draw. They are played once, for the two tests that judge them.
+fn drawn_seeds() -> &'static [Value] {
+    static PLAYED: OnceLock<Vec<Value>> = OnceLock::new();
+    PLAYED.get_or_init(|| {
+        let folder = tempfile::tempdir().unwrap();
+        let output = soak(folder.path(), &["--seeds", "1-9", "--for", "16s", "--jobs", "3"]);
+        let reports = reports(&output);
+        let is_broken = reports.iter().any(|report| report["broken_rules"] != 0);
+        let code = if is_broken { 3 } else { 0 };
+        let errors = String::from_utf8_lossy(&output.stderr);
+        assert_eq!(output.status.code(), Some(code), "{reports:#?}\n{errors}");
+        assert_eq!(reports.len(), 9);
+        reports
+    })
+}
+
+/// By seed, the broken rules that are asked for, and where.
+fn broken(reports: &[Value], asked: impl Fn(&str) -> bool) -> Vec<String> {
+    let rules = |report: &Value| report["broken_by_rule"].as_object().unwrap().clone();
+    let of_seed = |report: &Value| {
+        let broken: Vec<String> = rules(report)
+            .iter()
+            .filter(|(rule, _)| asked(rule))
+            .map(|(rule, n)| format!("{rule}: {n}"))
+            .collect();
+        (!broken.is_empty()).then(|| format!("seed {}: {broken:?} {}", report["seed"], report["broken"]))
+    };
+    reports.iter().filter_map(of_seed).collect()
+}
+
 #[test]
 fn seeds_of_drawn_troubles_break_no_rule() {
-    let folder = tempfile::tempdir().unwrap();
-    let output = soak(folder.path(), &["--seeds", "1-9", "--for", "16s", "--jobs", "3"]);
-    let reports = reports(&output);
-    assert!(output.status.success(), "{reports:#?}\n{}", String::from_utf8_lossy(&output.stderr));
-    assert_eq!(reports.len(), 9);
+    let reports = drawn_seeds();
+    let broken = broken(reports, |rule| !BY_REFERENCE.contains(&rule));
+    assert!(broken.is_empty(), "{broken:#?}");
+    let sum = |field: &str| reports.iter().map(|report| report[field].as_u64().unwrap()).sum::<u64>();
+    assert!(sum("slow_starts") * 10 <= sum("starts"), "{reports:#?}");
     let requests = |report: &Value| report["requests"]["requests"].as_u64().unwrap();
     assert!(reports.iter().all(|report| requests(report) > 500), "{reports:#?}");
 }
 
+#[test]
+fn no_more_rpcs_are_lost_or_refused_than_the_reference_allows() {
+    let broken = broken(drawn_seeds(), |rule| BY_REFERENCE.contains(&rule));
+    assert!(broken.is_empty(), "{broken:#?}");
+}
+
 /// Each defect of the stand-ins is found, as what it is, on each seed.
 #[test]
 fn the_auditor_finds_what_is_put_in() {
--- a/crates/whinhill-standins/src/platform.rs
+++ b/crates/whinhill-standins/src/platform.rs
@@ -6,13 +6,18 @@
 mod collectors;
 mod custody;
 mod discovery;
+mod lost;
 mod node;
+mod oracle;
 pub mod page;
+mod plane;
 mod process;
 mod relay;
 pub mod script;
 mod servers;
+mod silence;
 pub mod soak;
+mod tally;
 mod traffic;
 mod world;
 
--- a/crates/whinhill-standins/src/platform/audit.rs
+++ b/crates/whinhill-standins/src/platform/audit.rs
@@ -10,7 +10,7 @@
 use super::world::{Status, World};
 
 /// A rule.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Rule {
     /// A request at an assigner's address got no final answer.
@@ -27,6 +27,10 @@
     Limits,
     /// It ended by itself, or was not ready in time.
     Crash,
+    /// More RPCs were lost than by the reference, over the run or a window.
+    RpcLost,
+    /// More were refused over the run.
+    RpcRefused,
 }
 
 /// A rule that was broken, once.
--- a/crates/whinhill-standins/src/platform/page.rs
+++ b/crates/whinhill-standins/src/platform/page.rs
@@ -44,6 +44,10 @@
 pub const STOP_SENDING_WITHIN: Duration = Duration::from_millis(3000);
 /// After its start a server is cold for so long.
 pub const WARM_AFTER: Duration = Duration::from_secs(6);
+/// A write that a proxy took in ends within this.
+pub const IN_FLIGHT_MOST: Duration = Duration::from_millis(400);
+/// Between two decisions.
+pub const ROUND: Duration = Duration::from_millis(50);
 /// A proxy without a line holds an RPC for so long.
 pub const HOLD: Duration = Duration::from_millis(300);
 
@@ -85,7 +89,7 @@
         })
         .collect();
     serde_json::json!({
-        "discovery": "subscribe", "round": 50.0, "zones": ZONES, "caps": {"mayProbe": true}, "classes": classes,
+        "discovery": "subscribe", "round": ROUND.as_millis() as f64, "zones": ZONES, "caps": {"mayProbe": true}, "classes": classes,
         "report": {"fields": ["util", "inflight", "queue"], "source": "probe"},
         "rules": {
             "mustAskIn": 10_000.0, "stopSendingWithin": STOP_SENDING_WITHIN.as_millis() as u64,
@@ -93,7 +97,7 @@
         },
         "familyInfo": {
             "shards": SLICES, "dataPlaneSize": PROXIES, "mutating": CLASSES.map(|class| class.writes),
-            "retryDefault": 0, "period": PERIOD.as_millis() as u64, "writeLease": 2000.0, "inFlightMax": 400.0,
+            "retryDefault": 0, "period": PERIOD.as_millis() as u64, "writeLease": 2000.0, "inFlightMax": IN_FLIGHT_MOST.as_millis() as f64,
             "transitMax": 200.0, "overhead": 8.0, "linesPerS": 20_000.0, "backlog": 40_000.0, "messagesMost": 0,
             "reloadSpan": 10_000.0, "emptyFor": EMPTY_FOR.as_millis() as u64, "hold": HOLD.as_millis() as u64,
             "oneOwner": true, "admission": "share",
--- a/crates/whinhill-standins/src/platform/relay.rs
+++ b/crates/whinhill-standins/src/platform/relay.rs
@@ -98,8 +98,9 @@
             {
                 continue;
             }
-            Effect::Line { slice, server } => world.slices[slice].line = server,
-            _ => {}
+            Effect::Line { slice, server } => world.order_line(slice, server),
+            Effect::Level { slice, share, .. } => world.order_level(slice, share),
+            Effect::Mark { .. } => {}
         }
         effects.push(effect);
     }
--- a/crates/whinhill-standins/src/platform/servers.rs
+++ b/crates/whinhill-standins/src/platform/servers.rs
@@ -6,6 +6,7 @@
 use std::thread;
 use std::time::Duration;
 
+use super::plane::Plane;
 use super::world::{Condition, Shared};
 
 const STACK: usize = 128 << 10;
@@ -23,7 +24,10 @@
             let (condition, in_hand) = {
                 let world = world.lock();
                 let (now, server) = (world.now(), &world.servers[place]);
-                (server.condition, server.workers.iter().filter(|free| **free > now).count())
+                (
+                    server.condition,
+                    server.workers[Plane::Judged as usize].iter().filter(|free| **free > now).count(),
+                )
             };
             match condition {
                 Condition::Silent => {
--- a/crates/whinhill-standins/src/platform/soak.rs
+++ b/crates/whinhill-standins/src/platform/soak.rs
@@ -1,6 +1,7 @@
 //! One seed of the soak: assigners as processes, with all that surrounds them on the platform, through the troubles
 //! of a script.
 
+use std::collections::BTreeMap;
 use std::fs;
 use std::io::{self, Write as _};
 use std::net::TcpListener;
@@ -14,12 +15,16 @@
 use rand_chacha::ChaCha8Rng;
 use serde::Serialize;
 
-use super::audit::{Broken, RequestAudit, TableAudit};
+use super::audit::{Broken, RequestAudit, Rule, TableAudit};
 use super::custody;
+use super::lost::{Cause, Stage};
 use super::node::{Environment, Node};
 use super::page::*;
+use super::plane::Outcomes;
 use super::script::{Action, Script, Trouble};
-use super::traffic::{Outcomes, Traffic};
+use super::silence::SilenceReport;
+use super::tally::{self, TallyReport};
+use super::traffic::Traffic;
 use super::world::{Condition, Sabotage, Shared, Status, World};
 use super::{collectors, servers};
 
@@ -68,7 +73,15 @@
     pub descriptors_most: usize,
     pub requests: RequestAudit,
     pub rpcs: Outcomes,
+    pub reference_rpcs: Outcomes,
+    /// Lost RPCs by cause and stage.
+    pub lost: BTreeMap<Cause, BTreeMap<Stage, u64>>,
+    pub shares: TallyReport,
+    /// From a server's silence to the last RPC sent there.
+    pub silence_to_last: SilenceReport,
+    pub reference_silence_to_last: SilenceReport,
     pub broken_rules: usize,
+    pub broken_by_rule: BTreeMap<Rule, usize>,
     pub broken: Vec<Broken>,
 }
 
@@ -203,14 +216,14 @@
             Action::Silence { share, time } => {
                 let count = (self.ready_servers().len() as f64 * share).ceil() as usize;
                 for server in self.draw_servers(count) {
-                    self.world.lock().servers[server].condition = Condition::Silent;
+                    self.world.lock().set_condition(server, Condition::Silent);
                     self.to_restart.push((now + *time, server));
                 }
                 Ok(())
             }
             Action::Slow { times, time } => {
                 for server in self.draw_servers(1) {
-                    self.world.lock().servers[server].condition = Condition::Slow(*times);
+                    self.world.lock().set_condition(server, Condition::Slow(*times));
                     self.to_mend.push((now + *time, server));
                 }
                 Ok(())
@@ -245,10 +258,10 @@
             }
         }
         for server in due(&mut self.to_mend) {
-            world.servers[server].condition = Condition::Well;
+            world.set_condition(server, Condition::Well);
         }
         for server in due(&mut self.to_go) {
-            world.servers[server].condition = Condition::Dead;
+            world.set_condition(server, Condition::Dead);
             world.list(server, Status::Gone);
         }
     }
@@ -267,15 +280,21 @@
         for node in &mut self.nodes {
             requests.add(node.stop_clients());
         }
-        let rpcs = self.traffic.outcomes;
+        let (judged, reference) = (&self.traffic.judged, &self.traffic.reference);
+        let mut shares = tally::judge(&judged.tally, &reference.tally, self.options.time);
+        let lost = judged.lost_by_stage();
+        self.keep_lost()?;
         let mut broken = std::mem::take(&mut self.tables.broken);
         broken.append(&mut self.broken);
         broken.append(&mut requests.broken);
+        broken.append(&mut shares.broken);
         broken.sort_by_key(|broken| broken.at_ms);
         let starts = self.nodes.iter().map(|node| node.starts).sum();
         let ready: Vec<Duration> = self.nodes.iter().flat_map(|node| node.ready.iter().copied()).collect();
         self.keep_time_line(&broken)?;
         let broken_rules = broken.len();
+        let mut broken_by_rule = BTreeMap::new();
+        broken.iter().for_each(|broken| *broken_by_rule.entry(broken.rule).or_default() += 1);
         broken.truncate(BROKEN_MOST);
         Ok(Report {
             seed: self.options.seed,
@@ -288,12 +307,25 @@
             memory_kb_most: self.nodes.iter().map(|node| node.memory_kb).max().unwrap_or(0),
             descriptors_most: self.nodes.iter().map(|node| node.descriptors).max().unwrap_or(0),
             requests,
-            rpcs,
+            rpcs: self.traffic.judged.outcomes,
+            reference_rpcs: self.traffic.reference.outcomes,
+            lost,
+            shares,
+            silence_to_last: self.traffic.judged.silences.report(),
+            reference_silence_to_last: self.traffic.reference.silences.report(),
             broken_rules,
+            broken_by_rule,
             broken,
         })
     }
 
+    /// Writes each lost RPC into a file beside the logs.
+    fn keep_lost(&self) -> io::Result<()> {
+        let world = self.world.lock();
+        let lines = self.traffic.judged.lost.iter().map(|lost| lost.line(&world) + "\n");
+        fs::write(self.options.folder.join("lost-rpcs"), lines.collect::<String>())
+    }
+
     /// Writes what happened, and what was broken between, into a file beside the logs.
     fn keep_time_line(&self, broken: &[Broken]) -> io::Result<()> {
         let world = self.world.lock();
--- a/crates/whinhill-standins/src/platform/traffic.rs
+++ b/crates/whinhill-standins/src/platform/traffic.rs
@@ -1,41 +1,28 @@
-//! RPCs that clients send through the proxies: each is let in by its slice's level, sent by the proxy's table, and
-//! answered as its server does. What came of them is added up by cause, and for the collectors' reports.
+//! RPCs that clients send through the proxies, drawn once for both worlds. What the judged one met is added up for
+//! the collectors' reports.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use serde::Serialize;
 
-use super::page::{CLASSES, HOLD, LOST_AFTER, PROXIES, SLICES, ZONES};
-use super::world::{Condition, World};
+use super::oracle::Oracle;
+use super::page::{HOLD, PROXIES, SLICES, ZONES};
+use super::plane::{DataPlane, Plane, Rpc, Step};
+use super::world::World;
 
 /// RPCs a second, of all classes and slices.
 const RATE: f64 = 240.0;
-/// Work of one RPC at a server that is well and warm.
+/// Work of one RPC at a server that is well and warm, evenly spread.
 const WORK: (Duration, Duration) = (Duration::from_millis(10), Duration::from_millis(40));
+pub const MEAN_WORK: Duration = Duration::from_millis(25);
 /// The share of RPCs that write.
 const WRITES: f64 = 0.3;
-/// A cold server takes this many times as long.
-const COLD: u32 = 2;
-
-/// What became of RPCs, by cause.
-#[derive(Clone, Copy, Debug, Default, Serialize)]
-pub struct Outcomes {
-    pub offered: u64,
-    pub in_time: u64,
-    /// Answered after the soft deadline.
-    pub late_overload: u64,
-    pub late_slow: u64,
-    /// Later than the deadline by more than the page allows, or never.
-    pub lost_overload: u64,
-    pub lost_silent: u64,
-    /// Refused, with the promise that nothing ran.
-    pub refused_level: u64,
-    pub refused_no_owner: u64,
-    pub refused_dead: u64,
-}
+/// Slices are in demand by the square of an even draw.
+const SKEW: f64 = 2.0;
+/// Windows start this long after an assigner's first answer even where a proxy has no line yet.
+const LINES_WITHIN: Duration = Duration::from_secs(3);
 
 /// What proxies of a zone met at a server.
 #[derive(Clone, Copy, Debug, Default)]
@@ -59,14 +46,6 @@
     pub demand: BTreeMap<(usize, usize), Demand>,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Held {
-    until: Duration,
-    slice: usize,
-    proxy: usize,
-    class: usize,
-}
-
 /// An answer, or the want of one, on its way back to the proxy that counts it.
 #[derive(Clone, Copy, Debug)]
 struct Returning {
@@ -78,14 +57,23 @@
     took: Duration,
 }
 
-/// The clients and what they have met.
+/// RPCs a second for a slice, where the load is as usual.
+pub fn expected_rate(slice: usize) -> f64 {
+    let below = |slice: usize| (slice as f64 / SLICES as f64).powf(1.0 / SKEW);
+    RATE * (below(slice + 1) - below(slice))
+}
+
+/// The clients, and both worlds that they meet.
 pub struct Traffic {
     random: ChaCha8Rng,
     last: Duration,
     owed: f64,
-    held: VecDeque<Held>,
     answers: Vec<Returning>,
-    pub outcomes: Outcomes,
+    oracle: Oracle,
+    pub judged: DataPlane,
+    pub reference: DataPlane,
+    /// Windows have started.
+    counts: bool,
     pub sums: Vec<Sums>,
 }
 
@@ -96,100 +84,83 @@
             random: ChaCha8Rng::seed_from_u64(seed ^ 0x7aff),
             last: Duration::ZERO,
             owed: 0.0,
-            held: VecDeque::new(),
             answers: Vec::new(),
-            outcomes: Outcomes::default(),
+            oracle: Oracle::new(seed),
+            judged: DataPlane::new(Plane::Judged),
+            reference: DataPlane::new(Plane::Reference),
+            counts: false,
             sums: vec![Sums::default(); nodes],
         }
     }
 
     /// Plays what came since the last call.
     pub fn play(&mut self, world: &mut World) {
-        let now = world.now();
-        self.owed += RATE * now.saturating_sub(self.last).as_secs_f64();
-        self.last = now;
-        while self.owed >= 1.0 {
-            self.owed -= 1.0;
-            // A few slices are in demand.
-            let slice = (self.random.random::<f64>().powi(2) * SLICES as f64) as usize;
-            let proxy = self.random.random_range(0..PROXIES);
-            let class = usize::from(self.random.random_bool(WRITES));
-            self.outcomes.offered += 1;
-            self.arrive(world, Held { until: now + HOLD, slice: slice.min(SLICES - 1), proxy, class });
-        }
-        for held in std::mem::take(&mut self.held) {
-            self.arrive(world, held);
+        self.oracle.play(world);
+        self.start_windows(world);
+        let arrivals = self.draw(world);
+        for (rpc, step) in self.judged.play(world, None, &arrivals) {
+            self.count(world, rpc, step);
         }
-        let sums = &mut self.sums;
-        for answer in self.answers.iter().filter(|answer| answer.at <= now) {
-            let met = sums[answer.node].met.entry(answer.key).or_default();
-            met.count += 1;
-            met.fail += u64::from(answer.failed);
-            met.sum_ms += if answer.failed { 0.0 } else { answer.took.as_secs_f64() * 1e3 };
+        self.reference.play(world, Some(&self.oracle.tables), &arrivals);
+        self.pass_answers_on(world.now());
+    }
+
+    /// Windows start once an assigner is ready and all slices have servers.
+    fn start_windows(&mut self, world: &World) {
+        let now = world.now();
+        let first = world.nodes.iter().filter_map(|node| node.first_answer).min();
+        let Some(first) = first.filter(|_| !self.counts && self.oracle.is_ready()) else { return };
+        let has_lines = world.tables.iter().flatten().all(|table| table.server.is_some());
+        if has_lines || now >= first + LINES_WITHIN {
+            self.counts = true;
+            self.judged.tally.start(now);
+            self.reference.tally.start(now);
         }
-        self.answers.retain(|answer| answer.at > now);
     }
 
-    fn arrive(&mut self, world: &mut World, rpc: Held) {
+    fn draw(&mut self, world: &World) -> Vec<Rpc> {
         let now = world.now();
-        let table = world.tables[rpc.proxy][rpc.slice];
-        let Some(server) = table.server else {
-            if now < rpc.until {
-                self.held.push_back(rpc);
-            } else {
-                self.outcomes.refused_no_owner += 1;
-                self.demand(world, rpc, true);
-            }
-            return;
-        };
-        if !self.random.random_bool(table.levels[rpc.class].clamp(0.0, 1.0)) {
-            self.outcomes.refused_level += 1;
-            self.demand(world, rpc, true);
-            return;
+        self.owed += RATE * world.rate_times * now.saturating_sub(self.last).as_secs_f64();
+        self.last = now;
+        let count = self.owed as usize;
+        self.owed -= count as f64;
+        (0..count).map(|_| self.draw_one(now)).collect()
+    }
+
+    fn draw_one(&mut self, now: Duration) -> Rpc {
+        let slice = (self.random.random::<f64>().powf(SKEW) * SLICES as f64) as usize;
+        Rpc {
+            arrived: now,
+            held_until: now + HOLD,
+            slice: slice.min(SLICES - 1),
+            proxy: self.random.random_range(0..PROXIES),
+            class: usize::from(self.random.random_bool(WRITES)),
+            work: self.random.random_range(WORK.0..WORK.1),
+            dice: self.random.random(),
         }
-        self.demand(world, rpc, false);
-        self.send(world, rpc, server);
     }
 
-    fn demand(&mut self, world: &World, rpc: Held, failed: bool) {
+    /// Adds up for the holder of the RPC's slice.
+    fn count(&mut self, world: &World, rpc: Rpc, step: Step) {
         let Some(node) = world.slices[rpc.slice].holder else { return };
+        if matches!(step, Step::Held) {
+            return;
+        }
         let demand = self.sums[node].demand.entry((rpc.slice, rpc.class)).or_default();
         demand.count += 1;
-        demand.fail += u64::from(failed);
+        demand.fail += u64::from(matches!(step, Step::Refused));
+        if let Step::Sent { server, took, failed } = step {
+            let key = (rpc.proxy % ZONES.len(), server);
+            self.answers.push(Returning { at: world.now() + took, node, key, failed, took });
+        }
     }
 
-    fn send(&mut self, world: &mut World, rpc: Held, server: usize) {
-        let (now, class) = (world.now(), CLASSES[rpc.class]);
-        let cold = world.servers[server].started.is_some_and(|at| now < at + super::page::WARM_AFTER);
-        let state = &mut world.servers[server];
-        let (took, failed) = match state.condition {
-            Condition::Dead => {
-                self.outcomes.refused_dead += 1;
-                (Duration::from_millis(1), true)
-            }
-            Condition::Silent => {
-                self.outcomes.lost_silent += 1;
-                (class.deadline, true)
-            }
-            Condition::Well | Condition::Slow(_) => {
-                let slow = if let Condition::Slow(times) = state.condition { times } else { 1 };
-                let work = self.random.random_range(WORK.0..WORK.1) * slow * if cold { COLD } else { 1 };
-                let free = state.workers.iter_mut().min();
-                let Some(free) = free else { return };
-                *free = (*free).max(now) + work;
-                let took = *free - now;
-                match took {
-                    took if took <= class.objective => self.outcomes.in_time += 1,
-                    took if took > class.deadline + LOST_AFTER => self.outcomes.lost_overload += 1,
-                    _ if slow > 1 => self.outcomes.late_slow += 1,
-                    _ => self.outcomes.late_overload += 1,
-                }
-                (took.min(class.deadline), took > class.deadline)
-            }
-        };
-        if let Some(node) = world.slices[rpc.slice].holder {
-            let key = (rpc.proxy % ZONES.len(), server);
-            self.answers.push(Returning { at: now + took, node, key, failed, took });
+    fn pass_answers_on(&mut self, now: Duration) {
+        for answer in self.answers.extract_if(.., |answer| answer.at <= now) {
+            let met = self.sums[answer.node].met.entry(answer.key).or_default();
+            met.count += 1;
+            met.fail += u64::from(answer.failed);
+            met.sum_ms += if answer.failed { 0.0 } else { answer.took.as_secs_f64() * 1e3 };
         }
     }
 }
--- a/crates/whinhill-standins/src/platform/world.rs
+++ b/crates/whinhill-standins/src/platform/world.rs
@@ -14,6 +14,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::page::{CLASSES, PROXIES, SLICES, ZONES};
+use super::plane::PLANES;
 use super::script::{by_name, UnknownName};
 
 /// Where discovery lists a server.
@@ -58,8 +59,12 @@
     /// Since the world's start; `None`: long before it.
     pub started: Option<Duration>,
     pub started_unix_ms: u64,
-    /// When each of its workers is free.
-    pub workers: [Duration; WORKERS],
+    /// By plane, when each of its workers is free.
+    pub workers: [[Duration; WORKERS]; PLANES],
+    /// Since when it is other than well.
+    pub unwell_since: Option<Duration>,
+    /// The first order since then that ended or gated a line at it.
+    pub noticed: Option<Duration>,
 }
 
 /// RPCs that a server works on at a time.
@@ -81,15 +86,25 @@
     pub server: Option<usize>,
     /// The share that is let in, by class.
     pub levels: [f64; CLASSES.len()],
+    /// When the newest order that it holds was sent.
+    pub as_of: Duration,
 }
 
-const OPEN: Table = Table { server: None, levels: [1.0; CLASSES.len()] };
+/// No server, and all is let in.
+pub const OPEN: Table = Table { server: None, levels: [1.0; CLASSES.len()], as_of: Duration::ZERO };
+
+/// How long an order takes to a proxy.
+pub fn draw_way(random: &mut ChaCha8Rng) -> Duration {
+    random.random_range(Duration::from_millis(1)..WAY_MOST)
+}
 
 /// One slice as the store has it.
 #[derive(Clone, Debug)]
 pub struct Slice {
     pub holder: Option<usize>,
     pub line: Option<usize>,
+    /// The last order that ended or gated its line: at which server, and when.
+    pub ended: Option<(usize, Duration)>,
     /// Grows with each change of hands: what an earlier holder ordered is no longer applied.
     pub epoch: u64,
     pub given_at: Duration,
@@ -142,15 +157,18 @@
     LateDrain,
     /// Half of the proxies keep a former line, open for writes.
     TwoWriters,
+    /// Ends of lines at silent servers are lost on their way to the proxies.
+    LostEnds,
 }
 
 /// All of them, with the names by which they are asked for.
-pub const SABOTAGES: [(&str, Sabotage); 5] = [
+pub const SABOTAGES: [(&str, Sabotage); 6] = [
     ("lost-answers", Sabotage::LostAnswers),
     ("late-answers", Sabotage::LateAnswers),
     ("no-line", Sabotage::NoLine),
     ("late-drain", Sabotage::LateDrain),
     ("two-writers", Sabotage::TwoWriters),
+    ("lost-ends", Sabotage::LostEnds),
 ];
 
 impl FromStr for Sabotage {
@@ -172,6 +190,8 @@
     pub tables: Vec<Vec<Table>>,
     pub nodes: Vec<Node>,
     pub sabotage: Option<Sabotage>,
+    /// Load, in times of the usual.
+    pub rate_times: f64,
     travelling: VecDeque<Travelling>,
     random: ChaCha8Rng,
     /// What happened, for the time line of a broken seed.
@@ -200,7 +220,7 @@
 impl World {
     /// A world without servers yet, for so many assigners.
     pub fn new(nodes: usize, seed: u64, sabotage: Option<Sabotage>) -> Self {
-        let slice = Slice { holder: None, line: None, epoch: 0, given_at: Duration::ZERO };
+        let slice = Slice { holder: None, line: None, ended: None, epoch: 0, given_at: Duration::ZERO };
         World {
             started: Instant::now(),
             servers: Vec::new(),
@@ -210,6 +230,7 @@
             tables: vec![vec![OPEN; SLICES]; PROXIES],
             nodes: (0..nodes).map(|_| Node::default()).collect(),
             sabotage,
+            rate_times: 1.0,
             travelling: VecDeque::new(),
             random: ChaCha8Rng::seed_from_u64(seed),
             happened: Vec::new(),
@@ -241,7 +262,9 @@
             condition: Condition::Well,
             started: (!old).then_some(now),
             started_unix_ms: if old { 0 } else { unix.as_millis() as u64 },
-            workers: [Duration::ZERO; WORKERS],
+            workers: [[Duration::ZERO; WORKERS]; PLANES],
+            unwell_since: None,
+            noticed: None,
         });
         let server = self.servers.len() - 1;
         self.list(server, Status::Ready);
@@ -257,14 +280,48 @@
         self.note(format!("list {} {} {status:?}", self.version, self.servers[server].name));
     }
 
+    /// A server behaves otherwise from now on.
+    pub fn set_condition(&mut self, server: usize, condition: Condition) {
+        let now = self.now();
+        let state = &mut self.servers[server];
+        (state.condition, state.noticed) = (condition, None);
+        state.unwell_since = (condition != Condition::Well).then_some(now);
+        self.note(format!("{} is {condition:?}", self.servers[server].name));
+    }
+
+    /// A holder orders a slice's line.
+    pub fn order_line(&mut self, slice: usize, server: Option<usize>) {
+        let former = std::mem::replace(&mut self.slices[slice].line, server);
+        former
+            .filter(|former| server != Some(*former))
+            .into_iter()
+            .for_each(|former| self.end(slice, former));
+    }
+
+    /// A holder orders what share a slice's server is sent.
+    pub fn order_level(&mut self, slice: usize, share: f64) {
+        let line = self.slices[slice].line.filter(|_| share < 1.0);
+        line.into_iter().for_each(|server| self.end(slice, server));
+    }
+
+    fn end(&mut self, slice: usize, server: usize) {
+        let now = self.now();
+        self.slices[slice].ended = Some((server, now));
+        let state = &mut self.servers[server];
+        if state.unwell_since.is_some() {
+            state.noticed.get_or_insert(now);
+        }
+    }
+
     /// A server's process starts anew, and is cold.
     pub fn restart_server(&mut self, server: usize) {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let now = self.now();
+        self.set_condition(server, Condition::Well);
         let state = &mut self.servers[server];
-        (state.condition, state.started) = (Condition::Well, Some(now));
+        state.started = Some(now);
         state.started_unix_ms = unix.as_millis() as u64;
-        state.workers = [now; WORKERS];
+        state.workers = [[now; WORKERS]; PLANES];
         self.list(server, Status::Ready);
     }
 
@@ -307,7 +364,7 @@
         // Proxies read the store anew.
         let line = self.slices[slice].line;
         for table in self.tables.iter_mut().map(|tables| &mut tables[slice]) {
-            *table = Table { server: line, ..OPEN };
+            *table = Table { server: line, as_of: now, ..OPEN };
         }
         self.note(format!("slice {slice} from {former:?} to {holder:?}"));
     }
@@ -321,7 +378,7 @@
         };
         let epochs: Vec<(Effect, u64)> = effects.iter().map(|effect| (*effect, epoch(effect))).collect();
         for proxy in 0..PROXIES {
-            let way = self.random.random_range(Duration::from_millis(1)..WAY_MOST);
+            let way = draw_way(&mut self.random);
             // Orders reach a proxy in the order in which they were sent.
             let last = self.travelling.iter().rev().find(|t| t.proxy == proxy).map_or(now, |t| t.due);
             let due = (now + way).max(last);
@@ -343,6 +400,10 @@
     fn apply(&mut self, travelling: &Travelling) {
         let proxy = travelling.proxy;
         for (effect, epoch) in &travelling.epochs {
+            if let Effect::Line { slice, .. } | Effect::Level { slice, .. } = effect {
+                let table = &mut self.tables[proxy][*slice];
+                table.as_of = table.as_of.max(travelling.sent);
+            }
             match *effect {
                 Effect::Line { slice, server } if *epoch == self.slices[slice].epoch => {
                     let kept = match self.sabotage {
@@ -353,7 +414,9 @@
                     let drains = |at: usize| self.servers[at].status != Status::Ready;
                     let former = self.tables[proxy][slice].server;
                     let late = self.sabotage == Some(Sabotage::LateDrain) && former.is_some_and(drains);
-                    let stays = late || kept && former.is_some();
+                    let is_silent = |at: usize| self.servers[at].condition == Condition::Silent;
+                    let lost = self.sabotage == Some(Sabotage::LostEnds) && former.is_some_and(is_silent);
+                    let stays = late || lost || kept && former.is_some();
                     if !stays {
                         self.tables[proxy][slice].server = server;
                     }
