Play servers that hang, reset, queue up, vanish by the zone or quarter, and bursts of load

Change: kinds hangs, probes, resets, queues, zones, returns, releases and collectors; up to five assigners, where a new kind is asked for or kinds are drawn. The servers' changes have a module of their own.

--- a/crates/whinhill-cli/tests/platform_soak.rs
+++ b/crates/whinhill-cli/tests/platform_soak.rs
@@ -1,11 +1,14 @@
 //! The soak of the platform's front, short and seeded: no rule is broken, and the auditor finds defects that are put
 //! into the stand-ins.
 
+use std::collections::BTreeSet;
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
 use std::sync::OnceLock;
+use std::time::Duration;
 
 use serde_json::Value;
+use whinhill_standins::platform::script::{Script, Trouble, TROUBLES};
 
 /// The library that makes calls fail, as the build of the tests leaves it.
 fn library() -> PathBuf {
@@ -34,7 +37,7 @@
     static PLAYED: OnceLock<Vec<Value>> = OnceLock::new();
     PLAYED.get_or_init(|| {
         let folder = tempfile::tempdir().unwrap();
-        let output = soak(folder.path(), &["--seeds", "1-9", "--for", "16s", "--jobs", "3"]);
+        let output = soak(folder.path(), &["--seeds", "16-24", "--for", "16s", "--jobs", "3"]);
         let reports = reports(&output);
         let is_broken = reports.iter().any(|report| report["broken_rules"] != 0);
         let code = if is_broken { 3 } else { 0 };
@@ -59,6 +62,10 @@
     reports.iter().filter_map(of_seed).collect()
 }
 
+fn troubles(report: &Value) -> impl Iterator<Item = &str> {
+    report["troubles"].as_array().unwrap().iter().filter_map(Value::as_str)
+}
+
 #[test]
 fn seeds_of_drawn_troubles_break_no_rule() {
     let reports = drawn_seeds();
@@ -66,6 +73,8 @@
     assert!(broken.is_empty(), "{broken:#?}");
     let sum = |field: &str| reports.iter().map(|report| report[field].as_u64().unwrap()).sum::<u64>();
     assert!(sum("slow_starts") * 10 <= sum("starts"), "{reports:#?}");
+    let drawn: BTreeSet<&str> = reports.iter().flat_map(troubles).collect();
+    assert_eq!(drawn.len(), TROUBLES.len(), "{drawn:?}");
     let requests = |report: &Value| report["requests"]["requests"].as_u64().unwrap();
     assert!(reports.iter().all(|report| requests(report) > 500), "{reports:#?}");
 }
@@ -102,6 +111,47 @@
     });
 }
 
+/// RPCs that go on to silent servers, and levels that proxies ignore, are found on each seed.
+#[test]
+fn the_reference_finds_what_is_put_in() {
+    let defects = [
+        ("lost-ends", "zones", ["silent", "after_applied"]),
+        ("ignored-levels", "releases", ["queue", "by_queue"]),
+    ];
+    std::thread::scope(|scope| {
+        for (defect, trouble, [cause, stage]) in defects {
+            scope.spawn(move || {
+                let folder = tempfile::tempdir().unwrap();
+                let plan = ["--seeds", "61-62", "--for", "24s", "--jobs", "1"];
+                let arguments = [&plan[..], &["--sabotage", defect, "--fault", trouble]].concat();
+                let output = soak(folder.path(), &arguments);
+                assert_eq!(output.status.code(), Some(3), "{defect}: {output:?}");
+                let reports = reports(&output);
+                assert_eq!(reports.len(), 2);
+                for report in &reports {
+                    assert!(report["broken_by_rule"]["rpc-lost"].as_u64() > Some(0), "{defect}: {report:#?}");
+                    assert!(report["lost"][cause][stage].as_u64() > Some(100), "{defect}: {report:#?}");
+                }
+            });
+        }
+    });
+}
+
+/// Figures of later releases compare with those of issue 40 by these scripts.
+#[test]
+fn scripts_of_the_first_kinds_stay_what_they_were() {
+    let before = [
+        (61, 2, 23, "(53.284879974s, Silence { share: 0.25, time: 1.284s })"),
+        (62, 2, 24, "(53.017867757s, Silence { share: 0.25, time: 3.67s })"),
+        (63, 1, 21, "(52.440477553s, Silence { share: 0.25, time: 2.075s })"),
+    ];
+    for (seed, nodes, actions, last) in before {
+        let script = Script::draw(seed, Duration::from_secs(60), &[Trouble::Servers]);
+        assert_eq!((script.nodes, script.actions.len()), (nodes, actions), "seed {seed}");
+        assert_eq!(format!("{:?}", script.actions.last().unwrap()), last, "seed {seed}");
+    }
+}
+
 #[test]
 fn bad_options_are_named_in_one_line() {
     let folder = tempfile::tempdir().unwrap();
--- a/crates/whinhill-standins/src/platform/lost.rs
+++ b/crates/whinhill-standins/src/platform/lost.rs
@@ -17,6 +17,10 @@
 pub enum Cause {
     /// The server took it and answered nothing.
     Silent,
+    /// The server answers probes alone.
+    Hang,
+    /// The server reset the connection.
+    Reset,
     /// The server is slow.
     Slow,
     /// The server is well, warm and full.
@@ -49,7 +53,7 @@
         match cause {
             Cause::Queue => return Stage::ByQueue,
             Cause::Cold => return Stage::ByColdServer,
-            Cause::Silent | Cause::Slow => {}
+            Cause::Silent | Cause::Hang | Cause::Reset | Cause::Slow => {}
         }
         let state = &world.servers[server];
         if state.noticed.is_none() {
--- a/crates/whinhill-standins/src/platform/oracle.rs
+++ b/crates/whinhill-standins/src/platform/oracle.rs
@@ -228,8 +228,8 @@
 fn capacity(server: &Server, now: Duration) -> f64 {
     let times = match server.condition {
         _ if server.status != Status::Ready => return 0.0,
-        Condition::Silent | Condition::Dead => return 0.0,
-        Condition::Well => 1,
+        Condition::Silent | Condition::Hang | Condition::Reset | Condition::Dead => return 0.0,
+        Condition::Well | Condition::Mute => 1,
         Condition::Slow(times) => times,
     };
     let cold = server.started.is_some_and(|at| now < at + WARM_AFTER);
--- a/crates/whinhill-standins/src/platform/plane.rs
+++ b/crates/whinhill-standins/src/platform/plane.rs
@@ -53,6 +53,8 @@
     /// Later than the deadline by more than the page allows, or never.
     pub lost_overload: u64,
     pub lost_silent: u64,
+    pub lost_hang: u64,
+    pub lost_reset: u64,
     /// Refused, with the promise that nothing ran.
     pub refused_level: u64,
     pub refused_no_owner: u64,
@@ -62,7 +64,7 @@
 impl Outcomes {
     /// Lost, whatever the cause.
     pub fn lost(&self) -> u64 {
-        self.lost_overload + self.lost_silent
+        self.lost_overload + self.lost_silent + self.lost_hang + self.lost_reset
     }
 
     /// Refused, whatever the cause.
@@ -150,13 +152,20 @@
                 self.tally.refuse(rpc.arrived);
                 Step::Sent { server, took: Duration::from_millis(1), failed: true }
             }
-            Condition::Silent => {
-                self.outcomes.lost_silent += 1;
+            Condition::Silent | Condition::Hang => {
+                let is_silent = state.condition == Condition::Silent;
+                self.outcomes.lost_silent += u64::from(is_silent);
+                self.outcomes.lost_hang += u64::from(!is_silent);
                 self.silences.sent(server, state.unwell_since.unwrap_or(now), now);
-                self.lose(world, rpc, server, Cause::Silent);
+                self.lose(world, rpc, server, if is_silent { Cause::Silent } else { Cause::Hang });
                 Step::Sent { server, took: deadline, failed: true }
             }
-            Condition::Well => self.work(world, rpc, server, 1),
+            Condition::Reset => {
+                self.outcomes.lost_reset += 1;
+                self.lose(world, rpc, server, Cause::Reset);
+                Step::Sent { server, took: Duration::from_millis(1), failed: true }
+            }
+            Condition::Well | Condition::Mute => self.work(world, rpc, server, 1),
             Condition::Slow(times) => self.work(world, rpc, server, times),
         }
     }
--- a/crates/whinhill-standins/src/platform/script.rs
+++ b/crates/whinhill-standins/src/platform/script.rs
@@ -8,6 +8,8 @@
 use rand_chacha::ChaCha8Rng;
 use serde::Serialize;
 
+use super::page::ZONES;
+use super::world::Condition;
 use crate::link::Direction;
 
 /// Kinds of trouble, to be drawn or asked for by name.
@@ -36,10 +38,30 @@
     Servers,
     /// Clients come by the hundred.
     Crowds,
+    /// Servers answer probes and hang RPCs.
+    Hangs,
+    /// Servers answer RPCs and hang probes.
+    Probes,
+    /// Servers reset connections.
+    Resets,
+    /// Servers answer late, by a queue of work that others sent.
+    Queues,
+    /// A zone falls silent.
+    Zones,
+    /// A quarter of the servers is gone, and back cold at once.
+    Returns,
+    /// A list names many servers at once, with a burst of load.
+    Releases,
+    /// Collectors' reports come late or are lost.
+    Collectors,
 }
 
+/// The first kinds: scripts of these alone, asked for by name, stay what they were.
+const FIRST_KINDS: usize = 11;
+const FIRST_NODES_MOST: usize = 4;
+
 /// All of them, with the names by which they are asked for.
-pub const TROUBLES: [(&str, Trouble); 11] = [
+pub const TROUBLES: [(&str, Trouble); 19] = [
     ("signals", Trouble::Signals),
     ("kills", Trouble::Kills),
     ("pauses", Trouble::Pauses),
@@ -51,6 +73,14 @@
     ("lists", Trouble::Lists),
     ("servers", Trouble::Servers),
     ("crowds", Trouble::Crowds),
+    ("hangs", Trouble::Hangs),
+    ("probes", Trouble::Probes),
+    ("resets", Trouble::Resets),
+    ("queues", Trouble::Queues),
+    ("zones", Trouble::Zones),
+    ("returns", Trouble::Returns),
+    ("releases", Trouble::Releases),
+    ("collectors", Trouble::Collectors),
 ];
 
 /// A name that is none of those that exist.
@@ -70,6 +100,12 @@
     })
 }
 
+impl Trouble {
+    fn is_first(self) -> bool {
+        TROUBLES[..FIRST_KINDS].iter().any(|(_, kind)| *kind == self)
+    }
+}
+
 impl FromStr for Trouble {
     type Err = UnknownName;
 
@@ -143,6 +179,38 @@
         clients: usize,
         time: Duration,
     },
+    /// A part of the servers behaves otherwise for a time.
+    Ill {
+        condition: Condition,
+        share: f64,
+        time: Duration,
+    },
+    SilentZone {
+        zone: usize,
+        time: Duration,
+    },
+    /// A part of the servers has so much work before it.
+    Backlog {
+        share: f64,
+        by: Duration,
+    },
+    /// A part of the servers is off the list, and back cold.
+    Vanish {
+        share: f64,
+        time: Duration,
+    },
+    /// A part of the servers is replaced at once, with so many times the usual load.
+    Release {
+        share: f64,
+        rate_times: f64,
+        time: Duration,
+    },
+    /// Reports come so late, or not at all.
+    TroubledReports {
+        node: usize,
+        by: Option<Duration>,
+        time: Duration,
+    },
 }
 
 /// All that a seed holds.
@@ -161,13 +229,16 @@
 const TAIL: Duration = Duration::from_secs(5);
 /// Mean time between two actions.
 const EVERY: Duration = Duration::from_millis(2500);
-const NODES_MOST: usize = 4;
+const NODES_MOST: usize = 5;
+/// A zone's silence, a release's load and troubled reports last so much longer than other troubles.
+const LONGER: Duration = Duration::from_secs(2);
 
 impl Script {
     /// Draws a seed's script. `only`: the kinds of trouble that may be drawn, all of which then are.
     pub fn draw(seed: u64, time: Duration, only: &[Trouble]) -> Self {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
-        let nodes = random.random_range(1..=NODES_MOST);
+        let are_first = !only.is_empty() && only.iter().all(|kind| kind.is_first());
+        let nodes = random.random_range(1..=if are_first { FIRST_NODES_MOST } else { NODES_MOST });
         let troubles: Vec<Trouble> = if only.is_empty() {
             let count = random.random_range(2..=6);
             let drawn = TROUBLES.choose_multiple(&mut random, count);
@@ -218,6 +289,22 @@
             Trouble::Servers if random.random() => Action::Silence { share: 0.25, time },
             Trouble::Servers => Action::Slow { times: random.random_range(4..20), time },
             Trouble::Crowds => Action::Crowd { node, clients: random.random_range(100..400), time },
+            Trouble::Hangs => Action::Ill { condition: Condition::Hang, share: 0.2, time },
+            Trouble::Probes => Action::Ill { condition: Condition::Mute, share: 0.2, time },
+            Trouble::Resets => Action::Ill { condition: Condition::Reset, share: 0.2, time },
+            Trouble::Queues => Action::Backlog { share: 0.2, by: time },
+            Trouble::Zones => {
+                Action::SilentZone { zone: random.random_range(0..ZONES.len()), time: time + LONGER }
+            }
+            Trouble::Returns => Action::Vanish { share: 0.25, time },
+            Trouble::Releases => {
+                Action::Release { share: 0.4, rate_times: random.random_range(2.0..5.0), time: time + LONGER }
+            }
+            Trouble::Collectors => {
+                let by =
+                    random.random_bool(0.5).then(|| Duration::from_millis(random.random_range(500..3000)));
+                Action::TroubledReports { node, by, time: time + LONGER }
+            }
             // These are the library's, for the whole life of a process.
             Trouble::Transfers | Trouble::Connects | Trouble::Waits | Trouble::Clock => return None,
         })
--- a/crates/whinhill-standins/src/platform/servers.rs
+++ b/crates/whinhill-standins/src/platform/servers.rs
@@ -30,15 +30,15 @@
                 )
             };
             match condition {
-                Condition::Silent => {
+                Condition::Silent | Condition::Mute => {
                     held.push(stream);
                     if held.len() > HELD_MOST {
                         held.remove(0);
                     }
                 }
                 // As if nobody listened.
-                Condition::Dead => drop(stream),
-                Condition::Well | Condition::Slow(_) => {
+                Condition::Dead | Condition::Reset => drop(stream),
+                Condition::Well | Condition::Hang | Condition::Slow(_) => {
                     held.clear();
                     let _ = answer(stream, in_hand);
                 }
--- a/crates/whinhill-standins/src/platform/soak.rs
+++ b/crates/whinhill-standins/src/platform/soak.rs
@@ -4,29 +4,27 @@
 use std::collections::BTreeMap;
 use std::fs;
 use std::io::{self, Write as _};
-use std::net::TcpListener;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 
-use rand::seq::IndexedRandom;
-use rand::{Rng, SeedableRng};
-use rand_chacha::ChaCha8Rng;
 use serde::Serialize;
 
 use super::audit::{Broken, RequestAudit, Rule, TableAudit};
+use super::collectors;
 use super::custody;
+use super::fleet::Fleet;
 use super::lost::{Cause, Stage};
 use super::node::{Environment, Node};
 use super::page::*;
 use super::plane::Outcomes;
+use super::reporting::Reporting;
 use super::script::{Action, Script, Trouble};
 use super::silence::SilenceReport;
 use super::tally::{self, TallyReport};
 use super::traffic::Traffic;
-use super::world::{Condition, Sabotage, Shared, Status, World};
-use super::{collectors, servers};
+use super::world::{Sabotage, Shared, World};
 
 /// How often everything is looked at.
 const TICK: Duration = Duration::from_millis(5);
@@ -37,8 +35,6 @@
 /// Servers at the start, and how often one of them is replaced.
 const SERVERS: usize = 9;
 const REPLACE_EVERY: Duration = Duration::from_millis(2000);
-/// From draining to gone.
-const DRAIN_LASTS: Duration = Duration::from_millis(4500);
 /// Broken rules that a report names; the rest are counted.
 const BROKEN_MOST: usize = 20;
 
@@ -97,12 +93,9 @@
     nodes: Vec<Node>,
     traffic: Traffic,
     tables: TableAudit,
-    random: ChaCha8Rng,
+    fleet: Fleet,
+    reporting: Reporting,
     broken: Vec<Broken>,
-    /// Servers that change their condition, and when.
-    to_restart: Vec<(Duration, usize)>,
-    to_mend: Vec<(Duration, usize)>,
-    to_go: Vec<(Duration, usize)>,
 }
 
 impl<'a> Soak<'a> {
@@ -114,17 +107,15 @@
             options,
             traffic: Traffic::new(script.nodes, options.seed),
             tables: TableAudit::default(),
-            random: ChaCha8Rng::seed_from_u64(options.seed ^ 0x50a4),
+            fleet: Fleet::new(world.clone(), options.seed),
+            reporting: Reporting::default(),
             script,
             world,
             nodes: Vec::new(),
             broken: Vec::new(),
-            to_restart: Vec::new(),
-            to_mend: Vec::new(),
-            to_go: Vec::new(),
         };
         for number in 0..SERVERS {
-            soak.add_server(number, true)?;
+            soak.fleet.add(number, true)?;
         }
         for number in 0..soak.script.nodes {
             let environment = Environment {
@@ -140,14 +131,6 @@
         Ok(soak)
     }
 
-    fn add_server(&mut self, zone: usize, old: bool) -> io::Result<()> {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
-        let addr = listener.local_addr()?;
-        let name = format!("s-{:08x}", self.random.random::<u32>());
-        let place = self.world.lock().add_server(name, zone, addr, old);
-        servers::start(self.world.clone(), listener, place).map(drop)
-    }
-
     fn play(mut self) -> io::Result<Report> {
         let (mut deal, mut measure, mut report) = (Duration::ZERO, Duration::ZERO, PERIOD);
         let mut replace = REPLACE_EVERY;
@@ -164,10 +147,10 @@
             for node in &mut self.nodes {
                 node.look(now, &self.script, &mut self.broken)?;
             }
-            self.change_servers(now);
+            self.fleet.look(now);
             if now >= replace {
                 replace = now + REPLACE_EVERY;
-                self.replace_server(now)?;
+                self.fleet.replace(now)?;
             }
             if now >= deal {
                 deal = now + DEAL_EVERY;
@@ -182,7 +165,10 @@
             }
             if now >= report {
                 report = now + PERIOD;
-                self.report();
+                self.report(now);
+            }
+            for (node, texts) in self.reporting.due(now) {
+                self.nodes[node].report(texts);
             }
             if now >= measure {
                 measure = now + MEASURE_EVERY;
@@ -194,10 +180,10 @@
     }
 
     /// The collectors send what was met.
-    fn report(&mut self) {
+    fn report(&mut self, now: Duration) {
         let world = self.world.lock();
-        for (node, sums) in self.nodes.iter().zip(&mut self.traffic.sums) {
-            node.report(collectors::reports(&world, &std::mem::take(sums)));
+        for (node, sums) in self.traffic.sums.iter_mut().enumerate() {
+            self.reporting.send(now, node, collectors::reports(&world, &std::mem::take(sums)));
         }
     }
 
@@ -213,68 +199,14 @@
             | Action::Delay { node, .. }
             | Action::LateLists { node, .. }
             | Action::Crowd { node, .. } => self.nodes[*node].act(now, action),
-            Action::Silence { share, time } => {
-                let count = (self.ready_servers().len() as f64 * share).ceil() as usize;
-                for server in self.draw_servers(count) {
-                    self.world.lock().set_condition(server, Condition::Silent);
-                    self.to_restart.push((now + *time, server));
-                }
-                Ok(())
-            }
-            Action::Slow { times, time } => {
-                for server in self.draw_servers(1) {
-                    self.world.lock().set_condition(server, Condition::Slow(*times));
-                    self.to_mend.push((now + *time, server));
-                }
+            Action::TroubledReports { node, by, time } => {
+                self.reporting.trouble(*node, now + *time, *by);
                 Ok(())
             }
+            _ => self.fleet.act(now, action),
         }
     }
 
-    fn ready_servers(&self) -> Vec<usize> {
-        let world = self.world.lock();
-        let ready = |server: &super::world::Server| {
-            server.status == Status::Ready && server.condition == Condition::Well
-        };
-        (0..world.servers.len()).filter(|place| ready(&world.servers[*place])).collect()
-    }
-
-    fn draw_servers(&mut self, count: usize) -> Vec<usize> {
-        let ready = self.ready_servers();
-        ready.choose_multiple(&mut self.random, count).copied().collect()
-    }
-
-    fn change_servers(&mut self, now: Duration) {
-        let mut world = self.world.lock();
-        let due = |waiting: &mut Vec<(Duration, usize)>| {
-            let (due, later): (Vec<_>, Vec<_>) = waiting.drain(..).partition(|(at, _)| *at <= now);
-            *waiting = later;
-            due.into_iter().map(|(_, server)| server).collect::<Vec<_>>()
-        };
-        for server in due(&mut self.to_restart) {
-            // One that drains meanwhile is not started anew.
-            if world.servers[server].status == Status::Ready {
-                world.restart_server(server);
-            }
-        }
-        for server in due(&mut self.to_mend) {
-            world.set_condition(server, Condition::Well);
-        }
-        for server in due(&mut self.to_go) {
-            world.set_condition(server, Condition::Dead);
-            world.list(server, Status::Gone);
-        }
-    }
-
-    /// The server that has been ready for longest drains, and a new one takes its place.
-    fn replace_server(&mut self, now: Duration) -> io::Result<()> {
-        let Some(server) = self.ready_servers().first().copied() else { return Ok(()) };
-        let zone = self.world.lock().servers[server].zone;
-        self.world.lock().list(server, Status::Draining);
-        self.to_go.push((now + DRAIN_LASTS, server));
-        self.add_server(zone, false)
-    }
-
     fn end(mut self, actions: usize) -> io::Result<Report> {
         let mut requests = RequestAudit::default();
         for node in &mut self.nodes {
--- a/crates/whinhill-standins/src/platform/world.rs
+++ b/crates/whinhill-standins/src/platform/world.rs
@@ -42,6 +42,12 @@
     Well,
     /// It takes connections and requests, and answers none.
     Silent,
+    /// It answers probes, and no RPC.
+    Hang,
+    /// It answers RPCs, and no probe.
+    Mute,
+    /// It resets what is sent to it.
+    Reset,
     /// Its work takes this many times as long.
     Slow(u32),
     /// Its process is dead.
@@ -159,16 +165,19 @@
     TwoWriters,
     /// Ends of lines at silent servers are lost on their way to the proxies.
     LostEnds,
+    /// Levels between none and all are ignored.
+    IgnoredLevels,
 }
 
 /// All of them, with the names by which they are asked for.
-pub const SABOTAGES: [(&str, Sabotage); 6] = [
+pub const SABOTAGES: [(&str, Sabotage); 7] = [
     ("lost-answers", Sabotage::LostAnswers),
     ("late-answers", Sabotage::LateAnswers),
     ("no-line", Sabotage::NoLine),
     ("late-drain", Sabotage::LateDrain),
     ("two-writers", Sabotage::TwoWriters),
     ("lost-ends", Sabotage::LostEnds),
+    ("ignored-levels", Sabotage::IgnoredLevels),
 ];
 
 impl FromStr for Sabotage {
@@ -423,6 +432,8 @@
                 }
                 Effect::Level { slice, class, share } if *epoch == self.slices[slice].epoch => {
                     let kept = self.sabotage == Some(Sabotage::TwoWriters) && proxy.is_multiple_of(2);
+                    let ignored = self.sabotage == Some(Sabotage::IgnoredLevels) && share > 0.0;
+                    let share = if ignored { 1.0 } else { share };
                     for (number, level) in self.tables[proxy][slice].levels.iter_mut().enumerate() {
                         if class.is_none_or(|class| class == number) && !kept {
                             *level = share;
