Judge budgets of cold servers and the channel's queue in the soak

Change: rules cold-budget (work sent to a cold server in a stretch of fall, two thirds of it by those who had word) and backlog (lines that wait in an assigner's channel).

--- a/crates/whinhill-cli/tests/platform_soak.rs
+++ b/crates/whinhill-cli/tests/platform_soak.rs
@@ -94,6 +94,7 @@
         ("no-line", "no-line"),
         ("late-drain", "drain"),
         ("two-writers", "two-writers"),
+        ("repeated-orders", "backlog"),
     ];
     std::thread::scope(|scope| {
         for (defect, rule) in defects {
@@ -137,6 +138,19 @@
     });
 }
 
+/// All RPCs go to the server that started last.
+#[test]
+fn a_rush_on_cold_servers_is_found() {
+    let folder = tempfile::tempdir().unwrap();
+    let plan =
+        ["--seeds", "61-62", "--for", "16s", "--jobs", "1", "--sabotage", "cold-rush", "--fault", "releases"];
+    let output = soak(folder.path(), &plan);
+    assert_eq!(output.status.code(), Some(3), "{output:?}");
+    let reports = reports(&output);
+    assert_eq!(reports.len(), 2);
+    assert!(reports.iter().all(|r| r["broken_by_rule"]["cold-budget"].as_u64() > Some(0)), "{reports:#?}");
+}
+
 /// Figures of later releases compare with those of issue 40 by these scripts.
 #[test]
 fn scripts_of_the_first_kinds_stay_what_they_were() {
--- a/crates/whinhill-standins/src/platform.rs
+++ b/crates/whinhill-standins/src/platform.rs
@@ -2,7 +2,9 @@
 //! between them as processes.
 
 pub mod audit;
+mod channel;
 pub mod clients;
+mod cold;
 mod collectors;
 mod custody;
 mod discovery;
--- a/crates/whinhill-standins/src/platform/audit.rs
+++ b/crates/whinhill-standins/src/platform/audit.rs
@@ -31,6 +31,10 @@
     RpcLost,
     /// More were refused over the run.
     RpcRefused,
+    /// A cold server was sent more than it stands.
+    ColdBudget,
+    /// More lines waited in an assigner's channel than may.
+    Backlog,
 }
 
 /// A rule that was broken, once.
--- a/crates/whinhill-standins/src/platform/page.rs
+++ b/crates/whinhill-standins/src/platform/page.rs
@@ -48,6 +48,13 @@
 pub const IN_FLIGHT_MOST: Duration = Duration::from_millis(400);
 /// Between two decisions.
 pub const ROUND: Duration = Duration::from_millis(50);
+/// The rule on cold servers.
+pub const FALL: Duration = Duration::from_millis(1500);
+pub const FALL_MULTIPLE: f64 = 3.0;
+/// The channel: lines a second, lines that a message costs beside its own, and lines that may wait.
+pub const LINES_PER_S: f64 = 20_000.0;
+pub const OVERHEAD_LINES: usize = 8;
+pub const BACKLOG: f64 = 40_000.0;
 /// A proxy without a line holds an RPC for so long.
 pub const HOLD: Duration = Duration::from_millis(300);
 
@@ -93,12 +100,13 @@
         "report": {"fields": ["util", "inflight", "queue"], "source": "probe"},
         "rules": {
             "mustAskIn": 10_000.0, "stopSendingWithin": STOP_SENDING_WITHIN.as_millis() as u64,
-            "warmAfter": WARM_AFTER.as_millis() as u64, "coldFrom": 0.3, "fall": 1500.0, "fallMultiple": 3.0,
+            "warmAfter": WARM_AFTER.as_millis() as u64, "coldFrom": 0.3, "fall": FALL.as_millis() as f64,
+            "fallMultiple": FALL_MULTIPLE,
         },
         "familyInfo": {
             "shards": SLICES, "dataPlaneSize": PROXIES, "mutating": CLASSES.map(|class| class.writes),
             "retryDefault": 0, "period": PERIOD.as_millis() as u64, "writeLease": 2000.0, "inFlightMax": IN_FLIGHT_MOST.as_millis() as f64,
-            "transitMax": 200.0, "overhead": 8.0, "linesPerS": 20_000.0, "backlog": 40_000.0, "messagesMost": 0,
+            "transitMax": 200.0, "overhead": OVERHEAD_LINES as f64, "linesPerS": LINES_PER_S, "backlog": BACKLOG, "messagesMost": 0,
             "reloadSpan": 10_000.0, "emptyFor": EMPTY_FOR.as_millis() as u64, "hold": HOLD.as_millis() as u64,
             "oneOwner": true, "admission": "share",
         },
--- a/crates/whinhill-standins/src/platform/plane.rs
+++ b/crates/whinhill-standins/src/platform/plane.rs
@@ -116,7 +116,8 @@
         let held = std::mem::take(&mut self.held);
         let mut steps = Vec::new();
         for rpc in arrivals.iter().copied().chain(held) {
-            let table = tables.unwrap_or(&world.tables)[rpc.proxy][rpc.slice];
+            let own = tables.map(|tables| tables[rpc.proxy][rpc.slice]);
+            let table = own.unwrap_or_else(|| world.table(rpc.proxy, rpc.slice));
             let step = self.arrive(world, rpc, table);
             if matches!(step, Step::Held) {
                 self.held.push_back(rpc);
--- a/crates/whinhill-standins/src/platform/relay.rs
+++ b/crates/whinhill-standins/src/platform/relay.rs
@@ -8,7 +8,7 @@
 use std::time::Instant;
 
 use super::page::{CLASSES, NEWS_SIGN_EVERY, PROXIES, SLICES, ZONES};
-use super::world::{Effect, Shared, World};
+use super::world::{Effect, Sabotage, Shared, World, REPEATED};
 
 /// Lines that may wait for a reader of news.
 const NEWS_WAITING: usize = 8192;
@@ -104,6 +104,9 @@
         }
         effects.push(effect);
     }
+    let now = world.now();
+    let times = if world.sabotage == Some(Sabotage::RepeatedOrders) { REPEATED } else { 1 };
+    (0..times).for_each(|_| world.nodes[node].channel.call(now, effects.len()));
     world.send(&effects);
     taken
 }
--- a/crates/whinhill-standins/src/platform/soak.rs
+++ b/crates/whinhill-standins/src/platform/soak.rs
@@ -76,6 +76,8 @@
     /// From a server's silence to the last RPC sent there.
     pub silence_to_last: SilenceReport,
     pub reference_silence_to_last: SilenceReport,
+    /// The most lines that waited in an assigner's channel.
+    pub channel_lines_most: u64,
     pub broken_rules: usize,
     pub broken_by_rule: BTreeMap<Rule, usize>,
     pub broken: Vec<Broken>,
@@ -220,10 +222,14 @@
         broken.append(&mut self.broken);
         broken.append(&mut requests.broken);
         broken.append(&mut shares.broken);
+        broken.append(&mut self.traffic.cold.broken);
+        broken.extend(self.backlogs());
         broken.sort_by_key(|broken| broken.at_ms);
         let starts = self.nodes.iter().map(|node| node.starts).sum();
         let ready: Vec<Duration> = self.nodes.iter().flat_map(|node| node.ready.iter().copied()).collect();
         self.keep_time_line(&broken)?;
+        let lines = self.world.lock().nodes.iter().map(|node| node.channel.most as u64).max();
+        let channel_lines_most = lines.unwrap_or(0);
         let broken_rules = broken.len();
         let mut broken_by_rule = BTreeMap::new();
         broken.iter().for_each(|broken| *broken_by_rule.entry(broken.rule).or_default() += 1);
@@ -245,12 +251,25 @@
             shares,
             silence_to_last: self.traffic.judged.silences.report(),
             reference_silence_to_last: self.traffic.reference.silences.report(),
+            channel_lines_most,
             broken_rules,
             broken_by_rule,
             broken,
         })
     }
 
+    /// Channels whose queue was too long.
+    fn backlogs(&self) -> Vec<Broken> {
+        let world = self.world.lock();
+        let channels = world.nodes.iter().map(|node| node.channel.most).enumerate();
+        let broken = channels.filter(|(_, most)| *most > BACKLOG).map(|(node, most)| Broken {
+            rule: Rule::Backlog,
+            at_ms: self.options.time.as_millis() as u64,
+            what: format!("n{node}: {most:.0} lines waited, at most {BACKLOG:.0}"),
+        });
+        broken.collect()
+    }
+
     /// Writes each lost RPC into a file beside the logs.
     fn keep_lost(&self) -> io::Result<()> {
         let world = self.world.lock();
--- a/crates/whinhill-standins/src/platform/traffic.rs
+++ b/crates/whinhill-standins/src/platform/traffic.rs
@@ -7,6 +7,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use super::cold::ColdAudit;
 use super::oracle::Oracle;
 use super::page::{HOLD, PROXIES, SLICES, ZONES};
 use super::plane::{DataPlane, Plane, Rpc, Step};
@@ -70,6 +71,7 @@
     owed: f64,
     answers: Vec<Returning>,
     oracle: Oracle,
+    pub cold: ColdAudit,
     pub judged: DataPlane,
     pub reference: DataPlane,
     /// Windows have started.
@@ -86,6 +88,7 @@
             owed: 0.0,
             answers: Vec::new(),
             oracle: Oracle::new(seed),
+            cold: ColdAudit::default(),
             judged: DataPlane::new(Plane::Judged),
             reference: DataPlane::new(Plane::Reference),
             counts: false,
@@ -150,6 +153,7 @@
         demand.count += 1;
         demand.fail += u64::from(matches!(step, Step::Refused));
         if let Step::Sent { server, took, failed } = step {
+            self.cold.sent(world, &rpc, server);
             let key = (rpc.proxy % ZONES.len(), server);
             self.answers.push(Returning { at: world.now() + took, node, key, failed, took });
         }
--- a/crates/whinhill-standins/src/platform/world.rs
+++ b/crates/whinhill-standins/src/platform/world.rs
@@ -13,6 +13,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use super::channel::Channel;
 use super::page::{CLASSES, PROXIES, SLICES, ZONES};
 use super::plane::PLANES;
 use super::script::{by_name, UnknownName};
@@ -148,6 +149,7 @@
     /// What discovery writes to it is held on the way until then.
     pub lists_held_until: Duration,
     pub terminated: bool,
+    pub channel: Channel,
 }
 
 /// Defects put into the stand-ins on purpose, to show that the auditor finds what they cause.
@@ -167,10 +169,17 @@
     LostEnds,
     /// Levels between none and all are ignored.
     IgnoredLevels,
+    /// Proxies send everything to the server that started last.
+    ColdRush,
+    /// Each call waits in the channel [`REPEATED`] times.
+    RepeatedOrders,
 }
 
+/// How often a sabotaged channel has each call.
+pub const REPEATED: usize = 500;
+
 /// All of them, with the names by which they are asked for.
-pub const SABOTAGES: [(&str, Sabotage); 7] = [
+pub const SABOTAGES: [(&str, Sabotage); 9] = [
     ("lost-answers", Sabotage::LostAnswers),
     ("late-answers", Sabotage::LateAnswers),
     ("no-line", Sabotage::NoLine),
@@ -178,6 +187,8 @@
     ("two-writers", Sabotage::TwoWriters),
     ("lost-ends", Sabotage::LostEnds),
     ("ignored-levels", Sabotage::IgnoredLevels),
+    ("cold-rush", Sabotage::ColdRush),
+    ("repeated-orders", Sabotage::RepeatedOrders),
 ];
 
 impl FromStr for Sabotage {
@@ -395,6 +406,17 @@
         }
     }
 
+    /// The table by which a proxy sends.
+    pub fn table(&self, proxy: usize, slice: usize) -> Table {
+        let table = self.tables[proxy][slice];
+        if self.sabotage != Some(Sabotage::ColdRush) {
+            return table;
+        }
+        let newest = |server: &usize| self.servers[*server].started;
+        let ready = (0..self.servers.len()).filter(|server| self.servers[*server].status == Status::Ready);
+        Table { server: ready.max_by_key(newest), ..table }
+    }
+
     /// Applies what has reached the proxies by now.
     pub fn apply_due(&mut self) {
         let now = self.now();
