--- a/crates/whinhill-standins/src/platform.rs
+++ b/crates/whinhill-standins/src/platform.rs
@@ -2,17 +2,26 @@
 //! between them as processes.
 
 pub mod audit;
+mod channel;
 pub mod clients;
+mod cold;
 mod collectors;
 mod custody;
 mod discovery;
+mod fleet;
+mod lost;
 mod node;
+mod oracle;
 pub mod page;
+mod plane;
 mod process;
 mod relay;
+mod reporting;
 pub mod script;
 mod servers;
+mod silence;
 pub mod soak;
+mod tally;
 mod traffic;
 mod world;
 
--- a/crates/whinhill-standins/src/platform/servers.rs
+++ b/crates/whinhill-standins/src/platform/servers.rs
@@ -6,6 +6,7 @@
 use std::thread;
 use std::time::Duration;
 
+use super::plane::Plane;
 use super::world::{Condition, Shared};
 
 const STACK: usize = 128 << 10;
@@ -23,18 +24,21 @@
             let (condition, in_hand) = {
                 let world = world.lock();
                 let (now, server) = (world.now(), &world.servers[place]);
-                (server.condition, server.workers.iter().filter(|free| **free > now).count())
+                (
+                    server.condition,
+                    server.workers[Plane::Judged as usize].iter().filter(|free| **free > now).count(),
+                )
             };
             match condition {
-                Condition::Silent => {
+                Condition::Silent | Condition::Mute => {
                     held.push(stream);
                     if held.len() > HELD_MOST {
                         held.remove(0);
                     }
                 }
                 // As if nobody listened.
-                Condition::Dead => drop(stream),
-                Condition::Well | Condition::Slow(_) => {
+                Condition::Dead | Condition::Reset => drop(stream),
+                Condition::Well | Condition::Hang | Condition::Slow(_) => {
                     held.clear();
                     let _ = answer(stream, in_hand);
                 }
--- a/crates/whinhill-standins/src/platform/soak.rs
+++ b/crates/whinhill-standins/src/platform/soak.rs
@@ -1,27 +1,30 @@
 //! One seed of the soak: assigners as processes, with all that surrounds them on the platform, through the troubles
 //! of a script.
 
+use std::collections::BTreeMap;
 use std::fs;
 use std::io::{self, Write as _};
-use std::net::TcpListener;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 
-use rand::seq::IndexedRandom;
-use rand::{Rng, SeedableRng};
-use rand_chacha::ChaCha8Rng;
 use serde::Serialize;
 
-use super::audit::{Broken, RequestAudit, TableAudit};
+use super::audit::{Broken, RequestAudit, Rule, TableAudit};
+use super::collectors;
 use super::custody;
+use super::fleet::Fleet;
+use super::lost::{Cause, Stage};
 use super::node::{Environment, Node};
 use super::page::*;
+use super::plane::Outcomes;
+use super::reporting::Reporting;
 use super::script::{Action, Script, Trouble};
-use super::traffic::{Outcomes, Traffic};
-use super::world::{Condition, Sabotage, Shared, Status, World};
-use super::{collectors, servers};
+use super::silence::SilenceReport;
+use super::tally::{self, TallyReport};
+use super::traffic::Traffic;
+use super::world::{Sabotage, Shared, World};
 
 /// How often everything is looked at.
 const TICK: Duration = Duration::from_millis(5);
@@ -32,8 +35,6 @@
 /// Servers at the start, and how often one of them is replaced.
 const SERVERS: usize = 9;
 const REPLACE_EVERY: Duration = Duration::from_millis(2000);
-/// From draining to gone.
-const DRAIN_LASTS: Duration = Duration::from_millis(4500);
 /// Broken rules that a report names; the rest are counted.
 const BROKEN_MOST: usize = 20;
 
@@ -68,7 +69,17 @@
     pub descriptors_most: usize,
     pub requests: RequestAudit,
     pub rpcs: Outcomes,
+    pub reference_rpcs: Outcomes,
+    /// Lost RPCs by cause and stage.
+    pub lost: BTreeMap<Cause, BTreeMap<Stage, u64>>,
+    pub shares: TallyReport,
+    /// From a server's silence to the last RPC sent there.
+    pub silence_to_last: SilenceReport,
+    pub reference_silence_to_last: SilenceReport,
+    /// The most lines that waited in an assigner's channel.
+    pub channel_lines_most: u64,
     pub broken_rules: usize,
+    pub broken_by_rule: BTreeMap<Rule, usize>,
     pub broken: Vec<Broken>,
 }
 
@@ -84,12 +95,9 @@
     nodes: Vec<Node>,
     traffic: Traffic,
     tables: TableAudit,
-    random: ChaCha8Rng,
+    fleet: Fleet,
+    reporting: Reporting,
     broken: Vec<Broken>,
-    /// Servers that change their condition, and when.
-    to_restart: Vec<(Duration, usize)>,
-    to_mend: Vec<(Duration, usize)>,
-    to_go: Vec<(Duration, usize)>,
 }
 
 impl<'a> Soak<'a> {
@@ -101,17 +109,15 @@
             options,
             traffic: Traffic::new(script.nodes, options.seed),
             tables: TableAudit::default(),
-            random: ChaCha8Rng::seed_from_u64(options.seed ^ 0x50a4),
+            fleet: Fleet::new(world.clone(), options.seed),
+            reporting: Reporting::default(),
             script,
             world,
             nodes: Vec::new(),
             broken: Vec::new(),
-            to_restart: Vec::new(),
-            to_mend: Vec::new(),
-            to_go: Vec::new(),
         };
         for number in 0..SERVERS {
-            soak.add_server(number, true)?;
+            soak.fleet.add(number, true)?;
         }
         for number in 0..soak.script.nodes {
             let environment = Environment {
@@ -127,14 +133,6 @@
         Ok(soak)
     }
 
-    fn add_server(&mut self, zone: usize, old: bool) -> io::Result<()> {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
-        let addr = listener.local_addr()?;
-        let name = format!("s-{:08x}", self.random.random::<u32>());
-        let place = self.world.lock().add_server(name, zone, addr, old);
-        servers::start(self.world.clone(), listener, place).map(drop)
-    }
-
     fn play(mut self) -> io::Result<Report> {
         let (mut deal, mut measure, mut report) = (Duration::ZERO, Duration::ZERO, PERIOD);
         let mut replace = REPLACE_EVERY;
@@ -151,10 +149,10 @@
             for node in &mut self.nodes {
                 node.look(now, &self.script, &mut self.broken)?;
             }
-            self.change_servers(now);
+            self.fleet.look(now);
             if now >= replace {
                 replace = now + REPLACE_EVERY;
-                self.replace_server(now)?;
+                self.fleet.replace(now)?;
             }
             if now >= deal {
                 deal = now + DEAL_EVERY;
@@ -169,7 +167,10 @@
             }
             if now >= report {
                 report = now + PERIOD;
-                self.report();
+                self.report(now);
+            }
+            for (node, texts) in self.reporting.due(now) {
+                self.nodes[node].report(texts);
             }
             if now >= measure {
                 measure = now + MEASURE_EVERY;
@@ -181,10 +182,10 @@
     }
 
     /// The collectors send what was met.
-    fn report(&mut self) {
+    fn report(&mut self, now: Duration) {
         let world = self.world.lock();
-        for (node, sums) in self.nodes.iter().zip(&mut self.traffic.sums) {
-            node.report(collectors::reports(&world, &std::mem::take(sums)));
+        for (node, sums) in self.traffic.sums.iter_mut().enumerate() {
+            self.reporting.send(now, node, collectors::reports(&world, &std::mem::take(sums)));
         }
     }
 
@@ -201,66 +202,12 @@
             | Action::LateLists { node, .. }
             | Action::Crowd { node, .. }
             | Action::Pieces { node, .. } => self.nodes[*node].act(now, action),
-            Action::Silence { share, time } => {
-                let count = (self.ready_servers().len() as f64 * share).ceil() as usize;
-                for server in self.draw_servers(count) {
-                    self.world.lock().servers[server].condition = Condition::Silent;
-                    self.to_restart.push((now + *time, server));
-                }
+            Action::TroubledReports { node, by, time } => {
+                self.reporting.trouble(*node, now + *time, *by);
                 Ok(())
             }
-            Action::Slow { times, time } => {
-                for server in self.draw_servers(1) {
-                    self.world.lock().servers[server].condition = Condition::Slow(*times);
-                    self.to_mend.push((now + *time, server));
-                }
-                Ok(())
-            }
-        }
-    }
-
-    fn ready_servers(&self) -> Vec<usize> {
-        let world = self.world.lock();
-        let ready = |server: &super::world::Server| {
-            server.status == Status::Ready && server.condition == Condition::Well
-        };
-        (0..world.servers.len()).filter(|place| ready(&world.servers[*place])).collect()
-    }
-
-    fn draw_servers(&mut self, count: usize) -> Vec<usize> {
-        let ready = self.ready_servers();
-        ready.choose_multiple(&mut self.random, count).copied().collect()
-    }
-
-    fn change_servers(&mut self, now: Duration) {
-        let mut world = self.world.lock();
-        let due = |waiting: &mut Vec<(Duration, usize)>| {
-            let (due, later): (Vec<_>, Vec<_>) = waiting.drain(..).partition(|(at, _)| *at <= now);
-            *waiting = later;
-            due.into_iter().map(|(_, server)| server).collect::<Vec<_>>()
-        };
-        for server in due(&mut self.to_restart) {
-            // One that drains meanwhile is not started anew.
-            if world.servers[server].status == Status::Ready {
-                world.restart_server(server);
-            }
-        }
-        for server in due(&mut self.to_mend) {
-            world.servers[server].condition = Condition::Well;
+            _ => self.fleet.act(now, action),
         }
-        for server in due(&mut self.to_go) {
-            world.servers[server].condition = Condition::Dead;
-            world.list(server, Status::Gone);
-        }
-    }
-
-    /// The server that has been ready for longest drains, and a new one takes its place.
-    fn replace_server(&mut self, now: Duration) -> io::Result<()> {
-        let Some(server) = self.ready_servers().first().copied() else { return Ok(()) };
-        let zone = self.world.lock().servers[server].zone;
-        self.world.lock().list(server, Status::Draining);
-        self.to_go.push((now + DRAIN_LASTS, server));
-        self.add_server(zone, false)
     }
 
     fn end(mut self, actions: usize) -> io::Result<Report> {
@@ -268,15 +215,25 @@
         for node in &mut self.nodes {
             requests.add(node.stop_clients());
         }
-        let rpcs = self.traffic.outcomes;
+        let (judged, reference) = (&self.traffic.judged, &self.traffic.reference);
+        let mut shares = tally::judge(&judged.tally, &reference.tally, self.options.time);
+        let lost = judged.lost_by_stage();
+        self.keep_lost()?;
         let mut broken = std::mem::take(&mut self.tables.broken);
         broken.append(&mut self.broken);
         broken.append(&mut requests.broken);
+        broken.append(&mut shares.broken);
+        broken.append(&mut self.traffic.cold.broken);
+        broken.extend(self.backlogs());
         broken.sort_by_key(|broken| broken.at_ms);
         let starts = self.nodes.iter().map(|node| node.starts).sum();
         let ready: Vec<Duration> = self.nodes.iter().flat_map(|node| node.ready.iter().copied()).collect();
         self.keep_time_line(&broken)?;
+        let lines = self.world.lock().nodes.iter().map(|node| node.channel.most as u64).max();
+        let channel_lines_most = lines.unwrap_or(0);
         let broken_rules = broken.len();
+        let mut broken_by_rule = BTreeMap::new();
+        broken.iter().for_each(|broken| *broken_by_rule.entry(broken.rule).or_default() += 1);
         broken.truncate(BROKEN_MOST);
         Ok(Report {
             seed: self.options.seed,
@@ -289,12 +246,38 @@
             memory_kb_most: self.nodes.iter().map(|node| node.memory_kb).max().unwrap_or(0),
             descriptors_most: self.nodes.iter().map(|node| node.descriptors).max().unwrap_or(0),
             requests,
-            rpcs,
+            rpcs: self.traffic.judged.outcomes,
+            reference_rpcs: self.traffic.reference.outcomes,
+            lost,
+            shares,
+            silence_to_last: self.traffic.judged.silences.report(),
+            reference_silence_to_last: self.traffic.reference.silences.report(),
+            channel_lines_most,
             broken_rules,
+            broken_by_rule,
             broken,
         })
     }
 
+    /// Channels whose queue was too long.
+    fn backlogs(&self) -> Vec<Broken> {
+        let world = self.world.lock();
+        let channels = world.nodes.iter().map(|node| node.channel.most).enumerate();
+        let broken = channels.filter(|(_, most)| *most > BACKLOG).map(|(node, most)| Broken {
+            rule: Rule::Backlog,
+            at_ms: self.options.time.as_millis() as u64,
+            what: format!("n{node}: {most:.0} lines waited, at most {BACKLOG:.0}"),
+        });
+        broken.collect()
+    }
+
+    /// Writes each lost RPC into a file beside the logs.
+    fn keep_lost(&self) -> io::Result<()> {
+        let world = self.world.lock();
+        let lines = self.traffic.judged.lost.iter().map(|lost| lost.line(&world) + "\n");
+        fs::write(self.options.folder.join("lost-rpcs"), lines.collect::<String>())
+    }
+
     /// Writes what happened, and what was broken between, into a file beside the logs.
     fn keep_time_line(&self, broken: &[Broken]) -> io::Result<()> {
         let world = self.world.lock();
