Probe no server twice at once whose connect failed on our side

Callers could have a server shut out by two misses of one moment. Cause, by review: while a probe's connect waited to be made again its server counted neither as waiting nor as asked; where connects failed the whole queue was emptied into that list, and what found no room there was dropped. Change: such a server counts as postponed, a failing connect stops the round until the next try, and what finds no room is postponed again. Test: a_server_whose_connect_is_to_be_made_again_is_not_asked_twice (no red run: the queue had no such state).

--- a/crates/whinhill-node/src/probe_queue.rs
+++ b/crates/whinhill-node/src/probe_queue.rs
@@ -6,8 +6,10 @@
 
 /// What is known of one server's probes.
 #[derive(Clone, Copy, Debug, Default)]
-struct Probed {
+struct ServerProbes {
     waiting: bool,
+    /// Its connect failed on our side, and is to be made again.
+    postponed: bool,
     connections: usize,
 }
 
@@ -17,7 +19,7 @@
     most: usize,
     connections: usize,
     waiting: VecDeque<Ep>,
-    servers: Vec<Probed>,
+    servers: Vec<ServerProbes>,
 }
 
 impl ProbeQueue {
@@ -29,7 +31,7 @@
     /// A server is to be probed; `false` if that is under way or it waits already.
     pub fn push(&mut self, ep: Ep) -> bool {
         let server = self.server(ep.index);
-        if server.waiting || server.connections > 0 {
+        if server.waiting || server.postponed || server.connections > 0 {
             return false;
         }
         server.waiting = true;
@@ -47,6 +49,11 @@
         Some(ep)
     }
 
+    /// A probe's connect failed on our side, and is to be made again; or that is over.
+    pub fn postpone(&mut self, index: usize, postponed: bool) {
+        self.server(index).postponed = postponed;
+    }
+
     /// Whether another probe may be under way.
     pub fn has_room(&self) -> bool {
         self.connections < self.most
@@ -71,9 +78,9 @@
         self.server(index).waiting = false;
     }
 
-    fn server(&mut self, index: usize) -> &mut Probed {
+    fn server(&mut self, index: usize) -> &mut ServerProbes {
         let count = self.servers.len().max(index + 1);
-        self.servers.resize_with(count, Probed::default);
+        self.servers.resize_with(count, ServerProbes::default);
         &mut self.servers[index]
     }
 }
--- a/crates/whinhill-node/src/probe_queue/tests.rs
+++ b/crates/whinhill-node/src/probe_queue/tests.rs
@@ -32,3 +32,12 @@
     queue.closed(0);
     assert!(queue.push(ep(0)));
 }
+
+#[test]
+fn a_server_whose_connect_is_to_be_made_again_is_not_asked_twice() {
+    let mut queue = ProbeQueue::new(2);
+    queue.postpone(0, true);
+    assert!(!queue.push(ep(0)));
+    queue.postpone(0, false);
+    assert!(queue.push(ep(0)));
+}
--- a/crates/whinhill-node/src/probes.rs
+++ b/crates/whinhill-node/src/probes.rs
@@ -32,31 +32,49 @@
         while let Some(ep) = self.probes.next() {
             let Some(addr) = self.addrs.get(ep.index).copied().flatten() else { continue };
             self.counts.probes += 1;
-            self.open_probe(ep, addr, Probing::default(), self.clock.now() + PROBE_WITHIN);
+            let until = self.clock.now() + PROBE_WITHIN;
+            if !self.open_probe(ep, addr, Probing::default(), until) {
+                // The others would fare no better now.
+                break;
+            }
         }
     }
 
-    fn open_probe(&mut self, ep: Ep, addr: SocketAddr, probing: Probing, until: Duration) {
+    fn open_probe(&mut self, ep: Ep, addr: SocketAddr, probing: Probing, until: Duration) -> bool {
         let (again, left) = (probing.clone(), until.saturating_sub(self.clock.now()));
         let kind = Kind::Probe { ep, probing, until };
-        if self.connect(addr, kind, &probe::request(addr), left).is_some() {
+        let opened = self.connect(addr, kind, &probe::request(addr), left).is_some();
+        if opened {
             self.probes.opened(ep.index);
         } else {
             // Nothing is known of the server: it is ours that failed, and may not the next moment.
-            self.probes_again.push(Again { ep, probing: again, until });
-            self.deadlines.set_by(Due::Probes, self.clock.now() + CONNECT_AGAIN);
+            self.postpone_probe(Again { ep, probing: again, until });
         }
+        opened
+    }
+
+    fn postpone_probe(&mut self, again: Again) {
+        self.probes.postpone(again.ep.index, true);
+        self.probes_again.push(again);
+        self.deadlines.set_by(Due::Probes, self.clock.now() + CONNECT_AGAIN);
     }
 
-    /// Makes the probes again whose connects failed, as long as their time is not over.
+    /// Makes the probes again whose connects failed, as long as their time is not over, and then those that wait.
     pub fn probe_again(&mut self) {
         let now = self.clock.now();
-        for Again { ep, probing, until } in std::mem::take(&mut self.probes_again) {
-            let addr = self.addrs.get(ep.index).copied().flatten();
-            if let Some(addr) = addr.filter(|_| now < until && self.probes.has_room()) {
-                self.open_probe(ep, addr, probing, until);
+        for again in std::mem::take(&mut self.probes_again) {
+            let index = again.ep.index;
+            self.probes.postpone(index, false);
+            let Some(addr) = self.addrs.get(index).copied().flatten().filter(|_| now < again.until) else {
+                continue;
+            };
+            if self.probes.has_room() {
+                self.open_probe(again.ep, addr, again.probing, again.until);
+            } else {
+                self.postpone_probe(again);
             }
         }
+        self.start_probes();
     }
 
     pub fn probe_bytes(&mut self, id: Id, bytes: &[u8]) {
