Probe every server of a large fleet over xDS: those beyond 32 wait their turn

Cause: the xDS front had 32 probe threads and no queue, and threw away AllBusy: of a round of 60 servers the last 28 were never probed.

Change: servers wait in a bounded queue (8192, each once, none while it is being asked), which the probe threads take from as they end; one that finds the queue full is logged. A probe counts as ended before its result is told, so that the repeat ordered on it is not taken for the same probe: `a_repeat_ordered_on_a_result_is_not_lost` guards that; it was seen red on a trial with the order turned round. The threads end with the prober.

The queue is not shared with whinhill-node's: that one counts sockets by index in one loop, this one serves threads by name, and neither package may depend on the other.

--- a/crates/whinhill-assigner/src/probes.rs
+++ b/crates/whinhill-assigner/src/probes.rs
@@ -2,54 +2,135 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::thread;
 use std::time::Duration;
 
 use crossbeam_channel::Sender;
 use prost::Message;
-use tracing::debug;
+use tracing::{debug, warn};
 use whinhill::interface::{LoadReport, Probe};
 use whinhill_tables::ServerName;
-use whinhill_transport::{CallError, Client, Code, Drivers, Limits, NeverRan, Workers};
+use whinhill_transport::{CallError, Client, Code, Drivers, Limits, NeverRan, CALL_STACK};
 use whinhill_xds::proto::{HealthCheckRequest, HealthCheckResponse, OrcaLoadReport};
 use whinhill_xds::{unbase64, HEALTH_PATH, ORCA_TRAILER};
 
 use crate::core::Input;
+use crate::probes::queue::{ProbeQueue, Pushed};
 use crate::reports::read_load;
 
 const WITHIN: Duration = Duration::from_millis(800);
-/// Probes under way at a time.
+/// Probes under way at a time, each on its thread.
 const MOST: usize = 32;
+/// Servers that wait for a probe at a time: as many as the inputs' channel holds results.
+const WAITING_MOST: usize = 8192;
+/// After this long without a server to probe, a thread ends.
+const IDLE: Duration = Duration::from_secs(5);
 const SERVING: i32 = 1;
 
-#[derive(Clone)]
-pub struct Prober {
-    workers: Workers,
-    drivers: Drivers,
-    clients: Arc<Mutex<HashMap<ServerName, Client>>>,
-    inputs: Sender<(Input, Option<Sender<()>>)>,
-}
+/// Probes servers on threads of its own; no call waits for a server. The threads end with it.
+pub struct Prober(Arc<Asker>);
 
 impl Prober {
     pub fn new(drivers: Drivers, inputs: Sender<(Input, Option<Sender<()>>)>) -> Self {
-        Prober {
-            workers: Workers::new("probe", MOST, whinhill_transport::CALL_STACK),
+        Prober(Arc::new(Asker {
+            rounds: Mutex::new(Rounds {
+                queue: ProbeQueue::new(WAITING_MOST),
+                threads: 0,
+                idle: 0,
+                over: false,
+            }),
+            pushed: Condvar::new(),
             drivers,
-            clients: Arc::default(),
+            clients: Mutex::default(),
             inputs,
-        }
+        }))
     }
 
-    /// Probes a server soon; where too many are under way it is left for the next period.
+    /// Probes a server now, or as soon as another probe has ended.
     pub fn probe(&self, server: ServerName) {
-        let me = self.clone();
-        let _ = self.workers.run(move || {
-            let Some((result, load)) = me.ask(&server) else {
-                return debug!(%server, "a server was not asked: the fault is this machine's");
-            };
-            debug!(%server, ?result, "a server was asked");
-            let _ = me.inputs.try_send((Input::Probed { server, result, load }, None));
-        });
+        let mut rounds = self.0.rounds();
+        if rounds.queue.push(server.clone()) == Pushed::Full {
+            return warn!(%server, "a server is not probed: {WAITING_MOST} wait already");
+        }
+        if rounds.queue.waiting() <= rounds.idle {
+            self.0.pushed.notify_one();
+        } else if rounds.threads < MOST {
+            rounds.threads += 1;
+            drop(rounds);
+            self.start_thread();
+        }
+    }
+
+    fn start_thread(&self) {
+        let asker = self.0.clone();
+        let thread = thread::Builder::new().name("probe".to_string()).stack_size(CALL_STACK);
+        if let Err(error) = thread.spawn(move || asker.run()) {
+            // What waits is left to the other threads, or to the one that the next order starts.
+            self.0.rounds().threads -= 1;
+            warn!(%error, "no thread for a probe");
+        }
+    }
+}
+
+impl Drop for Prober {
+    fn drop(&mut self) {
+        self.0.rounds().over = true;
+        self.0.pushed.notify_all();
+    }
+}
+
+/// What waits, and the threads that take it.
+struct Rounds {
+    queue: ProbeQueue,
+    threads: usize,
+    /// Threads that wait for a server.
+    idle: usize,
+    over: bool,
+}
+
+/// What the threads share.
+struct Asker {
+    rounds: Mutex<Rounds>,
+    pushed: Condvar,
+    drivers: Drivers,
+    clients: Mutex<HashMap<ServerName, Client>>,
+    inputs: Sender<(Input, Option<Sender<()>>)>,
+}
+
+impl Asker {
+    fn run(&self) {
+        while let Some(server) = self.next() {
+            let asked = self.ask(&server);
+            // Before the result is told: the order to ask again that may follow it is a new one.
+            self.rounds().queue.ended(&server);
+            match asked {
+                Some((result, load)) => self.tell(server, result, load),
+                None => debug!(%server, "a server was not asked: the fault is this machine's"),
+            }
+        }
+    }
+
+    /// The server that this thread is to ask; `None` once the thread is to end.
+    fn next(&self) -> Option<ServerName> {
+        let mut rounds = self.rounds();
+        rounds.idle += 1;
+        let nothing_to_do = |rounds: &mut Rounds| !rounds.over && rounds.queue.waiting() == 0;
+        let waited = self.pushed.wait_timeout_while(rounds, IDLE, nothing_to_do);
+        rounds = waited.unwrap_or_else(PoisonError::into_inner).0;
+        rounds.idle -= 1;
+        let next = if rounds.over { None } else { rounds.queue.next() };
+        rounds.threads -= usize::from(next.is_none());
+        next
+    }
+
+    fn tell(&self, server: ServerName, result: Probe, load: LoadReport) {
+        debug!(%server, ?result, "a server was asked");
+        let _ = self.inputs.try_send((Input::Probed { server, result, load }, None));
+    }
+
+    fn rounds(&self) -> MutexGuard<'_, Rounds> {
+        self.rounds.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// `None` where the server was not asked: that tells nothing of it.
@@ -116,5 +197,6 @@
     Ok((answer, load))
 }
 
+mod queue;
 #[cfg(test)]
 mod tests;
--- a/crates/whinhill-assigner/src/probes/tests.rs
+++ b/crates/whinhill-assigner/src/probes/tests.rs
@@ -75,3 +75,34 @@
         thread::sleep(Duration::from_millis(100));
     }
 }
+
+/// A round of probes comes at once.
+#[test]
+fn no_server_of_a_round_is_left_out() {
+    const SERVERS: usize = 60;
+    let drivers = Drivers::start("probes", 1).unwrap();
+    let servers: Vec<(Listener, ServerName)> =
+        (0..SERVERS).map(|_| listen(Limits::default(), &drivers, answer_health)).collect();
+    let (inputs, told) = bounded(10 * SERVERS);
+    let prober = Prober::new(drivers, inputs);
+    let mut counts: HashMap<ServerName, usize> = HashMap::new();
+    for _round in 0..5 {
+        servers.iter().for_each(|(_, server)| prober.probe(server.clone()));
+        thread::sleep(Duration::from_millis(1000));
+        while let Ok((Input::Probed { server, .. }, None)) = told.try_recv() {
+            *counts.entry(server).or_default() += 1;
+        }
+    }
+    let of = |server: &ServerName| counts.get(server).copied().unwrap_or(0);
+    let counts: Vec<usize> = servers.iter().map(|(_, server)| of(server)).collect();
+    assert!(counts.iter().all(|count| *count >= 4), "probes by server in 5 rounds: {counts:?}");
+}
+
+#[test]
+fn a_repeat_ordered_on_a_result_is_not_lost() {
+    let drivers = Drivers::start("probes", 1).unwrap();
+    let (_listener, server) = listen(Limits::default(), &drivers, answer_health);
+    let (inputs, told) = bounded(16);
+    let prober = Prober::new(drivers, inputs);
+    (0..300).for_each(|turn| assert_eq!(probe(&prober, &server, &told), Probe::Ok, "turn {turn}"));
+}
