Keep a probe's result until the inputs have room for it

Cause: a result that found the inputs' channel full was dropped without a word; the server then counted as neither well nor silent for that round.

Change: the probe's thread waits for room, as the senders of the other inputs do. The decision thread waits for none of it: orders only enter the queue.

--- a/crates/whinhill-assigner/src/probes.rs
+++ b/crates/whinhill-assigner/src/probes.rs
@@ -124,9 +124,12 @@
         next
     }
 
+    /// Tells a result, once the inputs have room for it: a probe thread may wait.
     fn tell(&self, server: ServerName, result: Probe, load: LoadReport) {
         debug!(%server, ?result, "a server was asked");
-        let _ = self.inputs.try_send((Input::Probed { server, result, load }, None));
+        if self.inputs.send((Input::Probed { server, result, load }, None)).is_err() {
+            debug!("a result is not told: the decision thread has ended");
+        }
     }
 
     fn rounds(&self) -> MutexGuard<'_, Rounds> {
--- a/crates/whinhill-assigner/src/probes/tests.rs
+++ b/crates/whinhill-assigner/src/probes/tests.rs
@@ -106,3 +106,22 @@
     let prober = Prober::new(drivers, inputs);
     (0..300).for_each(|turn| assert_eq!(probe(&prober, &server, &told), Probe::Ok, "turn {turn}"));
 }
+
+#[test]
+fn no_result_is_dropped_while_the_inputs_have_no_room() {
+    const SERVERS: usize = MOST + 8;
+    let drivers = Drivers::start("probes", 1).unwrap();
+    let servers: Vec<(Listener, ServerName)> =
+        (0..SERVERS).map(|_| listen(Limits::default(), &drivers, answer_health)).collect();
+    let (inputs, told) = bounded(1);
+    let prober = Prober::new(drivers, inputs);
+    servers.iter().for_each(|(_, server)| prober.probe(server.clone()));
+    // The results come while nobody takes them.
+    thread::sleep(2 * WITHIN);
+    let mut probed: Vec<ServerName> = Vec::new();
+    while let Ok((Input::Probed { server, .. }, None)) = told.recv_timeout(2 * WITHIN) {
+        probed.push(server);
+    }
+    let missing = servers.iter().filter(|(_, server)| !probed.contains(server)).count();
+    assert_eq!(missing, 0, "servers without a result");
+}
