Read what had arrived before the process decides that nobody asks any more

Seen: a_pause_past_the_earliest_end_costs_no_connection failed in one of five runs beside four busy processes (load 27): all 40 clients got one last answer after SIGCONT, and lost the next request. No other run showed it, 24 further pauses with 180 clients among them, so it has no deterministic red test.

Cause: the time at which nobody had asked for 0.15 s was read after the process had last read its sockets. Where it stood still between the two, all that had come meanwhile was still to be read.

Change: the time is read first; then, before the end, all events are taken and every socket is looked at, and whoever has asked since that time is served on.

--- a/crates/whinhill-node/src/event_loop.rs
+++ b/crates/whinhill-node/src/event_loop.rs
@@ -20,7 +20,7 @@
     pub fn serve(mut self) -> Result<(), NodeError> {
         loop {
             self.advance();
-            if self.may_leave() {
+            if self.may_leave()? {
                 return self.leave();
             }
             self.turn(None)?;
@@ -62,6 +62,16 @@
         Ok(looked)
     }
 
+    /// Takes all events that are there.
+    pub fn take_all_events(&mut self) -> Result<(), NodeError> {
+        for _ in 0..LOOKS_MOST {
+            if self.take_events(Some(Duration::ZERO))? < EVENTS_MOST && self.unread.is_empty() {
+                break;
+            }
+        }
+        Ok(())
+    }
+
     /// Waits for events and takes them; how many there were.
     fn take_events(&mut self, wait: Option<Duration>) -> Result<usize, NodeError> {
         let mut events = std::mem::replace(&mut self.events, Events::with_capacity(0));
--- a/crates/whinhill-node/src/leaving.rs
+++ b/crates/whinhill-node/src/leaving.rs
@@ -36,8 +36,8 @@
     }
 
     /// Whether the end has come.
-    pub fn may_leave(&mut self) -> bool {
-        let Some(since) = self.ending else { return false };
+    pub fn may_leave(&mut self) -> Result<bool, NodeError> {
+        let Some(since) = self.ending else { return Ok(false) };
         let now = self.clock.now();
         let passed = now.saturating_sub(since);
         let calls = self.calls.waiting() > 0 || self.calls.under_way();
@@ -45,13 +45,18 @@
             self.close_paths();
         }
         if passed >= END_AFTER {
-            return true;
+            return Ok(true);
         }
         if passed >= LAST_ANSWERS_AFTER && !std::mem::replace(&mut self.last_answers, true) {
             self.hold_back_clients();
         }
-        if passed >= SERVE_FOR && !self.is_owed() {
-            return true;
+        if passed >= SERVE_FOR && !self.is_owed(now) {
+            // The process may have stood still since it last read: what had arrived by now counts.
+            self.take_all_events()?;
+            self.look_at_all();
+            if !self.is_owed(now) {
+                return Ok(true);
+            }
         }
         let next = match passed {
             _ if !self.paths_closed => since + CALLS_END_AFTER,
@@ -59,7 +64,7 @@
             _ => now + END_LOOKS,
         };
         self.deadlines.set(Due::End, next);
-        false
+        Ok(false)
     }
 
     /// Closes what leads to relay, discovery and servers, whose places clients may have.
@@ -108,7 +113,7 @@
         self.stop_listening();
         let now = self.clock.now();
         let until = (now + ASK_WITHIN).min(self.ending.unwrap_or(now) + LEAVE_BY);
-        while self.is_owed() && self.clock.now() < until {
+        while self.is_owed(self.clock.now()) && self.clock.now() < until {
             self.turn(Some(until.saturating_sub(self.clock.now())))?;
         }
         self.clients().into_iter().for_each(|id| self.end_client(id));
@@ -145,29 +150,28 @@
     }
 
     /// Whether a client waits to be accepted, read or written to, or may be about to ask.
-    fn is_owed(&self) -> bool {
+    fn is_owed(&self, now: Duration) -> bool {
         let mut clients = self.connections.iter().map(|(_, connection)| connection);
         let may_wait = self.next_client.is_some() || self.deadlines.is_set(Due::Accept);
-        may_wait || !self.unread.is_empty() || clients.any(|client| self.is_owed_to(client))
+        may_wait || !self.unread.is_empty() || clients.any(|client| is_owed_to(client, now))
     }
+}
 
-    fn is_owed_to(&self, client: &Connection) -> bool {
-        match client.kind {
-            Kind::Client { .. } => !client.all_written() || self.may_ask(client),
-            Kind::Closing { .. } => !client.all_written(),
-            _ => false,
-        }
+fn is_owed_to(client: &Connection, now: Duration) -> bool {
+    match client.kind {
+        Kind::Client { .. } => !client.all_written() || may_ask(client, now),
+        Kind::Closing { .. } => !client.all_written(),
+        _ => false,
     }
+}
 
-    /// Whether a client has come or asked so recently that it may be about to ask, or what it has sent is not known
-    /// for sure. Reports of a collector alone are no requests.
-    fn may_ask(&self, client: &Connection) -> bool {
-        if client.joined() && client.asked_at.is_none() {
-            return false;
-        }
-        let just_came = (!client.heard || client.is_unfinished()).then_some(client.heard_at);
-        let last = client.asked_at.max(just_came);
-        let recently = last.is_some_and(|at| self.clock.now() < at + ASK_WITHIN);
-        recently || client.read_failed || client.looks_left > 0
+/// Whether a client has come or asked so recently that it may be about to ask, or what it has sent is not known for
+/// sure. Reports of a collector alone are no requests.
+fn may_ask(client: &Connection, now: Duration) -> bool {
+    if client.joined() && client.asked_at.is_none() {
+        return false;
     }
+    let just_came = (!client.heard || client.is_unfinished()).then_some(client.heard_at);
+    let last = client.asked_at.max(just_came);
+    last.is_some_and(|at| now < at + ASK_WITHIN) || client.read_failed || client.looks_left > 0
 }
