--- a/crates/whinhill-cli/tests/platform_soak.rs
+++ b/crates/whinhill-cli/tests/platform_soak.rs
@@ -5,6 +5,7 @@
 use std::process::{Command, Output};
 
 use serde_json::Value;
+use whinhill_standins::platform::script::TROUBLES;
 
 /// The library that makes calls fail, as the build of the tests leaves it.
 fn library() -> PathBuf {
@@ -25,14 +26,21 @@
     text.lines().filter_map(|line| serde_json::from_str(line).ok()).collect()
 }
 
+fn has_trouble(report: &Value, name: &str) -> bool {
+    report["troubles"].as_array().unwrap().iter().any(|trouble| trouble == name)
+}
+
 /// All kinds of trouble are among what these seeds draw.
 #[test]
 fn seeds_of_drawn_troubles_break_no_rule() {
     let folder = tempfile::tempdir().unwrap();
-    let output = soak(folder.path(), &["--seeds", "1-9", "--for", "16s", "--jobs", "3"]);
+    let output = soak(folder.path(), &["--seeds", "1-10", "--for", "16s", "--jobs", "3"]);
     let reports = reports(&output);
     assert!(output.status.success(), "{reports:#?}\n{}", String::from_utf8_lossy(&output.stderr));
-    assert_eq!(reports.len(), 9);
+    assert_eq!(reports.len(), 10);
+    let drawn = |name: &str| reports.iter().any(|report| has_trouble(report, name));
+    let missing: Vec<_> = TROUBLES.iter().map(|(name, _)| name).filter(|name| !drawn(name)).collect();
+    assert!(missing.is_empty(), "no seed draws {missing:?}");
     let requests = |report: &Value| report["requests"]["requests"].as_u64().unwrap();
     assert!(reports.iter().all(|report| requests(report) > 500), "{reports:#?}");
 }
