Note in the soak's time line when holders first act on a server that fell ill

Cause: the stages tell how many RPCs were lost before notice, not which server was noticed when, nor by whom. Change: one line at the first order that ends or gates a line at such a server.

--- a/crates/whinhill-standins/src/platform/world.rs
+++ b/crates/whinhill-standins/src/platform/world.rs
@@ -328,9 +328,14 @@
         let now = self.now();
         self.slices[slice].ended = Some((server, now));
         let state = &mut self.servers[server];
-        if state.unwell_since.is_some() {
-            state.noticed.get_or_insert(now);
-        }
+        let Some(since) = state.unwell_since.filter(|_| state.noticed.is_none()) else { return };
+        state.noticed = Some(now);
+        let (after, condition) = ((now - since).as_millis(), state.condition);
+        let holder = self.slices[slice].holder;
+        self.note(format!(
+            "{} ({condition:?}) noticed after {after} ms by {holder:?}",
+            self.servers[server].name
+        ));
     }
 
     /// A server's process starts anew, and is cold.
