--- a/crates/whinhill-cli/tests/platform_soak.rs
+++ b/crates/whinhill-cli/tests/platform_soak.rs
@@ -37,7 +37,7 @@
     static PLAYED: OnceLock<Vec<Value>> = OnceLock::new();
     PLAYED.get_or_init(|| {
         let folder = tempfile::tempdir().unwrap();
-        let output = soak(folder.path(), &["--seeds", "16-24", "--for", "16s", "--jobs", "3"]);
+        let output = soak(folder.path(), &["--seeds", "20-28", "--for", "16s", "--jobs", "3"]);
         let reports = reports(&output);
         let is_broken = reports.iter().any(|report| report["broken_rules"] != 0);
         let code = if is_broken { 3 } else { 0 };
--- a/crates/whinhill-standins/src/platform/world.rs
+++ b/crates/whinhill-standins/src/platform/world.rs
@@ -165,7 +165,7 @@
     LateDrain,
     /// Half of the proxies keep a former line, open for writes.
     TwoWriters,
-    /// Ends of lines at silent servers are lost on their way to the proxies.
+    /// Ends of lines, and levels, of slices at silent servers are lost on their way to the proxies.
     LostEnds,
     /// Levels between none and all are ignored.
     IgnoredLevels,
@@ -459,6 +459,12 @@
                 }
                 Effect::Level { slice, class, share } if *epoch == self.slices[slice].epoch => {
                     let kept = self.sabotage == Some(Sabotage::TwoWriters) && proxy.is_multiple_of(2);
+                    let is_silent = |at: usize| self.servers[at].condition == Condition::Silent;
+                    let lost = self.sabotage == Some(Sabotage::LostEnds)
+                        && self.tables[proxy][slice].server.is_some_and(is_silent);
+                    if lost {
+                        continue;
+                    }
                     let ignored = self.sabotage == Some(Sabotage::IgnoredLevels) && share > 0.0;
                     let share = if ignored { 1.0 } else { share };
                     for (number, level) in self.tables[proxy][slice].levels.iter_mut().enumerate() {
