--- a/crates/whinhill/src/assigner/health/tests.rs
+++ b/crates/whinhill/src/assigner/health/tests.rs
@@ -383,3 +383,11 @@
     }
     assert!(waited == 0.0, "shut {shut}, opened {open}; the drain starts {waited:.2} s after it was told");
 }
+
+#[test]
+fn where_probing_is_not_allowed_nobody_is_probed_or_suspected() {
+    let mut a = probed_fleet(4);
+    a.cfg.probes = false;
+    let orders = probed(&mut a, 100.1, 0, Probe::Unanswered);
+    assert!(!is_probed(&orders, 0) && shares(&orders).is_empty(), "{orders:?}");
+}
--- a/crates/whinhill/src/assigner/suspicion.rs
+++ b/crates/whinhill/src/assigner/suspicion.rs
@@ -40,7 +40,7 @@
 
     /// Takes a probe's result; a server that does not answer is asked again at once.
     pub(super) fn take_probe(&mut self, ep: Ep, result: Probe) {
-        let now = self.now;
+        let (now, probes) = (self.now, self.cfg.probes);
         let server = self.server(ep);
         match result {
             Probe::Ok | Probe::Aborted | Probe::PushedBack => {
@@ -50,7 +50,7 @@
             Probe::Unanswered => {
                 server.unanswered += 1;
                 server.silent_since.get_or_insert(now);
-                let again = server.unanswered < DEAD_AFTER && server.listed == Listed::Ready;
+                let again = probes && server.unanswered < DEAD_AFTER && server.listed == Listed::Ready;
                 self.out.extend(again.then_some(Order::Probe { ep }));
             }
         }
@@ -58,6 +58,9 @@
 
     /// Draws from all probes so far which servers are suspected.
     pub(super) fn weigh_probes(&mut self) {
+        if !self.cfg.probes {
+            return;
+        }
         let zones = self.probes_by_zone();
         let missed: usize = zones.values().map(|zone| zone.missed).sum();
         let ready: usize = missed + zones.values().map(|zone| zone.answered).sum::<usize>();
