Note owners of slices and levels in the soak's time line

It has each order of a line or level now, as the relay takes it, and keeps 40,000 lines in place of 4,000, since a minute of levels is some thousands.

--- a/crates/whinhill-standins/src/platform/relay.rs
+++ b/crates/whinhill-standins/src/platform/relay.rs
@@ -99,7 +99,7 @@
                 continue;
             }
             Effect::Line { slice, server } => world.order_line(slice, server),
-            Effect::Level { slice, share, .. } => world.order_level(slice, share),
+            Effect::Level { slice, class, share } => world.order_level(slice, class, share),
             Effect::Mark { .. } => {}
         }
         effects.push(effect);
--- a/crates/whinhill-standins/src/platform/world.rs
+++ b/crates/whinhill-standins/src/platform/world.rs
@@ -235,7 +235,7 @@
 }
 
 /// Most lines of the time line that are kept.
-const HAPPENED_MOST: usize = 4000;
+const HAPPENED_MOST: usize = 40_000;
 
 impl World {
     /// A world without servers yet, for so many assigners.
@@ -312,6 +312,10 @@
     /// A holder orders a slice's line.
     pub fn order_line(&mut self, slice: usize, server: Option<usize>) {
         let former = std::mem::replace(&mut self.slices[slice].line, server);
+        if former != server {
+            let name = server.map_or("none", |server| self.servers[server].name.as_str());
+            self.note(format!("slice {slice} line at {name}"));
+        }
         former
             .filter(|former| server != Some(*former))
             .into_iter()
@@ -319,7 +323,11 @@
     }
 
     /// A holder orders what share a slice's server is sent.
-    pub fn order_level(&mut self, slice: usize, share: f64) {
+    pub fn order_level(&mut self, slice: usize, class: Option<usize>, share: f64) {
+        self.note(format!(
+            "slice {slice} level {share:.2} {}",
+            class.map_or("all", |class| CLASSES[class].name)
+        ));
         let line = self.slices[slice].line.filter(|_| share < 1.0);
         line.into_iter().for_each(|server| self.end(slice, server));
     }
