Have the soak's servers report the RPCs that wait in their queues

The stand-ins wrote queue=0 and at most four RPCs in hand into every load report, whatever waited before their workers. The settings that they play name `inflight` (all RPCs that a server holds) and `queue` (those of them that wait), so an assigner that believes its reports was misled.

What waits is reckoned from the work before the workers. Rules and bounds of the soak are untouched.

--- a/crates/whinhill-standins/src/platform/servers.rs
+++ b/crates/whinhill-standins/src/platform/servers.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use super::plane::Plane;
-use super::world::{Condition, Shared};
+use super::world::{Condition, Server, Shared, WORKERS};
 
 const STACK: usize = 128 << 10;
 /// Connections that a silent server keeps open: the newest, since whoever asks gives up within a second.
@@ -21,13 +21,10 @@
     thread::Builder::new().name("server".into()).stack_size(STACK).spawn(move || {
         let mut held = Vec::new();
         for stream in listener.incoming().flatten() {
-            let (condition, in_hand) = {
+            let (condition, load) = {
                 let world = world.lock();
-                let (now, server) = (world.now(), &world.servers[place]);
-                (
-                    server.condition,
-                    server.workers[Plane::Judged as usize].iter().filter(|free| **free > now).count(),
-                )
+                let server = &world.servers[place];
+                (server.condition, Load::of(server, world.now()))
             };
             match condition {
                 Condition::Silent | Condition::Mute => {
@@ -40,7 +37,7 @@
                 Condition::Dead | Condition::Reset => drop(stream),
                 Condition::Well | Condition::Hang | Condition::Slow(_) => {
                     held.clear();
-                    let _ = answer(stream, in_hand);
+                    let _ = answer(stream, load);
                 }
             }
         }
@@ -48,7 +45,24 @@
     Ok(addr)
 }
 
-fn answer(mut stream: TcpStream, in_hand: usize) -> io::Result<()> {
+/// What a server tells of its load.
+#[derive(Clone, Copy, Debug)]
+struct Load {
+    working: usize,
+    queued: usize,
+}
+
+impl Load {
+    fn of(server: &Server, now: Duration) -> Self {
+        let left = server.workers[Plane::Judged as usize].map(|free| free.saturating_sub(now));
+        let working = left.iter().filter(|left| !left.is_zero()).count();
+        // A worker is in the middle of one RPC; the rest of its work stands in the queue.
+        let held: f64 = left.iter().map(|left| left.div_duration_f64(server.mean_work(now)).ceil()).sum();
+        Load { working, queued: (held as usize).saturating_sub(working) }
+    }
+}
+
+fn answer(mut stream: TcpStream, load: Load) -> io::Result<()> {
     stream.set_read_timeout(Some(REQUEST_WITHIN))?;
     let (mut request, mut piece) = (Vec::new(), [0; 512]);
     while !request.windows(4).any(|window| window == b"\r\n\r\n") {
@@ -57,8 +71,9 @@
             n => request.extend_from_slice(&piece[..n]),
         }
     }
-    let busy = in_hand as f64 / super::world::WORKERS as f64;
-    let body = format!("inflight={in_hand},queue=0,util={busy:.2}");
+    let Load { working, queued } = load;
+    let busy = working as f64 / WORKERS as f64;
+    let body = format!("inflight={},queue={queued},util={busy:.2}", working + queued);
     let length = body.len();
     write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {length}\r\nConnection: close\r\n\r\n{body}")
 }
--- a/crates/whinhill-standins/src/platform/world.rs
+++ b/crates/whinhill-standins/src/platform/world.rs
@@ -14,9 +14,10 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::channel::Channel;
-use super::page::{CLASSES, PROXIES, SLICES, ZONES};
-use super::plane::PLANES;
+use super::page::{CLASSES, PROXIES, SLICES, WARM_AFTER, ZONES};
+use super::plane::{COLD, PLANES};
 use super::script::{by_name, UnknownName};
+use super::traffic::MEAN_WORK;
 
 /// Where discovery lists a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -74,6 +75,15 @@
     pub noticed: Option<Duration>,
 }
 
+impl Server {
+    /// How long an RPC takes there on average, without waiting.
+    pub fn mean_work(&self, now: Duration) -> Duration {
+        let is_cold = self.started.is_some_and(|at| now < at + WARM_AFTER);
+        let slow = if let Condition::Slow(times) = self.condition { times } else { 1 };
+        MEAN_WORK * slow * if is_cold { COLD } else { 1 }
+    }
+}
+
 /// RPCs that a server works on at a time.
 pub const WORKERS: usize = 4;
 /// Longest way of an order to a proxy.
