Spread slices that no server has room for, rather than fill the one that is warm

Cause, by the new log lines of where slices go: where no server had room, `destination` counted each cold server as full and took the least loaded of the rest. With all others restarted that is one server for every assigner, and it stayed the choice at a reckoned load of 1.8 and a room of -0.4: up to 19 of 24 slices, 711 RPCs a second where 160 can be served. Servers that replaced the drained ones a moment before were not seen to serve yet.

What no server has room for goes by weighted rendezvous hashing over all ready servers now, weighted by what is free of each one's present capacity. Assigners that know nothing of each other's moves spread that way; the least loaded is the same one for all. Where moves are guarded the choice is made with the grant, some half a second later, when new servers have answered probes. Levels hold cold servers to their budgets as before.

The tests were red before: of 25 slices of five assigners 25 went to the warm server, and all to it where others proved themselves meanwhile.

Departures are logged by owner and destination with load and room. `Symptoms` moves to the types, `log_sick` to what only shows.

--- a/crates/whinhill/src/assigner.rs
+++ b/crates/whinhill/src/assigner.rs
@@ -11,7 +11,9 @@
 
 use crate::interface::*;
 use crate::settings::{Admission, Config, Method};
-use crate::state::{middle, Channel, Following, Handover, Move, Plan, Proxy, Server, Slice, Sum, View};
+use crate::state::{
+    middle, Channel, Following, Handover, Move, Plan, Proxy, Server, Slice, Sum, Symptoms, View,
+};
 
 mod admission;
 mod channel;
--- a/crates/whinhill/src/assigner/evacuation.rs
+++ b/crates/whinhill/src/assigner/evacuation.rs
@@ -18,6 +18,7 @@
         let heads = HEADS * self.cfg.head * self.joined() as f64 / self.cfg.backlog;
         let from = DRAIN_ROOM.0.min(DRAIN_ROOM.1 - heads).max(LEAVE_ROOM.1);
         let (mut view, drain, leave) = (None, self.has_room(from), self.has_room(LEAVE_ROOM.0));
+        let mut departures = BTreeMap::new();
         for id in 0..self.slices.len() {
             let Some(owner) = self.slices[id].owner else { continue };
             let server = &self.servers[owner];
@@ -32,31 +33,48 @@
                     || leave && (!well || self.cold(owner)) && self.has_room(LEAVE_ROOM.1) =>
                 {
                     let v: &mut View = view.get_or_insert_with(|| self.view());
-                    let to = self.destination(id, v);
+                    // Where none has room it is chosen with the grant, when more is known of those that have started.
+                    let to = self.candidate(id, v).or_else(|| self.destination(id, v).filter(|_| !guarded));
                     let add = to.map_or(0.0, |to| self.add(v, id, to));
                     let over = v.own[owner] > self.cold_budget() && to.is_some_and(|to| v.rooms[to] >= add);
                     if !well || over {
                         v.own[owner] -= v.demand[id] * v.units[owner];
                         if let Some(to) = to {
-                            (v.loads[to], v.rooms[to]) = (v.loads[to] + add, v.rooms[to] - add);
+                            v.place(to, add);
                         }
+                        departures.entry((owner, to)).or_insert_with(Vec::new).push(id);
                         self.stop(id, to, cut);
                     }
                 }
                 _ => {}
             }
         }
+        self.log_departures(&departures, view.as_ref());
     }
 
-    /// Where a slice that must leave goes: the less loaded of its first usable candidates, walking on in
-    /// its hash order past those without room; failing that the least loaded one that is not cold and full.
-    pub(super) fn destination(&self, id: SliceId, view: &View) -> Option<usize> {
+    /// Where a slice that must leave goes: the less loaded of its first usable candidates, walking on in its hash
+    /// order past those without room.
+    pub(super) fn candidate(&self, id: SliceId, view: &View) -> Option<usize> {
         let add = |i: &usize| self.add(view, id, *i);
         let fits = |i: &usize| takes_slices(&self.servers[*i]) && view.rooms[*i] >= add(i);
         let least = |a: &usize, b: &usize| (view.loads[*a] + add(a)).total_cmp(&(view.loads[*b] + add(b)));
-        let first = self.others(id).filter(fits).take(CANDIDATES).min_by(least);
-        let full = |i: &usize| (self.cold(*i) || !self.servers[*i].proven) && !fits(i);
-        let unfit = |i: &usize| (!takes_slices(&self.servers[*i]), full(i));
-        first.or_else(|| self.others(id).min_by(|a, b| unfit(a).cmp(&unfit(b)).then(least(a, b))))
+        self.others(id).filter(fits).take(CANDIDATES).min_by(least)
+    }
+
+    /// The same, or where no server has room any that is ready, by weighted rendezvous hashing: slices of all
+    /// assigners spread as capacity is free, though none knows what the others move. Levels let in what each can do.
+    pub(super) fn destination(&self, id: SliceId, view: &View) -> Option<usize> {
+        let unfit = |i: &usize| (!takes_slices(&self.servers[*i]), !self.servers[*i].proven);
+        let score = |i: &usize| {
+            let server = &self.servers[*i];
+            let free = (1.0 - view.loads[*i].max(view.own[*i])).max(FREE_LEAST);
+            let draw = (server.ep.weight(id) as f64 + 1.0) / (u64::MAX as f64 + 2.0);
+            -draw.ln() / (free * self.ramp(server) * server.size)
+        };
+        let spread = |a: &usize, b: &usize| unfit(a).cmp(&unfit(b)).then(score(a).total_cmp(&score(b)));
+        self.candidate(id, view).or_else(|| self.others(id).min_by(spread))
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/whinhill/src/assigner/handover.rs
+++ b/crates/whinhill/src/assigner/handover.rs
@@ -96,7 +96,11 @@
             let last = slice.owner.filter(|o| self.servers[*o].listed == Listed::Ready);
             let elsewhere = || self.destination(id, view.get_or_insert_with(|| self.view()));
             let Some(to) = wanted.or(stays).or_else(elsewhere).or(last) else { continue };
-            view.iter_mut().for_each(|v: &mut View| v.loads[to] += v.demand[id] * v.units[to]);
+            let is_late_choice = wanted.or(stays).is_none();
+            if let Some(view) = &mut view {
+                view.place(to, view.demand[id] * view.units[to]);
+                is_late_choice.then(|| self.log_late_choice(id, to, view));
+            }
             self.grant(id, to);
         }
     }
--- a/crates/whinhill/src/assigner/health.rs
+++ b/crates/whinhill/src/assigner/health.rs
@@ -5,28 +5,6 @@
 
 use super::*;
 
-/// What the measures say of one server against its peers.
-struct Symptoms {
-    /// Tries of late, and the share of them that was lost there and at the others.
-    tries: f64,
-    share: f64,
-    others: f64,
-    /// Since the last ok answer was told of.
-    silence: Duration,
-    /// Mean wait of an ok answer in seconds, and whether that is late, or slow by the server's own measure.
-    wait: f64,
-    late: bool,
-    slow: bool,
-    /// Ok answers come, and wait: lost tries and probes tell of too much load.
-    loaded: bool,
-    /// It loses tries that others would not lose.
-    aborts: bool,
-    /// No ok answers, while others have them.
-    quiet: bool,
-    /// No ok answers, although some were due.
-    silent: bool,
-}
-
 impl Assigner {
     /// Whether a zone's proxies have all left lately, or are just back: then the path is broken, and slices
     /// stay for as long as their move would take. Harm: if the servers died too, they leave so much later.
@@ -149,14 +127,6 @@
             server.limit = server.limit.map(|limit| limit * LIMIT_STEP.1);
         }
     }
-
-    fn log_sick(&mut self, i: usize, symptoms: &Symptoms) {
-        let Symptoms { tries, share, others, silence, .. } = symptoms;
-        let losses = format!("lost {share:.2} of {tries:.0}, others {others:.2}");
-        let probes = self.servers[i].unanswered;
-        let text = format!("server {i} sick: {losses}, no ok for {silence:.1?}, probes unanswered {probes}");
-        self.out.push(Order::Log { text });
-    }
 }
 
 /// Whether slices may go there now.
--- a/crates/whinhill/src/assigner/tuning.rs
+++ b/crates/whinhill/src/assigner/tuning.rs
@@ -12,6 +12,8 @@
 pub(super) const TARGETS: [f64; 3] = [1.1, 1.3, 1.5];
 /// Hashed candidates beside the owner (design page). More: better fits, but caches go cold farther afield.
 pub(super) const CANDIDATES: usize = 2;
+/// Part of its capacity that a full server counts as free where none has room. Less: the others get all.
+pub(super) const FREE_LEAST: f64 = 0.05;
 /// How long a moved slice stays (design page). Shorter: slices swing; longer: errors stay.
 pub(super) const STAY: Duration = Duration::from_secs(20);
 /// The first wait after a failed call for the list; it doubles. Shorter: the list's service stays jammed.
--- a/crates/whinhill/src/state.rs
+++ b/crates/whinhill/src/state.rs
@@ -149,6 +149,29 @@
     }
 }
 
+/// What the measures say of one server against its peers.
+#[derive(Clone, Copy, Debug)]
+pub struct Symptoms {
+    /// Tries of late, and the share of them that was lost there and at the others.
+    pub tries: f64,
+    pub share: f64,
+    pub others: f64,
+    /// Since the last ok answer was told of.
+    pub silence: Duration,
+    /// Mean wait of an ok answer in seconds, and whether that is late, or slow by the server's own measure.
+    pub wait: f64,
+    pub late: bool,
+    pub slow: bool,
+    /// Ok answers come, and wait: lost tries and probes tell of too much load.
+    pub loaded: bool,
+    /// It loses tries that others would not lose.
+    pub aborts: bool,
+    /// No ok answers, while others have them.
+    pub quiet: bool,
+    /// No ok answers, although some were due.
+    pub silent: bool,
+}
+
 #[derive(Clone, Copy, Debug)]
 pub struct Proxy {
     pub zone: ZoneId,
@@ -203,6 +226,15 @@
     pub average: f64,
 }
 
+impl View {
+    /// A slice that brings so much is to go there.
+    pub fn place(&mut self, to: usize, add: f64) {
+        self.loads[to] += add;
+        self.own[to] += add;
+        self.rooms[to] -= add;
+    }
+}
+
 /// A slice and the server it goes to.
 pub type Move = (SliceId, usize);
 
