Set levels by the queues that servers report, before answers are late

Cause: a limit came with the first answers that waited over 0.4 of the soft deadline. At 3.5 times the load a queue grows by 2.5 s each second, so by then the RPCs behind it were lost; and the limit, nine tenths of what was served, kept the queue as long as it was. `LoadReport.in_hand` and `waiting` were decoded and read by no decision. Refused was what cold servers could have done: their budgets assume the worst of the other assigners.

- A server's queue wait is reckoned from the report (Little's law: RPCs that wait for each one worked on, times the time of service).
It makes a server late as its answers' wait does, and takes off the limit what lets the queue drain within a second.
- Once a server is idle again its limit follows by the utilisation law, at most half as much again a period, in place of 6% a period.
- A cold server that reports how busy it is is let in up to 0.8 of it: our share of what is left to each assigner, all cut alike beyond.
The budget by which slices are placed stays.

--- a/crates/whinhill/src/assigner/admission.rs
+++ b/crates/whinhill/src/assigner/admission.rs
@@ -21,8 +21,9 @@
         let works: Vec<f64> = self.cfg.ranks.iter().map(work).collect();
         let all = works.iter().sum::<f64>().max(1e-9);
         for (i, offered) in offered.into_iter().enumerate() {
-            let budget = self.cold(i).then(|| self.cold_budget() / view.units[i].max(1e-9));
+            let budget = self.cold(i).then(|| view.cold_budgets[i] / view.units[i].max(1e-9));
             let limit = budget.map_or(view.limits[i], |budget| budget.min(view.limits[i]));
+            let limit = limit * self.drained_part(i);
             let mut over = (1.0 - limit / offered.max(1e-9)).clamp(0.0, 0.9);
             self.servers[i].shut_out = over;
             let mut line = 0.0;
@@ -34,7 +35,25 @@
         }
     }
 
-    /// Load that our slices may bring a cold server.
+    /// The part of its limit that a server is let while its queue is too long.
+    fn drained_part(&self, server: usize) -> f64 {
+        let wait = self.queue_wait(&self.servers[server]).unwrap_or(0.0);
+        let too_long = (wait - LATE * self.cfg.mean_soft).max(0.0);
+        (1.0 - too_long / DRAIN_QUEUE_WITHIN.as_secs_f64()).max(0.0)
+    }
+
+    /// Load that our slices may be let bring a cold server that reports how busy it is, and what we let in there now.
+    /// What others bring shows in the report: each assigner takes its share of what is left, and all cut alike what
+    /// is too much.
+    pub(super) fn cold_budget_by_report(&self, report: Option<(f64, f64)>) -> f64 {
+        let unseen = self.cold_budget();
+        let Some((cpu, let_in)) = report else { return unseen };
+        let left = THRESHOLD - cpu;
+        let seen = if left >= 0.0 { let_in + left * self.our_share() } else { let_in * THRESHOLD / cpu };
+        seen.max(unseen)
+    }
+
+    /// Load that our slices may bring a cold server of whose load nothing is known.
     pub(super) fn cold_budget(&self) -> f64 {
         (self.cfg.fall_multiple * COLD.0).min(COLD.1) * self.our_share().powf(COLD.2)
     }
@@ -127,3 +146,6 @@
     }
     levels
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/whinhill/src/assigner/health.rs
+++ b/crates/whinhill/src/assigner/health.rs
@@ -90,11 +90,13 @@
         let ready = self.ready().count();
         let expected = self.demand_by(&self.demand(), |s| s.owner.filter(|_| s.handover.is_none()));
         let limit = LATE * self.cfg.mean_soft;
-        let find = |(server, expected): (&mut Server, f64)| {
+        let queue_waits: Vec<f64> =
+            self.servers.iter().map(|server| self.queue_wait(server).unwrap_or(0.0)).collect();
+        let find = |((server, expected), queue_wait): ((&mut Server, f64), f64)| {
             let wait = server.wait(now, half);
             server.base = wait.map(|w| server.base.map_or(w, |base| (base * 1.01).min(w))).or(server.base);
             let wait = wait.unwrap_or(0.0);
-            let (late, slow) = (wait > limit, wait > WAITING * server.base.unwrap_or(wait));
+            let (late, slow) = (wait.max(queue_wait) > limit, wait > WAITING * server.base.unwrap_or(wait));
             let (tries, lost) = (server.tries.read(now, half), server.lost.read(now, half));
             let others = (all_lost - lost) / (all_tries - tries).max(1.0);
             let share = lost / tries.max(1.0);
@@ -107,7 +109,7 @@
             let silent = quiet && expected * silence.as_secs_f64() > 2.0 * ENOUGH;
             Symptoms { tries, share, others, silence, wait, late, slow, loaded, aborts, quiet, silent }
         };
-        self.servers.iter_mut().zip(expected).map(find).collect()
+        self.servers.iter_mut().zip(expected).zip(queue_waits).map(find).collect()
     }
 
     /// Late or lost answers: a server can do a little less than it did, and more while that binds in time.
@@ -115,6 +117,9 @@
         let (now, half) = (self.now, self.half);
         let server = &mut self.servers[i];
         let Symptoms { wait, share, .. } = symptoms;
+        // By the utilisation law: times what it does, as long as it is not busy.
+        let cpu = server.cpu.filter(|(_, at)| now < *at + half * 3).map_or(BUSY, |(cpu, _)| cpu);
+        let idle = (BUSY / cpu.max(1e-3)).min(LIMIT_STEP.2);
         server.loaded = symptoms.loaded;
         server.late = symptoms.late || *share > SICK.0 / 2.0 && symptoms.slow;
         let due = server.limited.is_none_or(|at| now >= at + half * LIMIT_SHOWS);
@@ -124,7 +129,8 @@
             self.out.extend(server.limit.is_none().then_some(Order::Log { text }));
             (server.limit, server.limited) = (Some(served * LIMIT_STEP.0), Some(now));
         } else if !server.late && server.line > 0.0 {
-            server.limit = server.limit.map(|limit| limit * LIMIT_STEP.1);
+            let usable = server.oks.rate(now, half) * idle;
+            server.limit = server.limit.map(|limit| (limit * LIMIT_STEP.1).max(usable));
         }
     }
 }
--- a/crates/whinhill/src/assigner/load.rs
+++ b/crates/whinhill/src/assigner/load.rs
@@ -48,6 +48,13 @@
         server.wait(self.now, self.half).zip(free).is_some_and(|(wait, free)| wait > WAITING * free)
     }
 
+    /// How long an RPC that arrives now waits there in seconds, by the reported queue and Little's law.
+    pub(super) fn queue_wait(&self, server: &Server) -> Option<f64> {
+        let (rounds, at) = server.queue?;
+        let service = server.service.or(server.base)?;
+        (self.now < at + self.cfg.period * 3).then_some(rounds * service)
+    }
+
     /// Splits each server's load over the slices it serves. Where servers don't report how busy they are, it
     /// is demand over the capacity learned; until any is learned, demand by size, at `USUAL` on average.
     pub(super) fn view(&self) -> View {
@@ -93,6 +100,8 @@
             let (part, most) =
                 if ramp < 1.0 { (NEW_OFFERS, self.cold_budget() - crowd) } else { (1.0, f64::MAX) };
             let room = ((THRESHOLD / ramp - load) * part * share).clamp(0.0, most.max(0.0));
+            let busy = told(server).map(|cpu| (cpu, let_in * unit / ramp));
+            view.cold_budgets.push(self.cold_budget_by_report(busy));
             view.own.push(own);
             view.loads.push(load);
             view.units.push(unit / ramp);
--- a/crates/whinhill/src/assigner/tuning.rs
+++ b/crates/whinhill/src/assigner/tuning.rs
@@ -66,8 +66,11 @@
 pub(super) const SLOW_CHANNEL: f64 = 4.0;
 /// Mean wait, as a part of the soft deadline, at which a server counts as overloaded.
 pub(super) const LATE: f64 = 0.4;
-/// What an overloaded server is let, times what it did; and how that grows in a period without lateness.
-pub(super) const LIMIT_STEP: (f64, f64) = (0.9, 1.06);
+/// What an overloaded server is let, times what it did; and how that grows in a period without lateness, at least
+/// and at most.
+pub(super) const LIMIT_STEP: (f64, f64, f64) = (0.9, 1.06, 1.5);
+/// In this time a queue that makes answers late is to drain.
+pub(super) const DRAIN_QUEUE_WITHIN: Duration = Duration::from_secs(1);
 /// Stretches of a report after which a cut shows in what is told. Fewer: cut again for the same answers.
 pub(super) const LIMIT_SHOWS: u32 = 2;
 /// Probes of each ready server in a period, at most. Fewer: silence is found later; more: servers work for probes.
--- a/crates/whinhill/src/state.rs
+++ b/crates/whinhill/src/state.rs
@@ -62,6 +62,8 @@
     /// Time of service as reported, in seconds.
     pub service: Option<f64>,
     pub cpu: Option<(f64, Duration)>,
+    /// RPCs that wait there for each that is worked on, as reported, and when.
+    pub queue: Option<(f64, Duration)>,
     pub unanswered: u32,
     /// When the first of them was found unanswered.
     pub silent_since: Option<Duration>,
@@ -216,6 +218,8 @@
     /// The part of the loads that our slices make.
     pub own: Vec<f64>,
     pub rooms: Vec<f64>,
+    /// Load that our slices may bring each server while it is cold.
+    pub cold_budgets: Vec<f64>,
     /// Load that a unit of demand adds.
     pub units: Vec<f64>,
     pub demand: Vec<f64>,
