Await no answers of RPCs that are refused by our own levels

Cause: "no ok answers although some were due" took all demand for its slices as due, also what proxies had just been told to refuse. The demand counts by the share that was let in now.

--- a/crates/whinhill/src/assigner/health.rs
+++ b/crates/whinhill/src/assigner/health.rs
@@ -88,7 +88,9 @@
         let (all_tries, all_lost) = (sum(|s| &s.tries), sum(|s| &s.lost));
         let heard = self.servers.iter().filter(|s| now < s.last_ok + half * 2).count();
         let ready = self.ready().count();
-        let expected = self.demand_by(&self.demand(), |s| s.owner.filter(|_| s.handover.is_none()));
+        let let_in: Vec<f64> =
+            self.demand().iter().zip(&self.slices).map(|(demand, slice)| demand * slice.let_in()).collect();
+        let expected = self.demand_by(&let_in, |s| s.owner.filter(|_| s.handover.is_none()));
         let limit = LATE * self.cfg.mean_soft;
         let queue_waits: Vec<f64> =
             self.servers.iter().map(|server| self.queue_wait(server).unwrap_or(0.0)).collect();
--- a/crates/whinhill/src/assigner/health/tests.rs
+++ b/crates/whinhill/src/assigner/health/tests.rs
@@ -391,3 +391,29 @@
     let orders = probed(&mut a, 100.1, 0, Probe::Unanswered);
     assert!(!is_probed(&orders, 0) && shares(&orders).is_empty(), "{orders:?}");
 }
+
+/// A stretch of reports: RPCs come for each slice, and are answered by all servers but those named.
+fn stretch(a: &mut Assigner, at: f64, silent: &[usize]) {
+    let span = s(1.0);
+    let mut events = Vec::new();
+    for (slice, owner) in a.slices.iter().enumerate().filter_map(|(id, s)| Some((id, s.owner?))) {
+        events.push(Event::Demand { slice, method: 0, rpcs: 10, lost: 0, span });
+        let tries = if silent.contains(&owner) { 0 } else { 10 };
+        let load = LoadReport::default();
+        events.push(Event::Met { ep: ep(owner), zone: 0, tries, lost: 0, wait: s(0.1), span, load });
+    }
+    a.handle(s(at), &events);
+}
+
+/// Guards against a server that is called silent since we refuse what would be sent there.
+#[test]
+fn no_answer_is_due_of_rpcs_that_are_refused() {
+    let mut a = probed_fleet(4);
+    stretch(&mut a, 101.0, &[]);
+    a.slices[0].told = vec![0.0, 0.0];
+    for number in 0..4 {
+        stretch(&mut a, 102.0 + f64::from(number), &[0]);
+        a.slices[0].told = vec![0.0, 0.0];
+    }
+    assert_eq!(a.servers[0].sick, None);
+}
--- a/crates/whinhill/src/state.rs
+++ b/crates/whinhill/src/state.rs
@@ -211,6 +211,13 @@
     pub shut: bool,
 }
 
+impl Slice {
+    /// The share of its RPCs that proxies were told to let in, by the method that is let in most.
+    pub fn let_in(&self) -> f64 {
+        self.told.iter().copied().fold(0.0, f64::max).min(1.0)
+    }
+}
+
 /// What the plan works on: every server's load, room and cost, and each slice's demand.
 #[derive(Debug, Default)]
 pub struct View {
