Have the soak's servers that hang RPCs report them as in hand

A stand-in that hangs RPCs answered probes with inflight=0 for as long as it hung. The settings name `inflight` as all RPCs that a server holds, and one that took RPCs in and answers none holds them until their callers give up. It reports them now; its cores stay idle. Nothing else of the fault changes: probes are answered, RPCs are not. No decision reads the figure yet.

--- a/crates/whinhill-standins/src/platform/plane.rs
+++ b/crates/whinhill-standins/src/platform/plane.rs
@@ -159,6 +159,9 @@
                 self.outcomes.lost_hang += u64::from(!is_silent);
                 self.silences.sent(server, state.unwell_since.unwrap_or(now), now);
                 self.lose(world, rpc, server, if is_silent { Cause::Silent } else { Cause::Hang });
+                if self.plane == Plane::Judged {
+                    world.servers[server].hold(now, now + deadline);
+                }
                 Step::Sent { server, took: deadline, failed: true }
             }
             Condition::Reset => {
--- a/crates/whinhill-standins/src/platform/servers.rs
+++ b/crates/whinhill-standins/src/platform/servers.rs
@@ -45,11 +45,12 @@
     Ok(addr)
 }
 
-/// What a server tells of its load.
+/// What a server tells of its load. RPCs that hang hold a worker, and no core.
 #[derive(Clone, Copy, Debug)]
 struct Load {
-    working: usize,
+    in_hand: usize,
     queued: usize,
+    busy: usize,
 }
 
 impl Load {
@@ -58,7 +59,9 @@
         let working = left.iter().filter(|left| !left.is_zero()).count();
         // A worker is in the middle of one RPC; the rest of its work stands in the queue.
         let held: f64 = left.iter().map(|left| left.div_duration_f64(server.mean_work(now)).ceil()).sum();
-        Load { working, queued: (held as usize).saturating_sub(working) }
+        let hanging = server.held.iter().filter(|until| **until > now).count();
+        let in_hand = held as usize + hanging;
+        Load { in_hand, queued: in_hand.saturating_sub(WORKERS), busy: working }
     }
 }
 
@@ -71,9 +74,9 @@
             n => request.extend_from_slice(&piece[..n]),
         }
     }
-    let Load { working, queued } = load;
-    let busy = working as f64 / WORKERS as f64;
-    let body = format!("inflight={},queue={queued},util={busy:.2}", working + queued);
+    let Load { in_hand, queued, busy } = load;
+    let util = busy as f64 / WORKERS as f64;
+    let body = format!("inflight={in_hand},queue={queued},util={util:.2}");
     let length = body.len();
     write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {length}\r\nConnection: close\r\n\r\n{body}")
 }
--- a/crates/whinhill-standins/src/platform/world.rs
+++ b/crates/whinhill-standins/src/platform/world.rs
@@ -69,6 +69,8 @@
     pub started_unix_ms: u64,
     /// By plane, when each of its workers is free.
     pub workers: [[Duration; WORKERS]; PLANES],
+    /// RPCs of the judged plane that it took and does not answer, by when their callers give up.
+    pub held: VecDeque<Duration>,
     /// Since when it is other than well.
     pub unwell_since: Option<Duration>,
     /// The first order since then that ended or gated a line at it.
@@ -82,6 +84,12 @@
         let slow = if let Condition::Slow(times) = self.condition { times } else { 1 };
         MEAN_WORK * slow * if is_cold { COLD } else { 1 }
     }
+
+    /// It takes an RPC that it will not answer; the caller gives up then.
+    pub fn hold(&mut self, now: Duration, until: Duration) {
+        self.held.retain(|until| *until > now);
+        self.held.push_back(until);
+    }
 }
 
 /// RPCs that a server works on at a time.
@@ -293,6 +301,7 @@
             started: (!old).then_some(now),
             started_unix_ms: if old { 0 } else { unix.as_millis() as u64 },
             workers: [[Duration::ZERO; WORKERS]; PLANES],
+            held: VecDeque::new(),
             unwell_since: None,
             noticed: None,
         });
@@ -365,6 +374,7 @@
         state.started = Some(now);
         state.started_unix_ms = unix.as_millis() as u64;
         state.workers = [[now; WORKERS]; PLANES];
+        state.held.clear();
         self.list(server, Status::Ready);
     }
 
