Know servers that hang RPCs by what they hold, and sooner

Cause, from the logs of each assigner: silence counted from two stretches of reports and a dozen RPCs that were due, which an assigner with one slice there collects in 1 to 2 s; a grant put off the count by one more stretch; and an assigner with slices at fewer than half of the servers never judged silence at all, since it took the servers that it does not hear of as unheard.

- Answers are overdue 1.2 stretches after the last one told, looked at with each round of probes, not once a period.
- Two RPCs due are enough where the server tells that it took six in since the last answer (`in_hand`, with each probe).
- Whether reports come is asked of the servers from which some are due.
- After a grant half a stretch is waited for the first report, not one.

Both tests were red before.

--- a/crates/whinhill/src/assigner.rs
+++ b/crates/whinhill/src/assigner.rs
@@ -104,7 +104,9 @@
             self.judge();
             self.make_plan();
         }
-        self.order_probes(period);
+        if self.order_probes(period) && !period {
+            self.judge_health();
+        }
         if now >= self.channel.wake && self.has_room(0.5) {
             self.tell_joined();
         }
--- a/crates/whinhill/src/assigner/handover.rs
+++ b/crates/whinhill/src/assigner/handover.rs
@@ -111,8 +111,8 @@
         let former = slice.owner.filter(|o| *o != to && !cut);
         let new = cut || slice.owner != Some(to);
         (slice.owner, slice.stays) = (Some(to), self.now + STAY);
-        // The first answers show only after the grant's way and a report.
-        self.servers[to].last_ok = self.now + self.cfg.way_most + self.half;
+        // The first answers show only after the grant's way and a part of a report's stretch.
+        self.servers[to].last_ok = self.now + self.cfg.way_most + self.half / 2;
         self.channel.due += self.cfg.methods.len();
         self.out.extend(new.then_some(Order::Grant { slice: id, ep: self.servers[to].ep }));
         // Where slices are not exclusive that is one more line beside the former owner's.
--- a/crates/whinhill/src/assigner/health/tests.rs
+++ b/crates/whinhill/src/assigner/health/tests.rs
@@ -405,6 +405,44 @@
     a.handle(s(at), &events);
 }
 
+/// Probes of all servers are answered; the one that hangs tells of so many RPCs in hand.
+fn answered_probes(a: &mut Assigner, at: f64, hanging: usize, in_hand: f64) {
+    let load = |server| {
+        let in_hand = if server == hanging { in_hand } else { 1.0 };
+        LoadReport { in_hand: Some(in_hand), waiting: Some(0.0), cpu: Some(0.1), service: None }
+    };
+    let probed = |server| Event::Probed { ep: ep(server), result: Probe::Ok, load: load(server) };
+    let events: Vec<Event> = (0..a.servers.len()).map(probed).collect();
+    a.handle(s(at), &events);
+}
+
+/// Guards against a server that answers probes and no RPC and keeps its slices until callers' deadlines have passed.
+#[test]
+fn a_server_that_takes_rpcs_in_and_answers_none_is_sick_within_two_stretches() {
+    let mut a = probed_fleet(4);
+    stretch(&mut a, 101.0, &[]);
+    answered_probes(&mut a, 101.1, 0, 1.0);
+    stretch(&mut a, 102.0, &[0]);
+    answered_probes(&mut a, 102.1, 0, 11.0);
+    answered_probes(&mut a, 102.4, 0, 14.0);
+    assert!(a.servers[0].sick.is_some());
+    assert!(a.servers[1..].iter().all(|server| server.sick.is_none()));
+}
+
+/// Guards against an assigner that hears of few servers, since it has few slices, and believes of none that it hangs.
+#[test]
+fn servers_without_slices_do_not_hide_that_one_is_silent() {
+    let mut a = probed_fleet(9);
+    a.slices[3..].iter_mut().for_each(|slice| *slice = Slice::default());
+    stretch(&mut a, 101.0, &[]);
+    for at in [102.0, 103.0, 104.0] {
+        stretch(&mut a, at, &[0]);
+        answered_probes(&mut a, at + 0.4, 0, 1.0);
+    }
+    assert!(a.servers[0].sick.is_some());
+    assert!(a.servers[1..].iter().all(|server| server.sick.is_none()));
+}
+
 /// Guards against a server that is called silent since we refuse what would be sent there.
 #[test]
 fn no_answer_is_due_of_rpcs_that_are_refused() {
--- a/crates/whinhill/src/assigner/list.rs
+++ b/crates/whinhill/src/assigner/list.rs
@@ -68,6 +68,7 @@
         let cpu = load.cpu.map(|cpu| (0.5 * cpu + 0.5 * server.cpu.map_or(cpu, |old| old.0), now));
         server.cpu = cpu.or(server.cpu);
         server.service = load.service.map(|service| service.as_secs_f64()).or(server.service);
+        server.in_hand = load.in_hand.map(|in_hand| (in_hand, now)).or(server.in_hand);
         let queue = load.in_hand.zip(load.waiting);
         let rounds = queue.map(|(in_hand, waiting)| waiting / (in_hand - waiting).max(1.0));
         server.queue = rounds.map(|rounds| (rounds, now)).or(server.queue);
--- a/crates/whinhill/src/assigner/suspicion.rs
+++ b/crates/whinhill/src/assigner/suspicion.rs
@@ -14,14 +14,15 @@
 }
 
 impl Assigner {
-    /// Probes every ready server, several times a period.
-    pub(super) fn order_probes(&mut self, period: bool) {
+    /// Probes every ready server, several times a period; whether it was time to.
+    pub(super) fn order_probes(&mut self, period: bool) -> bool {
         if !self.cfg.probes || !period && self.now < self.next_probes {
-            return;
+            return false;
         }
         self.next_probes = self.now + self.cfg.period / self.probe_rounds();
         let ready = self.servers.iter().filter(|s| s.listed == Listed::Ready);
         self.out.extend(ready.map(|s| Order::Probe { ep: s.ep }));
+        true
     }
 
     /// Rounds of probes in a period: fewer where they would come to too large a part of the RPCs.
--- a/crates/whinhill/src/assigner/tuning.rs
+++ b/crates/whinhill/src/assigner/tuning.rs
@@ -46,6 +46,10 @@
 pub(super) const ENOUGH: f64 = 6.0;
 /// Slices that a server never seen to serve may hold. More: a false list takes them; fewer: releases wait.
 pub(super) const UNPROVEN: f64 = 4.0;
+/// Stretches of a report after which an ok answer would have been told of. Less: one late report is silence.
+pub(super) const ANSWERS_OVERDUE: f64 = 1.2;
+/// RPCs due without an answer from which a server hangs, where it tells that it has taken some in meanwhile.
+pub(super) const HANGS: f64 = 2.0;
 /// How long a sick server is left alone. Shorter: slices go back to a server still sick.
 pub(super) const SICK_FOR: Duration = Duration::from_secs(8);
 /// Most of the ready servers that may be held sick at a time. Higher: the rest fall over.
--- a/crates/whinhill/src/state.rs
+++ b/crates/whinhill/src/state.rs
@@ -62,6 +62,9 @@
     /// Time of service as reported, in seconds.
     pub service: Option<f64>,
     pub cpu: Option<(f64, Duration)>,
+    /// RPCs that it holds as reported, and when; and how many it held when an ok answer was told of last.
+    pub in_hand: Option<(f64, Duration)>,
+    pub in_hand_at_ok: f64,
     /// RPCs that wait there for each that is worked on, as reported, and when.
     pub queue: Option<(f64, Duration)>,
     pub unanswered: u32,
@@ -112,6 +115,9 @@
         self.waits.add(now, half, oks * wait.as_secs_f64(), span);
         if oks > 0.0 {
             (self.last_ok, self.proven) = (self.last_ok.max(now), true);
+            // A last answer that crosses the report does not explain all that it holds.
+            let in_hand = self.in_hand.map_or(0.0, |(in_hand, _)| in_hand);
+            self.in_hand_at_ok = in_hand.min(self.in_hand_at_ok + oks);
             self.probes_mislead |= self.silent_since.is_some_and(|since| now >= since + half * REPORTS_LAG);
         }
     }
@@ -144,6 +150,12 @@
         tries >= enough && lost < share * tries
     }
 
+    /// RPCs that have been taken in since an ok answer was told of last, as reported lately.
+    pub fn taken_in(&self, now: Duration, fresh: Duration) -> f64 {
+        let in_hand = self.in_hand.filter(|(_, at)| now < *at + fresh);
+        in_hand.map_or(0.0, |(in_hand, _)| (in_hand - self.in_hand_at_ok).max(0.0))
+    }
+
     /// Mean wait of an ok answer in seconds.
     pub fn wait(&self, now: Duration, half: Duration) -> Option<f64> {
         let oks = self.oks.read(now, half);
