Tell servers that answer RPCs and no probes from dead ones by the first report

Cause: a missed probe shuts a server out by levels within 0.7 s, and what reports told of it was believed only three stretches later, since nothing said how late reports come. Until then two servers that differ in each report were treated alike: both shut, the one that served for up to 2 s, the one that was dead until a second and three stretches had passed.

How late reports come is learned where a server without RPCs is granted a slice: the first batch covers as much of its stretch as it has RPCs against the second. With that, each batch that covers time since the first missed probe was ordered tells how many RPCs were due and how many were answered. Three answered: its probes mislead, it opens at once. Three due and none answered (under a quarter): it is sick, and its slices move. Where the lag is not known, the old times hold.

Two tests were red before; the third guards against late reports.

--- a/crates/whinhill/src/assigner.rs
+++ b/crates/whinhill/src/assigner.rs
@@ -12,7 +12,7 @@
 use crate::interface::*;
 use crate::settings::{Admission, Config, Method};
 use crate::state::{
-    middle, Channel, Following, Handover, Move, Plan, Proxy, Server, Slice, Sum, Symptoms, View,
+    middle, Channel, Following, Handover, Move, Plan, Proxy, ReportBatch, Server, Slice, Sum, Symptoms, View,
 };
 
 mod admission;
@@ -23,6 +23,7 @@
 mod list;
 mod load;
 mod plan;
+mod reports;
 mod resent;
 mod shown;
 mod suspicion;
@@ -47,6 +48,9 @@
     came: Vec<Sum>,
     /// The usual stretch of a report, in which measures halve.
     half: Duration,
+    /// The last batches of reports, oldest first, and how late they come in seconds, once that is known.
+    reports: VecDeque<ReportBatch>,
+    report_lag: Option<f64>,
     /// Time of service in seconds from which a server counts as slow against its peers.
     slow: f64,
     next_period: Duration,
@@ -70,6 +74,8 @@
             now: Duration::ZERO,
             servers: Vec::new(),
             proxies: BTreeMap::new(),
+            reports: VecDeque::new(),
+            report_lag: None,
             slow: f64::MAX,
             next_period: Duration::ZERO,
             next_probes: Duration::ZERO,
@@ -123,10 +129,13 @@
 
     fn take(&mut self, event: &Event) {
         let (now, half) = (self.now, self.half);
+        event.span().into_iter().for_each(|span| self.note_report(span));
         match event {
             Event::List { kind, entries } => self.take_list(*kind, entries),
             Event::Met { ep, tries, lost, wait, load, span, .. } => {
                 self.server(*ep).meet(now, half, (*tries, *lost), *wait, *span);
+                let batch = self.reports.back().map_or(now, |batch| batch.at);
+                self.server(*ep).note_answers(batch, *tries, *lost, BATCHES);
                 self.take_load(*ep, load);
             }
             Event::Demand { slice, method, rpcs, span, .. } => {
--- a/crates/whinhill/src/assigner/handover.rs
+++ b/crates/whinhill/src/assigner/handover.rs
@@ -113,6 +113,9 @@
         (slice.owner, slice.stays) = (Some(to), self.now + STAY);
         // The first answers show only after the grant's way and a part of a report's stretch.
         self.servers[to].last_ok = self.now + self.cfg.way_most + self.half / 2;
+        let server = &mut self.servers[to];
+        let is_idle = server.tries.read(self.now, self.half) < IDLE && server.granted_idle.is_none();
+        server.granted_idle = if is_idle { Some(self.now) } else { server.granted_idle };
         self.channel.due += self.cfg.methods.len();
         self.out.extend(new.then_some(Order::Grant { slice: id, ep: self.servers[to].ep }));
         // Where slices are not exclusive that is one more line beside the former owner's.
--- a/crates/whinhill/src/assigner/health.rs
+++ b/crates/whinhill/src/assigner/health.rs
@@ -39,11 +39,12 @@
     fn judge_server(&mut self, i: usize, symptoms: &Symptoms, reachable: bool, may_be_sick: bool) -> bool {
         let now = self.now;
         let Symptoms { aborts, quiet, silent, silence, .. } = *symptoms;
+        let found_dead = self.is_found_dead(&self.servers[i]);
         let server = &mut self.servers[i];
         // Where it was shut out, answers to the few RPCs that are let in are waited for.
         let answers_due =
             server.silent_since.is_none_or(|since| now >= since + HALF_OPEN_AFTER + self.half * REPORTS_LAG);
-        let unheard = silence > self.half && (!server.suspected || answers_due);
+        let unheard = found_dead || silence > self.half && (!server.suspected || answers_due);
         let dead = server.unanswered >= DEAD_AFTER && unheard && !server.probes_mislead;
         if server.dropped && (quiet || dead || aborts) && reachable {
             (server.listed, server.dropped, server.told) = (Listed::Gone, false, now);
@@ -86,9 +87,7 @@
         let (now, half) = (self.now, self.half);
         let sum = |f: fn(&Server) -> &Sum| -> f64 { self.servers.iter().map(|s| f(s).read(now, half)).sum() };
         let (all_tries, all_lost) = (sum(|s| &s.tries), sum(|s| &s.lost));
-        let let_in: Vec<f64> =
-            self.demand().iter().zip(&self.slices).map(|(demand, slice)| demand * slice.let_in()).collect();
-        let expected = self.demand_by(&let_in, |s| s.owner.filter(|_| s.handover.is_none()));
+        let expected = self.let_in_rates();
         // Whether reports come, as far as some are due: of servers without slices of ours nothing is heard.
         let answers_due = |expected: &f64| expected * half.as_secs_f64() >= 1.0;
         let due: Vec<&Server> =
--- a/crates/whinhill/src/assigner/health/tests.rs
+++ b/crates/whinhill/src/assigner/health/tests.rs
@@ -455,3 +455,81 @@
     }
     assert_eq!(a.servers[0].sick, None);
 }
+
+/// A fleet in which it is known how late reports come: one server had no RPCs until a grant at 100 s.
+fn fleet_with_known_lag(lag: f64) -> Assigner {
+    let mut a = probed_fleet(4);
+    a.servers[3].granted_idle = Some(s(100.0));
+    // A report tells of the second that ended so long before it.
+    let first_tells = (1.0 - lag.fract()) * 10.0;
+    for number in 0..4 {
+        let at = 101.0 + f64::from(number);
+        let tries = match f64::from(number) - lag.floor() {
+            before if before < 0.0 => 0,
+            0.0 => first_tells as u64,
+            _ => 10,
+        };
+        let met = |server: usize, tries| Event::Met {
+            ep: ep(server),
+            zone: 0,
+            tries,
+            lost: 0,
+            wait: s(0.1),
+            span: s(1.0),
+            load: LoadReport::default(),
+        };
+        let mut events: Vec<Event> = (0..3).map(|server| met(server, 10)).collect();
+        events.extend((tries > 0).then(|| met(3, tries)));
+        events.extend((0..4).map(|slice| Event::Demand {
+            slice,
+            method: 0,
+            rpcs: 10,
+            lost: 0,
+            span: s(1.0),
+        }));
+        a.handle(s(at), &events);
+    }
+    a
+}
+
+/// Server 0 misses the probes that are ordered at 104.1 s, and is shut out when that is found.
+fn miss_probes(a: &mut Assigner) {
+    answered_probes(a, 104.05, 0, 1.0);
+    a.next_probes = s(104.1);
+    a.handle(s(104.1), &[Event::Timer]);
+    for at in [104.8, 104.9] {
+        probed(a, at, 0, Probe::Unanswered);
+    }
+    assert!(a.slices[0].shut);
+}
+
+/// Guards against slices of a server that answers RPCs and no probe being shut out, or moved, for stretches.
+#[test]
+fn answers_since_a_missed_probe_open_a_server_with_the_first_report() {
+    let mut a = fleet_with_known_lag(0.0);
+    miss_probes(&mut a);
+    stretch(&mut a, 105.0, &[]);
+    assert!(!a.slices[0].shut);
+    assert_eq!(a.servers[0].sick, None);
+}
+
+/// Guards against slices of a silent server that stay shut, and refused, long after it could be known.
+#[test]
+fn no_answers_since_a_missed_probe_move_slices_with_the_first_report() {
+    let mut a = fleet_with_known_lag(0.0);
+    miss_probes(&mut a);
+    stretch(&mut a, 105.0, &[0]);
+    a.handle(s(105.1), &[Event::Timer]);
+    a.handle(s(105.4), &[Event::Timer]);
+    assert!(a.servers[0].sick.is_some());
+    assert!(a.slices[0].handover.is_some());
+}
+
+/// Guards against answers from before a server died being taken for its life where reports come late.
+#[test]
+fn answers_told_late_are_not_taken_for_answers_since_a_missed_probe() {
+    let mut a = fleet_with_known_lag(1.5);
+    miss_probes(&mut a);
+    stretch(&mut a, 105.0, &[]);
+    assert!(a.slices[0].shut);
+}
--- a/crates/whinhill/src/assigner/load.rs
+++ b/crates/whinhill/src/assigner/load.rs
@@ -26,6 +26,14 @@
         sums
     }
 
+    /// Work a second that we let in at each server.
+    pub(super) fn let_in_rates(&self) -> Vec<f64> {
+        let demand = self.demand();
+        let let_in: Vec<f64> =
+            demand.iter().zip(&self.slices).map(|(demand, slice)| demand * slice.let_in()).collect();
+        self.demand_by(&let_in, |slice| slice.owner.filter(|_| slice.handover.is_none()))
+    }
+
     /// Our share of all slices.
     pub(super) fn our_share(&self) -> f64 {
         self.slices.iter().filter(|s| s.ours).count() as f64 / self.slices.len().max(1) as f64
--- a/crates/whinhill/src/assigner/suspicion.rs
+++ b/crates/whinhill/src/assigner/suspicion.rs
@@ -20,8 +20,10 @@
             return false;
         }
         self.next_probes = self.now + self.cfg.period / self.probe_rounds();
-        let ready = self.servers.iter().filter(|s| s.listed == Listed::Ready);
-        self.out.extend(ready.map(|s| Order::Probe { ep: s.ep }));
+        for server in self.servers.iter_mut().filter(|s| s.listed == Listed::Ready) {
+            server.probe_ordered.get_or_insert(self.now);
+            self.out.push(Order::Probe { ep: server.ep });
+        }
         true
     }
 
@@ -41,8 +43,11 @@
 
     /// Takes a probe's result; a server that does not answer is asked again at once.
     pub(super) fn take_probe(&mut self, ep: Ep, result: Probe) {
-        let (now, probes) = (self.now, self.cfg.probes);
+        let (now, probes, period) = (self.now, self.cfg.probes, self.cfg.period);
+        let first_miss = result == Probe::Unanswered && self.server(ep).silent_since.is_none();
+        let rate = if first_miss { self.let_in_rates()[ep.index] } else { 0.0 };
         let server = self.server(ep);
+        let ordered = server.probe_ordered.take().map_or(now, |at| at.max(now.saturating_sub(period)));
         match result {
             Probe::Ok | Probe::Aborted | Probe::PushedBack => {
                 server.answer_probe(now);
@@ -50,7 +55,10 @@
             }
             Probe::Unanswered => {
                 server.unanswered += 1;
-                server.silent_since.get_or_insert(now);
+                if first_miss {
+                    (server.silent_since, server.rate_at_miss) = (Some(ordered), rate);
+                }
+                server.probe_ordered = Some(now);
                 let again = probes && server.unanswered < DEAD_AFTER && server.listed == Listed::Ready;
                 self.out.extend(again.then_some(Order::Probe { ep }));
             }
@@ -71,13 +79,20 @@
         // A path that is cut silences whole zones and leaves others as they were.
         let some_zone_answers =
             zones.values().any(|zone| zone.answered > 0 && zone.missed * 2 <= zone.answered);
-        for server in &mut self.servers {
+        let alive: Vec<bool> = self
+            .servers
+            .iter()
+            .map(|s| self.evidence(s).is_some_and(|evidence| evidence.is_alive()))
+            .collect();
+        for (server, alive) in self.servers.iter_mut().zip(alive) {
+            server.probes_mislead |= alive;
             server.misses_to_suspect = needed.max(misses_needed(server.miss_rate(self.now), chance));
             let zone = zones.get(&server.zone).copied().unwrap_or_default();
             let believed = few || some_zone_answers && zone.answered == 0;
             let misses = server.listed != Listed::Gone && server.unanswered >= server.misses_to_suspect;
             server.zone_silent = zone.answered == 0;
             server.suspected = misses && believed && !server.loaded && !server.probes_mislead;
+            server.shut_at = server.suspected.then(|| server.shut_at.unwrap_or(self.now));
         }
     }
 
--- a/crates/whinhill/src/assigner/tuning.rs
+++ b/crates/whinhill/src/assigner/tuning.rs
@@ -103,6 +103,17 @@
 pub(super) const HALF_OPEN_AFTER: Duration = Duration::from_millis(1000);
 /// The share of RPCs that do not write that is let in then. More: more are lost; less: too few answers to tell by.
 pub(super) const HALF_OPEN: f64 = 0.1;
+/// Tries of late below which a server had none of our RPCs.
+pub(super) const IDLE: f64 = 0.1;
+/// Batches of reports that are remembered.
+pub(super) const BATCHES: usize = 8;
+/// RPCs answered since a missed probe that show that the server is well, and due without an answer that it is not.
+pub(super) const ALIVE: f64 = 3.0;
+pub(super) const DEAD: f64 = 3.0;
+/// The part by which one observation moves what is known of how late reports come, and the part of a stretch by
+/// which that may be wrong.
+pub(super) const LAG_STEP: f64 = 0.3;
+pub(super) const LAG_ERROR: f64 = 0.2;
 /// Misses in a row that are always enough.
 pub(super) const MISSES_MOST: u32 = 10;
 /// Stretches of a report after which what is told of a server came about later than the probe that it missed first.
--- a/crates/whinhill/src/state.rs
+++ b/crates/whinhill/src/state.rs
@@ -68,8 +68,16 @@
     /// RPCs that wait there for each that is worked on, as reported, and when.
     pub queue: Option<(f64, Duration)>,
     pub unanswered: u32,
-    /// When the first of them was found unanswered.
+    /// When the probe under way was ordered, and the first of those that were not answered.
+    pub probe_ordered: Option<Duration>,
     pub silent_since: Option<Duration>,
+    /// RPCs a second that we let in there when it missed the first, and since when it is shut out.
+    pub rate_at_miss: f64,
+    pub shut_at: Option<Duration>,
+    /// What each of the last batches of reports told of it.
+    pub answers: VecDeque<Answers>,
+    /// When it was granted a slice and had no RPCs of ours before.
+    pub granted_idle: Option<Duration>,
     /// Probes that it answered of late, and times that it missed some and turned out well.
     pub probes_answered: Sum,
     pub probes_missed: Sum,
@@ -98,6 +106,22 @@
     pub line: f64,
 }
 
+/// Reports that came together, and the longest stretch that they cover.
+#[derive(Clone, Copy, Debug)]
+pub struct ReportBatch {
+    pub at: Duration,
+    pub span: Duration,
+}
+
+/// What one batch of reports told of a server.
+#[derive(Clone, Copy, Debug)]
+pub struct Answers {
+    /// When the batch began to come in.
+    pub at: Duration,
+    pub tries: f64,
+    pub oks: f64,
+}
+
 impl Server {
     /// The entry of a list that drops it.
     pub fn gone(&self) -> Entry {
@@ -122,6 +146,21 @@
         }
     }
 
+    /// Notes what a batch of reports told.
+    pub fn note_answers(&mut self, at: Duration, tries: u64, lost: u64, most: usize) {
+        let (tries, oks) = (tries as f64, tries.saturating_sub(lost) as f64);
+        match self.answers.back_mut().filter(|last| last.at == at) {
+            Some(last) => {
+                last.tries += tries;
+                last.oks += oks;
+            }
+            None => self.answers.push_back(Answers { at, tries, oks }),
+        }
+        if self.answers.len() > most {
+            self.answers.pop_front();
+        }
+    }
+
     /// A probe was answered: what it missed before was chance, or is over.
     pub fn answer_probe(&mut self, now: Duration) {
         if self.unanswered > 0 {
