--- a/crates/whinhill/src/assigner/tuning.rs
+++ b/crates/whinhill/src/assigner/tuning.rs
@@ -2,86 +2,83 @@
 
 use std::time::Duration;
 
-/// Share of capacity above which a server is hot (design page). Higher: waiting starts before we act.
+/// Share of capacity above which a server is hot.
 pub(super) const THRESHOLD: f64 = 0.8;
-/// Leveling starts this far above or below the average (design page). Lower: moves that don't pay.
+/// Leveling starts this far above or below the average.
 pub(super) const SKEW: f64 = 0.5;
-/// Rounds in a row that skew must last (design page). Fewer: moves after noise; more: hot slices stay.
+/// Rounds in a row that skew must last.
 pub(super) const SKEW_ROUNDS: u32 = 3;
-/// Leveling's targets, times the average load (design page).
+/// Leveling's targets, times the average load.
 pub(super) const TARGETS: [f64; 3] = [1.1, 1.3, 1.5];
-/// Hashed candidates beside the owner (design page). More: better fits, but caches go cold farther afield.
+/// Hashed candidates beside the owner.
 pub(super) const CANDIDATES: usize = 2;
-/// Part of its capacity that a full server counts as free where none has room. Less: the others get all.
+/// Part of its capacity that a full server counts as free where none has room.
 pub(super) const FREE_LEAST: f64 = 0.05;
-/// How long a moved slice stays (design page). Shorter: slices swing; longer: errors stay.
+/// How long a moved slice stays.
 pub(super) const STAY: Duration = Duration::from_secs(20);
-/// The first wait after a failed call for the list; it doubles. Shorter: the list's service stays jammed.
+/// The first wait after a failed call for the list; it doubles.
 pub(super) const ASK_AGAIN: Duration = Duration::from_millis(500);
-/// Part of an average slice that an idle one counts for on a cold server. Less: idle slices crowd there.
+/// Part of an average slice that an idle one counts for on a cold server.
 pub(super) const CROWD: f64 = 0.6;
-/// Longest ways of a message kept for taking a drained line away. Fewer: a filled channel breaks the grace.
+/// Longest ways of a message kept for taking a drained line away.
 pub(super) const DRAIN_WAYS: f64 = 1.75;
-/// Part of its room that a cold server offers (design page). More: it is pushed over.
+/// Part of its room that a cold server offers.
 pub(super) const NEW_OFFERS: f64 = 0.5;
-/// Times the free time of an answer from which answers wait. Lower: moves after noise.
+/// Times the free time of an answer from which answers wait.
 pub(super) const WAITING: f64 = 3.0;
 /// Times the middle of its peers' times of service from which a server is slow, whatever its own usual one.
-/// Lower: slow kinds of machine lose slices for nothing; higher: a server that ages is found late.
 pub(super) const SLOWER: f64 = 1.5;
-/// How often handovers, drains and calls under way are looked at. Longer: slices stay without an owner.
+/// How often handovers, drains and calls under way are looked at.
 pub(super) const TICK: Duration = Duration::from_millis(50);
-/// Parts of a period by which reports start its work early, and after which it starts alone. Else: acts late.
+/// Parts of a period by which reports start its work early, and after which it starts alone.
 pub(super) const PERIOD: (f64, f64) = (0.35, 1.25);
-/// Demand, against a server's average, that counts at the fleet's usual cost. Less: costs follow noise.
+/// Demand, against a server's average, that counts at the fleet's usual cost.
 pub(super) const PAD: f64 = 0.3;
 /// Load that the average server is taken to have where servers don't report how busy they are.
 pub(super) const USUAL: f64 = 0.5;
 /// Least part of tries served that a cold server's load is reckoned with where no capacity is learned.
-/// Lower: cold servers idle where answers are lost; higher: they are pushed over after a return.
 pub(super) const PRESSED: f64 = 0.2;
-/// Share of tries lost, and times the others' share, that make a server sick. Lower: healthy ones go.
+/// Share of tries lost, and times the others' share, that make a server sick.
 pub(super) const SICK: (f64, f64) = (0.3, 3.0);
 /// Tries (or RPCs expected) below which nothing is said about a server.
 pub(super) const ENOUGH: f64 = 6.0;
-/// Slices that a server never seen to serve may hold. More: a false list takes them; fewer: releases wait.
+/// Slices that a server never seen to serve may hold.
 pub(super) const UNPROVEN: f64 = 4.0;
-/// Stretches of a report after which an ok answer would have been told of. Less: one late report is silence.
+/// Stretches of a report after which an ok answer would have been told of.
 pub(super) const ANSWERS_OVERDUE: f64 = 1.2;
 /// RPCs due without an answer from which a server hangs, where it tells that it has taken some in meanwhile.
 pub(super) const HANGS: f64 = 2.0;
-/// How long a sick server is left alone. Shorter: slices go back to a server still sick.
+/// How long a sick server is left alone.
 pub(super) const SICK_FOR: Duration = Duration::from_secs(8);
-/// Most of the ready servers that may be held sick at a time. Higher: the rest fall over.
+/// Most of the ready servers that may be held sick at a time.
 pub(super) const SICK_MOST: f64 = 0.5;
 /// A cold server's budget: part of what topples it, most of its capacity, and a power of our share of slices
-/// (others give it some unseen). More: it topples; less: it idles while warm ones are full.
+/// (others give it some unseen).
 pub(super) const COLD: (f64, f64, f64) = (0.35, 1.3, 1.5);
 /// Parts of the backlog under which plans go out; and under which departures from sick or cold owners (levels
-/// to the start too), grants and drains start, and stop. Higher: no room for safety; lower: moves trickle.
+/// to the start too), grants and drains start, and stop.
 pub(super) const PLAN_ROOM: f64 = 0.25;
 pub(super) const LEAVE_ROOM: (f64, f64) = (0.3, 0.6);
 pub(super) const GRANT_ROOM: (f64, f64) = (0.3, 0.5);
 pub(super) const DRAIN_ROOM: (f64, f64) = (0.8, 0.9);
-/// Heads that fit between where drains start and stop, at least. Fewer: the channel carries little but heads.
+/// Heads that fit between where drains start and stop, at least.
 pub(super) const HEADS: f64 = 4.0;
 /// The channel may run this many times slower than stated, and as often again while an answer is overdue.
-/// Lower: the queue's rule is at risk; higher: where answers are lost it stays shut for long.
 pub(super) const SLOW_CHANNEL: f64 = 4.0;
 /// Mean wait, as a part of the soft deadline, at which a server counts as overloaded.
 pub(super) const LATE: f64 = 0.4;
-/// What an overloaded server is let, times what it did; and how that grows in a period without lateness, at least
-/// and at most.
+/// What an overloaded server is let, times what it did; and how that grows in a period without lateness, at
+/// least and at most.
 pub(super) const LIMIT_STEP: (f64, f64, f64) = (0.9, 1.06, 1.5);
 /// In this time a queue that makes answers late is to drain.
 pub(super) const DRAIN_QUEUE_WITHIN: Duration = Duration::from_secs(1);
-/// Stretches of a report after which a cut shows in what is told. Fewer: cut again for the same answers.
+/// Stretches of a report after which a cut shows in what is told.
 pub(super) const LIMIT_SHOWS: u32 = 2;
-/// Probes of each ready server in a period, at most. Fewer: silence is found later; more: servers work for probes.
+/// Probes of each ready server in a period, at most.
 pub(super) const PROBE_ROUNDS: u32 = 3;
 /// Probes of all assigners for each RPC, at most, as long as there is a round a period.
 pub(super) const PROBES_PER_RPC: f64 = 0.3;
-/// Probes in a row without an answer after which a server is sick. Fewer: one lost packet costs moves.
+/// Probes in a row without an answer after which a server is sick.
 pub(super) const DEAD_AFTER: u32 = 2;
 /// How long a zone whose servers all fell silent is shut out before they count as dead: broken streams of its
 /// proxies are noticed by then.
@@ -92,8 +89,7 @@
 pub(super) const BUSY: f64 = 0.9;
 /// How long slices stay at servers of a zone that is cut off, in moves: there and back.
 pub(super) const CUT_OFF_MOVES: u32 = 2;
-/// Part of the ready servers above which missed probes tell nothing of single servers. Higher: where probes are lost
-/// everywhere, servers that serve are shut out.
+/// Part of the ready servers above which missed probes tell nothing of single servers.
 pub(super) const SUSPECTED_MOST: f64 = 0.5;
 /// In this time the memory of probes that were missed by chance halves.
 pub(crate) const TRUST_HALVES: Duration = Duration::from_secs(10);
@@ -101,13 +97,14 @@
 pub(super) const FALSE_ALARMS: f64 = 0.15;
 /// How long nothing at all is let in at a suspected server: it may just be about to answer.
 pub(super) const HALF_OPEN_AFTER: Duration = Duration::from_millis(1000);
-/// The share of RPCs that do not write that is let in then. More: more are lost; less: too few answers to tell by.
+/// The share of RPCs that do not write that is let in then.
 pub(super) const HALF_OPEN: f64 = 0.1;
 /// Tries of late below which a server had none of our RPCs.
 pub(super) const IDLE: f64 = 0.1;
 /// Batches of reports that are remembered.
 pub(super) const BATCHES: usize = 8;
-/// RPCs answered since a missed probe that show that the server is well, and due without an answer that it is not.
+/// RPCs answered since a missed probe that show that the server is well, and due without an answer that it is
+/// not.
 pub(super) const ALIVE: f64 = 3.0;
 pub(super) const DEAD: f64 = 3.0;
 /// The part by which one observation moves what is known of how late reports come, and the part of a stretch by
@@ -116,5 +113,6 @@
 pub(super) const LAG_ERROR: f64 = 0.2;
 /// Misses in a row that are always enough.
 pub(super) const MISSES_MOST: u32 = 10;
-/// Stretches of a report after which what is told of a server came about later than the probe that it missed first.
+/// Stretches of a report after which what is told of a server came about later than the probe that it missed
+/// first.
 pub(crate) const REPORTS_LAG: u32 = 3;
