--- a/crates/whinhill/src/assigner/evacuation.rs
+++ b/crates/whinhill/src/assigner/evacuation.rs
@@ -62,17 +62,26 @@
     }
 
     /// The same, or where no server has room any that is ready, by weighted rendezvous hashing: slices of all
-    /// assigners spread as capacity is free, though none knows what the others move. Levels let in what each can do.
+    /// assigners spread as capacity is free, though none knows what the others move. Levels let in what each can do;
+    /// where there are none to hold a cold server to its budget, the least loaded warm one.
     pub(super) fn destination(&self, id: SliceId, view: &View) -> Option<usize> {
-        let unfit = |i: &usize| (!takes_slices(&self.servers[*i]), !self.servers[*i].proven);
+        let spreads = self.cfg.admission == Admission::Share;
+        let unfit = |i: &usize| {
+            let server = &self.servers[*i];
+            (!takes_slices(server), !server.proven || !spreads && self.cold(*i))
+        };
         let score = |i: &usize| {
             let server = &self.servers[*i];
-            let free = (1.0 - view.loads[*i].max(view.own[*i])).max(FREE_LEAST);
+            let load = view.loads[*i].max(view.own[*i]);
+            if !spreads {
+                return load + self.add(view, id, *i);
+            }
+            let free = (1.0 - load).max(FREE_LEAST);
             let draw = (server.ep.weight(id) as f64 + 1.0) / (u64::MAX as f64 + 2.0);
             -draw.ln() / (free * self.ramp(server) * server.size)
         };
-        let spread = |a: &usize, b: &usize| unfit(a).cmp(&unfit(b)).then(score(a).total_cmp(&score(b)));
-        self.candidate(id, view).or_else(|| self.others(id).min_by(spread))
+        let best = |a: &usize, b: &usize| unfit(a).cmp(&unfit(b)).then(score(a).total_cmp(&score(b)));
+        self.candidate(id, view).or_else(|| self.others(id).min_by(best))
     }
 }
 
--- a/crates/whinhill/src/assigner/evacuation/tests.rs
+++ b/crates/whinhill/src/assigner/evacuation/tests.rs
@@ -66,3 +66,14 @@
     assert_eq!(granted.len(), LEAVING / ASSIGNERS);
     assert!(granted.iter().any(|server| *server != WARM), "{granted:?}");
 }
+
+/// Guards against cold servers that are pushed over where no level holds them to their budgets.
+#[test]
+fn without_levels_slices_that_fit_nowhere_stay_away_from_cold_servers() {
+    for admission in [Admission::Off, Admission::Rate] {
+        let mut assigner = one_of_five(0);
+        assigner.cfg.admission = admission;
+        let granted = drained(&mut assigner);
+        assert_eq!(granted, [WARM; LEAVING / ASSIGNERS], "{admission:?}");
+    }
+}
