Let in at cold servers what was sent there before, not what was just granted

The budget starts from what reports tell was sent there now, and adds a part of what is left: the root of our share of slices, since seldom do all take some at once.

--- a/crates/whinhill/src/assigner/admission.rs
+++ b/crates/whinhill/src/assigner/admission.rs
@@ -42,14 +42,15 @@
         (1.0 - too_long / DRAIN_QUEUE_WITHIN.as_secs_f64()).max(0.0)
     }
 
-    /// Load that our slices may be let bring a cold server that reports how busy it is, and what we let in there now.
-    /// What others bring shows in the report: each assigner takes its share of what is left, and all cut alike what
-    /// is too much.
+    /// Load that our slices may be let bring a cold server that reports how busy it is, and what of ours was sent
+    /// there. What others bring shows in the report: all cut alike what is too much, and each takes a part of what
+    /// is left.
     pub(super) fn cold_budget_by_report(&self, report: Option<(f64, f64)>) -> f64 {
         let unseen = self.cold_budget();
-        let Some((cpu, let_in)) = report else { return unseen };
+        let Some((cpu, sent)) = report else { return unseen };
         let left = THRESHOLD - cpu;
-        let seen = if left >= 0.0 { let_in + left * self.our_share() } else { let_in * THRESHOLD / cpu };
+        let part = self.our_share().powf(COLD_LEFT);
+        let seen = if left >= 0.0 { sent + left * part } else { sent * THRESHOLD / cpu };
         seen.max(unseen)
     }
 
--- a/crates/whinhill/src/assigner/admission/tests.rs
+++ b/crates/whinhill/src/assigner/admission/tests.rs
@@ -58,3 +58,16 @@
     let told = &assigner.slices[0].told;
     assert!(told.iter().all(|share| *share >= 0.95), "{told:?}");
 }
+
+/// Guards against a cold server that is pushed over by slices that were granted after its last report.
+#[test]
+fn what_was_just_granted_to_a_cold_server_is_let_in_only_in_part() {
+    let mut assigner = fleet(2, &[(0, 20.0), (1, 40.0)]);
+    assigner.servers[0].cpu = Some((0.5, assigner.now));
+    assigner.servers[1].cpu = Some((0.1, assigner.now));
+    assigner.servers[1].started = Some(assigner.now);
+    let offered = assigner.view().own[1];
+    assigner.draw_lines();
+    let let_in = offered * (1.0 - assigner.servers[1].shut_out);
+    assert!(offered > COLD.1 && let_in <= COLD.1, "{let_in:.2} of {offered:.2}");
+}
--- a/crates/whinhill/src/assigner/load.rs
+++ b/crates/whinhill/src/assigner/load.rs
@@ -108,8 +108,10 @@
             let (part, most) =
                 if ramp < 1.0 { (NEW_OFFERS, self.cold_budget() - crowd) } else { (1.0, f64::MAX) };
             let room = ((THRESHOLD / ramp - load) * part * share).clamp(0.0, most.max(0.0));
-            let busy = told(server).map(|cpu| (cpu, let_in * unit / ramp));
-            view.cold_budgets.push(self.cold_budget_by_report(busy));
+            // What has just been granted does not show in the report.
+            let sent = server.tries.rate(now, self.half).min(let_in);
+            let report = told(server).map(|cpu| (cpu, sent * unit / ramp));
+            view.cold_budgets.push(self.cold_budget_by_report(report));
             view.own.push(own);
             view.loads.push(load);
             view.units.push(unit / ramp);
--- a/crates/whinhill/src/assigner/tuning.rs
+++ b/crates/whinhill/src/assigner/tuning.rs
@@ -55,6 +55,9 @@
 /// A cold server's budget: part of what topples it, most of its capacity, and a power of our share of slices
 /// (others give it some unseen).
 pub(super) const COLD: (f64, f64, f64) = (0.35, 1.3, 1.5);
+/// The power of our share of slices by which an assigner takes what a cold server reports to be left: seldom do
+/// all take some at once.
+pub(super) const COLD_LEFT: f64 = 0.5;
 /// Parts of the backlog under which plans go out; and under which departures from sick or cold owners (levels
 /// to the start too), grants and drains start, and stop.
 pub(super) const PLAN_ROOM: f64 = 0.25;
