--- a/crates/whinhill/src/assigner/health.rs
+++ b/crates/whinhill/src/assigner/health.rs
@@ -88,12 +88,15 @@
         let sum = |f: fn(&Server) -> &Sum| -> f64 { self.servers.iter().map(|s| f(s).read(now, half)).sum() };
         let (all_tries, all_lost) = (sum(|s| &s.tries), sum(|s| &s.lost));
         let expected = self.let_in_rates();
-        // Whether reports come, as far as some are due: of servers without slices of ours nothing is heard.
+        // Whether reports come of most servers, and of most from which some are due: of those without slices of ours
+        // nothing is heard.
         let answers_due = |expected: &f64| expected * half.as_secs_f64() >= 1.0;
         let due: Vec<&Server> =
             self.servers.iter().zip(&expected).filter(|(_, due)| answers_due(due)).map(|(s, _)| s).collect();
-        let heard = due.iter().filter(|s| now < s.last_ok + half * 2).count();
-        let reports_come = heard > 0 && heard * 2 >= due.len();
+        let is_heard = |server: &&Server| now < server.last_ok + half * 2;
+        let heard_of_due = due.iter().copied().filter(is_heard).count();
+        let some_come = heard_of_due > 0 && heard_of_due * 2 >= due.len();
+        let most_come = self.servers.iter().filter(is_heard).count() * 2 > self.ready().count();
         let limit = LATE * self.cfg.mean_soft;
         let queue_waits: Vec<f64> =
             self.servers.iter().map(|server| self.queue_wait(server).unwrap_or(0.0)).collect();
@@ -110,11 +113,11 @@
             let busy = server.cpu.is_some_and(|(cpu, at)| cpu > BUSY && now < at + half * 3);
             let loaded = (late || slow || busy) && silence < half * 2;
             let aborts = tries >= ENOUGH && share > SICK.0.max(SICK.1 * others) && !loaded;
-            let quiet = silence > half * 2 && reports_come;
+            let quiet = silence > half * 2 && most_come;
             let due = expected * silence.as_secs_f64();
-            let overdue = silence > half.mul_f64(ANSWERS_OVERDUE) && reports_come;
-            let hangs = due > HANGS && server.taken_in(now, half * 3) > ENOUGH;
-            let silent = overdue && (due > 2.0 * ENOUGH || hangs);
+            let overdue = silence > half.mul_f64(ANSWERS_OVERDUE);
+            let hangs = due > HANGS && server.takes_in(now, half * 3, ENOUGH);
+            let silent = overdue && (most_come && due > 2.0 * ENOUGH || some_come && hangs);
             Symptoms { tries, share, others, silence, wait, late, slow, loaded, aborts, quiet, silent }
         };
         self.servers.iter_mut().zip(expected).zip(queue_waits).map(find).collect()
--- a/crates/whinhill/src/assigner/health/tests.rs
+++ b/crates/whinhill/src/assigner/health/tests.rs
@@ -429,15 +429,17 @@
     assert!(a.servers[1..].iter().all(|server| server.sick.is_none()));
 }
 
-/// Guards against an assigner that hears of few servers, since it has few slices, and believes of none that it hangs.
+/// Guards against an assigner that hears of few servers, since it has few slices, and believes of none that it hangs
+/// though the server tells so.
 #[test]
 fn servers_without_slices_do_not_hide_that_one_is_silent() {
     let mut a = probed_fleet(9);
     a.slices[3..].iter_mut().for_each(|slice| *slice = Slice::default());
     stretch(&mut a, 101.0, &[]);
+    answered_probes(&mut a, 101.1, 0, 1.0);
     for at in [102.0, 103.0, 104.0] {
         stretch(&mut a, at, &[0]);
-        answered_probes(&mut a, at + 0.4, 0, 1.0);
+        answered_probes(&mut a, at + 0.4, 0, (at - 101.0) * 10.0);
     }
     assert!(a.servers[0].sick.is_some());
     assert!(a.servers[1..].iter().all(|server| server.sick.is_none()));
--- a/crates/whinhill/src/state.rs
+++ b/crates/whinhill/src/state.rs
@@ -189,10 +189,11 @@
         tries >= enough && lost < share * tries
     }
 
-    /// RPCs that have been taken in since an ok answer was told of last, as reported lately.
-    pub fn taken_in(&self, now: Duration, fresh: Duration) -> f64 {
+    /// Whether it has taken in RPCs since an ok answer was told of last, as reported lately: so many, and as many as it
+    /// held then.
+    pub fn takes_in(&self, now: Duration, fresh: Duration, most: f64) -> bool {
         let in_hand = self.in_hand.filter(|(_, at)| now < *at + fresh);
-        in_hand.map_or(0.0, |(in_hand, _)| (in_hand - self.in_hand_at_ok).max(0.0))
+        in_hand.is_some_and(|(in_hand, _)| in_hand - self.in_hand_at_ok > most.max(self.in_hand_at_ok))
     }
 
     /// Mean wait of an ok answer in seconds.
