Have sabotaged proxies ignore levels that shut reads out, too

The sabotage ignored levels between none and all; a queue that grows all the same is answered by a level of none now, which sabotaged proxies obeyed, so nothing was left to be found. They ignore every level but those that stop writes, which handovers need. The test's checks are as they were.

--- a/crates/whinhill-standins/src/platform/world.rs
+++ b/crates/whinhill-standins/src/platform/world.rs
@@ -185,7 +185,7 @@
     TwoWriters,
     /// Ends of lines, and levels, of slices at silent servers are lost on their way to the proxies.
     LostEnds,
-    /// Levels between none and all are ignored.
+    /// Levels are ignored, but for those that stop writes.
     IgnoredLevels,
     /// Proxies send everything to the server that started last.
     ColdRush,
@@ -493,11 +493,11 @@
                     if lost {
                         continue;
                     }
-                    let ignored = self.sabotage == Some(Sabotage::IgnoredLevels) && share > 0.0;
-                    let share = if ignored { 1.0 } else { share };
+                    let ignores = self.sabotage == Some(Sabotage::IgnoredLevels);
                     for (number, level) in self.tables[proxy][slice].levels.iter_mut().enumerate() {
                         if class.is_none_or(|class| class == number) && !kept {
-                            *level = share;
+                            let ignored = ignores && (share > 0.0 || !CLASSES[number].writes);
+                            *level = if ignored { 1.0 } else { share };
                         }
                     }
                 }
