--- a/crates/whinhill-node/src/report.rs
+++ b/crates/whinhill-node/src/report.rs
@@ -117,11 +117,26 @@
             "status"
         );
         self.longest_pause = Duration::ZERO;
+        self.report_handovers();
         self.report_answers();
         self.counts.log();
         self.deadlines.set(Due::Status, self.clock.now() + STATUS_EVERY);
     }
 
+    /// Slices whose owners change, and for whom they wait.
+    fn report_handovers(&self) {
+        let handovers = self.assigner.handovers();
+        info!(
+            under_way = handovers.under_way,
+            without_line = handovers.without_line,
+            without_line_ms = handovers.without_line_for.as_millis() as u64,
+            awaited = ?handovers.awaited,
+            granted = handovers.granted,
+            longest_ms = handovers.longest.as_millis() as u64,
+            "handovers"
+        );
+    }
+
     /// Requests against answers, and how long answers took since the last such line.
     fn report_answers(&mut self) {
         let oldest = self.connections.iter().filter_map(|(_, c)| c.answers.oldest()).min();
--- a/crates/whinhill/src/assigner.rs
+++ b/crates/whinhill/src/assigner.rs
@@ -12,7 +12,8 @@
 use crate::interface::*;
 use crate::settings::{Admission, Config, Method};
 use crate::state::{
-    middle, Channel, Following, Handover, Move, Plan, Proxy, ReportBatch, Server, Slice, Sum, Symptoms, View,
+    middle, Channel, Following, Handover, Heard, Move, Plan, Proxy, ReportBatch, Server, Slice, Sum,
+    Symptoms, View,
 };
 
 mod admission;
@@ -58,6 +59,9 @@
     list: Following,
     plan: Plan,
     channel: Channel,
+    /// Handovers that ended with a grant, and the longest that one took.
+    granted: u64,
+    longest_handover: Duration,
     out: Vec<Order>,
 }
 
@@ -82,6 +86,8 @@
             list: Following::default(),
             plan: Plan::default(),
             channel: Channel::default(),
+            granted: 0,
+            longest_handover: Duration::ZERO,
             out: Vec::new(),
         })
     }
@@ -154,6 +160,7 @@
                 for handover in self.slices.iter_mut().filter_map(|s| s.handover.as_mut()) {
                     if handover.awaits.get(proxy).is_some_and(Option::is_some) {
                         handover.awaits.remove(proxy);
+                        handover.last_heard = Some((*proxy, Heard::Left(self.now)));
                         handover.quiet = handover.quiet.max(self.now + self.cfg.lease);
                     }
                 }
@@ -168,7 +175,15 @@
                 self.slices[*slice] = Slice {
                     ours: true,
                     given: self.now,
-                    handover: Some(Handover { awaits, ordered: self.now, quiet, cut: true, to: None }),
+                    handover: Some(Handover {
+                        awaits,
+                        ordered: self.now,
+                        quiet,
+                        cut: true,
+                        began: self.now,
+                        cut_at: Some(self.now),
+                        ..Handover::default()
+                    }),
                     stays: self.now + self.cfg.lease + self.cfg.settle,
                     told: vec![1.0; self.cfg.methods.len()],
                     ..Slice::default()
--- a/crates/whinhill/src/assigner/handover.rs
+++ b/crates/whinhill/src/assigner/handover.rs
@@ -14,7 +14,14 @@
         let joined = self.proxies.iter().filter(|(_, p)| p.joined && self.cfg.guarded);
         let awaits = joined.map(|(id, _)| (*id, Some(mark)));
         let quiet = absent.unwrap_or_default().max(self.unheard_until(self.slices[id].given));
-        let handover = Handover { awaits: awaits.collect(), ordered: self.now, quiet, cut: false, to };
+        let handover = Handover {
+            awaits: awaits.collect(),
+            ordered: self.now,
+            quiet,
+            to,
+            began: self.now,
+            ..Handover::default()
+        };
         self.slices[id].handover = Some(handover);
         // Where levels are not followed, only the line's end stops writes.
         if cut || self.cfg.admission == Admission::Off {
@@ -35,7 +42,7 @@
 
     pub(super) fn cut(&mut self, id: SliceId) {
         let Slice { handover: Some(handover), owner: Some(owner), .. } = &mut self.slices[id] else { return };
-        handover.cut = true;
+        (handover.cut, handover.cut_at) = (true, Some(self.now));
         self.out.push(Order::Revoke { slice: id, ep: self.servers[*owner].ep });
     }
 
@@ -72,6 +79,7 @@
             let awaited = handover.awaits.get_mut(&proxy).filter(|m| m.is_some_and(|m| m <= mark));
             if let Some(awaited) = awaited {
                 *awaited = None;
+                handover.last_heard = Some((proxy, Heard::Answer(self.now)));
                 handover.quiet = handover.quiet.max(self.now.min(handover.ordered + way));
             }
         }
@@ -106,6 +114,7 @@
     }
 
     pub(super) fn grant(&mut self, id: SliceId, to: usize) {
+        self.note_granted(id, to);
         let slice = &mut self.slices[id];
         let cut = slice.handover.take().is_some_and(|h| h.cut);
         let former = slice.owner.filter(|o| *o != to && !cut);
--- a/crates/whinhill/src/assigner/shown.rs
+++ b/crates/whinhill/src/assigner/shown.rs
@@ -2,6 +2,11 @@
 
 use super::*;
 
+/// A handover that took longer is logged with its grant.
+const LOGGED_FROM: Duration = Duration::from_secs(1);
+/// Proxies that a summary names at most.
+const AWAITED_MOST: usize = 5;
+
 /// Slices that leave, by their owner and where they go.
 pub(super) type Departures = BTreeMap<(usize, Option<usize>), Vec<SliceId>>;
 
@@ -22,6 +27,55 @@
         self.slices.get(slice).is_some_and(|s| s.handover.is_some())
     }
 
+    /// The handovers under way, and what has ended.
+    pub fn handovers(&self) -> HandoverSummary {
+        let mut under_way: Vec<&Handover> = self.slices.iter().filter_map(|s| s.handover.as_ref()).collect();
+        under_way.sort_by_key(|handover| handover.began);
+        let mut awaited = Vec::new();
+        for (proxy, mark) in under_way.iter().flat_map(|handover| &handover.awaits) {
+            if mark.is_some() && !awaited.contains(proxy) && awaited.len() < AWAITED_MOST {
+                awaited.push(*proxy);
+            }
+        }
+        let cut: Vec<Duration> = under_way.iter().filter_map(|handover| handover.cut_at).collect();
+        HandoverSummary {
+            under_way: under_way.len(),
+            without_line: cut.len(),
+            without_line_for: cut.iter().min().map_or(Duration::ZERO, |at| self.now.saturating_sub(*at)),
+            awaited,
+            granted: self.granted,
+            longest: self.longest_handover,
+        }
+    }
+
+    /// Counts a handover that ends with a grant, and logs one that took long: what was waited for last.
+    pub(super) fn note_granted(&mut self, slice: SliceId, to: usize) {
+        let Some(handover) = &self.slices[slice].handover else { return };
+        let (now, began) = (self.now, handover.began);
+        let took = now.saturating_sub(began);
+        self.granted += 1;
+        self.longest_handover = self.longest_handover.max(took);
+        if took <= LOGGED_FROM {
+            return;
+        }
+        let last = match handover.last_heard {
+            Some((proxy, Heard::Answer(at))) => {
+                format!("proxy {proxy} answered last, after {:.1?}", at.saturating_sub(began))
+            }
+            Some((proxy, Heard::Left(at))) => {
+                format!("proxy {proxy} left, after {:.1?}", at.saturating_sub(began))
+            }
+            None => "no answer was awaited".to_string(),
+        };
+        let unheard = handover.awaits.values().filter(|mark| mark.is_some()).count();
+        let without_line = handover.cut_at.map_or(Duration::ZERO, |at| now.saturating_sub(at));
+        let from = self.slices[slice].owner.map_or("none".to_string(), |owner| owner.to_string());
+        let text = format!(
+            "slice {slice} granted from {from} to {to} after {took:.1?}, {without_line:.1?} without a line: {last}; {unheard} unheard"
+        );
+        self.out.push(Order::Log { text });
+    }
+
     /// What is believed of each server's load, for whoever asks: a part of its capacity.
     pub fn loads(&self) -> Vec<f64> {
         self.view().loads
--- a/crates/whinhill/src/interface.rs
+++ b/crates/whinhill/src/interface.rs
@@ -154,6 +154,20 @@
     Gone,
 }
 
+/// Handovers that are under way, for whoever asks.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct HandoverSummary {
+    pub under_way: usize,
+    /// Slices without a line, and for how long the first of them has had none.
+    pub without_line: usize,
+    pub without_line_for: Duration,
+    /// Proxies whose answers are awaited, those of the oldest handover first.
+    pub awaited: Vec<ProxyId>,
+    /// Handovers that ended with a grant, and the longest that one took.
+    pub granted: u64,
+    pub longest: Duration,
+}
+
 impl Event {
     /// The stretch of time that a report covers.
     pub fn span(&self) -> Option<Duration> {
--- a/crates/whinhill/src/state.rs
+++ b/crates/whinhill/src/state.rs
@@ -245,6 +245,19 @@
     /// The owner's line is taken away, so reads have stopped too.
     pub cut: bool,
     pub to: Option<usize>,
+    /// When writes were stopped, and when the line was taken away; a slice that comes without one never had it.
+    pub began: Duration,
+    pub cut_at: Option<Duration>,
+    /// The proxy that was waited for last, and what ended the wait.
+    pub last_heard: Option<(ProxyId, Heard)>,
+}
+
+/// What ended a handover's wait for a proxy's answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Heard {
+    Answer(Duration),
+    /// Its stream broke.
+    Left(Duration),
 }
 
 /// One that is not ours has neither owner nor handover.
