--- a/crates/whinhill-standins/src/platform.rs
+++ b/crates/whinhill-standins/src/platform.rs
@@ -21,8 +21,10 @@
 mod servers;
 mod silence;
 pub mod soak;
+pub mod streams;
 mod tally;
 mod traffic;
 mod world;
+mod writers;
 
 pub use world::Sabotage;
--- a/crates/whinhill-standins/src/platform/relay.rs
+++ b/crates/whinhill-standins/src/platform/relay.rs
@@ -52,7 +52,7 @@
     let mut text = "OK\r\n".to_string();
     {
         let mut world = world.lock();
-        for proxy in 0..PROXIES {
+        for proxy in (0..PROXIES).filter(|proxy| !world.streams[*proxy][node].left).collect::<Vec<_>>() {
             let zone = ZONES[proxy % ZONES.len()];
             text.push_str(&format!("* hello {proxy} {zone} 5.0 0\r\n"));
         }
@@ -100,14 +100,14 @@
             }
             Effect::Line { slice, server } => world.order_line(slice, server),
             Effect::Level { slice, class, share } => world.order_level(slice, class, share),
-            Effect::Mark { .. } => {}
+            Effect::Mark { mark, .. } => world.nodes[node].last_mark = Some(mark),
         }
         effects.push(effect);
     }
     let now = world.now();
     let times = if world.sabotage == Some(Sabotage::RepeatedOrders) { REPEATED } else { 1 };
     (0..times).for_each(|_| world.nodes[node].channel.call(now, effects.len()));
-    world.send(&effects);
+    world.send(node, &effects);
     taken
 }
 
--- a/crates/whinhill-standins/src/platform/soak.rs
+++ b/crates/whinhill-standins/src/platform/soak.rs
@@ -202,6 +202,10 @@
             | Action::LateLists { node, .. }
             | Action::Crowd { node, .. }
             | Action::Pieces { node, .. } => self.nodes[*node].act(now, action),
+            Action::Streams { node, trouble, time } => {
+                self.world.lock().trouble_streams(*node, *trouble, *time);
+                Ok(())
+            }
             Action::TroubledReports { node, by, time } => {
                 self.reporting.trouble(*node, now + *time, *by);
                 Ok(())
@@ -224,6 +228,7 @@
         broken.append(&mut requests.broken);
         broken.append(&mut shares.broken);
         broken.append(&mut self.traffic.cold.broken);
+        broken.append(&mut self.traffic.writers.broken);
         broken.extend(self.backlogs());
         broken.sort_by_key(|broken| broken.at_ms);
         let starts = self.nodes.iter().map(|node| node.starts).sum();
--- a/crates/whinhill-standins/src/platform/traffic.rs
+++ b/crates/whinhill-standins/src/platform/traffic.rs
@@ -11,7 +11,9 @@
 use super::oracle::Oracle;
 use super::page::{HOLD, PROXIES, SLICES, ZONES};
 use super::plane::{DataPlane, Plane, Rpc, Step};
+use super::streams::State;
 use super::world::World;
+use super::writers::WriterAudit;
 
 /// RPCs a second, of all classes and slices.
 const RATE: f64 = 240.0;
@@ -72,6 +74,7 @@
     answers: Vec<Returning>,
     oracle: Oracle,
     pub cold: ColdAudit,
+    pub writers: WriterAudit,
     pub judged: DataPlane,
     pub reference: DataPlane,
     /// Windows have started.
@@ -89,6 +92,7 @@
             answers: Vec::new(),
             oracle: Oracle::new(seed),
             cold: ColdAudit::default(),
+            writers: WriterAudit::default(),
             judged: DataPlane::new(Plane::Judged),
             reference: DataPlane::new(Plane::Reference),
             counts: false,
@@ -149,11 +153,17 @@
         if matches!(step, Step::Held) {
             return;
         }
+        if let Step::Sent { server, took, .. } = step {
+            self.cold.sent(world, &rpc, server);
+            self.writers.sent(world, &rpc, server, took);
+        }
+        if world.streams[rpc.proxy][node].state == State::Lost {
+            return;
+        }
         let demand = self.sums[node].demand.entry((rpc.slice, rpc.class)).or_default();
         demand.count += 1;
         demand.fail += u64::from(matches!(step, Step::Refused));
         if let Step::Sent { server, took, failed } = step {
-            self.cold.sent(world, &rpc, server);
             let key = (rpc.proxy % ZONES.len(), server);
             self.answers.push(Returning { at: world.now() + took, node, key, failed, took });
         }
