--- a/crates/whinhill-standins/src/platform/audit.rs
+++ b/crates/whinhill-standins/src/platform/audit.rs
@@ -45,12 +45,19 @@
     pub what: String,
 }
 
+/// A draining or gone server at which a proxy has a line, and for how long the time limit has run.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Leaving {
+    server: Option<usize>,
+    time: Duration,
+}
+
 /// What the tables have shown so far.
 pub struct TableAudit {
     last: Duration,
     /// By slice and proxy, for how long its time limits have run.
     empty: Vec<Vec<Duration>>,
-    drain: Vec<Vec<Duration>>,
+    drain: Vec<Vec<Leaving>>,
     pub broken: Vec<Broken>,
 }
 
@@ -59,7 +66,7 @@
         TableAudit {
             last: Duration::ZERO,
             empty: vec![vec![Duration::ZERO; PROXIES]; SLICES],
-            drain: vec![vec![Duration::ZERO; PROXIES]; SLICES],
+            drain: vec![vec![Leaving::default(); PROXIES]; SLICES],
             broken: Vec::new(),
         }
     }
@@ -74,8 +81,8 @@
         let has_warm = world.has_warm_server();
         for slice in 0..SLICES {
             let Some(holder) = world.slices[slice].holder else {
-                (self.empty[slice], self.drain[slice]) =
-                    (vec![Duration::ZERO; PROXIES], vec![Duration::ZERO; PROXIES]);
+                self.empty[slice].fill(Duration::ZERO);
+                self.drain[slice].fill(Leaving::default());
                 continue;
             };
             let node = &world.nodes[holder];
@@ -113,17 +120,17 @@
             let told = change.is_some_and(|change| now >= world.told_at(holder, change));
             let leaving = server.filter(|server| world.servers[*server].status != Status::Ready && told);
             let drain = &mut self.drain[slice][proxy];
-            match leaving {
-                None => *drain = Duration::ZERO,
-                Some(_) if now < world.slices[slice].given_at || !runs => {}
-                Some(_) => *drain += passed,
+            if drain.server != leaving {
+                *drain = Leaving { server: leaving, time: Duration::ZERO };
+            } else if leaving.is_some() && now >= world.slices[slice].given_at && runs {
+                drain.time += passed;
             }
-            late = late.or(leaving.filter(|_| *drain > STOP_SENDING_WITHIN + SLACK));
+            late = late.or(leaving.filter(|_| drain.time > STOP_SENDING_WITHIN + SLACK));
         }
         if let Some(server) = late {
             let name = &world.servers[server].name;
             self.break_rule(world, Rule::Drain, format!("slice {slice} of n{holder} stays at {name}"));
-            self.drain[slice].fill(Duration::ZERO);
+            self.drain[slice].fill(Leaving::default());
         }
     }
 
--- a/crates/whinhill-standins/src/platform/world.rs
+++ b/crates/whinhill-standins/src/platform/world.rs
@@ -463,8 +463,9 @@
         let epochs: Vec<(Effect, u64)> = effects.iter().map(|effect| (*effect, epoch(effect))).collect();
         for proxy in 0..PROXIES {
             let way = draw_way(&mut self.random);
-            // Orders reach a proxy in the order in which they were sent.
-            let last = self.travelling.iter().rev().find(|t| t.proxy == proxy).map_or(now, |t| t.due);
+            // Orders of one assigner reach a proxy in the order in which they were sent.
+            let before = self.travelling.iter().rev().find(|t| t.proxy == proxy && t.node == node);
+            let last = before.map_or(now, |t| t.due);
             let stream = self.streams[proxy][node];
             // What is sent before it has read the store it takes in after that.
             let due = (now + way).max(last).max(stream.reads_at.unwrap_or_default());
