Bound a handover's wait for proxies that do not answer, by their write leases

Callers saw slices without an owner for as long as one proxy did not answer: the line is taken away from all proxies, and given back only once each has answered. One that was silent, or whose answer was lost, held it for ever; one that left, or left again, for a lease from each time we heard of it.

A proxy that has not answered has lost its stream before the stop could arrive, or has applied it. So it writes no longer than a lease after the stop's latest arrival, whatever it does then. By when the stop has left the channel follows from the first answer by anybody; without any the grant waits as before. A proxy that comes back starts no second lease, and where answers are missing all are asked again.

Now within twice transitMax, writeLease and inFlightMax (6.9 s in the test's settings).

--- a/crates/whinhill/src/assigner.rs
+++ b/crates/whinhill/src/assigner.rs
@@ -12,8 +12,8 @@
 use crate::interface::*;
 use crate::settings::{Admission, Config, Method};
 use crate::state::{
-    middle, Channel, Following, Handover, Heard, Move, Plan, Proxy, ReportBatch, Server, Slice, Sum,
-    Symptoms, View,
+    middle, Answer, Awaited, Channel, Following, Handover, Heard, Move, Plan, Proxy, ReportBatch, Server,
+    Slice, Sum, Symptoms, View,
 };
 
 mod admission;
@@ -122,6 +122,7 @@
         if now >= self.channel.wake && self.has_room(0.5) {
             self.tell_joined();
         }
+        self.ask_again();
         self.evacuate();
         self.advance();
         self.run_batches();
@@ -154,21 +155,12 @@
                 self.take_load(*ep, load);
             }
             Event::Joined { proxy, zone } => self.join(*proxy, *zone),
-            Event::Left { proxy } => {
-                let zone = self.proxies.get(proxy).map_or(usize::MAX, |p| p.zone);
-                self.proxies.insert(*proxy, Proxy { zone, joined: false, since: self.now });
-                for handover in self.slices.iter_mut().filter_map(|s| s.handover.as_mut()) {
-                    if handover.awaits.get(proxy).is_some_and(Option::is_some) {
-                        handover.awaits.remove(proxy);
-                        handover.last_heard = Some((*proxy, Heard::Left(self.now)));
-                        handover.quiet = handover.quiet.max(self.now + self.cfg.lease);
-                    }
-                }
-            }
+            Event::Left { proxy } => self.leave(*proxy),
             Event::Acked { proxy, mark, way } => self.acked(*proxy, *mark, *way),
             Event::Given { slice } => {
                 let joined = self.proxies.iter().filter(|(_, p)| p.joined && self.cfg.guarded);
-                let awaits = joined.map(|(id, _)| (*id, Some(u64::MAX))).collect();
+                let untold = Awaited { answer: Answer::Untold, lease_ends: None };
+                let awaits = joined.map(|(id, _)| (*id, untold)).collect();
                 // Its line may still be told.
                 let line = self.now + self.cfg.way_most;
                 let quiet = if self.cfg.guarded { self.unheard_until(self.now) } else { line };
--- a/crates/whinhill/src/assigner/channel.rs
+++ b/crates/whinhill/src/assigner/channel.rs
@@ -16,6 +16,11 @@
         (orders as f64 + self.cfg.head) * self.joined() as f64
     }
 
+    /// How long so many lines take to leave at the slowest pace that is reckoned with.
+    pub(super) fn longest_wait(&self, lines: f64) -> Duration {
+        Duration::from_secs_f64(lines * SLOW_CHANNEL * SLOW_CHANNEL / self.cfg.lines_per_s)
+    }
+
     pub(super) fn joined(&self) -> usize {
         self.proxies.values().filter(|p| p.joined).count()
     }
@@ -27,6 +32,7 @@
         let filled = self.out.iter().any(Order::costs_a_line) && !self.has_room(PLAN_ROOM);
         if std::mem::take(&mut self.channel.mark_wanted) || filled {
             self.channel.marks += 1;
+            self.channel.marked_at = now;
             self.out.push(Order::Mark { mark: (self.channel.marks & 0xffff) as u16 });
         }
         // An overdue answer tells that more waits than was reckoned: all that is not answered, at most.
--- a/crates/whinhill/src/assigner/handover.rs
+++ b/crates/whinhill/src/assigner/handover.rs
@@ -10,15 +10,19 @@
         }
         let (mark, lease) = (self.channel.marks + 1, self.cfg.lease);
         (self.channel.mark_wanted, self.channel.due) = (true, self.channel.due + 1);
-        let absent = self.proxies.values().filter(|p| !p.joined).map(|p| p.since + lease).max();
-        let joined = self.proxies.iter().filter(|(_, p)| p.joined && self.cfg.guarded);
-        let awaits = joined.map(|(id, _)| (*id, Some(mark)));
-        let quiet = absent.unwrap_or_default().max(self.unheard_until(self.slices[id].given));
+        let guarded = self.cfg.guarded;
+        let due = Awaited { answer: Answer::Due(mark), lease_ends: None };
+        let away = |since| Awaited { answer: Answer::Away, lease_ends: Some(since + lease) };
+        let awaited = |p: &Proxy| if p.joined { due } else { away(p.since) };
+        let awaits = self.proxies.iter().filter(|_| guarded).map(|(id, p)| (*id, awaited(p)));
+        let awaits = awaits.filter(|(_, awaited)| awaited.lease_ends.is_none_or(|end| end > self.now));
+        let quiet = self.unheard_until(self.slices[id].given);
         let handover = Handover {
             awaits: awaits.collect(),
             ordered: self.now,
             quiet,
             to,
+            stop_mark: mark,
             began: self.now,
             ..Handover::default()
         };
@@ -46,14 +50,33 @@
         self.out.push(Order::Revoke { slice: id, ep: self.servers[*owner].ep });
     }
 
-    /// A proxy that joins holds what it held; it must hear of every handover under way before the grant.
+    /// A proxy that joins holds what it held; it must hear of every handover under way before the grant, unless its
+    /// lease ends sooner.
     pub(super) fn join(&mut self, proxy: ProxyId, zone: ZoneId) {
         self.proxies.insert(proxy, Proxy { zone, joined: true, since: self.now });
         self.channel.tuned = None;
         let owned = self.slices.iter_mut().filter(|s| s.owner.is_some() && self.cfg.guarded);
         for handover in owned.filter_map(|s| s.handover.as_mut()) {
-            if !handover.cut || handover.awaits.get(&proxy) != Some(&None) {
-                handover.awaits.insert(proxy, Some(u64::MAX));
+            let known = handover.awaits.get(&proxy);
+            let has_answered = known.is_some_and(|awaited| awaited.answer == Answer::Given);
+            if !handover.cut || !has_answered {
+                let lease_ends = known.and_then(|awaited| awaited.lease_ends);
+                handover.awaits.insert(proxy, Awaited { answer: Answer::Untold, lease_ends });
+            }
+        }
+    }
+
+    /// A proxy that leaves before it has answered writes for a lease.
+    pub(super) fn leave(&mut self, proxy: ProxyId) {
+        let (now, lease_end) = (self.now, self.now + self.cfg.lease);
+        let zone = self.proxies.get(&proxy).map_or(usize::MAX, |p| p.zone);
+        self.proxies.insert(proxy, Proxy { zone, joined: false, since: now });
+        for handover in self.slices.iter_mut().filter_map(|s| s.handover.as_mut()) {
+            let awaited = handover.awaits.get_mut(&proxy).filter(|awaited| awaited.answer != Answer::Given);
+            if let Some(awaited) = awaited {
+                awaited.answer = Answer::Away;
+                awaited.lease_ends.get_or_insert(lease_end);
+                handover.last_heard = Some((proxy, Heard::Left(now)));
             }
         }
     }
@@ -61,8 +84,8 @@
     /// Tells proxies that joined of the handovers under way, those of one tick together.
     pub(super) fn tell_joined(&mut self) {
         for handover in self.slices.iter_mut().filter_map(|s| s.handover.as_mut()) {
-            for untold in handover.awaits.values_mut().filter(|mark| **mark == Some(u64::MAX)) {
-                *untold = Some(self.channel.marks + 1);
+            for untold in handover.awaits.values_mut().filter(|awaited| awaited.answer == Answer::Untold) {
+                untold.answer = Answer::Due(self.channel.marks + 1);
                 (handover.ordered, self.channel.mark_wanted) = (self.now, true);
             }
         }
@@ -75,27 +98,42 @@
         self.channel.sent.retain(|(sent, ..)| *sent >= mark);
         self.channel.lines = self.channel.lines.min(self.channel.unanswered());
         self.channel.answered = self.channel.answered.max(mark);
+        // The stop was carried out, and has left for all once what is not known to have left has.
+        let sent = self.now + self.longest_wait(self.channel.unanswered());
         for handover in self.slices.iter_mut().filter_map(|s| s.handover.as_mut()) {
-            let awaited = handover.awaits.get_mut(&proxy).filter(|m| m.is_some_and(|m| m <= mark));
-            if let Some(awaited) = awaited {
-                *awaited = None;
+            if handover.stop_mark <= mark {
+                handover.stop_sent = Some(handover.stop_sent.map_or(sent, |before| before.min(sent)));
+            }
+            let is_due = |awaited: &&mut Awaited| matches!(awaited.answer, Answer::Due(due) if due <= mark);
+            if let Some(awaited) = handover.awaits.get_mut(&proxy).filter(is_due) {
+                awaited.answer = Answer::Given;
                 handover.last_heard = Some((proxy, Heard::Answer(self.now)));
                 handover.quiet = handover.quiet.max(self.now.min(handover.ordered + way));
             }
         }
     }
 
+    /// Has all proxies answer again where some have not in time: their answers may have been lost, and those of others
+    /// tell that what was sent before has left.
+    pub(super) fn ask_again(&mut self) {
+        let waits = |s: &Slice| s.handover.as_ref().is_some_and(Handover::awaits_answers);
+        let is_time = self.now >= self.channel.marked_at + self.cfg.way_most;
+        if is_time && self.has_room(GRANT_ROOM.1) && self.slices.iter().any(waits) {
+            self.channel.mark_wanted = true;
+        }
+    }
+
     /// Grants what has settled: nobody writes to the old owner, and what it had in hand has ended.
     pub(super) fn advance(&mut self) {
         let (mut view, open) = (None, self.has_room(GRANT_ROOM.0));
         for id in 0..self.slices.len() {
             let slice = &self.slices[id];
             let Some(handover) = slice.handover.as_ref().filter(|_| open) else { continue };
-            let waits = handover.awaits.values().any(Option::is_some);
             // One given without an owner waits for answers, or a lease: then nobody writes by old word.
             let given = slice.owner.is_none() && self.cfg.guarded;
             let most = if given { slice.given + self.cfg.lease } else { Duration::MAX };
-            let quiet = if waits { most } else { handover.quiet.min(most) };
+            let quiet =
+                handover.writes_end(self.cfg.way_most, self.cfg.lease).map_or(most, |end| end.min(most));
             if self.now < quiet.saturating_add(self.cfg.settle) || !self.has_room(GRANT_ROOM.1) {
                 continue;
             }
@@ -132,3 +170,6 @@
         self.out.extend(ends.map(|o| Order::Revoke { slice: id, ep: self.servers[o].ep }));
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/whinhill/src/assigner/handover/tests.rs
@@ -0,0 +1,137 @@
+//! Handovers while proxies leave, fall silent, come back, or lose their answers.
+
+use super::super::tests::{ep, fleet, s};
+use super::*;
+
+const PROXIES: u32 = 150;
+/// The one proxy that behaves otherwise.
+const ODD: ProxyId = 7;
+/// How long a proxy takes to answer.
+const ANSWERS_AFTER: Duration = Duration::from_millis(300);
+const STEP: Duration = Duration::from_millis(50);
+/// How long a play lasts at most.
+const PLAY: Duration = Duration::from_secs(40);
+
+/// What the odd proxy does, in seconds from the stop.
+#[derive(Clone, Copy, Debug)]
+enum Odd {
+    Answers,
+    LeavesAt(f64),
+    /// It is silent, and its stream is found broken.
+    SilentUntil(f64),
+    Silent,
+    /// It leaves and joins again and again, and never answers between.
+    Flaps,
+    /// It answers no mark but every so many.
+    AnswersEach(u16),
+}
+
+/// An assigner of 150 proxies with slices at server 0; the others are idle.
+fn large_fleet(slices: usize) -> Assigner {
+    let mut a = fleet(4, &vec![(0, 1.0); slices]);
+    a.proxies = (0..PROXIES).map(|id| (id, Proxy { zone: 0, joined: true, since: s(0.0) })).collect();
+    (a.cfg.lines_per_s, a.cfg.backlog) = (40_000.0, 60_000.0);
+    a
+}
+
+/// Longest from the message that stops writes to the grant, by the settings: the message is known to have left and
+/// has arrived, a lease, and what is in hand.
+fn longest(a: &Assigner) -> Duration {
+    a.cfg.way_most * 2 + a.cfg.lease + a.cfg.settle + STEP * 2
+}
+
+/// From the drain of server 0 on: for how long slice 0 has no line.
+fn time_without_line(odd: Odd) -> Duration {
+    let mut a = large_fleet(1);
+    let begin = a.now;
+    let drains = Entry { ep: ep(0), zone: 0, listed: Listed::Draining, size: 1.0, started: None };
+    let mut events = vec![Event::List { kind: ListKind::Changes, entries: vec![drains] }];
+    let (mut answers, mut cut) = (Vec::<(Duration, ProxyId, u16)>::new(), None);
+    let (mut now, mut left) = (begin, false);
+    while now < begin + PLAY {
+        let since = now - begin;
+        let leaves = match odd {
+            Odd::LeavesAt(at) | Odd::SilentUntil(at) => since >= s(at),
+            Odd::Flaps => since.as_millis() % 1000 < 500,
+            Odd::Answers | Odd::Silent | Odd::AnswersEach(_) => false,
+        };
+        if leaves != left {
+            left = leaves;
+            let joined = Event::Joined { proxy: ODD, zone: 0 };
+            events.push(if leaves { Event::Left { proxy: ODD } } else { joined });
+        }
+        answers.retain(|(due, proxy, mark)| {
+            if *due <= now {
+                events.push(Event::Acked { proxy: *proxy, mark: *mark, way: ANSWERS_AFTER });
+            }
+            *due > now
+        });
+        events.push(Event::Timer);
+        for order in a.handle(now, &std::mem::take(&mut events)) {
+            match order {
+                Order::Mark { mark } => {
+                    let odd_answers = match odd {
+                        Odd::Answers => true,
+                        Odd::AnswersEach(each) => mark % each == 0,
+                        _ => false,
+                    };
+                    let answering = (0..PROXIES).filter(|proxy| *proxy != ODD || odd_answers);
+                    answers.extend(answering.map(|proxy| (now + ANSWERS_AFTER, proxy, mark)));
+                }
+                Order::Revoke { .. } => cut = cut.or(Some(now)),
+                Order::Grant { .. } => return cut.map_or(Duration::ZERO, |cut| now - cut),
+                _ => {}
+            }
+        }
+        now += STEP;
+    }
+    PLAY
+}
+
+#[test]
+fn proxies_that_answer_are_all_that_a_grant_waits_for() {
+    let took = time_without_line(Odd::Answers);
+    assert!(took <= s(2.5), "{took:?}");
+}
+
+#[test]
+fn a_proxy_that_leaves_late_takes_the_line_away_for_its_lease_at_most() {
+    let took = time_without_line(Odd::LeavesAt(1.9));
+    assert!(took <= longest(&large_fleet(1)), "{took:?}");
+}
+
+#[test]
+fn a_silent_proxy_whose_stream_is_found_broken_starts_no_further_lease() {
+    let took = time_without_line(Odd::SilentUntil(5.0));
+    assert!(took <= longest(&large_fleet(1)), "{took:?}");
+}
+
+#[test]
+fn a_silent_proxy_does_not_take_the_line_away_for_ever() {
+    let took = time_without_line(Odd::Silent);
+    assert!(took <= longest(&large_fleet(1)), "{took:?}");
+}
+
+#[test]
+fn a_proxy_that_flaps_does_not_take_the_line_away_for_ever() {
+    let took = time_without_line(Odd::Flaps);
+    assert!(took <= longest(&large_fleet(1)), "{took:?}");
+}
+
+#[test]
+fn a_lost_answer_is_asked_for_again() {
+    // The stop carries the first mark.
+    let took = time_without_line(Odd::AnswersEach(2));
+    assert!(took <= s(4.0), "{took:?}");
+}
+
+/// All proxies answer nothing: then nobody knows whether the stop was carried out.
+#[test]
+fn no_grant_comes_before_any_proxy_has_shown_that_writes_were_stopped() {
+    let mut a = fleet(3, &[(0, 1.0)]);
+    a.stop(0, Some(1), true);
+    for step in 0..400 {
+        let orders = a.handle(s(100.0) + STEP * step, &[Event::Timer]);
+        assert!(!orders.iter().any(|order| matches!(order, Order::Grant { .. })), "step {step}");
+    }
+}
--- a/crates/whinhill/src/assigner/shown.rs
+++ b/crates/whinhill/src/assigner/shown.rs
@@ -32,8 +32,8 @@
         let mut under_way: Vec<&Handover> = self.slices.iter().filter_map(|s| s.handover.as_ref()).collect();
         under_way.sort_by_key(|handover| handover.began);
         let mut awaited = Vec::new();
-        for (proxy, mark) in under_way.iter().flat_map(|handover| &handover.awaits) {
-            if mark.is_some() && !awaited.contains(proxy) && awaited.len() < AWAITED_MOST {
+        for (proxy, one) in under_way.iter().flat_map(|handover| &handover.awaits) {
+            if one.answer != Answer::Given && !awaited.contains(proxy) && awaited.len() < AWAITED_MOST {
                 awaited.push(*proxy);
             }
         }
@@ -67,7 +67,7 @@
             }
             None => "no answer was awaited".to_string(),
         };
-        let unheard = handover.awaits.values().filter(|mark| mark.is_some()).count();
+        let unheard = handover.awaits.values().filter(|one| one.answer != Answer::Given).count();
         let without_line = handover.cut_at.map_or(Duration::ZERO, |at| now.saturating_sub(at));
         let from = self.slices[slice].owner.map_or("none".to_string(), |owner| owner.to_string());
         let text = format!(
--- a/crates/whinhill/src/state.rs
+++ b/crates/whinhill/src/state.rs
@@ -237,11 +237,14 @@
 /// A handover under way: the owner's writes are stopped, and every proxy must be known to have stopped.
 #[derive(Clone, Debug, Default)]
 pub struct Handover {
-    /// The mark that each proxy must answer, `u64::MAX` until it is told; `None` once it has.
-    pub awaits: BTreeMap<ProxyId, Option<u64>>,
+    pub awaits: BTreeMap<ProxyId, Awaited>,
     pub ordered: Duration,
-    /// No proxy sends writes to the old owner after this.
+    /// No proxy that has answered sends writes to the old owner after this.
     pub quiet: Duration,
+    /// The mark in the message that stops writes; by when that has left the channel to every proxy, once an answer
+    /// has told that it was carried out.
+    pub stop_mark: u64,
+    pub stop_sent: Option<Duration>,
     /// The owner's line is taken away, so reads have stopped too.
     pub cut: bool,
     pub to: Option<usize>,
@@ -252,6 +255,48 @@
     pub last_heard: Option<(ProxyId, Heard)>,
 }
 
+/// What a handover awaits of one proxy.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Awaited {
+    pub answer: Answer,
+    /// When its write lease ends, where its stream broke before it answered. The lease is the first break's: a proxy
+    /// that comes back writes no longer by a table that it held before.
+    pub lease_ends: Option<Duration>,
+}
+
+/// A proxy's answer in a handover.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// It has yet to be told of the handover.
+    Untold,
+    /// It must answer this mark.
+    Due(u64),
+    /// It is away.
+    Away,
+    Given,
+}
+
+impl Handover {
+    /// After when no proxy sends writes to the old owner; `None`: that is not known yet. A proxy that has not answered
+    /// lost its stream before the stop could arrive, or has applied it: its writes end a lease after that at the latest.
+    pub fn writes_end(&self, way_most: Duration, lease: Duration) -> Option<Duration> {
+        let latest = self.stop_sent.map(|sent| sent + way_most + lease);
+        let unheard = self.awaits.values().filter(|awaited| awaited.answer != Answer::Given);
+        let mut leases = unheard.map(|awaited| awaited.lease_ends);
+        let leases = leases.try_fold(Duration::ZERO, |end, lease| Some(end.max(lease?)));
+        let unheard_end = match (leases, latest) {
+            (Some(leases), Some(latest)) => Some(leases.min(latest)),
+            (leases, latest) => leases.or(latest),
+        };
+        unheard_end.map(|end| end.max(self.quiet))
+    }
+
+    /// Whether a proxy that is joined has yet to answer.
+    pub fn awaits_answers(&self) -> bool {
+        self.awaits.values().any(|awaited| matches!(awaited.answer, Answer::Untold | Answer::Due(_)))
+    }
+}
+
 /// What ended a handover's wait for a proxy's answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Heard {
@@ -354,6 +399,8 @@
     pub at: Duration,
     /// When messages were sent lately.
     pub messages: Vec<Duration>,
+    /// When the last mark was set.
+    pub marked_at: Duration,
     pub wake: Duration,
 }
 
