Plan moves though proxies are away, after one round

Callers at a hot server waited as long as any proxy left and came back: SWAT makes no plan while a proxy is away whose lease runs, since its batch would stall. Plans are postponed by one round now; the stall that one may bring is bounded by the lease.

The test of a server at 0.99 beside three idle ones, a proxy away for 0.6 s of each second: no plan in three periods before, the first within them now.

--- a/crates/whinhill/src/assigner/plan.rs
+++ b/crates/whinhill/src/assigner/plan.rs
@@ -57,9 +57,7 @@
 
     /// SWAT's three stages in order; the first that finds moves fills the batches.
     pub(super) fn make_plan(&mut self) {
-        // A proxy that left lately would stall a batch to its lease's end.
-        let absent = self.proxies.values().any(|p| !p.joined && self.now < p.since + self.cfg.lease);
-        if absent || !self.plan.batch.is_empty() || !self.plan.batches.is_empty() {
+        if !self.plan.batch.is_empty() || !self.plan.batches.is_empty() || self.awaits_quiet_times() {
             return;
         }
         let view = self.view();
@@ -89,6 +87,15 @@
         (self.plan.skewed, self.plan.batches) = (0, self.sequence(moves, &view));
     }
 
+    /// A proxy that left lately stalls the writes of what moves to its lease's end, so plans are postponed; not for
+    /// ever, since some proxies may be away at any time.
+    fn awaits_quiet_times(&mut self) -> bool {
+        let is_away = |proxy: &Proxy| !proxy.joined && self.now < proxy.since + self.cfg.lease;
+        let some_away = self.proxies.values().any(is_away);
+        self.plan.postponed = if some_away { self.plan.postponed.saturating_add(1) } else { 0 };
+        (1..=POSTPONED_MOST).contains(&self.plan.postponed)
+    }
+
     /// Wishes that fit now. What doesn't is let go: whoever wished may wish again.
     pub(super) fn fitting_wishes(&mut self, view: &View) -> Vec<Move> {
         let (mut rooms, wishes) = (view.rooms.clone(), std::mem::take(&mut self.plan.wishes));
@@ -137,3 +144,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/whinhill/src/assigner/tuning.rs
+++ b/crates/whinhill/src/assigner/tuning.rs
@@ -8,6 +8,8 @@
 pub(super) const SKEW: f64 = 0.5;
 /// Rounds in a row that skew must last.
 pub(super) const SKEW_ROUNDS: u32 = 3;
+/// Rounds by which a plan is postponed while proxies are away, at most.
+pub(super) const POSTPONED_MOST: u32 = 1;
 /// Leveling's targets, times the average load.
 pub(super) const TARGETS: [f64; 3] = [1.1, 1.3, 1.5];
 /// Hashed candidates beside the owner.
--- a/crates/whinhill/src/state.rs
+++ b/crates/whinhill/src/state.rs
@@ -373,6 +373,8 @@
 pub struct Plan {
     /// Rounds in a row that have seen skew.
     pub skewed: u32,
+    /// Rounds in a row in which proxies were away.
+    pub postponed: u32,
     pub batches: VecDeque<Vec<Move>>,
     pub batch: Vec<SliceId>,
     /// Where operators want slices, until the next plan.
