Reckon an answer's effect from its own mark, not from the handover's start

Callers: writes of one slice at two servers at a time ("no effect twice"). A proxy whose stream was silent for a while holds the old owner's line until it goes on and reads the store. It then answers a later mark; its time from order to effect was added to the time at which the handover began, so the grant came as if it had stopped a second or more before.

Minimal case: a proxy silent for 1.2 s, and a drain.

--- a/crates/whinhill/src/assigner.rs
+++ b/crates/whinhill/src/assigner.rs
@@ -169,7 +169,6 @@
                     given: self.now,
                     handover: Some(Handover {
                         awaits,
-                        ordered: self.now,
                         quiet,
                         cut: true,
                         began: self.now,
--- a/crates/whinhill/src/assigner/channel.rs
+++ b/crates/whinhill/src/assigner/channel.rs
@@ -31,8 +31,7 @@
         // The answer tells early that a channel thought to be filled has emptied.
         let filled = self.out.iter().any(Order::costs_a_line) && !self.has_room(PLAN_ROOM);
         if std::mem::take(&mut self.channel.mark_wanted) || filled {
-            self.channel.marks += 1;
-            self.channel.marked_at = now;
+            self.channel.set_mark(now);
             self.out.push(Order::Mark { mark: (self.channel.marks & 0xffff) as u16 });
         }
         // An overdue answer tells that more waits than was reckoned: all that is not answered, at most.
--- a/crates/whinhill/src/assigner/handover.rs
+++ b/crates/whinhill/src/assigner/handover.rs
@@ -19,7 +19,6 @@
         let quiet = self.unheard_until(self.slices[id].given);
         let handover = Handover {
             awaits: awaits.collect(),
-            ordered: self.now,
             quiet,
             to,
             stop_mark: mark,
@@ -86,7 +85,7 @@
         for handover in self.slices.iter_mut().filter_map(|s| s.handover.as_mut()) {
             for untold in handover.awaits.values_mut().filter(|awaited| awaited.answer == Answer::Untold) {
                 untold.answer = Answer::Due(self.channel.marks + 1);
-                (handover.ordered, self.channel.mark_wanted) = (self.now, true);
+                self.channel.mark_wanted = true;
             }
         }
     }
@@ -100,6 +99,7 @@
         self.channel.answered = self.channel.answered.max(mark);
         // The stop was carried out, and has left for all once what is not known to have left has.
         let sent = self.now + self.longest_wait(self.channel.unanswered());
+        let took_effect = self.channel.took_effect(mark, way, self.now);
         for handover in self.slices.iter_mut().filter_map(|s| s.handover.as_mut()) {
             if handover.stop_mark <= mark {
                 handover.stop_sent = Some(handover.stop_sent.map_or(sent, |before| before.min(sent)));
@@ -108,7 +108,7 @@
             if let Some(awaited) = handover.awaits.get_mut(&proxy).filter(is_due) {
                 awaited.answer = Answer::Given;
                 handover.last_heard = Some((proxy, Heard::Answer(self.now)));
-                handover.quiet = handover.quiet.max(self.now.min(handover.ordered + way));
+                handover.quiet = handover.quiet.max(took_effect);
             }
         }
     }
@@ -117,7 +117,7 @@
     /// tell that what was sent before has left.
     pub(super) fn ask_again(&mut self) {
         let waits = |s: &Slice| s.handover.as_ref().is_some_and(Handover::awaits_answers);
-        let is_time = self.now >= self.channel.marked_at + self.cfg.way_most;
+        let is_time = self.now >= self.channel.marked_at() + self.cfg.way_most;
         if is_time && self.has_room(GRANT_ROOM.1) && self.slices.iter().any(waits) {
             self.channel.mark_wanted = true;
         }
@@ -171,5 +171,7 @@
     }
 }
 
+#[cfg(test)]
+mod property;
 #[cfg(test)]
 mod tests;
--- a/crates/whinhill/src/state.rs
+++ b/crates/whinhill/src/state.rs
@@ -238,7 +238,6 @@
 #[derive(Clone, Debug, Default)]
 pub struct Handover {
     pub awaits: BTreeMap<ProxyId, Awaited>,
-    pub ordered: Duration,
     /// No proxy that has answered sends writes to the old owner after this.
     pub quiet: Duration,
     /// The mark in the message that stops writes; by when that has left the channel to every proxy, once an answer
@@ -284,11 +283,9 @@
         let unheard = self.awaits.values().filter(|awaited| awaited.answer != Answer::Given);
         let mut leases = unheard.map(|awaited| awaited.lease_ends);
         let leases = leases.try_fold(Duration::ZERO, |end, lease| Some(end.max(lease?)));
-        let unheard_end = match (leases, latest) {
-            (Some(leases), Some(latest)) => Some(leases.min(latest)),
-            (leases, latest) => leases.or(latest),
-        };
-        unheard_end.map(|end| end.max(self.quiet))
+        // What is told late of a proxy makes it no later for any.
+        let heard = leases.map(|leases| leases.max(self.quiet));
+        heard.map_or(latest, |heard| Some(latest.map_or(heard, |latest| heard.min(latest))))
     }
 
     /// Whether a proxy that is joined has yet to answer.
@@ -401,12 +398,35 @@
     pub at: Duration,
     /// When messages were sent lately.
     pub messages: Vec<Duration>,
-    /// When the last mark was set.
-    pub marked_at: Duration,
+    /// The last marks and when each was set, oldest first.
+    pub mark_times: VecDeque<(u64, Duration)>,
     pub wake: Duration,
 }
 
+/// Marks whose times are remembered: far more than can wait for their answers at a time.
+const MARK_TIMES_MOST: usize = 1024;
+
 impl Channel {
+    /// Sets the next mark.
+    pub fn set_mark(&mut self, now: Duration) {
+        self.marks += 1;
+        self.mark_times.push_back((self.marks, now));
+        if self.mark_times.len() > MARK_TIMES_MOST {
+            self.mark_times.pop_front();
+        }
+    }
+
+    /// When the last mark was set.
+    pub fn marked_at(&self) -> Duration {
+        self.mark_times.back().map_or(Duration::ZERO, |(_, at)| *at)
+    }
+
+    /// When a mark's message took effect at a proxy that answers now, by the time that it took.
+    pub fn took_effect(&self, mark: u64, way: Duration, now: Duration) -> Duration {
+        let set = self.mark_times.iter().rev().find(|(set, _)| *set == mark);
+        set.map_or(now, |(_, at)| now.min(*at + way))
+    }
+
     /// Lines that no answer has told to have left.
     pub fn unanswered(&self) -> f64 {
         self.sent.iter().map(|(_, lines, _)| lines).sum()
