Grant slices that lack a line for long though others keep the channel full

Callers would have no owner for a slice for as long as levels, plans and drains keep the channel over the fill at which grants start: those may fill it to 0.9, grants start under 0.3. A slice without a line for 0.4 of emptyFor is granted up to the fill of drains. The setting was read by nothing.

The test, a channel held half full: no grant in 30 s before, one within emptyFor less transitMax now.

--- a/crates/whinhill/src/assigner/handover.rs
+++ b/crates/whinhill/src/assigner/handover.rs
@@ -128,13 +128,19 @@
         let (mut view, open) = (None, self.has_room(GRANT_ROOM.0));
         for id in 0..self.slices.len() {
             let slice = &self.slices[id];
-            let Some(handover) = slice.handover.as_ref().filter(|_| open) else { continue };
+            let Some(handover) = slice.handover.as_ref() else { continue };
+            let overdue =
+                handover.cut_at.is_some_and(|at| self.now >= at + self.cfg.empty_for.mul_f64(EMPTY_PART));
+            let room = if overdue { DRAIN_ROOM.1 } else { GRANT_ROOM.1 };
+            if !open && !overdue {
+                continue;
+            }
             // One given without an owner waits for answers, or a lease: then nobody writes by old word.
             let given = slice.owner.is_none() && self.cfg.guarded;
             let most = if given { slice.given + self.cfg.lease } else { Duration::MAX };
             let quiet =
                 handover.writes_end(self.cfg.way_most, self.cfg.lease).map_or(most, |end| end.min(most));
-            if self.now < quiet.saturating_add(self.cfg.settle) || !self.has_room(GRANT_ROOM.1) {
+            if self.now < quiet.saturating_add(self.cfg.settle) || !self.has_room(room) {
                 continue;
             }
             let wanted = handover.to.filter(|to| takes_slices(&self.servers[*to]));
--- a/crates/whinhill/src/assigner/handover/tests.rs
+++ b/crates/whinhill/src/assigner/handover/tests.rs
@@ -135,3 +135,29 @@
         assert!(!orders.iter().any(|order| matches!(order, Order::Grant { .. })), "step {step}");
     }
 }
+
+/// Levels, plans and drains keep the channel fuller than grants may find it.
+#[test]
+fn a_full_channel_does_not_keep_a_line_away_for_longer_than_the_rule_allows() {
+    let mut a = fleet(3, &[(0, 1.0)]);
+    a.cfg.empty_for = s(9.0);
+    a.stop(0, Some(1), true);
+    let begin = a.now;
+    let mut events = vec![Event::Timer];
+    for step in 0..600 {
+        let now = begin + STEP * step;
+        a.channel.lines = 0.5 * a.cfg.backlog;
+        let orders = a.handle(now, &std::mem::take(&mut events));
+        if orders.iter().any(|order| matches!(order, Order::Grant { .. })) {
+            assert!(now + a.cfg.way_most < begin + a.cfg.empty_for, "{:?}", now - begin);
+            return;
+        }
+        let marks = orders.iter().filter_map(|order| match order {
+            Order::Mark { mark } => Some(*mark),
+            _ => None,
+        });
+        events.extend(marks.flat_map(|mark| [0, 1].map(|proxy| Event::Acked { proxy, mark, way: s(0.3) })));
+        events.push(Event::Timer);
+    }
+    panic!("no grant");
+}
--- a/crates/whinhill/src/assigner/tuning.rs
+++ b/crates/whinhill/src/assigner/tuning.rs
@@ -66,6 +66,8 @@
 pub(super) const LEAVE_ROOM: (f64, f64) = (0.3, 0.6);
 pub(super) const GRANT_ROOM: (f64, f64) = (0.3, 0.5);
 pub(super) const DRAIN_ROOM: (f64, f64) = (0.8, 0.9);
+/// Part of the time for which a proxy may have no line after which a grant takes the room that drains may.
+pub(super) const EMPTY_PART: f64 = 0.4;
 /// Heads that fit between where drains start and stop, at least.
 pub(super) const HEADS: f64 = 4.0;
 /// The channel may run this many times slower than stated, and as often again while an answer is overdue.
--- a/crates/whinhill/src/settings.rs
+++ b/crates/whinhill/src/settings.rs
@@ -45,6 +45,8 @@
     /// All that there are, this one with them.
     pub assigners: usize,
     pub settle: Duration,
+    /// For how long a proxy may have no line.
+    pub empty_for: Duration,
     /// How long a guarded move of a slice takes.
     pub move_time: Duration,
     pub grace: Duration,
@@ -115,6 +117,7 @@
             proxies: settings.optional(settings.get("familyInfo.dataPlaneSize"))?.unwrap_or(usize::MAX),
             assigners: settings.optional(settings.get("peersTotal"))?.unwrap_or(1),
             settle: waits(settle),
+            empty_for: settings.optional(settings.span("familyInfo.emptyFor"))?.unwrap_or(never),
             grace: settings.span("rules.stopSendingWithin")?,
             way_most: settings.span("familyInfo.transitMax")?,
             warm_after: settings.span("rules.warmAfter")?.max(Duration::from_millis(1)),
