--- a/crates/whinhill-standins/src/platform/relay.rs
+++ b/crates/whinhill-standins/src/platform/relay.rs
@@ -7,6 +7,8 @@
 use std::thread;
 use std::time::Instant;
 
+use rustix::net::{recv, RecvFlags};
+
 use super::page::{CLASSES, NEWS_SIGN_EVERY, PROXIES, SLICES, ZONES};
 use super::world::{Effect, Sabotage, Shared, World, REPEATED};
 
@@ -37,6 +39,9 @@
         if request == "WATCH" {
             return tell_news(world, node, out);
         }
+        if has_ended(&out) {
+            return Ok(());
+        }
         let answer = match request.strip_prefix("APPLY ") {
             Some(orders) => format!("OK {}\r\n", carry_out(&mut world.lock(), node, orders)),
             None => "ERR invalid\r\n".to_string(),
@@ -46,6 +51,13 @@
     Ok(())
 }
 
+/// Whether the assigner has given a connection up: a call that is read so late on a busy machine is not carried out, as
+/// the page has it done at once or never.
+fn has_ended(stream: &TcpStream) -> bool {
+    let looked = recv(stream, &mut [0], RecvFlags::PEEK | RecvFlags::DONTWAIT);
+    looked.is_ok_and(|(_, bytes)| bytes == 0)
+}
+
 /// Tells what stands, then what happens, with a sign of life each second.
 fn tell_news(world: &Shared, node: usize, mut out: TcpStream) -> io::Result<()> {
     let (sender, news) = sync_channel(NEWS_WAITING);
