--- a/crates/whinhill/src/assigner/handover/tests.rs
+++ b/crates/whinhill/src/assigner/handover/tests.rs
@@ -161,3 +161,84 @@
     }
     panic!("no grant");
 }
+
+/// An assigner is given a slice, with a line that the store names or without one, and one proxy is silent.
+fn time_to_grant_what_is_given(stored: bool) -> Duration {
+    let mut a = large_fleet(1);
+    a.cfg.proxies = PROXIES as usize;
+    let begin = a.now;
+    let mut events = vec![Event::Given { slice: 0 }];
+    if stored {
+        let gone = Entry { ep: ep(0), zone: 0, listed: Listed::Gone, size: 1.0, started: None };
+        events.push(Event::Stored { slice: 0, ep: ep(0) });
+        events.push(Event::List { kind: ListKind::Changes, entries: vec![gone] });
+    }
+    let mut answers = Vec::<(Duration, u16)>::new();
+    let mut now = begin;
+    while now < begin + PLAY {
+        let (due, later) = answers.into_iter().partition::<Vec<_>, _>(|(due, _)| *due <= now);
+        answers = later;
+        for (_, mark) in due {
+            let answering = (0..PROXIES).filter(|proxy| *proxy != ODD);
+            events.extend(answering.map(|proxy| Event::Acked { proxy, mark, way: ANSWERS_AFTER }));
+        }
+        events.push(Event::Timer);
+        for order in a.handle(now, &std::mem::take(&mut events)) {
+            match order {
+                Order::Mark { mark } => answers.push((now + ANSWERS_AFTER, mark)),
+                Order::Grant { .. } => return now - begin,
+                _ => {}
+            }
+        }
+        now += STEP;
+    }
+    PLAY
+}
+
+#[test]
+fn a_silent_proxy_does_not_hold_up_a_slice_that_comes_without_a_line() {
+    let took = time_to_grant_what_is_given(false);
+    assert!(took <= longest(&large_fleet(1)), "{took:?}");
+}
+
+#[test]
+fn a_silent_proxy_does_not_hold_up_a_slice_whose_stored_owner_is_gone() {
+    let took = time_to_grant_what_is_given(true);
+    assert!(took <= longest(&large_fleet(1)), "{took:?}");
+}
+
+/// The destination drains while a silent proxy is waited for.
+#[test]
+fn a_destination_that_goes_during_the_wait_costs_no_second_one() {
+    let mut a = large_fleet(1);
+    let begin = a.now;
+    a.stop(0, Some(1), true);
+    let mut answers = Vec::<(Duration, u16)>::new();
+    let mut now = begin;
+    let granted = loop {
+        let mut events = vec![Event::Timer];
+        if now - begin == s(3.0) {
+            let drains = Entry { ep: ep(1), zone: 0, listed: Listed::Draining, size: 1.0, started: None };
+            events.push(Event::List { kind: ListKind::Changes, entries: vec![drains] });
+        }
+        for (_, mark) in answers.extract_if(.., |(due, _)| *due <= now) {
+            let answering = (0..PROXIES).filter(|proxy| *proxy != ODD);
+            events.extend(answering.map(|proxy| Event::Acked { proxy, mark, way: ANSWERS_AFTER }));
+        }
+        let orders = a.handle(now, &events);
+        let grant = orders.iter().find_map(|order| match order {
+            Order::Grant { ep, .. } => Some(ep.index),
+            _ => None,
+        });
+        if let Some(to) = grant {
+            break to;
+        }
+        answers.extend(orders.iter().filter_map(|order| match order {
+            Order::Mark { mark } => Some((now + ANSWERS_AFTER, *mark)),
+            _ => None,
+        }));
+        now += STEP;
+        assert!(now <= begin + longest(&a), "no grant");
+    };
+    assert_ne!(granted, 1);
+}
