--- a/crates/whinhill-standins/src/platform/audit.rs
+++ b/crates/whinhill-standins/src/platform/audit.rs
@@ -61,18 +61,17 @@
     pub broken: Vec<Broken>,
 }
 
-impl Default for TableAudit {
-    fn default() -> Self {
+impl TableAudit {
+    /// Nothing was seen yet.
+    pub fn new(proxies: usize) -> Self {
         TableAudit {
             last: Duration::ZERO,
-            empty: vec![vec![Duration::ZERO; PROXIES]; SLICES],
-            drain: vec![vec![Leaving::default(); PROXIES]; SLICES],
+            empty: vec![vec![Duration::ZERO; proxies]; SLICES],
+            drain: vec![vec![Leaving::default(); proxies]; SLICES],
             broken: Vec::new(),
         }
     }
-}
 
-impl TableAudit {
     /// Looks at all tables; the time since the last look counts as what is seen now.
     pub fn look(&mut self, world: &World) {
         let now = world.now();
@@ -95,7 +94,7 @@
     }
 
     fn look_for_lines(&mut self, world: &World, slice: usize, has_warm: bool, runs: bool, passed: Duration) {
-        for proxy in 0..PROXIES {
+        for proxy in 0..world.proxies {
             let is_without = world.is_joined(proxy, slice) && world.tables[proxy][slice].server.is_none();
             let empty = &mut self.empty[slice][proxy];
             if !is_without || !has_warm {
@@ -114,11 +113,13 @@
     fn look_for_drains(&mut self, world: &World, slice: usize, holder: usize, runs: bool, passed: Duration) {
         let now = world.now();
         let mut late = None;
-        for proxy in 0..PROXIES {
+        for proxy in 0..world.proxies {
             let server = world.tables[proxy][slice].server.filter(|_| world.is_joined(proxy, slice));
-            let change = server.and_then(|s| world.changes.iter().rev().find(|change| change.server == s));
-            let told = change.is_some_and(|change| now >= world.told_at(holder, change));
-            let leaving = server.filter(|server| world.servers[*server].status != Status::Ready && told);
+            let leaves = |server: &usize| world.servers[*server].status != Status::Ready;
+            let change = |server: usize| world.changes.iter().rev().find(|change| change.server == server);
+            let is_told =
+                |server: &usize| change(*server).is_some_and(|change| now >= world.told_at(holder, change));
+            let leaving = server.filter(leaves).filter(is_told);
             let drain = &mut self.drain[slice][proxy];
             if drain.server != leaving {
                 *drain = Leaving { server: leaving, time: Duration::ZERO };
@@ -139,7 +140,7 @@
         let is_open = |proxy: &usize| {
             world.may_write(*proxy, slice) && world.tables[*proxy][slice].levels[writes] > 0.0
         };
-        let open = (0..PROXIES).filter(is_open);
+        let open = (0..world.proxies).filter(is_open);
         let mut servers: Vec<usize> = open.filter_map(|proxy| world.tables[proxy][slice].server).collect();
         servers.sort_unstable();
         servers.dedup();
--- a/crates/whinhill-standins/src/platform/channel.rs
+++ b/crates/whinhill-standins/src/platform/channel.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::page::{LINES_PER_S, OVERHEAD_LINES, PROXIES};
+use super::page::{LINES_PER_S, OVERHEAD_LINES};
 
 /// Lines that wait.
 #[derive(Clone, Copy, Debug, Default)]
@@ -14,11 +14,11 @@
 }
 
 impl Channel {
-    /// A call's orders make one message to each proxy.
-    pub fn call(&mut self, now: Duration, orders: usize) {
+    /// A call's orders make one message to each of so many proxies.
+    pub fn call(&mut self, now: Duration, proxies: usize, orders: usize) {
         let left = LINES_PER_S * now.saturating_sub(self.looked).as_secs_f64();
         self.looked = now;
-        self.waiting = (self.waiting - left).max(0.0) + (PROXIES * (OVERHEAD_LINES + orders)) as f64;
+        self.waiting = (self.waiting - left).max(0.0) + (proxies * (OVERHEAD_LINES + orders)) as f64;
         self.most = self.most.max(self.waiting);
     }
 }
--- a/crates/whinhill-standins/src/platform/node.rs
+++ b/crates/whinhill-standins/src/platform/node.rs
@@ -133,6 +133,7 @@
             discovery: paths.discovery.addr(),
             relay: paths.relay.addr(),
             known: discovery::whole_list(&world.lock()),
+            proxies: script.proxies,
             faults: None,
         };
         let (reports, waiting) = sync_channel::<Vec<String>>(REPORTS_WAITING);
--- a/crates/whinhill-standins/src/platform/oracle.rs
+++ b/crates/whinhill-standins/src/platform/oracle.rs
@@ -13,7 +13,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-use super::page::{CLASSES, IN_FLIGHT_MOST, PROXIES, ROUND, SLICES, WARM_AFTER};
+use super::page::{CLASSES, IN_FLIGHT_MOST, ROUND, SLICES, WARM_AFTER};
 use super::plane::{Plane, COLD};
 use super::traffic::{expected_rate, MEAN_WORK};
 use super::world::{draw_way, Condition, Server, Status, Table, World, OPEN, WORKERS};
@@ -71,13 +71,13 @@
 
 impl Oracle {
     /// It has ordered nothing yet.
-    pub fn new(seed: u64) -> Self {
+    pub fn new(proxies: usize, seed: u64) -> Self {
         Oracle {
-            tables: vec![vec![OPEN; SLICES]; PROXIES],
+            tables: vec![vec![OPEN; SLICES]; proxies],
             owners: vec![Owner { level: 1.0, ..Owner::default() }; SLICES],
             seen: VecDeque::new(),
             travelling: Vec::new(),
-            last_due: vec![Duration::ZERO; PROXIES],
+            last_due: vec![Duration::ZERO; proxies],
             random: ChaCha8Rng::seed_from_u64(seed ^ 0x07ac1e),
             next_round: Duration::ZERO,
             met_until: Duration::ZERO,
@@ -215,7 +215,7 @@
         let stopped = |class: usize| CLASSES[class].writes && grant_at.is_some();
         let levels = std::array::from_fn(|class| if stopped(class) { 0.0 } else { level });
         let table = Table { server, levels, as_of: now };
-        for proxy in 0..PROXIES {
+        for proxy in 0..self.tables.len() {
             let due = (now + draw_way(&mut self.random)).max(self.last_due[proxy]);
             self.last_due[proxy] = due;
             self.travelling.push(Travelling { due, proxy, slice, table });
--- a/crates/whinhill-standins/src/platform/page.rs
+++ b/crates/whinhill-standins/src/platform/page.rs
@@ -37,7 +37,9 @@
 /// The site that is played: our own figures in the settings' names.
 pub const ZONES: [&str; 3] = ["north", "south", "east"];
 pub const SLICES: usize = 24;
+/// Proxies in most runs, and in those that are many.
 pub const PROXIES: usize = 12;
+pub const PROXIES_MOST: usize = 150;
 pub const PERIOD: Duration = Duration::from_millis(500);
 /// The rule on proxies without a line, and on drains.
 pub const EMPTY_FOR: Duration = Duration::from_secs(8);
@@ -86,8 +88,8 @@
     },
 ];
 
-/// The settings as the configuration file has them.
-pub fn settings() -> serde_json::Value {
+/// The settings as the configuration file has them, for so many proxies.
+pub fn settings(proxies: usize) -> serde_json::Value {
     let classes: Vec<_> = CLASSES
         .iter()
         .map(|class| {
@@ -108,7 +110,7 @@
             "fallMultiple": FALL_MULTIPLE,
         },
         "familyInfo": {
-            "shards": SLICES, "dataPlaneSize": PROXIES, "mutating": CLASSES.map(|class| class.writes),
+            "shards": SLICES, "dataPlaneSize": proxies, "mutating": CLASSES.map(|class| class.writes),
             "retryDefault": 0, "period": PERIOD.as_millis() as u64, "writeLease": WRITE_LEASE.as_millis() as f64, "inFlightMax": IN_FLIGHT_MOST.as_millis() as f64,
             "transitMax": 200.0, "overhead": OVERHEAD_LINES as f64, "linesPerS": LINES_PER_S, "backlog": BACKLOG, "messagesMost": 0,
             "reloadSpan": 10_000.0, "emptyFor": EMPTY_FOR.as_millis() as u64, "hold": HOLD.as_millis() as u64,
--- a/crates/whinhill-standins/src/platform/process.rs
+++ b/crates/whinhill-standins/src/platform/process.rs
@@ -31,6 +31,7 @@
     pub relay: SocketAddr,
     /// The list as the assigner last had it.
     pub known: serde_json::Value,
+    pub proxies: usize,
     /// The library that makes calls fail, and its schedule.
     pub faults: Option<(PathBuf, String)>,
 }
@@ -41,7 +42,7 @@
         let config = serde_json::json!({
             "name": self.name, "listen": self.addr.to_string(), "discovery": self.discovery.to_string(),
             "seed": "5", "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": SOCKETS},
-            "distributor": {"address": self.relay.to_string()}, "known": self.known, "settings": settings(),
+            "distributor": {"address": self.relay.to_string()}, "known": self.known, "settings": settings(self.proxies),
         });
         // Written beside and renamed: a reader never sees half of it.
         let beside = path.with_extension("new");
--- a/crates/whinhill-standins/src/platform/relay.rs
+++ b/crates/whinhill-standins/src/platform/relay.rs
@@ -9,7 +9,7 @@
 
 use rustix::net::{recv, RecvFlags};
 
-use super::page::{CLASSES, NEWS_SIGN_EVERY, PROXIES, SLICES, ZONES};
+use super::page::{CLASSES, NEWS_SIGN_EVERY, SLICES, ZONES};
 use super::world::{Effect, Sabotage, Shared, World, REPEATED};
 
 /// Lines that may wait for a reader of news.
@@ -64,7 +64,8 @@
     let mut text = "OK\r\n".to_string();
     {
         let mut world = world.lock();
-        for proxy in (0..PROXIES).filter(|proxy| !world.streams[*proxy][node].left).collect::<Vec<_>>() {
+        for proxy in (0..world.proxies).filter(|proxy| !world.streams[*proxy][node].left).collect::<Vec<_>>()
+        {
             let zone = ZONES[proxy % ZONES.len()];
             text.push_str(&format!("* hello {proxy} {zone} 5.0 0\r\n"));
         }
@@ -118,7 +119,8 @@
     }
     let now = world.now();
     let times = if world.sabotage == Some(Sabotage::RepeatedOrders) { REPEATED } else { 1 };
-    (0..times).for_each(|_| world.nodes[node].channel.call(now, effects.len()));
+    let proxies = world.proxies;
+    (0..times).for_each(|_| world.nodes[node].channel.call(now, proxies, effects.len()));
     world.send(node, &effects);
     taken
 }
--- a/crates/whinhill-standins/src/platform/script.rs
+++ b/crates/whinhill-standins/src/platform/script.rs
@@ -8,7 +8,7 @@
 use rand_chacha::ChaCha8Rng;
 use serde::Serialize;
 
-use super::page::ZONES;
+use super::page::{PROXIES, PROXIES_MOST, ZONES};
 use super::streams::{StreamTrouble, STREAM_TROUBLES};
 use super::world::Condition;
 use crate::link::Direction;
@@ -242,6 +242,7 @@
 #[derive(Clone, Debug)]
 pub struct Script {
     pub nodes: usize,
+    pub proxies: usize,
     pub troubles: Vec<Trouble>,
     /// In the order of time.
     pub actions: Vec<(Duration, Action)>,
@@ -255,6 +256,8 @@
 /// Mean time between two actions.
 const EVERY: Duration = Duration::from_millis(2500);
 const NODES_MOST: usize = 5;
+/// One in so many seeds with troubled streams has many proxies.
+const MANY_PROXIES_EACH: u64 = 3;
 /// A zone's silence, a release's load and troubled reports last so much longer than other troubles.
 const LONGER: Duration = Duration::from_secs(2);
 /// Milliseconds for which a stream is silent, flaps, or loses answers.
@@ -278,7 +281,9 @@
         } else {
             only.to_vec()
         };
-        let mut script = Script { nodes, troubles, actions: Vec::new(), seed };
+        let has_many = troubles.contains(&Trouble::Streams) && seed.is_multiple_of(MANY_PROXIES_EACH);
+        let proxies = if has_many { PROXIES_MOST } else { PROXIES };
+        let mut script = Script { nodes, proxies, troubles, actions: Vec::new(), seed };
         let mut at = QUIET;
         while at + TAIL < time {
             if let Some(action) = script.draw_action(&mut random) {
--- a/crates/whinhill-standins/src/platform/soak.rs
+++ b/crates/whinhill-standins/src/platform/soak.rs
@@ -59,6 +59,7 @@
 pub struct Report {
     pub seed: u64,
     pub nodes: usize,
+    pub proxies: usize,
     pub troubles: Vec<Trouble>,
     pub actions: usize,
     pub starts: usize,
@@ -104,11 +105,12 @@
     fn start(options: &'a Options) -> io::Result<Self> {
         fs::create_dir_all(&options.folder)?;
         let script = Script::draw(options.seed, options.time, &options.only);
-        let world = Arc::new(Shared::new(World::new(script.nodes, options.seed, options.sabotage)));
+        let world =
+            Arc::new(Shared::new(World::new(script.nodes, script.proxies, options.seed, options.sabotage)));
         let mut soak = Soak {
             options,
-            traffic: Traffic::new(script.nodes, options.seed),
-            tables: TableAudit::default(),
+            traffic: Traffic::new(script.nodes, script.proxies, options.seed),
+            tables: TableAudit::new(script.proxies),
             fleet: Fleet::new(world.clone(), options.seed),
             reporting: Reporting::default(),
             script,
@@ -243,6 +245,7 @@
         Ok(Report {
             seed: self.options.seed,
             nodes: self.script.nodes,
+            proxies: self.script.proxies,
             troubles: self.script.troubles.clone(),
             actions,
             starts,
--- a/crates/whinhill-standins/src/platform/streams.rs
+++ b/crates/whinhill-standins/src/platform/streams.rs
@@ -8,7 +8,7 @@
 use rand::seq::IndexedRandom;
 use rand::Rng;
 
-use super::page::{PROXIES, READS_STORE_WITHIN, SLICES, WRITE_LEASE, ZONES};
+use super::page::{READS_STORE_WITHIN, SLICES, WRITE_LEASE, ZONES};
 use super::world::{Effect, Sabotage, Table, World};
 
 /// What happens to streams of one assigner.
@@ -131,11 +131,11 @@
     /// Something happens to streams of an assigner for a time.
     pub fn trouble_streams(&mut self, node: usize, trouble: StreamTrouble, time: Duration) {
         let now = self.now();
-        let all: Vec<usize> = (0..PROXIES).collect();
-        let one = self.random.random_range(0..PROXIES);
+        let all: Vec<usize> = (0..self.proxies).collect();
+        let one = self.random.random_range(0..self.proxies);
         match trouble {
             StreamTrouble::Reset => {
-                let count = (PROXIES as f64 * RESET_PART).ceil() as usize;
+                let count = (self.proxies as f64 * RESET_PART).ceil() as usize;
                 let some: Vec<usize> = all.choose_multiple(&mut self.random, count).copied().collect();
                 some.into_iter().for_each(|proxy| self.reset_stream(proxy, node, now));
             }
@@ -211,7 +211,7 @@
                 Step::Return | Step::Resume => {}
             }
         }
-        for proxy in 0..PROXIES {
+        for proxy in 0..self.proxies {
             for node in 0..self.nodes.len() {
                 let reads_at = &mut self.streams[proxy][node].reads_at;
                 if reads_at.take_if(|at| *at <= now).is_some() {
@@ -290,7 +290,7 @@
     /// A slice has changed hands: proxies whose streams to its holder stand read it; the others go on for a lease.
     pub(super) fn hand_over(&mut self, slice: usize) {
         let now = self.now();
-        for proxy in 0..PROXIES {
+        for proxy in 0..self.proxies {
             let stream = self.slices[slice].holder.map(|node| self.streams[proxy][node]);
             let reads = |stream: Stream| stream.state == State::Up && stream.reads_at.is_none();
             if stream.map_or(self.write_leases[proxy][slice].is_none(), reads) {
--- a/crates/whinhill-standins/src/platform/traffic.rs
+++ b/crates/whinhill-standins/src/platform/traffic.rs
@@ -9,7 +9,7 @@
 
 use super::cold::ColdAudit;
 use super::oracle::Oracle;
-use super::page::{HOLD, PROXIES, SLICES, ZONES};
+use super::page::{HOLD, SLICES, ZONES};
 use super::plane::{DataPlane, Plane, Rpc, Step};
 use super::streams::State;
 use super::world::World;
@@ -84,13 +84,13 @@
 
 impl Traffic {
     /// No RPC yet.
-    pub fn new(nodes: usize, seed: u64) -> Self {
+    pub fn new(nodes: usize, proxies: usize, seed: u64) -> Self {
         Traffic {
             random: ChaCha8Rng::seed_from_u64(seed ^ 0x7aff),
             last: Duration::ZERO,
             owed: 0.0,
             answers: Vec::new(),
-            oracle: Oracle::new(seed),
+            oracle: Oracle::new(proxies, seed),
             cold: ColdAudit::default(),
             writers: WriterAudit::default(),
             judged: DataPlane::new(Plane::Judged),
@@ -131,16 +131,16 @@
         self.last = now;
         let count = self.owed as usize;
         self.owed -= count as f64;
-        (0..count).map(|_| self.draw_one(now)).collect()
+        (0..count).map(|_| self.draw_one(now, world.proxies)).collect()
     }
 
-    fn draw_one(&mut self, now: Duration) -> Rpc {
+    fn draw_one(&mut self, now: Duration, proxies: usize) -> Rpc {
         let slice = (self.random.random::<f64>().powf(SKEW) * SLICES as f64) as usize;
         Rpc {
             arrived: now,
             held_until: now + HOLD,
             slice: slice.min(SLICES - 1),
-            proxy: self.random.random_range(0..PROXIES),
+            proxy: self.random.random_range(0..proxies),
             class: usize::from(self.random.random_bool(WRITES)),
             work: self.random.random_range(WORK.0..WORK.1),
             dice: self.random.random(),
--- a/crates/whinhill-standins/src/platform/world.rs
+++ b/crates/whinhill-standins/src/platform/world.rs
@@ -14,7 +14,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::channel::Channel;
-use super::page::{CLASSES, PROXIES, SLICES, WARM_AFTER, ZONES};
+use super::page::{CLASSES, SLICES, WARM_AFTER, ZONES};
 use super::plane::{COLD, PLANES};
 use super::script::{by_name, UnknownName};
 use super::streams::{Answer, Planned, State, Stream};
@@ -231,6 +231,7 @@
 #[derive(Debug)]
 pub struct World {
     pub started: Instant,
+    pub proxies: usize,
     pub servers: Vec<Server>,
     pub version: u64,
     pub changes: Vec<Change>,
@@ -272,8 +273,8 @@
 const HAPPENED_MOST: usize = 40_000;
 
 impl World {
-    /// A world without servers yet, for so many assigners.
-    pub fn new(nodes: usize, seed: u64, sabotage: Option<Sabotage>) -> Self {
+    /// A world without servers yet, for so many assigners and proxies.
+    pub fn new(nodes: usize, proxies: usize, seed: u64, sabotage: Option<Sabotage>) -> Self {
         let slice = Slice {
             holder: None,
             line: None,
@@ -285,17 +286,18 @@
         };
         World {
             started: Instant::now(),
+            proxies,
             servers: Vec::new(),
             version: 1,
             changes: Vec::new(),
             slices: vec![slice; SLICES],
-            tables: vec![vec![OPEN; SLICES]; PROXIES],
+            tables: vec![vec![OPEN; SLICES]; proxies],
             nodes: (0..nodes).map(|_| Node::default()).collect(),
             sabotage,
             rate_times: 1.0,
             travelling: VecDeque::new(),
-            streams: vec![vec![Stream::default(); nodes]; PROXIES],
-            write_leases: vec![vec![None; SLICES]; PROXIES],
+            streams: vec![vec![Stream::default(); nodes]; proxies],
+            write_leases: vec![vec![None; SLICES]; proxies],
             planned: Vec::new(),
             answers: Vec::new(),
             random: ChaCha8Rng::seed_from_u64(seed),
@@ -461,7 +463,7 @@
             Effect::Mark { .. } => 0,
         };
         let epochs: Vec<(Effect, u64)> = effects.iter().map(|effect| (*effect, epoch(effect))).collect();
-        for proxy in 0..PROXIES {
+        for proxy in 0..self.proxies {
             let way = draw_way(&mut self.random);
             // Orders of one assigner reach a proxy in the order in which they were sent.
             let before = self.travelling.iter().rev().find(|t| t.proxy == proxy && t.node == node);
