--- a/crates/whinhill-standins/src/platform.rs
+++ b/crates/whinhill-standins/src/platform.rs
@@ -17,6 +17,7 @@
 mod process;
 mod relay;
 mod reporting;
+mod sabotage;
 pub mod script;
 mod servers;
 mod silence;
@@ -27,4 +28,4 @@
 mod world;
 mod writers;
 
-pub use world::Sabotage;
+pub use sabotage::Sabotage;
--- a/crates/whinhill-standins/src/platform/node.rs
+++ b/crates/whinhill-standins/src/platform/node.rs
@@ -15,8 +15,9 @@
 use super::collectors::Collectors;
 use super::page::*;
 use super::process::{Process, Start};
+use super::sabotage::Sabotage;
 use super::script::{Action, Path, Script};
-use super::world::{Sabotage, Shared};
+use super::world::Shared;
 use super::{discovery, relay};
 use crate::link::{Direction, Link};
 
--- a/crates/whinhill-standins/src/platform/relay.rs
+++ b/crates/whinhill-standins/src/platform/relay.rs
@@ -10,7 +10,8 @@
 use rustix::net::{recv, RecvFlags};
 
 use super::page::{CLASSES, NEWS_SIGN_EVERY, SLICES, ZONES};
-use super::world::{Effect, Sabotage, Shared, World, REPEATED};
+use super::sabotage::{Sabotage, REPEATED};
+use super::world::{Effect, Shared, World};
 
 /// Lines that may wait for a reader of news.
 const NEWS_WAITING: usize = 8192;
--- a/crates/whinhill-standins/src/platform/soak.rs
+++ b/crates/whinhill-standins/src/platform/soak.rs
@@ -20,11 +20,12 @@
 use super::page::*;
 use super::plane::Outcomes;
 use super::reporting::Reporting;
+use super::sabotage::Sabotage;
 use super::script::{Action, Script, Trouble};
 use super::silence::SilenceReport;
 use super::tally::{self, TallyReport};
 use super::traffic::Traffic;
-use super::world::{Sabotage, Shared, World};
+use super::world::{Shared, World};
 
 /// How often everything is looked at.
 const TICK: Duration = Duration::from_millis(5);
--- a/crates/whinhill-standins/src/platform/streams.rs
+++ b/crates/whinhill-standins/src/platform/streams.rs
@@ -9,7 +9,8 @@
 use rand::Rng;
 
 use super::page::{READS_STORE_WITHIN, SLICES, WRITE_LEASE, ZONES};
-use super::world::{Effect, Sabotage, Table, World};
+use super::sabotage::Sabotage;
+use super::world::{Effect, Table, World};
 
 /// What happens to streams of one assigner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/whinhill-standins/src/platform/world.rs
+++ b/crates/whinhill-standins/src/platform/world.rs
@@ -5,7 +5,6 @@
 
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
-use std::str::FromStr;
 use std::sync::mpsc::SyncSender;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -16,7 +15,7 @@
 use super::channel::Channel;
 use super::page::{CLASSES, SLICES, WARM_AFTER, ZONES};
 use super::plane::{COLD, PLANES};
-use super::script::{by_name, UnknownName};
+use super::sabotage::Sabotage;
 use super::streams::{Answer, Planned, State, Stream};
 use super::traffic::MEAN_WORK;
 
@@ -177,56 +176,6 @@
     pub last_mark: Option<u16>,
 }
 
-/// Defects put into the stand-ins on purpose, to show that the auditor finds what they cause.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Sabotage {
-    /// Answers at the assigners' addresses are cut off.
-    LostAnswers,
-    /// They come late.
-    LateAnswers,
-    /// One slice's line is lost on its way to the proxies.
-    NoLine,
-    /// Lines at draining servers stay.
-    LateDrain,
-    /// Half of the proxies keep a former line, open for writes.
-    TwoWriters,
-    /// Ends of lines, and levels, of slices at silent servers are lost on their way to the proxies.
-    LostEnds,
-    /// Levels are ignored, but for those that stop writes.
-    IgnoredLevels,
-    /// Proxies send everything to the server that started last.
-    ColdRush,
-    /// Each call waits in the channel [`REPEATED`] times.
-    RepeatedOrders,
-    /// Marks count as answered by proxies that they do not reach.
-    EarlyAnswers,
-}
-
-/// How often a sabotaged channel has each call.
-pub const REPEATED: usize = 500;
-
-/// All of them, with the names by which they are asked for.
-pub const SABOTAGES: [(&str, Sabotage); 10] = [
-    ("lost-answers", Sabotage::LostAnswers),
-    ("late-answers", Sabotage::LateAnswers),
-    ("no-line", Sabotage::NoLine),
-    ("late-drain", Sabotage::LateDrain),
-    ("two-writers", Sabotage::TwoWriters),
-    ("lost-ends", Sabotage::LostEnds),
-    ("ignored-levels", Sabotage::IgnoredLevels),
-    ("cold-rush", Sabotage::ColdRush),
-    ("repeated-orders", Sabotage::RepeatedOrders),
-    ("early-answers", Sabotage::EarlyAnswers),
-];
-
-impl FromStr for Sabotage {
-    type Err = UnknownName;
-
-    fn from_str(name: &str) -> Result<Self, UnknownName> {
-        by_name(name, &SABOTAGES)
-    }
-}
-
 /// All of it.
 #[derive(Debug)]
 pub struct World {
