--- a/crates/whinhill/src/assigner/handover/tests.rs
+++ b/crates/whinhill/src/assigner/handover/tests.rs
@@ -40,13 +40,45 @@
     a.cfg.way_most * 2 + a.cfg.lease + a.cfg.settle + STEP * 2
 }
 
+/// Answers to marks that are on their way.
+#[derive(Default)]
+struct Answers(Vec<(Duration, ProxyId, u16)>);
+
+impl Answers {
+    /// Those that have come by now.
+    fn due(&mut self, now: Duration) -> Vec<Event> {
+        let due = self.0.extract_if(.., |(due, ..)| *due <= now);
+        due.map(|(_, proxy, mark)| Event::Acked { proxy, mark, way: ANSWERS_AFTER }).collect()
+    }
+
+    /// All proxies answer the marks among some orders; the odd one where it does.
+    fn note(&mut self, now: Duration, orders: &[Order], odd_answers: impl Fn(u16) -> bool) {
+        for order in orders {
+            let Order::Mark { mark } = *order else { continue };
+            let answering = (0..PROXIES).filter(|proxy| *proxy != ODD || odd_answers(mark));
+            self.0.extend(answering.map(|proxy| (now + ANSWERS_AFTER, proxy, mark)));
+        }
+    }
+}
+
+fn granted(orders: &[Order]) -> Option<usize> {
+    orders.iter().find_map(|order| match order {
+        Order::Grant { ep, .. } => Some(ep.index),
+        _ => None,
+    })
+}
+
+fn listed(server: usize, listed: Listed) -> Event {
+    let entry = Entry { ep: ep(server), zone: 0, listed, size: 1.0, started: None };
+    Event::List { kind: ListKind::Changes, entries: vec![entry] }
+}
+
 /// From the drain of server 0 on: for how long slice 0 has no line.
 fn time_without_line(odd: Odd) -> Duration {
     let mut a = large_fleet(1);
     let begin = a.now;
-    let drains = Entry { ep: ep(0), zone: 0, listed: Listed::Draining, size: 1.0, started: None };
-    let mut events = vec![Event::List { kind: ListKind::Changes, entries: vec![drains] }];
-    let (mut answers, mut cut) = (Vec::<(Duration, ProxyId, u16)>::new(), None);
+    let mut events = vec![listed(0, Listed::Draining)];
+    let (mut answers, mut cut) = (Answers::default(), None);
     let (mut now, mut left) = (begin, false);
     while now < begin + PLAY {
         let since = now - begin;
@@ -55,33 +87,23 @@
             Odd::Flaps => since.as_millis() % 1000 < 500,
             Odd::Answers | Odd::Silent | Odd::AnswersEach(_) => false,
         };
-        if leaves != left {
-            left = leaves;
+        if std::mem::replace(&mut left, leaves) != leaves {
             let joined = Event::Joined { proxy: ODD, zone: 0 };
             events.push(if leaves { Event::Left { proxy: ODD } } else { joined });
         }
-        answers.retain(|(due, proxy, mark)| {
-            if *due <= now {
-                events.push(Event::Acked { proxy: *proxy, mark: *mark, way: ANSWERS_AFTER });
-            }
-            *due > now
-        });
+        events.extend(answers.due(now));
         events.push(Event::Timer);
-        for order in a.handle(now, &std::mem::take(&mut events)) {
-            match order {
-                Order::Mark { mark } => {
-                    let odd_answers = match odd {
-                        Odd::Answers => true,
-                        Odd::AnswersEach(each) => mark % each == 0,
-                        _ => false,
-                    };
-                    let answering = (0..PROXIES).filter(|proxy| *proxy != ODD || odd_answers);
-                    answers.extend(answering.map(|proxy| (now + ANSWERS_AFTER, proxy, mark)));
-                }
-                Order::Revoke { .. } => cut = cut.or(Some(now)),
-                Order::Grant { .. } => return cut.map_or(Duration::ZERO, |cut| now - cut),
-                _ => {}
-            }
+        let orders = a.handle(now, &std::mem::take(&mut events));
+        answers.note(now, &orders, |mark| match odd {
+            Odd::Answers => true,
+            Odd::AnswersEach(each) => mark % each == 0,
+            _ => false,
+        });
+        if orders.iter().any(|order| matches!(order, Order::Revoke { .. })) {
+            cut = cut.or(Some(now));
+        }
+        if granted(&orders).is_some() {
+            return cut.map_or(Duration::ZERO, |cut| now - cut);
         }
         now += STEP;
     }
@@ -169,26 +191,16 @@
     let begin = a.now;
     let mut events = vec![Event::Given { slice: 0 }];
     if stored {
-        let gone = Entry { ep: ep(0), zone: 0, listed: Listed::Gone, size: 1.0, started: None };
-        events.push(Event::Stored { slice: 0, ep: ep(0) });
-        events.push(Event::List { kind: ListKind::Changes, entries: vec![gone] });
+        events.extend([Event::Stored { slice: 0, ep: ep(0) }, listed(0, Listed::Gone)]);
     }
-    let mut answers = Vec::<(Duration, u16)>::new();
-    let mut now = begin;
+    let (mut answers, mut now) = (Answers::default(), begin);
     while now < begin + PLAY {
-        let (due, later) = answers.into_iter().partition::<Vec<_>, _>(|(due, _)| *due <= now);
-        answers = later;
-        for (_, mark) in due {
-            let answering = (0..PROXIES).filter(|proxy| *proxy != ODD);
-            events.extend(answering.map(|proxy| Event::Acked { proxy, mark, way: ANSWERS_AFTER }));
-        }
+        events.extend(answers.due(now));
         events.push(Event::Timer);
-        for order in a.handle(now, &std::mem::take(&mut events)) {
-            match order {
-                Order::Mark { mark } => answers.push((now + ANSWERS_AFTER, mark)),
-                Order::Grant { .. } => return now - begin,
-                _ => {}
-            }
+        let orders = a.handle(now, &std::mem::take(&mut events));
+        answers.note(now, &orders, |_| false);
+        if granted(&orders).is_some() {
+            return now - begin;
         }
         now += STEP;
     }
@@ -213,32 +225,20 @@
     let mut a = large_fleet(1);
     let begin = a.now;
     a.stop(0, Some(1), true);
-    let mut answers = Vec::<(Duration, u16)>::new();
-    let mut now = begin;
-    let granted = loop {
-        let mut events = vec![Event::Timer];
+    let (mut answers, mut now) = (Answers::default(), begin);
+    let to = loop {
+        let mut events = answers.due(now);
+        events.push(Event::Timer);
         if now - begin == s(3.0) {
-            let drains = Entry { ep: ep(1), zone: 0, listed: Listed::Draining, size: 1.0, started: None };
-            events.push(Event::List { kind: ListKind::Changes, entries: vec![drains] });
-        }
-        for (_, mark) in answers.extract_if(.., |(due, _)| *due <= now) {
-            let answering = (0..PROXIES).filter(|proxy| *proxy != ODD);
-            events.extend(answering.map(|proxy| Event::Acked { proxy, mark, way: ANSWERS_AFTER }));
+            events.push(listed(1, Listed::Draining));
         }
         let orders = a.handle(now, &events);
-        let grant = orders.iter().find_map(|order| match order {
-            Order::Grant { ep, .. } => Some(ep.index),
-            _ => None,
-        });
-        if let Some(to) = grant {
+        if let Some(to) = granted(&orders) {
             break to;
         }
-        answers.extend(orders.iter().filter_map(|order| match order {
-            Order::Mark { mark } => Some((now + ANSWERS_AFTER, *mark)),
-            _ => None,
-        }));
+        answers.note(now, &orders, |_| false);
         now += STEP;
         assert!(now <= begin + longest(&a), "no grant");
     };
-    assert_ne!(granted, 1);
+    assert_ne!(to, 1);
 }
