Let further answers to a stop make it no earlier: the channel may run slower

Callers: writes of a slice at two servers, on a channel that runs over four times slower than stated while a proxy does not answer. Found on reading the change once more. By when a stop has left the channel is reckoned at a sixteenth of the pace from the first answer; but lines are forgotten at a quarter of it, and each further answer to the same mark then took the stop for sent at once, though copies to other proxies may still wait. Only answers to later marks show that.

--- a/crates/whinhill/src/assigner/handover.rs
+++ b/crates/whinhill/src/assigner/handover.rs
@@ -101,7 +101,7 @@
         let sent = self.now + self.longest_wait(self.channel.unanswered());
         let took_effect = self.channel.took_effect(mark, way, self.now);
         for handover in self.slices.iter_mut().filter_map(|s| s.handover.as_mut()) {
-            if handover.stop_mark <= mark {
+            if handover.stop_mark < mark || handover.stop_mark == mark && handover.stop_sent.is_none() {
                 handover.stop_sent = Some(handover.stop_sent.map_or(sent, |before| before.min(sent)));
             }
             let is_due = |awaited: &&mut Awaited| matches!(awaited.answer, Answer::Due(due) if due <= mark);
--- a/crates/whinhill/src/assigner/handover/tests.rs
+++ b/crates/whinhill/src/assigner/handover/tests.rs
@@ -242,3 +242,19 @@
     };
     assert_ne!(to, 1);
 }
+
+/// The channel may run slower than reckoned: one more answer to the same mark tells nothing of the messages behind it.
+#[test]
+fn further_answers_to_the_stop_do_not_make_it_sent_earlier() {
+    let mut a = large_fleet(1);
+    let begin = a.now;
+    a.stop(0, Some(1), false);
+    a.handle(begin, &[Event::Timer]);
+    let answer = |proxy| Event::Acked { proxy, mark: 1, way: s(0.1) };
+    let sent = |a: &Assigner| a.slices[0].handover.as_ref().and_then(|handover| handover.stop_sent);
+    a.handle(begin + s(0.1), &[answer(0)]);
+    let first = sent(&a);
+    a.handle(begin + s(0.2), &[Event::Timer]);
+    a.handle(begin + s(0.25), &[answer(1)]);
+    assert!(first > Some(begin + s(0.25)) && sent(&a) == first, "{first:?} {:?}", sent(&a));
+}
