--- a/review/platform.rs
+++ b/review/platform.rs
@@ -41,6 +41,9 @@
 const IN_DEMAND_SHARE: f64 = 0.25;
 const LEASE_MS: f64 = 4000.0;
 const STORE_READ_MS: f64 = 400.0;
+/// Requests a second by which the lagging client has more out, at first and later.
+const RAMP: f64 = 20000.0;
+const CREEP: f64 = 60.0;
 /// The largest memory limit of scored days.
 const MEMORY_MB: u64 = 192;
 const GRACE_MS: f64 = 2700.0;
@@ -613,12 +616,6 @@
     listen: SocketAddr,
 }
 
-impl Assigner {
-    fn signal(&self, name: &str) {
-        let _ = Command::new("kill").arg(format!("-{name}")).arg(self.child.id().to_string()).status();
-    }
-}
-
 impl Drop for Assigner {
     fn drop(&mut self) {
         let _ = self.child.kill();
@@ -924,8 +921,8 @@
     Killed,
 }
 
-/// A client that asks for signs of life and reads the answers at 4 KiB each 0.2 ms. It has up to `most` requests out
-/// at a time, more by `ramp` each second.
+/// A client that asks for signs of life and reads the answers at 4 KiB each 0.2 ms. The number of requests that it has
+/// out grows by `ramp` each second up to `most`, and by `CREEP` each second after that.
 fn lagging_client(case: &Case, pid: u32, most: usize, ramp: f64, seconds: f64) -> Stay {
     let request = b"{\"@type\":\"probe\"}\n";
     let many = request.repeat(4000);
@@ -934,7 +931,13 @@
     let (began, mut sent, mut got, mut buffer) = (Instant::now(), 0usize, 0usize, [0u8; 4096]);
     let mut noted = 0;
     while began.elapsed().as_secs_f64() < seconds {
-        let out = most.min(7000 + (began.elapsed().as_secs_f64() * ramp) as usize).min(most);
+        let seconds_out = began.elapsed().as_secs_f64();
+        let ramp_s = most.saturating_sub(7000) as f64 / ramp.max(1.0);
+        let out = match ramp == 0.0 {
+            true => most,
+            false if seconds_out < ramp_s => 7000 + (seconds_out * ramp) as usize,
+            false => most + ((seconds_out - ramp_s) * CREEP) as usize,
+        };
         let room = (out * request.len()).saturating_sub(sent - got).min(3500 * request.len());
         if room > 0 {
             match stream.write(&many[sent % request.len()..][..room]) {
@@ -980,13 +983,13 @@
         lagging_client(case, pid, 3000, 0.0, 40.0);
     } else {
         // The first stay finds out from where on the assigner resets; the next ones stay a little below.
-        let mut most = usize::MAX;
+        let mut most = usize::MAX >> 16;
         while lock(&case.world).now() < 95e3 {
             let left = 98.0 - lock(&case.world).now() / 1e3;
-            match lagging_client(case, pid, most, 14000.0, left) {
+            match lagging_client(case, pid, most, RAMP, left) {
                 Stay::Reset(at) => {
                     lock(&case.world).note(&format!("client: reset with {at} requests out"));
-                    most = at.saturating_sub(3000).max(7000);
+                    most = at.saturating_sub(4500).max(7000);
                     thread::sleep(Duration::from_millis(200));
                 }
                 Stay::Over => break,
