--- a/crates/whinhill-node/src/relay.rs
+++ b/crates/whinhill-node/src/relay.rs
@@ -3,7 +3,7 @@
 //! The relay watch is the stream on which the relay reports proxies, slices and lines; it is unrelated to the
 //! discovery watch.
 
-use tracing::{info, warn};
+use tracing::{enabled, info, trace, warn, Level};
 use whinhill::interface::{Event, ListKind, ListedStatus, ServerEntry, SliceId, LEVEL_ADMIT_ALL};
 use whinhill::Assigner;
 use whinhill_platform::lines::LineBuffer;
@@ -15,7 +15,7 @@
 use crate::connections::Id;
 use crate::deadlines::DeadlineKind;
 use crate::limits::*;
-use crate::node::Node;
+use crate::node::{Node, TRACE};
 
 /// Largest answer to a call, in bytes.
 const MAX_ANSWER_BYTES: usize = 256;
@@ -118,6 +118,7 @@
     pub fn handle_relay_watch_bytes(&mut self, id: Id, bytes: &[u8]) {
         self.deadlines.clear(DeadlineKind::ConnectionTimeout(id));
         let (slot, now, mut updates) = (self.relay_watch_slot(id), self.clock.now(), Vec::new());
+        trace_received(slot, bytes);
         let pending = pending_work(&self.relay_calls, &self.assigner);
         let result = self.relay_watch.receive(slot, now, bytes, &mut self.names, pending, &mut updates);
         self.handle_relay_updates(updates);
@@ -174,8 +175,13 @@
                 WatchUpdate::SnapshotComplete { after_break } => {
                     (self.relay_watch_retry_delay, self.relay_watch_failing) =
                         (MIN_RELAY_WATCH_RETRY_DELAY, false);
-                    let (proxies, slices) = (self.relay_watch.proxy_count(), self.relay_watch.slice_count());
-                    info!(proxies, slices, again = after_break, "relay watch synchronized");
+                    info!(
+                        proxies = self.relay_watch.proxy_count(),
+                        slices = self.relay_watch.slice_count(),
+                        without_line = self.relay_watch.slices_without_line(),
+                        again = after_break,
+                        "relay watch synchronized"
+                    );
                     if after_break {
                         self.relay_calls.request_last_ack_again(now);
                     }
@@ -320,6 +326,16 @@
     }
 }
 
+/// Logs bytes of a relay watch as they arrived, one log line for each line of text, since a log may truncate long ones.
+fn trace_received(slot: WatchSlot, bytes: &[u8]) {
+    if !enabled!(target: TRACE, Level::TRACE) {
+        return;
+    }
+    for line in bytes.split_inclusive(|byte| *byte == b'\n') {
+        trace!(target: TRACE, ?slot, "relay watch received {:?}", String::from_utf8_lossy(line));
+    }
+}
+
 /// Returns the pending work of a slice: an order for its line, or a handover of the module.
 fn pending_work<'a>(calls: &'a CallQueue, assigner: &'a Assigner) -> impl Fn(SliceId) -> PendingWork + 'a {
     |slice| match calls.pending_work(slice) {
--- a/crates/whinhill-platform/src/relay/watch.rs
+++ b/crates/whinhill-platform/src/relay/watch.rs
@@ -290,6 +290,11 @@
         self.slices.len()
     }
 
+    /// Number of slices in our custody for which the store is assumed to hold no line.
+    pub fn slices_without_line(&self) -> usize {
+        self.slices.values().filter(|line| line.is_none()).count()
+    }
+
     /// Notes that a line of the slice was ordered: from now on the store may hold a line that we set.
     pub fn note_line_ordered(&mut self, slice: SliceId) {
         self.lines_not_ordered.remove(&slice);
