--- a/crates/whinhill-platform/src/relay/watch.rs
+++ b/crates/whinhill-platform/src/relay/watch.rs
@@ -5,20 +5,23 @@
 //! another address, the connection to the new address receives its snapshot while the old one goes on, and then
 //! replaces it.
 
+mod message;
+mod stream;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use whinhill::interface::{Event, ProxyId, SliceId, ZoneId};
 use whinhill_names::Names;
 
+use self::message::{parse_line, Message};
+use self::stream::{Phase, Stream, MAX_LINE_BYTES};
 use super::calls::ConfirmedLine;
 use crate::lines::{LineBuffer, TooLong};
 
 /// The request that starts the watch stream.
 pub const REQUEST: &[u8] = b"WATCH\r\n";
 
-/// Maximum length of a line. The longest one holds a name of 64 bytes and three figures.
-const MAX_LINE_BYTES: usize = 1024;
 /// The snapshot is complete once nothing was received for this long, unless a heartbeat ends it earlier.
 const SNAPSHOT_IDLE_DURATION: Duration = Duration::from_millis(250);
 /// The connection is lost once nothing was received for this long. Heartbeats come each second and may be late.
@@ -97,105 +100,6 @@
     Next,
 }
 
-#[derive(Debug, PartialEq)]
-enum Phase {
-    /// The request was sent and is not yet answered.
-    Requested,
-    /// The snapshot is being received.
-    Snapshot,
-    /// The snapshot is complete; each line reports a change.
-    Live,
-}
-
-/// One connection to the relay, and the snapshot received on it.
-#[derive(Debug)]
-struct Stream {
-    phase: Phase,
-    lines: LineBuffer,
-    received_at: Duration,
-    proxies: BTreeMap<ProxyId, ZoneId>,
-    slices: BTreeMap<SliceId, Vec<String>>,
-    /// Lines that our calls have replaced since the connection was opened. The snapshot may still contain them.
-    replaced: BTreeMap<SliceId, BTreeSet<Option<String>>>,
-}
-
-/// A parsed line.
-enum Message<'a> {
-    Heartbeat,
-    Hello(ProxyId, ZoneId),
-    Bye(ProxyId),
-    Ack(ProxyId, u16, Duration),
-    Lease(SliceId, bool),
-    Line(SliceId, &'a str),
-    /// A line of weight 0, which counts as absent.
-    AbsentLine,
-}
-
-impl<'a> Message<'a> {
-    fn parse(text: &'a str, names: &mut Names) -> Option<Self> {
-        let mut words = text.split(' ');
-        if words.next() != Some("*") {
-            return None;
-        }
-        let Some(kind) = words.next() else { return Some(Message::Heartbeat) };
-        let mut word = || words.next();
-        Some(match kind {
-            "hello" => Message::Hello(word()?.parse().ok()?, names.zone_id(word()?)),
-            "bye" => Message::Bye(word()?.parse().ok()?),
-            "ack" => {
-                let (proxy, ack_seq) = (word()?.parse().ok()?, word()?.parse().ok()?);
-                let ms: f64 = word()?.parse().ok()?;
-                Message::Ack(proxy, ack_seq, Duration::try_from_secs_f64(ms.max(0.0) / 1e3).ok()?)
-            }
-            "lease" => {
-                let slice = names.slice_id(word()?.parse().ok()?)?;
-                match word()? {
-                    "1" => Message::Lease(slice, true),
-                    "0" => Message::Lease(slice, false),
-                    _ => return None,
-                }
-            }
-            "line" => {
-                let (slice, server) = (names.slice_id(word()?.parse().ok()?)?, word()?);
-                let weight: f64 = word()?.parse().ok()?;
-                if weight > 0.0 {
-                    Message::Line(slice, server)
-                } else {
-                    Message::AbsentLine
-                }
-            }
-            _ => return None,
-        })
-    }
-}
-
-impl Stream {
-    fn new(now: Duration) -> Self {
-        Stream {
-            phase: Phase::Requested,
-            lines: LineBuffer::new(MAX_LINE_BYTES),
-            received_at: now,
-            proxies: BTreeMap::new(),
-            slices: BTreeMap::new(),
-            replaced: BTreeMap::new(),
-        }
-    }
-
-    /// Adds a message to the snapshot: current state, or a change that happened while the snapshot was being sent.
-    fn record(&mut self, message: &Message) {
-        match message {
-            Message::Hello(proxy, zone) => drop(self.proxies.insert(*proxy, *zone)),
-            Message::Bye(proxy) => drop(self.proxies.remove(proxy)),
-            Message::Lease(slice, true) => drop(self.slices.insert(*slice, Vec::new())),
-            Message::Lease(slice, false) => drop(self.slices.remove(slice)),
-            Message::Line(slice, server) => {
-                self.slices.entry(*slice).and_modify(|lines| lines.push(server.to_string()));
-            }
-            Message::Ack(..) | Message::AbsentLine | Message::Heartbeat => {}
-        }
-    }
-}
-
 /// The state reported by the relay, kept across connections.
 #[derive(Debug, Default)]
 pub struct RelayWatch {
@@ -477,20 +381,5 @@
     }
 }
 
-/// Parses a line; `None` for the positive answer to the request.
-fn parse_line<'a>(
-    line: &'a [u8],
-    phase: &Phase,
-    names: &mut Names,
-) -> Result<Option<Message<'a>>, WatchError> {
-    let prefix = || String::from_utf8_lossy(line).chars().take(100).collect();
-    let text = std::str::from_utf8(line).unwrap_or_default();
-    match phase {
-        Phase::Requested if text == "OK" => Ok(None),
-        Phase::Requested => Err(WatchError::Refused(prefix())),
-        _ => Message::parse(text, names).map(Some).ok_or_else(|| WatchError::Malformed(prefix())),
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- /dev/null
+++ b/crates/whinhill-platform/src/relay/watch/stream.rs
@@ -0,0 +1,60 @@
+//! One connection to the relay, and the snapshot received on it.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use whinhill::interface::{ProxyId, SliceId, ZoneId};
+
+use super::message::Message;
+use crate::lines::LineBuffer;
+
+/// Maximum length of a line. The longest one holds a name of 64 bytes and three figures.
+pub(super) const MAX_LINE_BYTES: usize = 1024;
+
+#[derive(Debug, PartialEq)]
+pub(super) enum Phase {
+    /// The request was sent and is not yet answered.
+    Requested,
+    /// The snapshot is being received.
+    Snapshot,
+    /// The snapshot is complete; each line reports a change.
+    Live,
+}
+
+#[derive(Debug)]
+pub(super) struct Stream {
+    pub phase: Phase,
+    pub lines: LineBuffer,
+    pub received_at: Duration,
+    pub proxies: BTreeMap<ProxyId, ZoneId>,
+    pub slices: BTreeMap<SliceId, Vec<String>>,
+    /// Lines that our calls have replaced since the connection was opened. The snapshot may still contain them.
+    pub replaced: BTreeMap<SliceId, BTreeSet<Option<String>>>,
+}
+
+impl Stream {
+    pub fn new(now: Duration) -> Self {
+        Stream {
+            phase: Phase::Requested,
+            lines: LineBuffer::new(MAX_LINE_BYTES),
+            received_at: now,
+            proxies: BTreeMap::new(),
+            slices: BTreeMap::new(),
+            replaced: BTreeMap::new(),
+        }
+    }
+
+    /// Adds a message to the snapshot: current state, or a change that happened while the snapshot was being sent.
+    pub fn record(&mut self, message: &Message) {
+        match message {
+            Message::Hello(proxy, zone) => drop(self.proxies.insert(*proxy, *zone)),
+            Message::Bye(proxy) => drop(self.proxies.remove(proxy)),
+            Message::Lease(slice, true) => drop(self.slices.insert(*slice, Vec::new())),
+            Message::Lease(slice, false) => drop(self.slices.remove(slice)),
+            Message::Line(slice, server) => {
+                self.slices.entry(*slice).and_modify(|lines| lines.push(server.to_string()));
+            }
+            Message::Ack(..) | Message::AbsentLine | Message::Heartbeat => {}
+        }
+    }
+}
