--- a/crates/whinhill-node/src/relay.rs
+++ b/crates/whinhill-node/src/relay.rs
@@ -102,15 +102,9 @@
         if connection.is_some_and(|id| self.check_before_timeout(id)) {
             return self.deadlines.set(DeadlineKind::RelayWatch(slot), self.clock.now() + RECHECK_DELAY);
         }
-        let (now, mut updates) = (self.clock.now(), Vec::new());
-        let pending = pending_work(&self.relay_calls, &self.assigner);
-        let alive = self.relay_watch.on_timeout(slot, now, &mut self.names, pending, &mut updates);
-        self.handle_relay_updates(updates);
-        let slot = self.promote_next_relay_watch(slot);
-        if alive {
-            self.schedule_relay_watch_timeout(slot);
-        } else {
-            self.lose_relay_watch(slot, "silent");
+        match self.relay_watch.timeout_at(slot) {
+            Some(at) if at <= self.clock.now() => self.lose_relay_watch(slot, "silent"),
+            _ => self.schedule_relay_watch_timeout(slot),
         }
     }
 
--- a/crates/whinhill-platform/src/relay/watch.rs
+++ b/crates/whinhill-platform/src/relay/watch.rs
@@ -1,9 +1,9 @@
 //! The relay's watch stream: which proxies are joined, what they acknowledged, and the slices in our custody.
 //!
-//! What happens while the stream is broken is lost. Each new connection begins with a snapshot of the current state.
-//! The snapshot is compared with the state that we knew, and the differences become events. Where the relay moves to
-//! another address, the connection to the new address receives its snapshot while the old one goes on, and then
-//! replaces it.
+//! What happens while the stream is broken is lost. Each new connection begins with a snapshot of the current state,
+//! which ends with the first heartbeat, however long its parts take to arrive. The snapshot is compared with the state
+//! that we knew, and the differences become events. Where the relay moves to another address, the connection to the
+//! new address receives its snapshot while the old one goes on, and then replaces it.
 
 mod message;
 mod stream;
@@ -22,8 +22,6 @@
 /// The request that starts the watch stream.
 pub const REQUEST: &[u8] = b"WATCH\r\n";
 
-/// The snapshot is complete once nothing was received for this long, unless a heartbeat ends it earlier.
-const SNAPSHOT_IDLE_DURATION: Duration = Duration::from_millis(250);
 /// The connection is lost once nothing was received for this long. Heartbeats come each second and may be late.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(1800);
 
@@ -153,35 +151,14 @@
         })
     }
 
-    /// When to call [`RelayWatch::on_timeout`] if nothing is received until then.
+    /// When the connection is lost if nothing is received until then. A pause says nothing else: it does not complete
+    /// a snapshot, since the network may deliver bytes late.
     pub fn timeout_at(&self, slot: WatchSlot) -> Option<Duration> {
         let stream = match slot {
             WatchSlot::Current => self.current.as_ref()?,
             WatchSlot::Next => self.next.as_ref()?,
         };
-        let timeout =
-            if stream.phase == Phase::Snapshot { SNAPSHOT_IDLE_DURATION } else { HEARTBEAT_TIMEOUT };
-        Some(stream.received_at + timeout)
-    }
-
-    /// Handles a timeout: completes a snapshot on which nothing was received for a while. Returns false if the
-    /// connection is lost.
-    pub fn on_timeout(
-        &mut self,
-        slot: WatchSlot,
-        now: Duration,
-        names: &mut Names,
-        pending_work: impl Fn(SliceId) -> PendingWork,
-        updates: &mut Vec<WatchUpdate>,
-    ) -> bool {
-        let Some(stream) = self.stream_mut(slot).take() else { return true };
-        let alive = now < stream.received_at + HEARTBEAT_TIMEOUT;
-        if stream.phase == Phase::Snapshot && now >= stream.received_at + SNAPSHOT_IDLE_DURATION {
-            self.complete_snapshot(slot, stream, names, pending_work, updates);
-        } else {
-            *self.stream_mut(slot) = Some(stream);
-        }
-        alive
+        Some(stream.received_at + HEARTBEAT_TIMEOUT)
     }
 
     /// Number of joined proxies.
@@ -350,6 +327,7 @@
                     continue;
                 }
                 updates.push(WatchUpdate::Reacquired { slice, line_differs });
+                self.lines_not_ordered.insert(slice);
                 if line_differs {
                     // Of several lines the one that we knew is kept, or else the first.
                     let kept = stored.iter().find(|line| known.as_ref() == Some(*line));
--- a/crates/whinhill-platform/src/relay/watch/stream.rs
+++ b/crates/whinhill-platform/src/relay/watch/stream.rs
@@ -15,7 +15,7 @@
 pub(super) enum Phase {
     /// The request was sent and is not yet answered.
     Requested,
-    /// The snapshot is being received.
+    /// The snapshot is being received. It ends with the first heartbeat.
     Snapshot,
     /// The snapshot is complete; each line reports a change.
     Live,
--- a/crates/whinhill-platform/src/relay/watch/tests.rs
+++ b/crates/whinhill-platform/src/relay/watch/tests.rs
@@ -121,35 +121,21 @@
     assert_eq!(updates, wanted);
 }
 
+/// A pause must not complete a snapshot: what has not arrived would count as gone.
 #[test]
-fn missing_heartbeats_are_a_loss_and_a_pause_completes_the_snapshot() {
+fn silence_is_a_loss_and_only_a_heartbeat_completes_the_snapshot() {
     let mut reader = Reader::new();
+    reader.connect(SNAPSHOT, 1000);
     reader.state.on_connected(WatchSlot::Current, MS);
-    let updates = reader.receive(&format!("OK\r\n{SNAPSHOT}"), 1000);
-    assert_eq!(updates.len(), 5);
-    let mut updates = Vec::new();
-    assert!(reader.state.on_timeout(
-        WatchSlot::Current,
-        MS + SNAPSHOT_IDLE_DURATION,
-        &mut reader.names,
-        |_| PendingWork::Nothing,
-        &mut updates
-    ));
-    assert_eq!(updates, [WatchUpdate::SnapshotComplete { after_break: false }]);
-    assert!(reader.state.on_timeout(
-        WatchSlot::Current,
-        HEARTBEAT_TIMEOUT,
-        &mut reader.names,
-        |_| PendingWork::Nothing,
-        &mut updates
-    ));
-    assert!(!reader.state.on_timeout(
-        WatchSlot::Current,
-        MS + HEARTBEAT_TIMEOUT,
-        &mut reader.names,
-        |_| PendingWork::Nothing,
-        &mut updates
-    ));
+    let (first, rest) = SNAPSHOT.split_at(SNAPSHOT.find("* line").unwrap());
+    assert_eq!(reader.receive(&format!("OK\r\n{first}"), 1000), []);
+    assert_eq!(reader.state.timeout_at(WatchSlot::Current), Some(MS + HEARTBEAT_TIMEOUT));
+    assert!(!reader.state.is_live());
+    assert_eq!(reader.receive(rest, 1000), []);
+    assert!(!reader.state.is_live());
+    assert_eq!(reader.receive("*\r\n", 1000), [WatchUpdate::SnapshotComplete { after_break: true }]);
+    assert!(reader.state.is_live());
+    assert_eq!(reader.state.timeout_at(WatchSlot::Current), Some(MS + HEARTBEAT_TIMEOUT));
 }
 
 #[test]
