Report a slice without a line only when a heartbeat proves that it has none

Callers would have seen writes of one slice at two servers, and where slices are shared requests at a server that drains: a slice whose lease came some 100 ms before its line was granted anew in between, at a start, a restart, and as custody passes from another assigner.

That a line has not been received was taken for there being none. A line that came after the grant was taken for our own.

Fix: custody keeps for each slice whether all lines that the store held at the lease have come. A slice is reported with its first line, and one without a line with the next heartbeat. Until that heartbeat a line that names a server which we have not ordered is another's and is ended.

--- a/crates/whinhill-cli/tests/state_in_pieces.rs
+++ b/crates/whinhill-cli/tests/state_in_pieces.rs
@@ -105,3 +105,36 @@
         assert_lines_untouched(&relay, 1);
     }
 }
+
+/// Guards against a second owner at a start: a slice was granted before its line had come.
+#[test]
+fn state_in_pieces_at_a_start_gives_no_slice_a_second_owner() {
+    for is_exclusive in [true, false] {
+        let relay = PacedRelay::start(lines(&["s-1", "s-2"]), is_exclusive, Some(PAUSE));
+        let _assigner = Assigner::start(&relay, is_exclusive);
+        assert_lines_untouched(&relay, 1);
+    }
+}
+
+/// Guards against a second owner of a slice that another assigner had: it was granted before its line had come.
+#[test]
+fn slice_acquired_with_a_late_line_gets_no_second_owner() {
+    for is_exclusive in [true, false] {
+        let relay = PacedRelay::start(lines(&["s-1"]), is_exclusive, None);
+        let _assigner = Assigner::start(&relay, is_exclusive);
+        wait_until("the first state", || relay.states_sent() == 1);
+        relay.grant_slice_in_pieces(&["s-2"], PAUSE);
+        assert_lines_untouched(&relay, 1);
+    }
+}
+
+/// Guards against a line that stays for good: where slices are shared, the second line of one came late, after a line
+/// had been ordered for it, and was taken for our own.
+#[test]
+fn late_second_line_of_a_shared_slice_is_removed() {
+    let relay = PacedRelay::start(lines(&["s-1"]), false, None);
+    let _assigner = Assigner::start(&relay, false);
+    wait_until("the first state", || relay.states_sent() == 1);
+    relay.grant_slice_in_pieces(&["s-1", "s-2"], PAUSE);
+    wait_until("the end of the second line", || relay.slices()[1] == ["s-1"]);
+}
--- a/crates/whinhill-node/src/node.rs
+++ b/crates/whinhill-node/src/node.rs
@@ -283,8 +283,8 @@
                 other => {
                     debug!(target: TRACE, "order {other:?}");
                     let order = RelayOrder::from_order(&other, &self.names);
-                    if let Some(RelayOrder::Line { slice, .. }) = order {
-                        self.relay_watch.note_line_ordered(slice);
+                    if let Some(RelayOrder::Line { slice, server, .. }) = &order {
+                        self.relay_watch.note_line_ordered(*slice, server);
                     }
                     relay_orders.extend(order);
                 }
--- a/crates/whinhill-platform/src/relay/watch.rs
+++ b/crates/whinhill-platform/src/relay/watch.rs
@@ -5,6 +5,7 @@
 //! that we knew, and the differences become events. Where the relay moves to another address, the connection to the
 //! new address receives its snapshot while the old one goes on, and then replaces it.
 
+mod custody;
 mod message;
 mod stream;
 
@@ -14,6 +15,7 @@
 use whinhill::interface::{Event, ProxyId, SliceId, ZoneId};
 use whinhill_names::Names;
 
+use self::custody::Custody;
 use self::message::{parse_line, Message};
 use self::stream::{Phase, Stream, MAX_LINE_BYTES};
 use super::calls::ConfirmedLine;
@@ -106,11 +108,7 @@
     /// Some state was received before, at least in part: later snapshots are compared with it.
     has_baseline: bool,
     proxies: BTreeMap<ProxyId, ZoneId>,
-    /// The slices in our custody, each with the line that the store holds.
-    slices: BTreeMap<SliceId, Option<String>>,
-    /// Slices that were acquired and for which we have ordered no line since: all their reported lines come from
-    /// another assigner.
-    lines_not_ordered: BTreeSet<SliceId>,
+    custody: Custody,
 }
 
 impl RelayWatch {
@@ -131,6 +129,9 @@
         let ended = self.stream_mut(slot).take();
         // A partial snapshot is state that the next snapshot must be compared with.
         self.has_baseline |= slot == WatchSlot::Current && ended.is_some_and(|s| s.phase == Phase::Snapshot);
+        if slot == WatchSlot::Current {
+            self.custody.forget_unreported();
+        }
     }
 
     /// Whether there is such a connection.
@@ -168,31 +169,26 @@
 
     /// Number of slices in our custody.
     pub fn slice_count(&self) -> usize {
-        self.slices.len()
+        self.custody.len()
     }
 
     /// Number of slices in our custody for which the store is assumed to hold no line.
     pub fn slices_without_line(&self) -> usize {
-        self.slices.values().filter(|line| line.is_none()).count()
+        self.custody.count_without_line()
     }
 
-    /// Notes that a line of the slice was ordered: from now on the store may hold a line that we set.
-    pub fn note_line_ordered(&mut self, slice: SliceId) {
-        self.lines_not_ordered.remove(&slice);
+    /// Notes that a line of the slice was ordered, or its end: from now on the store may hold a line that we set.
+    pub fn note_line_ordered(&mut self, slice: SliceId, server: &str) {
+        self.custody.note_line_ordered(slice, server);
     }
 
     /// Notes a line that a call of ours has set or removed. A snapshot that is being received may still contain the
     /// line that it replaced.
     pub fn note_line_confirmed(&mut self, set: ConfirmedLine) {
-        let Some(known) = self.slices.get_mut(&set.slice) else { return };
-        let line = match (set.on, &*known) {
-            (true, _) => Some(set.server),
-            (false, Some(other)) if *other != set.server => return,
-            (false, _) => None,
-        };
-        let replaced = std::mem::replace(known, line);
+        let slice = set.slice;
+        let Some(replaced) = self.custody.note_line_confirmed(set) else { return };
         for stream in self.current.iter_mut().chain(&mut self.next).filter(|s| s.phase != Phase::Live) {
-            stream.replaced.entry(set.slice).or_default().insert(replaced.clone());
+            stream.replaced.entry(slice).or_default().insert(replaced.clone());
         }
     }
 
@@ -261,33 +257,11 @@
                     updates.push(WatchUpdate::Event(Event::ProxyLeft { proxy }));
                 }
             }
-            Message::Lease(slice, true) => {
-                self.slices.insert(slice, None);
-                self.lines_not_ordered.insert(slice);
-                updates.push(WatchUpdate::Event(Event::SliceAcquired { slice }));
-            }
-            Message::Lease(slice, false) => {
-                self.lines_not_ordered.remove(&slice);
-                if self.slices.remove(&slice).is_some() {
-                    updates.push(WatchUpdate::Event(Event::SliceReleased { slice }));
-                }
-            }
-            Message::Line(slice, server) if self.lines_not_ordered.contains(&slice) => {
-                match self.slices.get_mut(&slice) {
-                    Some(known @ None) => {
-                        *known = Some(server.to_string());
-                        updates.push(WatchUpdate::Event(Event::StoredOwner {
-                            slice,
-                            endpoint: names.endpoint(server),
-                        }));
-                    }
-                    Some(Some(known)) if known != server => {
-                        updates.push(WatchUpdate::ExtraLine { slice, server: server.to_string() });
-                    }
-                    _ => {}
-                }
-            }
-            Message::Ack(..) | Message::Line(..) | Message::AbsentLine | Message::Heartbeat => {}
+            Message::Lease(slice, true) => self.custody.acquire(slice, updates),
+            Message::Lease(slice, false) => self.custody.release(slice, updates),
+            Message::Line(slice, server) => self.custody.receive_line(slice, server, names, updates),
+            Message::Heartbeat => self.custody.complete_lines(updates),
+            Message::Ack(..) | Message::AbsentLine => {}
         }
     }
 
@@ -310,37 +284,53 @@
         (self.current, self.next) = (Some(stream), None);
         if after_break {
             self.reconcile_proxies(proxies, updates);
-            let released: Vec<SliceId> =
-                self.slices.keys().copied().filter(|s| !slices.contains_key(s)).collect();
-            released.into_iter().for_each(|slice| self.apply(Message::Lease(slice, false), names, updates));
+            self.custody.forget_unreported();
+            self.custody.release_all_but(|slice| slices.contains_key(&slice), updates);
             for (slice, stored) in slices {
-                let Some(known) = self.slices.get_mut(&slice) else {
-                    self.apply(Message::Lease(slice, true), names, updates);
-                    stored.iter().for_each(|line| self.apply(Message::Line(slice, line), names, updates));
+                if !self.custody.contains(slice) {
+                    self.custody.acquire(slice, updates);
+                    stored.iter().for_each(|line| self.custody.receive_line(slice, line, names, updates));
                     continue;
-                };
-                let is_stored = |line: &Option<String>| line.as_slice() == stored;
-                let was_replaced = replaced.get(&slice).is_some_and(|lines| lines.iter().any(is_stored));
-                let (line_differs, pending) = (!is_stored(known) && !was_replaced, pending_work(slice));
-                let undisturbed = pending == PendingWork::Nothing || unbroken;
-                if pending == PendingWork::CallInFlight || !line_differs && undisturbed {
-                    continue;
-                }
-                updates.push(WatchUpdate::Reacquired { slice, line_differs });
-                self.lines_not_ordered.insert(slice);
-                if line_differs {
-                    // Of several lines the one that we knew is kept, or else the first.
-                    let kept = stored.iter().find(|line| known.as_ref() == Some(*line));
-                    let kept = kept.or(stored.first()).cloned();
-                    let extra = stored.into_iter().filter(|line| Some(line) != kept.as_ref());
-                    updates.extend(extra.map(|server| WatchUpdate::ExtraLine { slice, server }));
-                    *known = kept;
                 }
+                let pending = match pending_work(slice) {
+                    PendingWork::Handover if unbroken => PendingWork::Nothing,
+                    pending => pending,
+                };
+                self.reconcile_slice(slice, stored, replaced.get(&slice), pending, updates);
             }
         }
+        self.custody.complete_lines(updates);
         updates.push(WatchUpdate::SnapshotComplete { after_break });
     }
 
+    /// Compares the lines of a slice in a snapshot with the one that we knew.
+    fn reconcile_slice(
+        &mut self,
+        slice: SliceId,
+        stored: Vec<String>,
+        replaced: Option<&BTreeSet<Option<String>>>,
+        pending: PendingWork,
+        updates: &mut Vec<WatchUpdate>,
+    ) {
+        let known = self.custody.line_of(slice).map(str::to_string);
+        let is_stored = |line: &Option<String>| line.as_slice() == stored;
+        let was_replaced = replaced.is_some_and(|lines| lines.iter().any(is_stored));
+        let line_differs = !is_stored(&known) && !was_replaced;
+        if pending == PendingWork::CallInFlight || !line_differs && pending == PendingWork::Nothing {
+            return;
+        }
+        updates.push(WatchUpdate::Reacquired { slice, line_differs });
+        if !line_differs {
+            return self.custody.reacquire(slice, known);
+        }
+        // Of several lines the one that we knew is kept, or else the first.
+        let kept = stored.iter().find(|line| known.as_ref() == Some(*line));
+        let kept = kept.or(stored.first()).cloned();
+        let extra = stored.into_iter().filter(|line| Some(line) != kept.as_ref());
+        updates.extend(extra.map(|server| WatchUpdate::ExtraLine { slice, server }));
+        self.custody.reacquire(slice, kept);
+    }
+
     /// Reports the proxies that joined or left during a break. A proxy in both states has kept its stream, or its ack
     /// is requested again.
     fn reconcile_proxies(&mut self, joined: BTreeMap<ProxyId, ZoneId>, updates: &mut Vec<WatchUpdate>) {
@@ -355,7 +345,7 @@
 
     /// The line that the store is assumed to hold for a slice of ours.
     pub fn line_of(&self, slice: SliceId) -> Option<&str> {
-        self.slices.get(&slice).and_then(Option::as_deref)
+        self.custody.line_of(slice)
     }
 }
 
--- a/crates/whinhill-platform/src/relay/watch/tests.rs
+++ b/crates/whinhill-platform/src/relay/watch/tests.rs
@@ -236,10 +236,65 @@
     reader.state.note_line_confirmed(ConfirmedLine { slice: 88, server: "s-2".to_string(), on: true });
     reader.state.note_line_confirmed(ConfirmedLine { slice: 88, server: "s-1".to_string(), on: false });
     assert_eq!(reader.state.line_of(88), Some("s-2"));
-    // Once we have ordered a line of the slice, a reported line is taken for ours.
+    // Until a heartbeat proves that all lines have arrived, a line is ours only if we have ordered it; after that, once
+    // we have ordered any.
     reader.receive("* lease 5 1\r\n* line 5 s-1 1.0\r\n", 1000);
-    reader.state.note_line_ordered(5);
+    reader.state.note_line_ordered(5, "s-2");
     assert_eq!(reader.receive("* line 5 s-2 1.0\r\n", 1000), []);
+    let extra = WatchUpdate::ExtraLine { slice: 5, server: "s-3".to_string() };
+    assert_eq!(reader.receive("* line 5 s-3 1.0\r\n", 1000), [extra]);
+    assert_eq!(reader.receive("*\r\n* line 5 s-3 1.0\r\n", 1000), []);
+}
+
+/// A lease and the line of its slice are separate messages: without the line, the slice is not yet one without a line,
+/// and would be granted to a second server.
+#[test]
+fn slice_without_a_line_is_reported_once_a_heartbeat_proves_that_none_follows() {
+    let mut reader = Reader::new();
+    reader.state.on_connected(WatchSlot::Current, MS);
+    let acquired = |slice| WatchUpdate::Event(Event::SliceAcquired { slice });
+    let owner = |reader: &Reader, slice, server| {
+        WatchUpdate::Event(Event::StoredOwner { slice, endpoint: reader.endpoint(server) })
+    };
+    assert_eq!(reader.receive("OK\r\n* lease 1 1\r\n* lease 2 1\r\n", 1000), []);
+    let updates = reader.receive("* line 1 s-1 1.0\r\n", 1000);
+    assert_eq!(updates, [acquired(1), owner(&reader, 1, "s-1")]);
+    let updates = reader.receive("*\r\n", 1000);
+    assert_eq!(updates, [acquired(2), WatchUpdate::SnapshotComplete { after_break: false }]);
+    // The same for slices acquired later.
+    assert_eq!(reader.receive("* lease 3 1\r\n* lease 4 1\r\n* ack 17 5 1\r\n", 1000), []);
+    let updates = reader.receive("* line 3 s-2 1.0\r\n*\r\n*\r\n", 1000);
+    assert_eq!(updates, [acquired(3), owner(&reader, 3, "s-2"), acquired(4)]);
+    // One that is withdrawn before it was reported, and one that is granted again.
+    assert_eq!(reader.receive("* lease 5 1\r\n* lease 5 0\r\n", 1000), []);
+    let released = WatchUpdate::Event(Event::SliceReleased { slice: 3 });
+    assert_eq!(reader.receive("* lease 3 1\r\n", 1000), [released]);
+    assert_eq!(reader.receive("*\r\n", 1000), [acquired(3)]);
+}
+
+/// The watch stream breaks between a lease and the line of its slice. The slice must be reported with the line that the
+/// next snapshot has, on a new connection and on one to a new address.
+#[test]
+fn slice_not_yet_reported_at_a_break_is_reported_by_the_next_snapshot() {
+    for slot in [WatchSlot::Current, WatchSlot::Next] {
+        let mut reader = Reader::new();
+        reader.connect(SNAPSHOT, 1000);
+        assert_eq!(reader.receive("* lease 5 1\r\n", 1000), []);
+        if slot == WatchSlot::Current {
+            reader.state.on_disconnected(slot);
+        }
+        reader.state.on_connected(slot, MS);
+        let text = format!("OK\r\n{SNAPSHOT}* lease 5 1\r\n* line 5 s-2 1.0\r\n*\r\n");
+        let mut updates = Vec::new();
+        let (state, names) = (&mut reader.state, &mut reader.names);
+        state.receive(slot, MS, text.as_bytes(), names, |_| PendingWork::Nothing, &mut updates).unwrap();
+        let wanted = [
+            WatchUpdate::Event(Event::SliceAcquired { slice: 5 }),
+            WatchUpdate::Event(Event::StoredOwner { slice: 5, endpoint: reader.endpoint("s-2") }),
+            WatchUpdate::SnapshotComplete { after_break: true },
+        ];
+        assert_eq!(updates, wanted, "{slot:?}");
+    }
 }
 
 /// The relay moves: the new address sends its snapshot while the former connection goes on. Nobody else held our slices
@@ -324,7 +379,10 @@
     for garbage in [false, true] {
         let mut reader = Reader::new();
         reader.state.on_connected(WatchSlot::Current, MS);
-        reader.receive(&format!("OK\r\n{SNAPSHOT}"), 1000);
+        let snapshot = format!("{SNAPSHOT}* lease 7 1\r\n* line 7 s-1 1.0\r\n");
+        let updates = reader.receive(&format!("OK\r\n{snapshot}"), 1000);
+        // Slice 9 has no line yet, so it was not reported and is not released.
+        assert!(!updates.contains(&WatchUpdate::Event(Event::SliceAcquired { slice: 9 })));
         if garbage {
             let (state, names) = (&mut reader.state, &mut reader.names);
             assert!(state
@@ -342,7 +400,7 @@
         let updates = reader.connect("* hello 17 a 21.5 1\r\n* lease 88 1\r\n* line 88 s-1 1.0\r\n", 1000);
         let departures = [
             WatchUpdate::Event(Event::ProxyLeft { proxy: 18 }),
-            WatchUpdate::Event(Event::SliceReleased { slice: 9 }),
+            WatchUpdate::Event(Event::SliceReleased { slice: 7 }),
         ];
         assert_eq!(
             updates,
