--- a/crates/whinhill-platform/src/relay/watch.rs
+++ b/crates/whinhill-platform/src/relay/watch.rs
@@ -281,7 +281,7 @@
         let (proxies, slices) = (std::mem::take(&mut stream.proxies), std::mem::take(&mut stream.slices));
         let replaced = std::mem::take(&mut stream.replaced);
         stream.phase = Phase::Live;
-        (self.current, self.next) = (Some(stream), None);
+        self.current = Some(stream);
         if after_break {
             self.reconcile_proxies(proxies, updates);
             self.custody.forget_unreported();
--- a/crates/whinhill-platform/src/relay/watch/tests.rs
+++ b/crates/whinhill-platform/src/relay/watch/tests.rs
@@ -25,6 +25,14 @@
         self.receive(&format!("OK\r\n{text}*\r\n"), piece)
     }
 
+    /// Feeds `text` to a connection, with nothing pending for any slice.
+    fn receive_on(&mut self, slot: WatchSlot, text: &str) -> Vec<WatchUpdate> {
+        let (mut updates, nothing_pending) = (Vec::new(), |_| PendingWork::Nothing);
+        let (state, names) = (&mut self.state, &mut self.names);
+        state.receive(slot, MS, text.as_bytes(), names, nothing_pending, &mut updates).unwrap();
+        updates
+    }
+
     /// Feeds `text` in pieces of `piece` bytes. A call that sets the line of slice 9 counts as in flight throughout.
     fn receive(&mut self, text: &str, piece: usize) -> Vec<WatchUpdate> {
         let mut updates = Vec::new();
@@ -285,9 +293,7 @@
         }
         reader.state.on_connected(slot, MS);
         let text = format!("OK\r\n{SNAPSHOT}* lease 5 1\r\n* line 5 s-2 1.0\r\n*\r\n");
-        let mut updates = Vec::new();
-        let (state, names) = (&mut reader.state, &mut reader.names);
-        state.receive(slot, MS, text.as_bytes(), names, |_| PendingWork::Nothing, &mut updates).unwrap();
+        let updates = reader.receive_on(slot, &text);
         let wanted = [
             WatchUpdate::Event(Event::SliceAcquired { slice: 5 }),
             WatchUpdate::Event(Event::StoredOwner { slice: 5, endpoint: reader.endpoint("s-2") }),
@@ -373,6 +379,30 @@
     assert!(state.is_live());
 }
 
+/// Guards against bytes of a new address that are read as part of another connection's: the relay moves while the
+/// current connection receives its snapshot, and that one is complete first.
+#[test]
+fn connection_to_a_new_address_goes_on_when_the_current_snapshot_is_complete() {
+    let mut reader = Reader::new();
+    reader.connect(SNAPSHOT, 1000);
+    reader.state.on_connected(WatchSlot::Current, MS);
+    reader.receive(&format!("OK\r\n{SNAPSHOT}"), 1000);
+    reader.state.on_connected(WatchSlot::Next, MS);
+    let text = format!("OK\r\n{SNAPSHOT}* lease 5 1\r\n* line 5 s-2 1.0\r\n*\r\n");
+    let (first, rest) = text.split_at(text.find("* line").unwrap() + 5);
+    assert_eq!(reader.receive_on(WatchSlot::Next, first), []);
+    assert_eq!(reader.receive("*\r\n", 1000), [WatchUpdate::SnapshotComplete { after_break: true }]);
+    assert!(reader.state.is_open(WatchSlot::Next));
+    let updates = reader.receive_on(WatchSlot::Next, rest);
+    let wanted = [
+        WatchUpdate::Event(Event::SliceAcquired { slice: 5 }),
+        WatchUpdate::Event(Event::StoredOwner { slice: 5, endpoint: reader.endpoint("s-2") }),
+        WatchUpdate::SnapshotComplete { after_break: true },
+    ];
+    assert_eq!(updates, wanted);
+    assert!(reader.state.is_live() && !reader.state.is_open(WatchSlot::Next));
+}
+
 /// The first connection is closed, or sends a malformed line, before its snapshot is complete.
 #[test]
 fn partial_snapshot_is_compared_with_the_next_one() {
