--- a/crates/whinhill-platform/src/relay/watch.rs
+++ b/crates/whinhill-platform/src/relay/watch.rs
@@ -162,6 +162,11 @@
         Some(stream.received_at + HEARTBEAT_TIMEOUT)
     }
 
+    /// Whether the snapshot on a connection is reported as it arrives, since there is nothing to compare it with.
+    fn reports_partial_snapshot(&self, slot: WatchSlot) -> bool {
+        slot == WatchSlot::Current && !self.has_baseline
+    }
+
     /// Number of joined proxies.
     pub fn proxy_count(&self) -> usize {
         self.proxies.len()
@@ -234,7 +239,7 @@
                 Message::Ack(proxy, ack_seq, transit) if self.proxies.contains_key(&proxy) => {
                     updates.push(WatchUpdate::Acked { proxy, ack_seq, transit });
                 }
-                message if stream.phase == Phase::Live || !self.has_baseline => {
+                message if stream.phase == Phase::Live || self.reports_partial_snapshot(slot) => {
                     self.apply(message, names, updates)
                 }
                 message => stream.record(&message),
@@ -277,7 +282,8 @@
     ) {
         // If the former connection has reported everything until now, nobody else held a slice of ours.
         let unbroken = slot == WatchSlot::Next && self.is_live();
-        let after_break = std::mem::replace(&mut self.has_baseline, true);
+        let after_break = !self.reports_partial_snapshot(slot);
+        self.has_baseline = true;
         let (proxies, slices) = (std::mem::take(&mut stream.proxies), std::mem::take(&mut stream.slices));
         let replaced = std::mem::take(&mut stream.replaced);
         stream.phase = Phase::Live;
@@ -349,5 +355,7 @@
     }
 }
 
+#[cfg(test)]
+mod schedules;
 #[cfg(test)]
 mod tests;
--- a/crates/whinhill-platform/src/relay/watch/tests.rs
+++ b/crates/whinhill-platform/src/relay/watch/tests.rs
@@ -403,6 +403,27 @@
     assert!(reader.state.is_live() && !reader.state.is_open(WatchSlot::Next));
 }
 
+/// Guards against a snapshot of which the first part is lost: the relay moves during the first snapshot, and the former
+/// connection ends in the middle of the new one.
+#[test]
+fn snapshot_of_a_new_address_is_complete_although_the_first_one_never_was() {
+    let mut reader = Reader::new();
+    reader.state.on_connected(WatchSlot::Current, MS);
+    reader.receive("OK\r\n* hello 17 a 21.5 1\r\n* lease 88 1\r\n* line 88 s-1 1.0\r\n", 1000);
+    reader.state.on_connected(WatchSlot::Next, MS);
+    let (first, rest) = SNAPSHOT.split_at(SNAPSHOT.find("* line").unwrap());
+    assert_eq!(reader.receive_on(WatchSlot::Next, &format!("OK\r\n{first}")), []);
+    reader.state.on_disconnected(WatchSlot::Current);
+    let updates = reader.receive_on(WatchSlot::Next, &format!("{rest}*\r\n"));
+    let wanted = [
+        WatchUpdate::Event(Event::ProxyJoined { proxy: 18, zone: 0 }),
+        WatchUpdate::Event(Event::SliceAcquired { slice: 9 }),
+        WatchUpdate::SnapshotComplete { after_break: true },
+    ];
+    assert_eq!(updates, wanted);
+    assert_eq!((reader.state.line_of(88), reader.state.slice_count()), (Some("s-1"), 2));
+}
+
 /// The first connection is closed, or sends a malformed line, before its snapshot is complete.
 #[test]
 fn partial_snapshot_is_compared_with_the_next_one() {
