--- a/crates/whinhill-platform/src/relay/watch/tests.rs
+++ b/crates/whinhill-platform/src/relay/watch/tests.rs
@@ -25,30 +25,30 @@
         self.receive(&format!("OK\r\n{text}*\r\n"), piece)
     }
 
+    /// Feeds `text` to a connection, and returns the updates.
+    fn try_receive(
+        &mut self,
+        slot: WatchSlot,
+        text: &str,
+        pending_work: impl Fn(SliceId) -> PendingWork,
+    ) -> Result<Vec<WatchUpdate>, WatchError> {
+        let mut updates = Vec::new();
+        let (state, names) = (&mut self.state, &mut self.names);
+        state.receive(slot, MS, text.as_bytes(), names, pending_work, &mut updates)?;
+        Ok(updates)
+    }
+
     /// Feeds `text` to a connection, with nothing pending for any slice.
     fn receive_on(&mut self, slot: WatchSlot, text: &str) -> Vec<WatchUpdate> {
-        let (mut updates, nothing_pending) = (Vec::new(), |_| PendingWork::Nothing);
-        let (state, names) = (&mut self.state, &mut self.names);
-        state.receive(slot, MS, text.as_bytes(), names, nothing_pending, &mut updates).unwrap();
-        updates
+        self.try_receive(slot, text, |_| PendingWork::Nothing).unwrap()
     }
 
-    /// Feeds `text` in pieces of `piece` bytes. A call that sets the line of slice 9 counts as in flight throughout.
+    /// Feeds `text` to the current connection in pieces of `piece` bytes. A call that sets the line of slice 9 counts as
+    /// in flight throughout.
     fn receive(&mut self, text: &str, piece: usize) -> Vec<WatchUpdate> {
-        let mut updates = Vec::new();
-        for bytes in text.as_bytes().chunks(piece) {
-            self.state
-                .receive(
-                    WatchSlot::Current,
-                    MS,
-                    bytes,
-                    &mut self.names,
-                    |slice| if slice == 9 { PendingWork::CallInFlight } else { PendingWork::Nothing },
-                    &mut updates,
-                )
-                .unwrap();
-        }
-        updates
+        let pending_work = |slice| if slice == 9 { PendingWork::CallInFlight } else { PendingWork::Nothing };
+        let pieces = text.as_bytes().chunks(piece).map(|bytes| std::str::from_utf8(bytes).unwrap());
+        pieces.flat_map(|text| self.try_receive(WatchSlot::Current, text, pending_work).unwrap()).collect()
     }
 
     fn endpoint(&self, name: &str) -> EndpointId {
@@ -151,20 +151,8 @@
     for text in ["ERR invalid\r\n", "OK\r\n* hello x a 1 1\r\n", "OK\r\n* lease 99 1\r\n", "OK\r\n\x01\r\n"] {
         let mut reader = Reader::new();
         reader.state.on_connected(WatchSlot::Current, MS);
-        let (state, names) = (&mut reader.state, &mut reader.names);
-        assert!(
-            state
-                .receive(
-                    WatchSlot::Current,
-                    MS,
-                    text.as_bytes(),
-                    names,
-                    |_| PendingWork::Nothing,
-                    &mut Vec::new()
-                )
-                .is_err(),
-            "{text}"
-        );
+        let received = reader.try_receive(WatchSlot::Current, text, |_| PendingWork::Nothing);
+        assert!(received.is_err(), "{text}");
     }
 }
 
@@ -203,19 +191,11 @@
     let mut reader = Reader::new();
     reader.connect(SNAPSHOT, 1000);
     reader.state.on_connected(WatchSlot::Current, MS);
-    let mut updates = Vec::new();
-    let text = format!("OK\r\n{SNAPSHOT}*\r\n");
-    let (begin, end) = text.split_at(text.len() - 3);
     let pending_work = |slice| if slice == 88 { PendingWork::Handover } else { PendingWork::Nothing };
-    reader
-        .state
-        .receive(WatchSlot::Current, MS, begin.as_bytes(), &mut reader.names, pending_work, &mut updates)
-        .unwrap();
+    let begin = format!("OK\r\n{SNAPSHOT}");
+    let updates = reader.try_receive(WatchSlot::Current, &begin, pending_work).unwrap();
     assert!(updates.is_empty() && !reader.state.is_live());
-    reader
-        .state
-        .receive(WatchSlot::Current, MS, end.as_bytes(), &mut reader.names, pending_work, &mut updates)
-        .unwrap();
+    let updates = reader.try_receive(WatchSlot::Current, "*\r\n", pending_work).unwrap();
     assert_eq!(
         updates,
         [
@@ -311,38 +291,19 @@
     reader.connect(SNAPSHOT, 1000);
     reader.state.on_connected(WatchSlot::Next, MS);
     let pending_work = |_| PendingWork::Handover;
-    let mut updates = Vec::new();
-    let (state, names) = (&mut reader.state, &mut reader.names);
-    state
-        .receive(
-            WatchSlot::Next,
-            MS,
-            format!("OK\r\n{SNAPSHOT}").as_bytes(),
-            names,
-            pending_work,
-            &mut updates,
-        )
-        .unwrap();
-    assert!(updates.is_empty() && state.is_live() && state.is_open(WatchSlot::Next));
+    let updates = reader.try_receive(WatchSlot::Next, &format!("OK\r\n{SNAPSHOT}"), pending_work).unwrap();
+    assert!(updates.is_empty() && reader.state.is_live() && reader.state.is_open(WatchSlot::Next));
     // Both connections report changes; an ack may come on either.
     let both = "* bye 18\r\n* hello 20 a 1 0\r\n* lease 9 0\r\n* lease 7 1\r\n* line 7 s-2 1.0\r\n";
-    state.receive(WatchSlot::Current, MS, both.as_bytes(), names, pending_work, &mut updates).unwrap();
-    let before = updates.len();
-    state
-        .receive(
-            WatchSlot::Next,
-            MS,
-            format!("{both}* ack 17 5 1.0\r\n*\r\n").as_bytes(),
-            names,
-            pending_work,
-            &mut updates,
-        )
-        .unwrap();
+    assert_eq!(reader.try_receive(WatchSlot::Current, both, pending_work).unwrap().len(), 5);
+    let text = format!("{both}* ack 17 5 1.0\r\n*\r\n");
+    let updates = reader.try_receive(WatchSlot::Next, &text, pending_work).unwrap();
     let wanted = [
         WatchUpdate::Acked { proxy: 17, ack_seq: 5, transit: MS },
         WatchUpdate::SnapshotComplete { after_break: true },
     ];
-    assert_eq!((before, &updates[before..]), (5, wanted.as_slice()));
+    assert_eq!(updates, wanted);
+    let state = &reader.state;
     assert!(state.is_live() && !state.is_open(WatchSlot::Next));
     assert_eq!((state.line_of(7), state.line_of(88), state.slice_count()), (Some("s-2"), Some("s-1"), 2));
 }
@@ -354,21 +315,10 @@
     reader.connect(SNAPSHOT, 1000);
     reader.state.on_connected(WatchSlot::Next, MS);
     let pending_work = |slice| if slice == 88 { PendingWork::Handover } else { PendingWork::Nothing };
-    let mut updates = Vec::new();
-    let (state, names) = (&mut reader.state, &mut reader.names);
-    state
-        .receive(
-            WatchSlot::Next,
-            MS,
-            format!("OK\r\n{SNAPSHOT}").as_bytes(),
-            names,
-            pending_work,
-            &mut updates,
-        )
-        .unwrap();
-    state.on_disconnected(WatchSlot::Current);
-    assert!(!state.is_live());
-    state.receive(WatchSlot::Next, MS, b"*\r\n", names, pending_work, &mut updates).unwrap();
+    let before = reader.try_receive(WatchSlot::Next, &format!("OK\r\n{SNAPSHOT}"), pending_work).unwrap();
+    reader.state.on_disconnected(WatchSlot::Current);
+    assert!(before.is_empty() && !reader.state.is_live());
+    let updates = reader.try_receive(WatchSlot::Next, "*\r\n", pending_work).unwrap();
     assert_eq!(
         updates,
         [
@@ -376,7 +326,7 @@
             WatchUpdate::SnapshotComplete { after_break: true }
         ]
     );
-    assert!(state.is_live());
+    assert!(reader.state.is_live());
 }
 
 /// Guards against bytes of a new address that are read as part of another connection's: the relay moves while the
@@ -435,17 +385,8 @@
         // Slice 9 has no line yet, so it was not reported and is not released.
         assert!(!updates.contains(&WatchUpdate::Event(Event::SliceAcquired { slice: 9 })));
         if garbage {
-            let (state, names) = (&mut reader.state, &mut reader.names);
-            assert!(state
-                .receive(
-                    WatchSlot::Current,
-                    MS,
-                    b"\x01\r\n",
-                    names,
-                    |_| PendingWork::Nothing,
-                    &mut Vec::new()
-                )
-                .is_err());
+            let pending_work = |_| PendingWork::Nothing;
+            assert!(reader.try_receive(WatchSlot::Current, "\x01\r\n", pending_work).is_err());
         }
         reader.state.on_disconnected(WatchSlot::Current);
         let updates = reader.connect("* hello 17 a 21.5 1\r\n* lease 88 1\r\n* line 88 s-1 1.0\r\n", 1000);
--- a/crates/whinhill/src/interface.rs
+++ b/crates/whinhill/src/interface.rs
@@ -127,7 +127,9 @@
     /// A proxy acknowledges the message with the sequence number `ack_seq`, and with it all earlier ones. `transit` is the
     /// transit time, from sending the orders until they took effect.
     Acked { proxy: ProxyId, ack_seq: u16, transit: Duration },
-    /// This assigner has acquired custody of a slice.
+    /// This assigner has acquired custody of a slice. Unless `StoredOwner` follows in the same batch, the slice counts
+    /// as one without an owner and is granted without a stop of writes, so it must be certain that the store holds no
+    /// line.
     SliceAcquired { slice: SliceId },
     /// This assigner has released a slice, or lost custody of it.
     SliceReleased { slice: SliceId },
