--- a/crates/whinhill-platform/src/relay/watch/stream.rs
+++ b/crates/whinhill-platform/src/relay/watch/stream.rs
@@ -50,7 +50,11 @@
             Message::Hello(proxy, zone) => drop(self.proxies.insert(*proxy, *zone)),
             Message::Bye(proxy) => drop(self.proxies.remove(proxy)),
             Message::Lease(slice, true) => drop(self.slices.insert(*slice, Vec::new())),
-            Message::Lease(slice, false) => drop(self.slices.remove(slice)),
+            Message::Lease(slice, false) => {
+                self.slices.remove(slice);
+                // Lines that come after a new lease are newer than ours.
+                self.replaced.remove(slice);
+            }
             Message::Line(slice, server) => {
                 self.slices.entry(*slice).and_modify(|lines| lines.push(server.to_string()));
             }
--- a/crates/whinhill-platform/src/relay/watch/tests.rs
+++ b/crates/whinhill-platform/src/relay/watch/tests.rs
@@ -183,6 +183,25 @@
     );
 }
 
+/// Guards against a wrong owner: the slice is withdrawn after our call and granted again, while the snapshot is received.
+/// The line that our call had replaced is then newer than ours.
+#[test]
+fn line_that_follows_a_new_lease_in_the_snapshot_is_newer_than_our_call() {
+    let mut reader = Reader::new();
+    reader.connect(SNAPSHOT, 1000);
+    reader.state.on_connected(WatchSlot::Current, MS);
+    reader.receive(&format!("OK\r\n{SNAPSHOT}"), 1000);
+    let set = ConfirmedLine { slice: 88, server: "s-2".to_string(), on: true };
+    reader.state.note_line_confirmed(set);
+    let updates = reader.receive("* lease 88 0\r\n* lease 88 1\r\n* line 88 s-1 1.0\r\n*\r\n", 1000);
+    let wanted = [
+        WatchUpdate::Reacquired { slice: 88, line_differs: true },
+        WatchUpdate::SnapshotComplete { after_break: true },
+    ];
+    assert_eq!(updates, wanted);
+    assert_eq!(reader.state.line_of(88), Some("s-1"));
+}
+
 /// Another assigner may have held the slice during the break. Its levels were reset then, so proxies may again write to
 /// an owner to which they had stopped writing. The handover starts again, and no call is sent before the snapshot is
 /// complete.
