--- a/crates/whinhill-platform/src/relay/watch.rs
+++ b/crates/whinhill-platform/src/relay/watch.rs
@@ -39,6 +39,10 @@
     /// The relay did not accept the request; the value is the beginning of its answer.
     #[error("request refused: {0}")]
     Refused(String),
+    /// Custody has changed on the current connection since this one was opened. Its snapshot may be older than the
+    /// change, which it would undo and then report again, without the lines that we have set meanwhile.
+    #[error("custody changed while the snapshot was received")]
+    Outdated,
 }
 
 /// A change that the watch stream reports.
@@ -121,7 +125,7 @@
 
     /// Handles a new connection. The caller writes [`REQUEST`] to it.
     pub fn on_connected(&mut self, slot: WatchSlot, now: Duration) {
-        *self.stream_mut(slot) = Some(Stream::new(now));
+        *self.stream_mut(slot) = Some(Stream::new(now, self.custody.change_count()));
     }
 
     /// Handles the end of a connection.
@@ -167,6 +171,11 @@
         slot == WatchSlot::Current && !self.has_baseline
     }
 
+    /// Whether custody has changed since a connection was opened.
+    fn is_outdated(&self, stream: &Stream) -> bool {
+        stream.custody_changes_before != self.custody.change_count()
+    }
+
     /// Number of joined proxies.
     pub fn proxy_count(&self) -> usize {
         self.proxies.len()
@@ -229,6 +238,10 @@
                 }
             };
             match message {
+                Message::Heartbeat if slot == WatchSlot::Next && self.is_outdated(&stream) => {
+                    *self.stream_mut(slot) = Some(stream);
+                    return Err(WatchError::Outdated);
+                }
                 Message::Heartbeat if stream.phase == Phase::Snapshot => {
                     self.complete_snapshot(slot, stream, names, &pending_work, updates);
                     slot = WatchSlot::Current;
--- a/crates/whinhill-platform/src/relay/watch/custody.rs
+++ b/crates/whinhill-platform/src/relay/watch/custody.rs
@@ -59,9 +59,17 @@
 #[derive(Debug, Default)]
 pub(super) struct Custody {
     slices: BTreeMap<SliceId, Slice>,
+    /// More lines may arrive for some slices.
+    is_incomplete: bool,
+    change_count: u64,
 }
 
 impl Custody {
+    /// Number of leases that were granted or withdrawn.
+    pub fn change_count(&self) -> u64 {
+        self.change_count
+    }
+
     /// Number of slices.
     pub fn len(&self) -> usize {
         self.slices.len()
@@ -88,11 +96,15 @@
         self.release(slice, updates);
         let stored_lines = StoredLines::Incomplete { ordered: BTreeSet::new() };
         self.slices.insert(slice, Slice { line: None, stored_lines, is_reported: false });
+        self.is_incomplete = true;
+        self.change_count += 1;
     }
 
     /// Handles a withdrawn lease.
     pub fn release(&mut self, slice: SliceId, updates: &mut Vec<WatchUpdate>) {
-        if self.slices.remove(&slice).is_some_and(|released| released.is_reported) {
+        let Some(released) = self.slices.remove(&slice) else { return };
+        self.change_count += 1;
+        if released.is_reported {
             updates.push(WatchUpdate::Event(Event::SliceReleased { slice }));
         }
     }
@@ -135,6 +147,9 @@
     /// Handles the proof that all lines of the slices acquired so far have been received: reports the slices without
     /// a line.
     pub fn complete_lines(&mut self, updates: &mut Vec<WatchUpdate>) {
+        if !std::mem::take(&mut self.is_incomplete) {
+            return;
+        }
         for (slice, known) in &mut self.slices {
             known.stored_lines = StoredLines::Complete { is_ordered: known.stored_lines.is_ordered() };
             if !std::mem::replace(&mut known.is_reported, true) {
--- a/crates/whinhill-platform/src/relay/watch/schedules.rs
+++ b/crates/whinhill-platform/src/relay/watch/schedules.rs
@@ -1,7 +1,7 @@
 //! Checks on random schedules that what the watch reports of slices never runs ahead of what the relay has sent.
 //!
 //! The model relay distributes slices between us and other assigners. It sends what the protocol allows: the state
-//! first, with lines beside their leases or after all of them; then changes; a heartbeat at any time between. Each
+//! first, with lines beside their leases or after all of them; then changes; heartbeats and acks at any time between. Each
 //! connection delivers its bytes in order and in pieces of any size. Connections break, and the relay moves to another
 //! address.
 
@@ -103,7 +103,11 @@
         let piece: Vec<u8> = bytes.drain(..max_bytes.min(bytes.len())).collect();
         let mut updates = Vec::new();
         let nothing_pending = |_| PendingWork::Nothing;
-        self.watch.receive(slot, NOW, &piece, &mut self.names, nothing_pending, &mut updates).unwrap();
+        let received = self.watch.receive(slot, NOW, &piece, &mut self.names, nothing_pending, &mut updates);
+        if matches!(received, Err(WatchError::Outdated)) {
+            return self.disconnect(slot);
+        }
+        received.unwrap();
         if slot == WatchSlot::Next && !self.watch.is_open(WatchSlot::Next) {
             let next = self.undelivered.remove(&WatchSlot::Next).unwrap();
             self.undelivered.insert(WatchSlot::Current, next);
@@ -179,7 +183,8 @@
                 let max_bytes = self.random.random_range(0..MAX_PIECE_BYTES);
                 self.deliver(slot, max_bytes);
             }
-            50..70 => self.send("*\r\n"),
+            50..60 => self.send("*\r\n"),
+            60..70 => self.send("* ack 17 1 1.0\r\n"),
             70..80 => self.order_line(),
             80..88 => self.change_custody(),
             88..92 if is_connected => self.disconnect(WatchSlot::Current),
@@ -201,14 +206,19 @@
         }
     }
 
-    /// Delivers all that was sent, and a heartbeat.
+    /// Delivers all that was sent, and a heartbeat. A connection that was refused is opened again.
     fn deliver_all(&mut self) {
-        if self.undelivered.is_empty() {
-            self.connect(WatchSlot::Current);
+        loop {
+            if self.undelivered.is_empty() {
+                self.connect(WatchSlot::Current);
+            }
+            self.send("*\r\n");
+            self.deliver(WatchSlot::Next, usize::MAX);
+            self.deliver(WatchSlot::Current, usize::MAX);
+            if self.watch.is_live() {
+                return;
+            }
         }
-        self.send("*\r\n");
-        self.deliver(WatchSlot::Next, usize::MAX);
-        self.deliver(WatchSlot::Current, usize::MAX);
     }
 }
 
--- a/crates/whinhill-platform/src/relay/watch/stream.rs
+++ b/crates/whinhill-platform/src/relay/watch/stream.rs
@@ -30,10 +30,12 @@
     pub slices: BTreeMap<SliceId, Vec<String>>,
     /// Lines that our calls have replaced since the connection was opened. The snapshot may still contain them.
     pub replaced: BTreeMap<SliceId, BTreeSet<Option<String>>>,
+    /// Number of changes of custody that were known as the connection was opened.
+    pub custody_changes_before: u64,
 }
 
 impl Stream {
-    pub fn new(now: Duration) -> Self {
+    pub fn new(now: Duration, custody_changes_before: u64) -> Self {
         Stream {
             phase: Phase::Requested,
             lines: LineBuffer::new(MAX_LINE_BYTES),
@@ -41,6 +43,7 @@
             proxies: BTreeMap::new(),
             slices: BTreeMap::new(),
             replaced: BTreeMap::new(),
+            custody_changes_before,
         }
     }
 
