Take an ack, like a heartbeat, as proof that a lease's lines have all come

A slice that comes without a line waited for the next heartbeat, up to a second, before the module heard of it.

The relay tells a lease and its lines together, so any message that is neither proves that no line follows; acks are frequent while slices change hands.

The unit test of slices without a line has an ack too; 55 tests of the package pass, and state_in_pieces and platform.

--- a/crates/whinhill-platform/src/relay/watch.rs
+++ b/crates/whinhill-platform/src/relay/watch.rs
@@ -250,6 +250,9 @@
                 }
                 // An ack counts on either connection, and a duplicate does no harm.
                 Message::Ack(proxy, ack_seq, transit) if self.proxies.contains_key(&proxy) => {
+                    if stream.phase == Phase::Live {
+                        self.custody.complete_lines(updates);
+                    }
                     updates.push(WatchUpdate::Acked { proxy, ack_seq, transit });
                 }
                 message if stream.phase == Phase::Live || self.reports_partial_snapshot(slot) => {
--- a/crates/whinhill-platform/src/relay/watch/custody.rs
+++ b/crates/whinhill-platform/src/relay/watch/custody.rs
@@ -1,7 +1,8 @@
 //! The slices in our custody, as the relay watch reports them.
 //!
 //! A lease and the lines of its slice are separate messages, and the second may arrive much later than the first. That
-//! the store holds no line for a slice, or no further line, is known from the first heartbeat after the lease.
+//! the store holds no line for a slice, or no further line, is known from the first heartbeat after the lease, or from
+//! the first ack: the relay reports a lease together with the lines, and nothing else between them.
 
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/crates/whinhill-platform/src/relay/watch/tests.rs
+++ b/crates/whinhill-platform/src/relay/watch/tests.rs
@@ -268,10 +268,12 @@
     assert_eq!(updates, [acquired(1), owner(&reader, 1, "s-1")]);
     let updates = reader.receive("*\r\n", 1000);
     assert_eq!(updates, [acquired(2), WatchUpdate::SnapshotComplete { after_break: false }]);
-    // The same for slices acquired later.
+    // The same for slices acquired later, where an ack proves it too.
     assert_eq!(reader.receive("* hello 17 a 1 1\r\n* lease 3 1\r\n* lease 4 1\r\n", 1000).len(), 1);
     let updates = reader.receive("* line 3 s-2 1.0\r\n*\r\n*\r\n", 1000);
     assert_eq!(updates, [acquired(3), owner(&reader, 3, "s-2"), acquired(4)]);
+    let acked = WatchUpdate::Acked { proxy: 17, ack_seq: 5, transit: MS };
+    assert_eq!(reader.receive("* lease 6 1\r\n* ack 17 5 1\r\n", 1000), [acquired(6), acked]);
     // One that is withdrawn before it was reported, and one that is granted again.
     assert_eq!(reader.receive("* lease 5 1\r\n* lease 5 0\r\n", 1000), []);
     let released = WatchUpdate::Event(Event::SliceReleased { slice: 3 });
