--- a/crates/whinhill-node/src/node.rs
+++ b/crates/whinhill-node/src/node.rs
@@ -42,7 +42,8 @@
 pub const SIGNALS: Token = Token(usize::MAX - 2);
 /// The log target of every event for the decision module and of its orders for the relay. `--log-level
 /// whinhill::trace=debug` leaves out reports, probe results, acknowledgements and timer events; `=trace` includes
-/// them, and the relay watch as its bytes arrive. Servers are identified by index; the `server` lines map indices to names.
+/// them, and the relay watch as its bytes arrive. Servers are identified by index; the `server` lines map indices to
+/// names.
 pub const TRACE: &str = "whinhill::trace";
 /// Bytes read from a socket in one call.
 const READ_BUFFER_BYTES: usize = 64 * 1024;
--- a/crates/whinhill-node/src/relay.rs
+++ b/crates/whinhill-node/src/relay.rs
@@ -9,7 +9,7 @@
 use whinhill_platform::lines::LineBuffer;
 use whinhill_platform::relay::calls::{CallOutcome, CallQueue};
 use whinhill_platform::relay::orders::RelayOrder;
-use whinhill_platform::relay::watch::{self, PendingWork, WatchSlot, WatchUpdate};
+use whinhill_platform::relay::watch::{self, PendingWork, WatchError, WatchSlot, WatchUpdate};
 
 use crate::connection::{Connection, ConnectionKind};
 use crate::connections::Id;
@@ -119,7 +119,13 @@
         let slot = self.promote_next_relay_watch(slot);
         match result {
             Ok(()) => self.schedule_relay_watch_timeout(slot),
-            Err(error) => self.lose_relay_watch(slot, &error.to_string()),
+            Err(error) => {
+                if matches!(error, WatchError::Outdated) {
+                    self.counters.snapshots_outdated += 1;
+                    info!("relay watch at the new address opened again: {error}");
+                }
+                self.lose_relay_watch(slot, &error.to_string());
+            }
         }
     }
 
--- a/crates/whinhill-node/src/status_log.rs
+++ b/crates/whinhill-node/src/status_log.rs
@@ -86,6 +86,8 @@
     pub calls_throttled: u64,
     /// Losses of the current relay watch.
     pub relay_watches_lost: u64,
+    /// Snapshots at a new address that were older than a change of custody.
+    pub snapshots_outdated: u64,
     /// Slices for which the store held another line than expected after a break of the relay watch.
     pub lines_differing: u64,
     /// Slices reacquired after a break with the expected line.
@@ -230,6 +232,7 @@
             not_sent = self.calls_not_sent,
             throttled = self.calls_throttled,
             news_lost = self.relay_watches_lost,
+            outdated = self.snapshots_outdated,
             differing = self.lines_differing,
             anew = self.slices_reacquired,
             "relay"
