Resolve the circular imports of the relay's calls, watch and custody

calls.rs, watch.rs and custody.rs imported each other, message.rs and stream.rs too. What is known of orders for lines has its own module (line_orders), and so have the phases of a connection (phase) and what the watch reports (updates).

--- a/crates/whinhill-cli/src/bench_decisions.rs
+++ b/crates/whinhill-cli/src/bench_decisions.rs
@@ -13,7 +13,8 @@
 use whinhill_assigner::process_cpu_and_memory;
 use whinhill_names::Names;
 use whinhill_platform::discovery::DiscoveryRequest;
-use whinhill_platform::relay::watch::{PendingWork, RelayWatch, WatchSlot};
+use whinhill_platform::relay::line_orders::PendingWork;
+use whinhill_platform::relay::watch::{RelayWatch, WatchSlot};
 
 use crate::CommandError;
 
--- a/crates/whinhill-node/src/relay.rs
+++ b/crates/whinhill-node/src/relay.rs
@@ -8,8 +8,9 @@
 use whinhill::Assigner;
 use whinhill_platform::lines::LineBuffer;
 use whinhill_platform::relay::calls::{CallOutcome, CallQueue};
+use whinhill_platform::relay::line_orders::PendingWork;
 use whinhill_platform::relay::orders::RelayOrder;
-use whinhill_platform::relay::watch::{self, PendingWork, WatchError, WatchSlot, WatchUpdate};
+use whinhill_platform::relay::watch::{self, WatchError, WatchSlot, WatchUpdate};
 
 use crate::connection::{Connection, ConnectionKind};
 use crate::connections::Id;
--- a/crates/whinhill-platform/src/relay.rs
+++ b/crates/whinhill-platform/src/relay.rs
@@ -2,5 +2,6 @@
 //! stream reports what happened.
 
 pub mod calls;
+pub mod line_orders;
 pub mod orders;
 pub mod watch;
--- a/crates/whinhill-platform/src/relay/calls.rs
+++ b/crates/whinhill-platform/src/relay/calls.rs
@@ -11,8 +11,8 @@
 use whinhill::interface::SliceId;
 use whinhill_names::Names;
 
+use super::line_orders::{ConfirmedLine, PendingWork};
 use super::orders::RelayOrder;
-use super::watch::PendingWork;
 
 /// Maximum size of the orders in one call, as the protocol defines it.
 const MAX_CALL_BYTES: usize = 60_000;
@@ -50,17 +50,6 @@
     Unknown,
 }
 
-/// A line that the store is known to have set or removed.
-#[derive(Clone, Debug, PartialEq)]
-pub struct ConfirmedLine {
-    /// The slice that the line belongs to.
-    pub slice: SliceId,
-    /// The server that the line names.
-    pub server: String,
-    /// Whether the line was set; otherwise it was removed.
-    pub on: bool,
-}
-
 #[derive(Clone, Debug)]
 struct QueuedOrder {
     order: RelayOrder,
--- a/crates/whinhill-platform/src/relay/watch.rs
+++ b/crates/whinhill-platform/src/relay/watch.rs
@@ -7,7 +7,9 @@
 
 mod custody;
 mod message;
+mod phase;
 mod stream;
+mod updates;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -17,9 +19,11 @@
 
 use self::custody::Custody;
 use self::message::{parse_line, Message};
-use self::stream::{Phase, Stream, MAX_LINE_BYTES};
-use super::calls::ConfirmedLine;
-use crate::lines::{LineBuffer, TooLong};
+use self::phase::Phase;
+use self::stream::{Stream, MAX_LINE_BYTES};
+pub use self::updates::{WatchError, WatchUpdate};
+use super::line_orders::{ConfirmedLine, PendingWork};
+use crate::lines::LineBuffer;
 
 /// The request that starts the watch stream.
 pub const REQUEST: &[u8] = b"WATCH\r\n";
@@ -27,74 +31,6 @@
 /// The connection is lost once nothing was received for this long. Heartbeats come each second and may be late.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(1800);
 
-/// Why a connection must be closed.
-#[derive(Debug, thiserror::Error)]
-pub enum WatchError {
-    /// A line exceeds the maximum length.
-    #[error("{0}")]
-    Line(#[from] TooLong),
-    /// A line is not part of the protocol; the value is its beginning.
-    #[error("malformed line: {0:?}")]
-    Malformed(String),
-    /// The relay did not accept the request; the value is the beginning of its answer.
-    #[error("request refused: {0}")]
-    Refused(String),
-    /// Custody has changed on the current connection since this one was opened. Its snapshot may be older than the
-    /// change, which it would undo and then report again, without the lines that we have set meanwhile.
-    #[error("custody changed while the snapshot was received")]
-    Outdated,
-}
-
-/// A change that the watch stream reports.
-#[derive(Clone, Debug, PartialEq)]
-pub enum WatchUpdate {
-    /// An event for the assigner.
-    Event(Event),
-    /// A proxy has acknowledged the orders up to an ack request.
-    Acked {
-        /// The proxy that answered.
-        proxy: ProxyId,
-        /// The ack sequence number of the request.
-        ack_seq: u16,
-        /// Transit time from the call to the relay until the orders took effect at the proxy.
-        transit: Duration,
-    },
-    /// A slice of ours that another assigner may have held while the stream was broken. It is treated as if it had
-    /// been acquired now.
-    Reacquired {
-        /// The slice.
-        slice: SliceId,
-        /// The store holds another line than the one we knew.
-        line_differs: bool,
-    },
-    /// The store holds a line besides the owner's. Where slices are not exclusive, so that a slice may have more than
-    /// one line, an assigner that died between a grant and the removal of the former line leaves both.
-    ExtraLine {
-        /// The slice.
-        slice: SliceId,
-        /// The server that the additional line names.
-        server: String,
-    },
-    /// The snapshot is complete.
-    SnapshotComplete {
-        /// The snapshot follows a break in which acks may have been lost.
-        after_break: bool,
-    },
-}
-
-/// What was still pending for a slice when the watch stream came back.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum PendingWork {
-    /// Nothing.
-    Nothing,
-    /// A call that sets the line is in flight and will determine it.
-    CallInFlight,
-    /// A handover, or queued orders for the line. An assigner that held the slice in the meantime has undone what they
-    /// are based on: the levels were reset, and proxies may be writing again to the former owner, to which they had
-    /// stopped writing.
-    Handover,
-}
-
 /// Identifies one of two connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum WatchSlot {
--- a/crates/whinhill-platform/src/relay/watch/custody.rs
+++ b/crates/whinhill-platform/src/relay/watch/custody.rs
@@ -9,8 +9,8 @@
 use whinhill::interface::{Event, SliceId};
 use whinhill_names::Names;
 
-use super::WatchUpdate;
-use crate::relay::calls::ConfirmedLine;
+use super::updates::WatchUpdate;
+use crate::relay::line_orders::ConfirmedLine;
 
 /// What has been received of a slice's lines in the store, and what was ordered since it was acquired.
 #[derive(Debug)]
--- a/crates/whinhill-platform/src/relay/watch/message.rs
+++ b/crates/whinhill-platform/src/relay/watch/message.rs
@@ -5,8 +5,8 @@
 use whinhill::interface::{ProxyId, SliceId, ZoneId};
 use whinhill_names::Names;
 
-use super::stream::Phase;
-use super::WatchError;
+use super::phase::Phase;
+use super::updates::WatchError;
 
 /// Length to which a line is cut in an error.
 const MAX_QUOTED_CHARS: usize = 100;
--- a/crates/whinhill-platform/src/relay/watch/stream.rs
+++ b/crates/whinhill-platform/src/relay/watch/stream.rs
@@ -6,21 +6,12 @@
 use whinhill::interface::{ProxyId, SliceId, ZoneId};
 
 use super::message::Message;
+use super::phase::Phase;
 use crate::lines::LineBuffer;
 
 /// Maximum length of a line. The longest one holds a name of 64 bytes and three figures.
 pub(super) const MAX_LINE_BYTES: usize = 1024;
 
-#[derive(Debug, PartialEq)]
-pub(super) enum Phase {
-    /// The request was sent and is not yet answered.
-    Requested,
-    /// The snapshot is being received. It ends with the first heartbeat.
-    Snapshot,
-    /// The snapshot is complete; each line reports a change.
-    Live,
-}
-
 #[derive(Debug)]
 pub(super) struct Stream {
     pub phase: Phase,
--- a/crates/whinhill-platform/tests/mangled.rs
+++ b/crates/whinhill-platform/tests/mangled.rs
@@ -13,8 +13,9 @@
 use whinhill_platform::peer::Peer;
 use whinhill_platform::probe::ProbeExchange;
 use whinhill_platform::relay::calls::CallQueue;
+use whinhill_platform::relay::line_orders::PendingWork;
 use whinhill_platform::relay::orders::RelayOrder;
-use whinhill_platform::relay::watch::{PendingWork, RelayWatch, WatchSlot};
+use whinhill_platform::relay::watch::{RelayWatch, WatchSlot};
 use whinhill_platform::roster::Roster;
 
 const PEER: &str = "{\"@type\":\"agent\",\"site\":\"a\"}\n\
