Log what a handover relied on where proxies did not acknowledge, and trace calls

The log of a grant told how many proxies had not acknowledged, not which time it relied on for them: the end of their leases, or the latest end that follows from when the stop was sent. Calls to the relay and their outcomes were not in the trace at all.

--- a/crates/whinhill-node/src/relay.rs
+++ b/crates/whinhill-node/src/relay.rs
@@ -3,7 +3,7 @@
 //! The relay watch is the stream on which the relay reports proxies, slices and lines; it is unrelated to the
 //! discovery watch.
 
-use tracing::{enabled, info, trace, warn, Level};
+use tracing::{debug, enabled, info, trace, warn, Level};
 use whinhill::interface::{Event, ListKind, ListedStatus, ServerEntry, SliceId, LEVEL_ADMIT_ALL};
 use whinhill::Assigner;
 use whinhill_platform::lines::LineBuffer;
@@ -234,6 +234,7 @@
         let Some(text) = self.relay_calls.next_call(now, &self.names) else { return };
         self.call_connection_used_at = now;
         self.counters.calls += 1;
+        trace_call(self.counters.calls, &text);
         if let Some(id) = self.call_connection {
             let sent = self.connections.get_mut(id).map(|c| c.send(text.as_bytes()));
             let Some(Ok(outcome)) = sent else { return self.handle_lost_call("broken") };
@@ -267,7 +268,9 @@
         }
         self.deadlines.clear(DeadlineKind::ConnectionTimeout(id));
         self.call_connection_used_at = now;
-        match self.relay_calls.on_answer(now, &line) {
+        let outcome = self.relay_calls.on_answer(now, &line);
+        debug!(target: TRACE, "call {} answered: {outcome:?}", self.counters.calls);
+        match outcome {
             CallOutcome::Applied => {}
             CallOutcome::PartlyApplied { rejected } => self.handle_partial_call(rejected),
             CallOutcome::NotApplied { reason } if reason == "throttled" => self.counters.calls_throttled += 1,
@@ -327,6 +330,13 @@
     }
 }
 
+/// Logs a call as it is sent: how many orders it has, and the first and the last of them.
+fn trace_call(number: u64, text: &str) {
+    let orders = text.trim_end().split(';');
+    let (first, last) = (orders.clone().next().unwrap_or_default(), orders.clone().next_back());
+    debug!(target: TRACE, orders = orders.count(), first, last, "call {number} sent");
+}
+
 /// Logs bytes of a relay watch as they arrived, one log line for each line of text, since a log may truncate long ones.
 fn trace_received(slot: WatchSlot, bytes: &[u8]) {
     if !enabled!(target: TRACE, Level::TRACE) {
--- a/crates/whinhill/src/assigner/introspection.rs
+++ b/crates/whinhill/src/assigner/introspection.rs
@@ -73,15 +73,32 @@
             }
             None => "no proxy was waited for".to_string(),
         };
-        let pending = handover.acks.values().filter(|ack| ack.state != AckState::Acknowledged).count();
+        let pending = self.describe_pending_acks(handover);
         let without_line = handover.revoked_at.map_or(Duration::ZERO, |at| now.saturating_sub(at));
         let from = self.slices[slice].owner.map_or("none".to_string(), |owner| format!("server {owner}"));
         let text = format!(
-            "slice {slice} handed over from {from} to server {to} in {took:.1?}, {without_line:.1?} of it without a line: {last_wait}; {pending} proxies have not acknowledged"
+            "slice {slice} handed over from {from} to server {to} in {took:.1?}, {without_line:.1?} of it without a line: {last_wait}; {pending}"
         );
         self.output.push(Order::Log { text });
     }
 
+    /// What a handover that ends without some acknowledgements relied on: the end of the last lease of these proxies,
+    /// and the latest end of their writes by the time at which the stop was sent.
+    fn describe_pending_acks(&self, handover: &Handover) -> String {
+        let pending = handover.acks.values().filter(|ack| ack.state != AckState::Acknowledged);
+        let count = pending.clone().count();
+        let mut text = format!("{count} proxies have not acknowledged");
+        let after_start = |at: Duration| at.saturating_sub(handover.started_at);
+        if let Some(lease_end) = pending.filter_map(|ack| ack.lease_ends_at).max() {
+            text += &format!(", the last lease of theirs ended after {:.2?}", after_start(lease_end));
+        }
+        if let Some(sent_by) = handover.stop_sent_by.filter(|_| count > 0) {
+            let latest = sent_by + self.cfg.max_transit + self.cfg.write_lease;
+            text += &format!(", by the stop their writes end after {:.2?}", after_start(latest));
+        }
+        text
+    }
+
     /// The estimated load of each server, as a fraction of its present capacity.
     pub fn estimated_loads(&self) -> Vec<f64> {
         self.load_snapshot().loads
