Reckon the bound on a handover's wait from the answer to its call

Where a return is not proved to follow the stop, the next break starts another lease, which waits longer in rare cases although calls are answered: a return within the first transit, and a break before the proxy's acknowledgement.

Red before: unresponsive_proxy_delays_grant_by_less_where_calls_are_answered. The schedule of join_reported_after_the_answer_is_no_proof_that_the_store_had_the_stop now breaks off within transitMax of the call (1.2 s there): after that the stop has arrived by the settings.

--- a/crates/whinhill-cli/tests/failed_calls.rs
+++ b/crates/whinhill-cli/tests/failed_calls.rs
@@ -20,6 +20,8 @@
 const WRITE_LEASE: Duration = Duration::from_millis(1500);
 const MAX_IN_FLIGHT: Duration = Duration::from_millis(100);
 const MAX_TRANSIT: Duration = Duration::from_millis(200);
+/// Longer than from the call to the last break: by then a proxy may not have applied the stop.
+const LONG_MAX_TRANSIT: Duration = Duration::from_millis(1200);
 /// Between a proxy's return and its next break: less than the lease, and more than a grant may lag on a busy machine.
 const TIME_JOINED: Duration = Duration::from_millis(900);
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
@@ -34,12 +36,12 @@
 
 impl Scene {
     /// Starts the assigner; returns once it has tried to revoke the line, which failed.
-    fn start() -> Self {
+    fn start(max_transit: Duration) -> Self {
         let (relay, calls) = FailingRelay::start("s-gone");
         let settings = config(relay.addr, start_discovery(channel().0))
             .replace("\"writeLease\":100.0", &format!("\"writeLease\":{}", WRITE_LEASE.as_millis()))
             .replace("\"inFlightMax\":50.0", &format!("\"inFlightMax\":{}", MAX_IN_FLIGHT.as_millis()))
-            .replace("\"transitMax\":50.0", &format!("\"transitMax\":{}", MAX_TRANSIT.as_millis()));
+            .replace("\"transitMax\":50.0", &format!("\"transitMax\":{}", max_transit.as_millis()));
         let (folder, config_path) = write_config(&settings);
         let (process, _) = AssignerProcess::start(&config_path);
         let scene = Scene { relay, calls, _process: process, _folder: folder };
@@ -70,7 +72,7 @@
 /// off again, but the lease of its first break ended the handover's wait.
 #[test]
 fn break_after_reading_a_store_without_the_stop_starts_another_lease() {
-    let scene = Scene::start();
+    let scene = Scene::start(MAX_TRANSIT);
     scene.relay.send_update("* bye 1");
     thread::sleep(Duration::from_millis(100));
     scene.relay.send_update("* hello 1 a 5 0");
@@ -85,7 +87,7 @@
 /// the call with the stop, although the proxy had read the store before that call.
 #[test]
 fn join_reported_after_the_answer_is_no_proof_that_the_store_had_the_stop() {
-    let scene = Scene::start();
+    let scene = Scene::start(LONG_MAX_TRANSIT);
     scene.relay.send_update("* bye 1");
     scene.relay.set_acks_are_sent(false);
     scene.relay.set_calls_fail(false);
@@ -96,7 +98,6 @@
     let broke_at = scene.relay.send_update("* bye 1");
     scene.relay.set_acks_are_sent(true);
     let granted_after = scene.wait_for_grant() - broke_at;
-    // By the stop its writes end a transit and a lease after the first ack, which follows the break here.
     assert!(granted_after >= WRITE_LEASE + MAX_IN_FLIGHT, "{granted_after:?}");
 }
 
@@ -104,7 +105,7 @@
 /// proxy came back, none of its later breaks starts another lease.
 #[test]
 fn breaks_after_reading_a_store_with_the_stop_start_no_other_lease() {
-    let scene = Scene::start();
+    let scene = Scene::start(MAX_TRANSIT);
     let broke_at = scene.relay.send_update("* bye 1");
     scene.relay.set_calls_fail(false);
     let stopped_at = scene.wait_for_order("fence,", "");
--- a/crates/whinhill-platform/src/relay/calls.rs
+++ b/crates/whinhill-platform/src/relay/calls.rs
@@ -84,8 +84,11 @@
     unknown_since: Duration,
     ack_times: VecDeque<AckTimes>,
     last_ack_seq: Option<u16>,
-    /// Ack requests in calls that the relay answered, and when it did, oldest first.
+    /// Ack requests in calls that the relay answered, and when it did, oldest first, until it is proved that their
+    /// orders were stored before any join that has yet to be reported.
     answered_acks: VecDeque<(u16, Duration)>,
+    /// The newest of them since [`CallQueue::take_answered`] was last called.
+    last_answered_ack: Option<u16>,
     /// Ack requests whose orders are proved to be in the store since [`CallQueue::take_stored`] was last called.
     stored_acks: BTreeSet<u16>,
     /// Lines confirmed by the store since [`CallQueue::take_confirmed`] was last called.
@@ -282,12 +285,19 @@
     }
 
     fn note_answered(&mut self, ack_seq: u16, now: Duration) {
+        self.last_answered_ack = Some(ack_seq);
         self.answered_acks.push_back((ack_seq, now));
         if self.answered_acks.len() > MAX_TRACKED_ACKS {
             self.answered_acks.pop_front();
         }
     }
 
+    /// Takes the newest ack request in a call that the relay has answered since the last call. All orders before it were
+    /// carried out.
+    pub fn take_answered(&mut self) -> Option<u16> {
+        self.last_answered_ack.take()
+    }
+
     /// Notes an ack that the relay watch reported in sequence with joins and breaks of proxies: the store had the
     /// orders up to its request before whatever is reported after it.
     pub fn note_acked_in_sequence(&mut self, ack_seq: u16) {
--- a/crates/whinhill/src/assigner/handover.rs
+++ b/crates/whinhill/src/assigner/handover.rs
@@ -66,6 +66,17 @@
         self.channel.stored_ack_seq = self.channel.stored_ack_seq.max(ack_seq);
     }
 
+    /// The relay has answered the call that carried the orders up to the request of an acknowledgement, of whose sequence
+    /// number `low_bits` are the low 16 bits: they are in the channel.
+    pub fn note_orders_answered(&mut self, low_bits: u16) {
+        let ack_seq = self.channel.issued_ack_seq(low_bits);
+        let sent_by = self.now + self.max_send_time(self.channel.unacked_lines());
+        let handovers = self.slices.iter_mut().filter_map(|slice| slice.handover.as_mut());
+        for handover in handovers.filter(|handover| handover.stop_ack_seq <= ack_seq) {
+            handover.answered_stop_sent_by.get_or_insert(sent_by);
+        }
+    }
+
     /// A proxy joins and still has the table that it had before: it must be notified of every handover in progress
     /// before the grant, unless its lease ends sooner. The lease of an earlier break says nothing where it may have read
     /// a store without the stop: then it writes to the old owner again, and its next break starts another lease.
@@ -130,8 +141,8 @@
             // Further acknowledgements of the stop itself say nothing of the messages queued behind it.
             let is_first_of_stop = handover.stop_ack_seq == ack_seq && handover.stop_sent_by.is_none();
             if is_later || is_first_of_stop {
-                handover.stop_sent_by =
-                    Some(handover.stop_sent_by.map_or(sent_by, |before| before.min(sent_by)));
+                let known = [handover.stop_sent_by, handover.answered_stop_sent_by];
+                handover.stop_sent_by = Some(known.into_iter().flatten().fold(sent_by, Duration::min));
             }
             let is_pending =
                 |ack: &&mut ProxyAck| matches!(ack.state, AckState::Pending(pending) if pending <= ack_seq);
--- a/crates/whinhill/src/assigner/handover/property.rs
+++ b/crates/whinhill/src/assigner/handover/property.rs
@@ -273,6 +273,7 @@
             apply(&mut self.store, order);
             if let Order::RequestAck { ack_seq } = order {
                 self.answered.push_back((*ack_seq, now));
+                self.assigner.note_orders_answered(*ack_seq);
             }
         }
         for (proxy, transit) in self.proxies.iter_mut().zip(transit_steps).filter(|(proxy, _)| proxy.is_up) {
--- a/crates/whinhill/src/assigner/handover/tests.rs
+++ b/crates/whinhill/src/assigner/handover/tests.rs
@@ -20,6 +20,8 @@
     /// It sends no acks, and its stream is found broken at this time.
     UnresponsiveUntil(f64),
     Unresponsive,
+    /// The same, while the relay answers each call at once.
+    UnresponsiveWithCallsAnswered,
     /// It leaves and joins every second and sends no acks.
     Flaps,
     /// It answers only ack requests whose number is a multiple of this one.
@@ -62,6 +64,14 @@
     }
 }
 
+/// The ack requests among some orders.
+fn ack_requests(orders: &[Order]) -> impl Iterator<Item = u16> + '_ {
+    orders.iter().filter_map(|order| match order {
+        Order::RequestAck { ack_seq } => Some(*ack_seq),
+        _ => None,
+    })
+}
+
 /// The server of the first grant among some orders.
 fn granted_server(orders: &[Order]) -> Option<usize> {
     orders.iter().find_map(|order| match order {
@@ -88,7 +98,10 @@
         let should_be_away = match behavior {
             Behavior::LeavesAt(at) | Behavior::UnresponsiveUntil(at) => elapsed >= secs(at),
             Behavior::Flaps => elapsed.as_millis() % 1000 < 500,
-            Behavior::Acks | Behavior::Unresponsive | Behavior::AcksEvery(_) => false,
+            Behavior::Acks
+            | Behavior::Unresponsive
+            | Behavior::UnresponsiveWithCallsAnswered
+            | Behavior::AcksEvery(_) => false,
         };
         if std::mem::replace(&mut is_away, should_be_away) != should_be_away {
             let joined = Event::ProxyJoined { proxy: TESTED_PROXY, zone: 0 };
@@ -102,6 +115,9 @@
             Behavior::AcksEvery(count) => ack_seq % count == 0,
             _ => false,
         });
+        if matches!(behavior, Behavior::UnresponsiveWithCallsAnswered) {
+            ack_requests(&orders).for_each(|ack_seq| assigner.note_orders_answered(ack_seq));
+        }
         if orders.iter().any(|order| matches!(order, Order::Revoke { .. })) {
             revoked_at = revoked_at.or(Some(now));
         }
@@ -137,6 +153,14 @@
     assert!(took <= max_handover_time(&assigner_with_many_proxies(1)), "{took:?}");
 }
 
+/// Where calls are answered the wait is reckoned from the answer, not from the first ack.
+#[test]
+fn unresponsive_proxy_delays_grant_by_less_where_calls_are_answered() {
+    let took = time_without_line(Behavior::UnresponsiveWithCallsAnswered);
+    let unanswered = time_without_line(Behavior::Unresponsive);
+    assert!(took + ACK_DELAY / 2 <= unanswered, "{took:?}, without answers {unanswered:?}");
+}
+
 #[test]
 fn flapping_proxy_delays_grant_for_bounded_time() {
     let took = time_without_line(Behavior::Flaps);
--- a/crates/whinhill/src/state.rs
+++ b/crates/whinhill/src/state.rs
@@ -313,6 +313,9 @@
     pub stop_ack_seq: u64,
     /// By when that message has left the channel to every proxy; known once an acknowledgement shows that it was sent.
     pub stop_sent_by: Option<Duration>,
+    /// The same by the answer to the call with the message. It counts once an acknowledgement shows that the channel
+    /// sends at all.
+    pub answered_stop_sent_by: Option<Duration>,
     /// The owner's line was revoked, so reads have stopped too.
     pub revoked: bool,
     /// The server that is to own the slice; `None`: it is chosen with the grant.
