Count an acknowledgement from now while its call is in flight for the second time

An acknowledgement's time tells when writes ended. Where the call's outcome had been unknown, it was counted from the time at which the first copy could have been accepted, also when a second copy was sent up to 0.5 s later (it waits for room in the channel) and its answer was still to come: a grant could follow up to 0.5 s too early. The time of the acceptance is now unknown again while the second copy is in flight, so the acknowledgement counts as of now.

Red before: ack_of_a_call_in_flight_again_counts_from_now (290 ms, 890 wanted).

--- a/crates/whinhill-platform/src/relay/calls.rs
+++ b/crates/whinhill-platform/src/relay/calls.rs
@@ -65,7 +65,8 @@
     released: BTreeSet<SliceId>,
 }
 
-/// When an ack was requested, and by when the call that carried the request had certainly been accepted.
+/// When an ack was requested, and by when the call that carried the request had certainly been accepted, if it was.
+/// That is unknown while the request is in flight, also for the second time.
 #[derive(Clone, Copy, Debug)]
 struct AckTimes {
     ack_seq: u16,
@@ -170,6 +171,11 @@
             orders.extend(self.queue.pop_front());
         }
         text.push_str("\r\n");
+        for queued in &orders {
+            if let RelayOrder::Mark(ack_seq) = queued.order {
+                self.set_accepted(ack_seq, None);
+            }
+        }
         self.in_flight = Some(InFlightCall { orders, released: BTreeSet::new() });
         Some(text)
     }
@@ -236,7 +242,7 @@
                     self.confirmed.push(ConfirmedLine { slice: *slice, server: server.clone(), on: *on });
                 }
                 RelayOrder::Mark(ack_seq) => {
-                    self.note_accepted(*ack_seq, now);
+                    self.set_accepted(*ack_seq, Some(now));
                     self.note_answered(*ack_seq, now);
                 }
                 _ => {}
@@ -270,18 +276,18 @@
         for queued in &mut call.orders {
             queued.maybe_applied = true;
             if let RelayOrder::Mark(ack_seq) = queued.order {
-                self.note_accepted(ack_seq, now);
+                self.set_accepted(ack_seq, Some(now));
             }
         }
         self.requeue(call);
         CallOutcome::Unknown
     }
 
-    fn note_accepted(&mut self, ack_seq: u16, now: Duration) {
+    fn set_accepted(&mut self, ack_seq: u16, accepted_at: Option<Duration>) {
         self.ack_times
             .iter_mut()
             .filter(|times| times.ack_seq == ack_seq)
-            .for_each(|times| times.accepted_at = Some(now));
+            .for_each(|times| times.accepted_at = accepted_at);
     }
 
     fn note_answered(&mut self, ack_seq: u16, now: Duration) {
--- a/crates/whinhill-platform/src/relay/calls/tests.rs
+++ b/crates/whinhill-platform/src/relay/calls/tests.rs
@@ -191,3 +191,22 @@
     calls.note_acked_in_sequence(1);
     assert_eq!(calls.take_stored(Duration::ZERO), [1].into());
 }
+
+/// Guards against writes that are taken to have ended too early: a call with an unknown outcome was sent again, and an
+/// ack that came before the answer to that was counted from the time at which the first one could have been accepted.
+#[test]
+fn ack_of_a_call_in_flight_again_counts_from_now() {
+    let mut calls = CallQueue::default();
+    calls.push(MS * 100, [RelayOrder::Mark(1)]);
+    next_call(&mut calls, MS * 100);
+    assert_eq!(calls.on_connection_lost(MS * 300, true), CallOutcome::Unknown);
+    assert_eq!(
+        calls.transit_since_order(MS * 400, 1, MS * 90),
+        MS * 290,
+        "only the first can have been accepted"
+    );
+    next_call(&mut calls, MS * 800);
+    assert_eq!(calls.transit_since_order(MS * 900, 1, MS * 90), MS * 890);
+    calls.on_answer(MS * 910, b"OK 1");
+    assert_eq!(calls.transit_since_order(MS * 900, 1, MS * 90), MS * 900);
+}
