Start afresh with a slice of which the relay refused an order

The relay takes a call up to the first order that it refuses. Where that was a new owner's line, the level behind it was sent all the same and admitted writes to the former owner again; the module took the slice for moved, and its next handover, from the server that was never the owner, stopped nobody: the next grant came while writes went to the former owner.

The status line relay counts these as out_of_step.

Red before, with real messages: refused_line_leaves_the_former_owner_in_place ('s-1 while writes went to s-old'). handover_without_refusals_is_clean passes before and after.

--- a/crates/whinhill-cli/tests/support/mod.rs
+++ b/crates/whinhill-cli/tests/support/mod.rs
@@ -8,6 +8,7 @@
 pub mod paced_relay;
 pub mod relay;
 pub mod running;
+pub mod storing_relay;
 
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
--- /dev/null
+++ b/crates/whinhill-cli/tests/support/storing_relay.rs
@@ -0,0 +1,139 @@
+//! A stand-in for the relay that keeps what calls order for one slice, and that can refuse calls or an order of one. Its
+//! one proxy acknowledges every ack request. It judges each new line: nobody may be sending writes to another server.
+
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::thread;
+
+use super::send_keep_alives;
+
+/// What the relay refuses. Each is refused only so often, then all is carried out.
+#[derive(Clone, Copy)]
+pub enum Refusal {
+    /// So many calls that stop writes, with an error.
+    Stops { left: usize },
+    /// The first order that sets a line: the orders before it in the call are carried out, those behind it are not.
+    FirstLine,
+    /// Nothing.
+    Nothing,
+}
+
+/// What the store holds of the slice, and what was seen.
+pub struct Store {
+    pub line: Option<String>,
+    pub writes_are_admitted: bool,
+    pub refusal: Refusal,
+    /// Lines that were set while writes went to another server.
+    pub violations: Vec<String>,
+}
+
+/// The relay of one assigner.
+#[derive(Clone)]
+pub struct StoringRelay {
+    pub addr: SocketAddr,
+    store: Arc<Mutex<Store>>,
+    watch_stream: Arc<Mutex<Option<TcpStream>>>,
+}
+
+impl StoringRelay {
+    /// Starts a relay; `line_server` is the server on the slice's line.
+    pub fn start(line_server: &str, refusal: Refusal) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let line = Some(line_server.to_string());
+        let store = Store { line, writes_are_admitted: true, refusal, violations: Vec::new() };
+        let relay = StoringRelay {
+            addr: listener.local_addr().unwrap(),
+            store: Arc::new(Mutex::new(store)),
+            watch_stream: Arc::default(),
+        };
+        send_keep_alives(&relay.watch_stream, "*\r\n".to_string());
+        let listener_relay = relay.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let relay = listener_relay.clone();
+                thread::spawn(move || relay.serve(stream));
+            }
+        });
+        relay
+    }
+
+    /// The store.
+    pub fn store(&self) -> MutexGuard<'_, Store> {
+        self.store.lock().unwrap()
+    }
+
+    fn serve(&self, stream: TcpStream) {
+        let mut out = stream.try_clone().unwrap();
+        for request in BufReader::new(stream).lines().map_while(Result::ok) {
+            if request == "WATCH" {
+                let mut watch_stream = self.watch_stream.lock().unwrap();
+                let line = self.store().line.clone();
+                let line = line.map_or(String::new(), |server| format!("* line 0 {server} 1.0\r\n"));
+                let _ = write!(out, "OK\r\n* hello 0 a 5 1\r\n* lease 0 1\r\n{line}*\r\n");
+                *watch_stream = Some(out.try_clone().unwrap());
+            } else if let Some(orders) = request.strip_prefix("APPLY ") {
+                let orders: Vec<&str> = orders.split(';').collect();
+                let Some(applied) = self.store().carry_out(&orders) else {
+                    let _ = out.write_all(b"ERR invalid\r\n");
+                    continue;
+                };
+                let _ = write!(out, "OK {applied}\r\n");
+                self.send_acks(&orders[..applied]);
+            }
+        }
+    }
+
+    fn send_acks(&self, orders: &[&str]) {
+        let mut watch_stream = self.watch_stream.lock().unwrap();
+        let Some(stream) = watch_stream.as_mut() else { return };
+        for ack_request in orders.iter().filter_map(|order| order.strip_prefix("fence,")) {
+            let ack_seq = ack_request.split(',').next().unwrap_or_default();
+            let _ = write!(stream, "* ack 0 {ack_seq} 1.0\r\n");
+        }
+    }
+}
+
+impl Store {
+    /// Whether the slice has a line with one of some servers, and all its writes are admitted.
+    pub fn is_served_by(&self, servers: &[&str]) -> bool {
+        self.writes_are_admitted && self.line.as_deref().is_some_and(|line| servers.contains(&line))
+    }
+
+    /// Carries out a call; returns the number of orders that were taken, or `None` if it is refused with an error.
+    fn carry_out(&mut self, orders: &[&str]) -> Option<usize> {
+        if let Refusal::Stops { left } = &mut self.refusal {
+            if *left > 0 && orders.iter().any(|order| is_stop(order)) {
+                *left -= 1;
+                return None;
+            }
+        }
+        for (index, order) in orders.iter().enumerate() {
+            let words: Vec<&str> = order.split(',').collect();
+            match words[..] {
+                ["put", _, _, "1"] if matches!(self.refusal, Refusal::FirstLine) => {
+                    self.refusal = Refusal::Nothing;
+                    return Some(index);
+                }
+                ["put", _, server, "1"] => {
+                    let other = self.line.replace(server.to_string()).filter(|other| other != server);
+                    if let Some(other) = other.filter(|_| self.writes_are_admitted) {
+                        self.violations.push(format!("{server} while writes went to {other}"));
+                    }
+                }
+                ["put", _, server, _] => self.line = self.line.take().filter(|line| line != server),
+                ["gate", _, methods, level, _] if methods.contains("book") || methods == "*" => {
+                    self.writes_are_admitted = level.parse::<f64>().unwrap() > 0.0;
+                }
+                _ => {}
+            }
+        }
+        Some(orders.len())
+    }
+}
+
+/// Whether an order stops writes.
+fn is_stop(order: &str) -> bool {
+    order.starts_with("put,") && order.ends_with(",0")
+        || order.starts_with("gate,") && order.contains(",0.000,")
+}
--- a/crates/whinhill-node/src/relay.rs
+++ b/crates/whinhill-node/src/relay.rs
@@ -286,6 +286,23 @@
         for set in self.relay_calls.take_confirmed() {
             self.relay_watch.note_line_confirmed(set);
         }
+        self.reacquire_slices_out_of_step();
+    }
+
+    /// Starts afresh, from the line that the store holds, with slices of which an order was not carried out. The module
+    /// counts an order as given, so that its later decisions on them would rest on what has not happened.
+    fn reacquire_slices_out_of_step(&mut self) {
+        for slice in self.relay_calls.take_out_of_step() {
+            if self.relay_watch.has_slice(slice) {
+                self.counters.slices_out_of_step += 1;
+                info!(
+                    slice,
+                    line = self.relay_watch.line_of(slice),
+                    "an order was not carried out: starts afresh"
+                );
+                self.reacquire_slice(slice);
+            }
+        }
     }
 
     /// The relay rejected an order. If it was to set a line, the relay is assumed not to know the server, which is
--- a/crates/whinhill-node/src/status_log.rs
+++ b/crates/whinhill-node/src/status_log.rs
@@ -92,6 +92,8 @@
     pub lines_differing: u64,
     /// Slices reacquired after a break with the expected line.
     pub slices_reacquired: u64,
+    /// Slices reacquired because an order of theirs was not carried out.
+    pub slices_out_of_step: u64,
 
     // Discovery and servers.
     /// Lists taken from discovery.
@@ -235,6 +237,7 @@
             outdated = self.snapshots_outdated,
             differing = self.lines_differing,
             anew = self.slices_reacquired,
+            out_of_step = self.slices_out_of_step,
             "relay"
         );
         info!(
--- a/crates/whinhill-platform/src/relay/calls.rs
+++ b/crates/whinhill-platform/src/relay/calls.rs
@@ -92,6 +92,9 @@
     last_answered_ack: Option<u16>,
     /// Ack requests whose orders are proved to be in the store since [`CallQueue::take_stored`] was last called.
     stored_acks: BTreeSet<u16>,
+    /// Slices of which an order was not carried out and is not sent again, since [`CallQueue::take_out_of_step`] was
+    /// last called.
+    out_of_step: BTreeSet<SliceId>,
     /// Lines confirmed by the store since [`CallQueue::take_confirmed`] was last called.
     confirmed: Vec<ConfirmedLine>,
     /// Number of calls whose outcome was unknown.
@@ -253,6 +256,7 @@
         }
         let rejected = rest.remove(0).order;
         self.dropped_orders += 1;
+        self.out_of_step.extend(rejected.slice().filter(|slice| !released.contains(slice)));
         self.requeue(InFlightCall { orders: rest, released });
         CallOutcome::PartlyApplied { rejected }
     }
@@ -356,6 +360,12 @@
         }
     }
 
+    /// Takes the slices of which an order was not carried out and is not sent again: what was decided of them since, and
+    /// the orders that follow from it, rests on that order.
+    pub fn take_out_of_step(&mut self) -> BTreeSet<SliceId> {
+        std::mem::take(&mut self.out_of_step)
+    }
+
     /// Takes the lines that the store has confirmed since the last call.
     pub fn take_confirmed(&mut self) -> Vec<ConfirmedLine> {
         std::mem::take(&mut self.confirmed)
--- a/crates/whinhill-platform/src/relay/watch.rs
+++ b/crates/whinhill-platform/src/relay/watch.rs
@@ -130,6 +130,11 @@
         self.custody.len()
     }
 
+    /// Whether a slice is in our custody.
+    pub fn has_slice(&self, slice: SliceId) -> bool {
+        self.custody.contains(slice)
+    }
+
     /// Number of slices in our custody for which the store is assumed to hold no line.
     pub fn slices_without_line(&self) -> usize {
         self.custody.count_without_line()
