Start afresh with slices whose orders were dropped after errors

After five errors of the relay's own in a row the orders of a call are dropped, the stop of a handover among them. The module had given it, asked for acknowledgements again with a later mark, and took the answer to that for the stop's: the grant came while writes went to the former owner.

Now the slices of a dropped call count as acquired now, with the lines that the store holds. A call whose first copy may have been carried out is not dropped, since then these lines would not be known; it is sent again each 100 ms.

Red before, with real messages: stop_that_was_dropped_after_errors_is_not_taken_for_acknowledged ('s-2 while writes went to s-old').

--- a/crates/whinhill-cli/tests/refused_orders.rs
+++ b/crates/whinhill-cli/tests/refused_orders.rs
@@ -47,3 +47,10 @@
 fn refused_line_leaves_the_former_owner_in_place() {
     assert_eq!(violations_of_a_handover(Refusal::FirstLine), [""; 0]);
 }
+
+/// Guards against two owners of a slice: after five errors the call with the stop was dropped, and the acknowledgement of
+/// a later request was taken for that of the stop.
+#[test]
+fn stop_that_was_dropped_after_errors_is_not_taken_for_acknowledged() {
+    assert_eq!(violations_of_a_handover(Refusal::Stops { left: 5 }), [""; 0]);
+}
--- a/crates/whinhill-platform/src/relay/calls.rs
+++ b/crates/whinhill-platform/src/relay/calls.rs
@@ -21,8 +21,8 @@
 const REFUSED_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Delay after a call that could not be sent. A shorter one would flood a relay that is down with connections.
 const UNREACHABLE_RETRY_DELAY: Duration = Duration::from_millis(50);
-/// Number of error answers since the last valid one at which the orders of the call are dropped. `throttled` counts as
-/// one, but never drops orders itself.
+/// Number of error answers since the last valid one at which the orders of the call are dropped, unless they may have
+/// been applied already. `throttled` counts as one, but never drops orders itself.
 const MAX_ERRORS: u32 = 5;
 /// Ack sequence numbers whose times are kept: far more than can await acknowledgement at a time.
 const MAX_TRACKED_ACKS: usize = 1024;
@@ -222,9 +222,13 @@
             let reason: String = reason.chars().take(100).collect();
             self.errors += 1;
             self.retry_at = now + REFUSED_RETRY_DELAY;
-            if reason != "throttled" && self.errors >= MAX_ERRORS {
+            // Of orders that may have been applied it would not be known what the store holds.
+            let is_in_doubt = call.orders.iter().any(|queued| queued.maybe_applied);
+            if reason != "throttled" && self.errors >= MAX_ERRORS && !is_in_doubt {
                 self.errors = 0;
                 self.dropped_orders += call.orders.len() as u64;
+                let slices = call.orders.iter().filter_map(|queued| queued.order.slice());
+                self.out_of_step.extend(slices.filter(|slice| !call.released.contains(slice)));
                 return CallOutcome::NotApplied {
                     reason: format!("{reason}, {} orders dropped", call.orders.len()),
                 };
--- a/crates/whinhill-platform/src/relay/calls/tests.rs
+++ b/crates/whinhill-platform/src/relay/calls/tests.rs
@@ -210,3 +210,19 @@
     calls.on_answer(MS * 910, b"OK 1");
     assert_eq!(calls.transit_since_order(MS * 900, 1, MS * 90), MS * 900);
 }
+
+/// Guards against a slice of which it is not known what the store holds: after errors the orders of a call were dropped
+/// that an earlier copy may have carried out.
+#[test]
+fn call_with_unknown_outcome_is_not_dropped_after_errors() {
+    let mut calls = CallQueue::default();
+    calls.push(MS, [line(1, "a", true)]);
+    let first = next_call(&mut calls, MS);
+    assert_eq!(calls.on_connection_lost(MS * 2, true), CallOutcome::Unknown);
+    for attempt in 0..2 * MAX_ERRORS {
+        let now = MS * (1000 * (attempt + 1));
+        assert_eq!(next_call(&mut calls, now), first);
+        calls.on_answer(now, b"ERR invalid");
+    }
+    assert_eq!((calls.dropped_orders, calls.take_out_of_step()), (0, BTreeSet::new()));
+}
