Count leases from the end of a break of the relay watch, for proxies that it leaves out

After a break (and a change of address, where lines of the former connection may be lost) the module is told so (ProxyUpdatesLost): the leases of all proxies that are not joined count from then on, for handovers in progress whose stop is not proved to be stored, and for those that begin later. Where all proxies are joined nothing waits longer.

--- a/crates/whinhill-cli/tests/support/storing_relay.rs
+++ b/crates/whinhill-cli/tests/support/storing_relay.rs
@@ -1,10 +1,12 @@
-//! A stand-in for the relay that keeps what calls order for one slice, and that can refuse calls or an order of one. Its
-//! one proxy acknowledges every ack request. It judges each new line: nobody may be sending writes to another server.
+//! A stand-in for the relay that keeps what calls order for one slice, and that can refuse calls or an order of one. Of
+//! its proxies, proxy 0 acknowledges every ack request. It judges each new line: nobody may be sending writes to another
+//! server.
 
 use std::io::{BufRead, BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread;
+use std::time::Instant;
 
 use super::send_keep_alives;
 
@@ -24,6 +26,12 @@
     pub line: Option<String>,
     pub writes_are_admitted: bool,
     pub refusal: Refusal,
+    /// The joined proxies that the state names besides proxy 0.
+    pub other_proxies: Vec<u32>,
+    /// When the state was last sent.
+    pub state_sent_at: Option<Instant>,
+    /// When a line was last set.
+    pub line_set_at: Option<Instant>,
     /// Lines that were set while writes went to another server.
     pub violations: Vec<String>,
 }
@@ -41,7 +49,15 @@
     pub fn start(line_server: &str, refusal: Refusal) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let line = Some(line_server.to_string());
-        let store = Store { line, writes_are_admitted: true, refusal, violations: Vec::new() };
+        let store = Store {
+            line,
+            writes_are_admitted: true,
+            refusal,
+            other_proxies: Vec::new(),
+            state_sent_at: None,
+            line_set_at: None,
+            violations: Vec::new(),
+        };
         let relay = StoringRelay {
             addr: listener.local_addr().unwrap(),
             store: Arc::new(Mutex::new(store)),
@@ -63,14 +79,25 @@
         self.store.lock().unwrap()
     }
 
+    /// Sends a line on the watch stream.
+    pub fn send_update(&self, update: &str) {
+        let mut watch_stream = self.watch_stream.lock().unwrap();
+        write!(watch_stream.as_mut().expect("no watch stream is open"), "{update}\r\n").unwrap();
+    }
+
+    /// Closes the watch stream.
+    pub fn break_watch(&self) {
+        if let Some(stream) = self.watch_stream.lock().unwrap().take() {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
     fn serve(&self, stream: TcpStream) {
         let mut out = stream.try_clone().unwrap();
         for request in BufReader::new(stream).lines().map_while(Result::ok) {
             if request == "WATCH" {
                 let mut watch_stream = self.watch_stream.lock().unwrap();
-                let line = self.store().line.clone();
-                let line = line.map_or(String::new(), |server| format!("* line 0 {server} 1.0\r\n"));
-                let _ = write!(out, "OK\r\n* hello 0 a 5 1\r\n* lease 0 1\r\n{line}*\r\n");
+                let _ = out.write_all(self.store().state_text().as_bytes());
                 *watch_stream = Some(out.try_clone().unwrap());
             } else if let Some(orders) = request.strip_prefix("APPLY ") {
                 let orders: Vec<&str> = orders.split(';').collect();
@@ -95,6 +122,15 @@
 }
 
 impl Store {
+    /// What a watch stream begins with.
+    fn state_text(&mut self) -> String {
+        self.state_sent_at = Some(Instant::now());
+        let proxies = std::iter::once(&0).chain(&self.other_proxies);
+        let proxies: String = proxies.map(|proxy| format!("* hello {proxy} a 5 1\r\n")).collect();
+        let line = self.line.iter().map(|server| format!("* line 0 {server} 1.0\r\n"));
+        format!("OK\r\n{proxies}* lease 0 1\r\n{}*\r\n", line.collect::<String>())
+    }
+
     /// Whether the slice has a line with one of some servers, and all its writes are admitted.
     pub fn is_served_by(&self, servers: &[&str]) -> bool {
         self.writes_are_admitted && self.line.as_deref().is_some_and(|line| servers.contains(&line))
@@ -116,6 +152,7 @@
                     return Some(index);
                 }
                 ["put", _, server, "1"] => {
+                    self.line_set_at = Some(Instant::now());
                     let other = self.line.replace(server.to_string()).filter(|other| other != server);
                     if let Some(other) = other.filter(|_| self.writes_are_admitted) {
                         self.violations.push(format!("{server} while writes went to {other}"));
--- a/crates/whinhill-node/src/relay.rs
+++ b/crates/whinhill-node/src/relay.rs
@@ -187,6 +187,7 @@
                         "relay watch synchronized"
                     );
                     if after_break {
+                        self.pending_events.push(Event::ProxyUpdatesLost);
                         self.relay_calls.request_last_ack_again(now);
                     }
                 }
--- a/crates/whinhill/src/assigner.rs
+++ b/crates/whinhill/src/assigner.rs
@@ -46,6 +46,8 @@
     servers: Vec<Server>,
     /// The proxies that have joined at least once.
     proxies: BTreeMap<ProxyId, Proxy>,
+    /// Until when joins and breaks of proxies may have gone unreported.
+    proxy_updates_lost_at: Duration,
     slices: Vec<Slice>,
     /// For each slice, the servers' indices in its rendezvous order, the same at every assigner.
     rendezvous_order: Vec<Vec<usize>>,
@@ -87,6 +89,7 @@
             now: Duration::ZERO,
             servers: Vec::new(),
             proxies: BTreeMap::new(),
+            proxy_updates_lost_at: Duration::ZERO,
             report_batches: VecDeque::new(),
             report_lag_s: None,
             slow_service_time: f64::MAX,
@@ -180,6 +183,7 @@
             }
             Event::ProxyJoined { proxy, zone } => self.proxy_joined(*proxy, *zone),
             Event::ProxyLeft { proxy } => self.proxy_left(*proxy),
+            Event::ProxyUpdatesLost => self.apply_lost_proxy_updates(),
             Event::Acked { proxy, ack_seq, transit } => self.proxy_acked(*proxy, *ack_seq, *transit),
             Event::SliceAcquired { slice } => self.acquire_slice(*slice),
             Event::SliceReleased { slice } => self.slices[*slice] = Slice::default(),
--- a/crates/whinhill/src/assigner/handover.rs
+++ b/crates/whinhill/src/assigner/handover.rs
@@ -17,7 +17,8 @@
         let ack_of = |proxy: &Proxy| match proxy.joined {
             true => ProxyAck { state: AckState::Pending(stop_ack_seq), lease_ends_at: None },
             false => {
-                ProxyAck { state: AckState::Disconnected, lease_ends_at: Some(proxy.state_since + lease) }
+                let left_at = proxy.state_since.max(self.proxy_updates_lost_at);
+                ProxyAck { state: AckState::Disconnected, lease_ends_at: Some(left_at + lease) }
             }
         };
         let acks = self.proxies.iter().filter(|_| is_fenced).map(|(id, proxy)| (*id, ack_of(proxy)));
@@ -40,12 +41,13 @@
     /// Until when a proxy that has never joined this assigner may write by what the former assigner of a slice had
     /// published. Once all proxies that exist have joined, their acknowledgements suffice, since they give them after
     /// they have read the store. Without this, a slice would lack an owner for a lease at each planned restart. No
-    /// fault of it is known as long as the number of proxies in the settings is right.
+    /// fault of it is known as long as the number of proxies in the settings is right. The same holds for a proxy whose
+    /// join and break have gone unreported since.
     pub(super) fn unknown_proxies_write_until(&self, acquired_at: Duration) -> Duration {
         if self.joined_proxies() >= self.cfg.total_proxies {
             Duration::ZERO
         } else {
-            acquired_at + self.cfg.write_lease
+            acquired_at.max(self.proxy_updates_lost_at) + self.cfg.write_lease
         }
     }
 
@@ -113,6 +115,21 @@
         }
     }
 
+    /// Joins and breaks of proxies may have gone unreported until now: the leases of all that are not joined count from
+    /// now, unless what they read since had the stop.
+    pub(super) fn apply_lost_proxy_updates(&mut self) {
+        self.proxy_updates_lost_at = self.now;
+        let lease_end = self.now + self.cfg.write_lease;
+        let unknown_end = self.unknown_proxies_write_until(self.now);
+        let stored_ack_seq = self.channel.stored_ack_seq;
+        let handovers = self.slices.iter_mut().filter_map(|slice| slice.handover.as_mut());
+        for handover in handovers.filter(|handover| handover.stop_ack_seq > stored_ack_seq) {
+            handover.acked_writes_end_at = handover.acked_writes_end_at.max(unknown_end);
+            let disconnected = handover.acks.values_mut().filter(|ack| ack.state == AckState::Disconnected);
+            disconnected.for_each(|ack| ack.lease_ends_at = Some(lease_end));
+        }
+    }
+
     /// Requests an acknowledgement from the proxies that have yet to be notified of a handover, those of one tick
     /// together.
     pub(super) fn notify_joined_proxies(&mut self) {
