Keep an ack request behind the order that supersedes what it was to cover

A stop that waits for a call is superseded by the removal of the line and the level with it; its ack request stayed in front of both.

A request moves behind the new orders where one of those supersedes an order in front of it. What supersedes what is now said in one place, RelayOrder::supersedes.

Red before: ack_request_of_a_superseded_order_follows_the_order_that_supersedes_it ('fence,1,1;put,1,a,0;...').

--- a/crates/whinhill-platform/src/relay/calls.rs
+++ b/crates/whinhill-platform/src/relay/calls.rs
@@ -107,35 +107,47 @@
     /// Queues the orders that the assigner returned for one batch of events. Queued orders that they supersede are
     /// removed.
     pub fn push(&mut self, now: Duration, orders: impl IntoIterator<Item = RelayOrder>) {
+        let mut supersedes_marked = false;
         for order in orders {
             let mut ordered_at = now;
-            match &order {
-                // The removal of another server's line stays queued: where slices are not exclusive and may have
-                // several lines, nothing else removes that line.
-                RelayOrder::Line { slice, server, on: true } => self.queue.retain(|queued| {
-                    !matches!(
-                        &queued.order,
-                        RelayOrder::Line { slice: s, server: other, on } if s == slice && (*on || other == server)
-                    )
-                }),
-                RelayOrder::Level { slice, methods, .. } => self.queue.retain(|queued| {
-                    !matches!(
-                        &queued.order,
-                        RelayOrder::Level { slice: s, methods: m, .. } if s == slice && m == methods
-                    )
-                }),
-                RelayOrder::Mark(ack_seq) => {
-                    // The answer to this request also covers the earlier one, whose orders are older.
-                    for earlier in self.queue.iter().filter(|q| matches!(q.order, RelayOrder::Mark(_))) {
-                        ordered_at = ordered_at.min(earlier.ordered_at);
-                    }
-                    self.queue.retain(|q| !matches!(q.order, RelayOrder::Mark(_)));
-                    self.track_ack(*ack_seq, ordered_at);
+            if let RelayOrder::Mark(ack_seq) = &order {
+                // The answer to this request also covers the earlier one, whose orders are older.
+                for earlier in self.queue.iter().filter(|queued| queued.order.is_mark()) {
+                    ordered_at = ordered_at.min(earlier.ordered_at);
                 }
-                RelayOrder::Line { on: false, .. } => {}
+                self.queue.retain(|queued| !queued.order.is_mark());
+                self.track_ack(*ack_seq, ordered_at);
+            } else {
+                supersedes_marked |= self.remove_superseded(&order);
             }
             self.queue.push_back(QueuedOrder { order, ordered_at, maybe_applied: false });
         }
+        if supersedes_marked {
+            self.move_marks_to_end();
+        }
+    }
+
+    /// Removes queued orders that a new one supersedes; returns whether the answer to a queued ack request was to cover
+    /// one of them.
+    fn remove_superseded(&mut self, order: &RelayOrder) -> bool {
+        let last_mark = self.queue.iter().rposition(|queued| queued.order.is_mark()).unwrap_or(0);
+        let (mut index, mut is_before_mark) = (0, false);
+        self.queue.retain(|queued| {
+            let is_superseded = order.supersedes(&queued.order);
+            is_before_mark |= is_superseded && index < last_mark;
+            index += 1;
+            !is_superseded
+        });
+        is_before_mark
+    }
+
+    /// Moves the queued ack requests behind all queued orders. Where a new order has superseded one that an answer was to
+    /// cover, the answer must cover the new one instead: a call of limited size may end between them.
+    fn move_marks_to_end(&mut self) {
+        let (marks, others): (VecDeque<_>, VecDeque<_>) =
+            std::mem::take(&mut self.queue).into_iter().partition(|queued| queued.order.is_mark());
+        self.queue = others;
+        self.queue.extend(marks);
     }
 
     /// Requests the last ack from every proxy again, because answers may have been lost with the watch stream.
--- a/crates/whinhill-platform/src/relay/calls/tests.rs
+++ b/crates/whinhill-platform/src/relay/calls/tests.rs
@@ -226,3 +226,26 @@
     }
     assert_eq!((calls.dropped_orders, calls.take_out_of_step()), (0, BTreeSet::new()));
 }
+
+/// Guards against an acknowledgement that covers no stop at all: the stop was superseded by the removal of the line while
+/// it waited, but its ack request stayed in front of that, and a call may end between the two.
+#[test]
+fn ack_request_of_a_superseded_order_follows_the_order_that_supersedes_it() {
+    let level = |share| RelayOrder::Level { slice: 1, methods: 1, share, tries: 0 };
+    for is_in_doubt in [false, true] {
+        let mut calls = CallQueue::default();
+        calls.push(MS, [level(0.0), RelayOrder::Mark(1)]);
+        if is_in_doubt {
+            next_call(&mut calls, MS);
+        }
+        calls.push(MS * 2, [line(1, "a", false), level(1.0)]);
+        calls.on_connection_lost(MS * 3, true);
+        let text = "APPLY put,1,a,0;gate,1,look,1.000,0;fence,1,1\r\n";
+        assert_eq!(next_call(&mut calls, MS * 3), text, "in doubt: {is_in_doubt}");
+    }
+    // A request whose orders all stand stays where it is.
+    let mut calls = CallQueue::default();
+    calls.push(MS, [level(0.0), RelayOrder::Mark(1)]);
+    calls.push(MS, [line(1, "a", false)]);
+    assert_eq!(next_call(&mut calls, MS), "APPLY gate,1,look,0.000,0;fence,1,1;put,1,a,0\r\n");
+}
--- a/crates/whinhill-platform/src/relay/orders.rs
+++ b/crates/whinhill-platform/src/relay/orders.rs
@@ -58,6 +58,27 @@
         }
     }
 
+    /// Whether the order requests an ack.
+    pub fn is_mark(&self) -> bool {
+        matches!(self, RelayOrder::Mark(_))
+    }
+
+    /// Whether an earlier order need not be carried out before this one. The removal of another server's line must be:
+    /// where slices are not exclusive and may have several lines, nothing else removes that line.
+    pub fn supersedes(&self, earlier: &RelayOrder) -> bool {
+        match (self, earlier) {
+            (
+                RelayOrder::Line { slice, server, on: true },
+                RelayOrder::Line { slice: earlier_slice, server: earlier_server, on },
+            ) => slice == earlier_slice && (*on || server == earlier_server),
+            (
+                RelayOrder::Level { slice, methods, .. },
+                RelayOrder::Level { slice: earlier_slice, methods: earlier_methods, .. },
+            ) => slice == earlier_slice && methods == earlier_methods,
+            _ => false,
+        }
+    }
+
     /// Appends the order to the text of a call.
     pub fn write(&self, out: &mut String, names: &Names) {
         let written = match self {
