Settle a call in flight before the relay watch is opened again after a break

A call with a grant that was in flight at the break was answered, its line was noted as set, and the state that the next watch began with, which had the former line, was taken for older than the call: the module counted the slice as moved, and it stayed at a server that drained.

--- a/crates/whinhill-cli/tests/refused_orders.rs
+++ b/crates/whinhill-cli/tests/refused_orders.rs
@@ -54,3 +54,11 @@
 fn stop_that_was_dropped_after_errors_is_not_taken_for_acknowledged() {
     assert_eq!(violations_of_a_handover(Refusal::Stops { left: 5 }), [""; 0]);
 }
+
+/// Guards against a slice that stays at a server that drains: a call with the new owner's line was in flight as the watch
+/// broke, and was answered although the relay had taken the slice away. The line counted as set, also against the state
+/// that the next watch began with.
+#[test]
+fn line_that_was_answered_while_the_slice_was_not_held_does_not_count_as_set() {
+    assert_eq!(violations_of_a_handover(Refusal::FirstLineAsNotHeld), [""; 0]);
+}
--- a/crates/whinhill-cli/tests/support/storing_relay.rs
+++ b/crates/whinhill-cli/tests/support/storing_relay.rs
@@ -6,10 +6,14 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use super::send_keep_alives;
 
+/// Between a break of the watch and the answer to a call in flight: less than the relay takes at most, and more than the
+/// assigner takes to open another watch.
+const ANSWER_DELAY: Duration = Duration::from_millis(45);
+
 /// What the relay refuses. Each is refused only so often, then all is carried out.
 #[derive(Clone, Copy)]
 pub enum Refusal {
@@ -17,6 +21,10 @@
     Stops { left: usize },
     /// The first order that sets a line: the orders before it in the call are carried out, those behind it are not.
     FirstLine,
+    /// The first call that sets a line: the watch breaks, and with it the assigner loses the slice, whose levels are
+    /// reset. Orders for a slice that an assigner does not have count as taken and change nothing. It has the slice again
+    /// on its next watch.
+    FirstLineAsNotHeld,
     /// Nothing.
     Nothing,
 }
@@ -101,6 +109,12 @@
                 *watch_stream = Some(out.try_clone().unwrap());
             } else if let Some(orders) = request.strip_prefix("APPLY ") {
                 let orders: Vec<&str> = orders.split(';').collect();
+                if self.store().takes_as_not_held(&orders) {
+                    self.break_watch();
+                    thread::sleep(ANSWER_DELAY);
+                    let _ = write!(out, "OK {}\r\n", orders.len());
+                    continue;
+                }
                 let Some(applied) = self.store().carry_out(&orders) else {
                     let _ = out.write_all(b"ERR invalid\r\n");
                     continue;
@@ -136,6 +150,17 @@
         self.writes_are_admitted && self.line.as_deref().is_some_and(|line| servers.contains(&line))
     }
 
+    /// Whether a call comes as the slice is not held.
+    fn takes_as_not_held(&mut self, orders: &[&str]) -> bool {
+        let sets_line = orders.iter().any(|order| order.starts_with("put,") && order.ends_with(",1"));
+        if !sets_line || !matches!(self.refusal, Refusal::FirstLineAsNotHeld) {
+            return false;
+        }
+        self.refusal = Refusal::Nothing;
+        self.writes_are_admitted = true;
+        true
+    }
+
     /// Carries out a call; returns the number of orders that were taken, or `None` if it is refused with an error.
     fn carry_out(&mut self, orders: &[&str]) -> Option<usize> {
         if let Refusal::Stops { left } = &mut self.refusal {
--- a/crates/whinhill-node/src/relay.rs
+++ b/crates/whinhill-node/src/relay.rs
@@ -35,6 +35,12 @@
             (Some(_), None) if self.relay_watch_outdated => WatchSlot::Next,
             _ => return,
         };
+        if slot == WatchSlot::Current && self.relay_calls.has_call_in_flight() {
+            // The relay may have taken slices away with the former watch, and an order for such a slice is answered and
+            // changes nothing. A snapshot from after the call tells which ones did.
+            let retry_at = self.clock.now() + MIN_RELAY_WATCH_RETRY_DELAY;
+            return self.deadlines.set(DeadlineKind::ReopenRelayWatch, retry_at);
+        }
         let Some(id) =
             self.connect(self.config.relay, ConnectionKind::RelayWatch, watch::REQUEST, CONNECT_TIMEOUT)
         else {
