Send calls with unknown outcomes in a row again ever later

The first is sent again at once as before, since one lost answer is common; then after 25 ms, doubled each time up to 0.4 s, varied by a quarter, until a call is answered.

Red before: calls_with_unknown_outcomes_in_a_row_are_sent_again_ever_later (a copy each millisecond).

--- a/crates/whinhill-platform/src/relay/calls.rs
+++ b/crates/whinhill-platform/src/relay/calls.rs
@@ -21,6 +21,11 @@
 const REFUSED_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Delay after a call that could not be sent. A shorter one would flood a relay that is down with connections.
 const UNREACHABLE_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Delay after the second of several calls in a row whose outcomes are unknown; the first is sent again at once. It
+/// doubles with each further one, up to [`MAX_UNKNOWN_RETRY_DELAY`], and is varied by up to a quarter.
+const MIN_UNKNOWN_RETRY_DELAY: Duration = Duration::from_millis(25);
+/// The rules' time limits wait for half a second where the relay breaks a call.
+const MAX_UNKNOWN_RETRY_DELAY: Duration = Duration::from_millis(400);
 /// Number of error answers since the last valid one at which the orders of the call are dropped, unless they may have
 /// been applied already. `throttled` counts as one, but never drops orders itself.
 const MAX_ERRORS: u32 = 5;
@@ -81,6 +86,8 @@
     in_flight: Option<InFlightCall>,
     retry_at: Duration,
     errors: u32,
+    /// Calls in a row whose outcomes were unknown.
+    consecutive_unknown: u32,
     /// When the outcome of a call was last found to be unknown.
     unknown_since: Duration,
     ack_times: VecDeque<AckTimes>,
@@ -253,6 +260,7 @@
             return self.requeue_unknown(now, call);
         };
         self.errors = 0;
+        self.consecutive_unknown = 0;
         let InFlightCall { mut orders, released } = call;
         let mut rest = orders.split_off(applied);
         for done in &orders {
@@ -293,6 +301,8 @@
     fn requeue_unknown(&mut self, now: Duration, mut call: InFlightCall) -> CallOutcome {
         self.unknown_outcomes += 1;
         self.unknown_since = now;
+        self.consecutive_unknown += 1;
+        self.retry_at = now + unknown_retry_delay(self.consecutive_unknown, now);
         for queued in &mut call.orders {
             queued.maybe_applied = true;
             if let RelayOrder::Mark(ack_seq) = queued.order {
@@ -400,5 +410,14 @@
     }
 }
 
+/// Delay after a number of calls in a row whose outcomes are unknown. The digits of the current time below a
+/// millisecond vary it.
+fn unknown_retry_delay(consecutive_unknown: u32, now: Duration) -> Duration {
+    let Some(doublings) = consecutive_unknown.checked_sub(2) else { return Duration::ZERO };
+    let delay = MIN_UNKNOWN_RETRY_DELAY.saturating_mul(1u32.checked_shl(doublings).unwrap_or(u32::MAX));
+    let variation = f64::from(now.subsec_micros() % 1000) / 2000.0 - 0.25;
+    delay.min(MAX_UNKNOWN_RETRY_DELAY).mul_f64(1.0 + variation)
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/whinhill-platform/src/relay/calls/tests.rs
+++ b/crates/whinhill-platform/src/relay/calls/tests.rs
@@ -249,3 +249,29 @@
     calls.push(MS, [line(1, "a", false)]);
     assert_eq!(next_call(&mut calls, MS), "APPLY gate,1,look,0.000,0;fence,1,1;put,1,a,0\r\n");
 }
+
+/// Guards against hundreds of copies of a call within half a second: a connection that is reset at once had the call sent
+/// again at once, and each copy counted as queued in the channel.
+#[test]
+fn calls_with_unknown_outcomes_in_a_row_are_sent_again_ever_later() {
+    let mut calls = CallQueue::default();
+    calls.push(MS, [line(1, "a", true)]);
+    let mut sent_at = Vec::new();
+    for now in (1..4000).map(|ms| MS * ms + Duration::from_micros(u64::from(ms) * 37 % 1000)) {
+        if calls.next_call(now, &names()).is_some() {
+            sent_at.push(now);
+            calls.on_connection_lost(now, true);
+        }
+    }
+    assert!((10..20).contains(&sent_at.len()), "{sent_at:?}");
+    let gaps: Vec<Duration> = sent_at.windows(2).map(|pair| pair[1] - pair[0]).collect();
+    assert!(gaps[0] <= MS * 2 && gaps.iter().all(|gap| *gap <= MS * 502), "{gaps:?}");
+    // An answer ends the series.
+    let now = MS * 5000;
+    next_call(&mut calls, now);
+    calls.on_answer(now, b"OK 1");
+    calls.push(now, [line(1, "b", true)]);
+    next_call(&mut calls, now);
+    calls.on_connection_lost(now, true);
+    assert!(calls.is_call_due(now));
+}
