Order levels again that the store may have reset during a break of the relay watch

The relay takes slices away as the watch breaks and may give them back before it stands again, and resets their levels then. Of a slice with the same line and no work pending the module heard nothing: it went on counting its levels as published, so that a cold or full server was sent all until its levels changed.

Where they had not been reset this costs their lines once more.

Red with the event ignored: levels_that_may_have_been_reset_are_ordered_again_once_the_channel_has_room.

--- a/crates/whinhill-node/src/relay.rs
+++ b/crates/whinhill-node/src/relay.rs
@@ -121,8 +121,10 @@
         let (slot, now, mut updates) = (self.relay_watch_slot(id), self.clock.now(), Vec::new());
         trace_received(slot, bytes);
         let pending = pending_work(&self.relay_calls, &self.assigner);
+        // While the watch at the former address goes on, custody does not change hands unreported.
+        let reports_custody = slot == WatchSlot::Next && self.relay_watch.is_live();
         let result = self.relay_watch.receive(slot, now, bytes, &mut self.names, pending, &mut updates);
-        self.handle_relay_updates(updates);
+        self.handle_relay_updates(updates, reports_custody);
         let slot = self.promote_next_relay_watch(slot);
         match result {
             Ok(()) => self.schedule_relay_watch_timeout(slot),
@@ -151,8 +153,9 @@
         WatchSlot::Current
     }
 
-    /// Turns updates from the relay watch into events and orders.
-    fn handle_relay_updates(&mut self, updates: Vec<WatchUpdate>) {
+    /// Turns updates from the relay watch into events and orders. `reports_custody`: every change of custody before a
+    /// snapshot among them was reported.
+    fn handle_relay_updates(&mut self, updates: Vec<WatchUpdate>, reports_custody: bool) {
         let now = self.clock.now();
         for update in updates {
             match update {
@@ -194,6 +197,7 @@
                     );
                     if after_break {
                         self.pending_events.push(Event::ProxyUpdatesLost);
+                        self.pending_events.extend((!reports_custody).then_some(Event::LevelsLost));
                         self.relay_calls.request_last_ack_again(now);
                     }
                 }
--- a/crates/whinhill/src/assigner.rs
+++ b/crates/whinhill/src/assigner.rs
@@ -183,6 +183,7 @@
             }
             Event::ProxyJoined { proxy, zone } => self.proxy_joined(*proxy, *zone),
             Event::ProxyLeft { proxy } => self.proxy_left(*proxy),
+            Event::LevelsLost => self.slices.iter_mut().for_each(|slice| slice.levels_uncertain = true),
             Event::ProxyUpdatesLost => self.apply_lost_proxy_updates(),
             Event::Acked { proxy, ack_seq, transit } => self.proxy_acked(*proxy, *ack_seq, *transit),
             Event::SliceAcquired { slice } => self.acquire_slice(*slice),
--- a/crates/whinhill/src/assigner/admission.rs
+++ b/crates/whinhill/src/assigner/admission.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// The share of a method that admits all its RPCs; a store resets levels to it.
+const ADMIT_ALL_SHARE: f64 = 1.0;
+
 impl Assigner {
     /// The work a second that each server can do: as learned there, else as much for its size as the others do.
     pub(super) fn server_limits(&self) -> Vec<f64> {
@@ -77,7 +80,12 @@
             let Some(owner) = self.slices[id].owner else { continue };
             let rejects_all = self.should_reject_all(id, owner);
             let levels = self.target_levels(id, owner, rejects_all, is_period, may_tune);
-            for (level, methods) in changed_levels(&self.slices[id].published_levels, &levels) {
+            let is_ordered_again =
+                self.slices[id].levels_uncertain && self.channel_is_below(LEAVE_START_FILL);
+            let is_known = |level: &f64| !is_ordered_again || *level == ADMIT_ALL_SHARE;
+            let published = &self.slices[id].published_levels;
+            let known: Vec<Option<f64>> = published.iter().map(|l| Some(*l).filter(is_known)).collect();
+            for (level, methods) in changed_levels(&known, &levels) {
                 let is_open_rate = self.cfg.admission == Admission::Rate && level > 0.0;
                 let level = if is_open_rate { LEVEL_ADMIT_ALL } else { level };
                 self.output.push(Order::Level { slice: id, level, methods, tries: self.cfg.tries });
@@ -88,6 +96,7 @@
             }
             self.slices[id].published_levels = levels;
             self.slices[id].rejects_all = rejects_all;
+            self.slices[id].levels_uncertain &= !is_ordered_again;
         }
     }
 
@@ -159,10 +168,10 @@
     }
 }
 
-/// The levels that differ from the published ones, each with the methods that it applies to.
-fn changed_levels(published: &[f64], levels: &[f64]) -> Vec<(f64, MethodMask)> {
+/// The levels that differ from the published ones, as far as these are known, each with the methods that it applies to.
+fn changed_levels(published: &[Option<f64>], levels: &[f64]) -> Vec<(f64, MethodMask)> {
     let mut changed: Vec<(f64, MethodMask)> = Vec::new();
-    let differs = |(method, level): &(usize, &f64)| published[*method] != **level;
+    let differs = |(method, level): &(usize, &f64)| published[*method] != Some(**level);
     for (method, level) in levels.iter().enumerate().filter(differs) {
         match changed.iter_mut().find(|(other, _)| other == level) {
             Some((_, methods)) => *methods |= 1 << method,
--- a/crates/whinhill/src/assigner/admission/tests.rs
+++ b/crates/whinhill/src/assigner/admission/tests.rs
@@ -79,3 +79,23 @@
     let admitted = offered * (1.0 - assigner.servers[1].rejected_fraction);
     assert!(offered > MAX_COLD_LOAD && admitted <= MAX_COLD_LOAD, "{admitted:.2} of {offered:.2}");
 }
+
+/// Guards against a cold or overloaded server that gets more than its levels admit: the store had reset the levels of a
+/// slice that was taken away and given back while the watch was broken, and the module counted them as published.
+#[test]
+fn levels_that_may_have_been_reset_are_ordered_again_once_the_channel_has_room() {
+    let mut assigner = assigner_with(2, &[(0, 40.0), (1, 40.0)]);
+    assigner.slices[0].published_levels = vec![0.4, 1.0];
+    let orders_of = |assigner: &mut Assigner, at: f64, events: &[Event]| {
+        let orders = assigner.handle(secs(at), events);
+        orders.into_iter().filter(|order| matches!(order, Order::Level { .. })).collect::<Vec<_>>()
+    };
+    assert_eq!(orders_of(&mut assigner, 100.1, &[Event::Timer]), []);
+    assigner.channel.queued_lines = 0.5 * assigner.cfg.max_backlog_lines;
+    assert_eq!(orders_of(&mut assigner, 100.2, &[Event::LevelsLost]), [], "the channel is filled");
+    assigner.channel.queued_lines = 0.0;
+    let tries = assigner.cfg.tries;
+    let again = Order::Level { slice: 0, level: 0.4, methods: 0b01, tries };
+    assert_eq!(orders_of(&mut assigner, 100.3, &[Event::Timer]), [again]);
+    assert_eq!(orders_of(&mut assigner, 100.4, &[Event::Timer]), [], "they were ordered");
+}
--- a/crates/whinhill/src/interface.rs
+++ b/crates/whinhill/src/interface.rs
@@ -127,6 +127,8 @@
     /// Joins and breaks of proxies may have gone unreported until now; what has changed by them is reported. A proxy that
     /// is not joined may have joined, read the store, and left again.
     ProxyUpdatesLost,
+    /// The store may have reset the levels of the slices in custody, since custody may have changed hands unreported.
+    LevelsLost,
     /// A proxy acknowledges the message with the sequence number `ack_seq`, and with it all earlier ones. `transit` is the
     /// transit time, from sending the orders until they took effect.
     Acked { proxy: ProxyId, ack_seq: u16, transit: Duration },
--- a/crates/whinhill/src/state.rs
+++ b/crates/whinhill/src/state.rs
@@ -397,6 +397,8 @@
     pub demand: DecayingSum,
     /// The levels that proxies were sent, by method.
     pub published_levels: Vec<f64>,
+    /// The store may have reset these levels: those that do not admit all are to be ordered again.
+    pub levels_uncertain: bool,
     /// All its RPCs are rejected, or all but a few, because its owner is suspected.
     pub rejects_all: bool,
 }
