--- a/crates/whinhill-node/src/node.rs
+++ b/crates/whinhill-node/src/node.rs
@@ -292,12 +292,11 @@
             }
         }
         self.relay_calls.push(now, relay_orders);
-        self.relay_calls
-            .take_answered()
-            .into_iter()
-            .for_each(|ack_seq| self.assigner.note_orders_answered(ack_seq));
+        if let Some(ack_seq) = self.relay_calls.acks.take_answered() {
+            self.assigner.note_orders_answered(ack_seq);
+        }
         // Joins that were reported before these proofs have been handed to the module.
-        for ack_seq in self.relay_calls.take_stored(self.relay_watch.received_all_until()) {
+        for ack_seq in self.relay_calls.acks.take_stored(self.relay_watch.received_all_until()) {
             self.assigner.note_orders_stored(ack_seq);
         }
     }
--- a/crates/whinhill-node/src/relay.rs
+++ b/crates/whinhill-node/src/relay.rs
@@ -167,9 +167,9 @@
                 }
                 WatchUpdate::Acked { proxy, ack_seq, transit, in_sequence } => {
                     if in_sequence {
-                        self.relay_calls.note_acked_in_sequence(ack_seq);
+                        self.relay_calls.acks.note_acked_in_sequence(ack_seq);
                     }
-                    let transit = self.relay_calls.transit_since_order(now, ack_seq, transit);
+                    let transit = self.relay_calls.acks.transit_since_order(now, ack_seq, transit);
                     self.pending_events.push(Event::Acked { proxy, ack_seq, transit });
                 }
                 WatchUpdate::Reacquired { slice, line_differs } => {
--- a/crates/whinhill-platform/src/relay/calls.rs
+++ b/crates/whinhill-platform/src/relay/calls.rs
@@ -11,6 +11,7 @@
 use whinhill::interface::SliceId;
 use whinhill_names::Names;
 
+use super::acks::{AckTracker, MAX_TRANSIT};
 use super::line_orders::{ConfirmedLine, PendingWork};
 use super::orders::RelayOrder;
 
@@ -29,13 +30,6 @@
 /// Number of error answers since the last valid one at which the orders of the call are dropped, unless they may have
 /// been applied already. `throttled` counts as one, but never drops orders itself.
 const MAX_ERRORS: u32 = 5;
-/// Ack sequence numbers whose times are kept: far more than can await acknowledgement at a time.
-const MAX_TRACKED_ACKS: usize = 1024;
-/// Upper bound of a transit time that a proxy reports. Where it is not known which of several calls an acknowledgement
-/// answers, the assigner is given at least this long a transit: longer than any real one, so that it takes the orders
-/// to have taken effect just now.
-const MAX_TRANSIT: Duration = Duration::from_secs(3600);
-
 /// The outcome of a call.
 #[derive(Debug, PartialEq)]
 pub enum CallOutcome {
@@ -70,15 +64,6 @@
     released: BTreeSet<SliceId>,
 }
 
-/// When an ack was requested, and by when the call that carried the request had certainly been accepted, if it was.
-/// That is unknown while the request is in flight, also for the second time.
-#[derive(Clone, Copy, Debug)]
-struct AckTimes {
-    ack_seq: u16,
-    ordered_at: Duration,
-    accepted_at: Option<Duration>,
-}
-
 /// The queue of orders for the relay and the call in flight.
 #[derive(Debug, Default)]
 pub struct CallQueue {
@@ -90,15 +75,8 @@
     consecutive_unknown: u32,
     /// When the outcome of a call was last found to be unknown.
     unknown_since: Duration,
-    ack_times: VecDeque<AckTimes>,
-    last_ack_seq: Option<u16>,
-    /// Ack requests in calls that the relay answered, and when it did, oldest first, until it is proved that their
-    /// orders were stored before any join that has yet to be reported.
-    answered_acks: VecDeque<(u16, Duration)>,
-    /// The newest of them since [`CallQueue::take_answered`] was last called.
-    last_answered_ack: Option<u16>,
-    /// Ack requests whose orders are proved to be in the store since [`CallQueue::take_stored`] was last called.
-    stored_acks: BTreeSet<u16>,
+    /// The requests for acks among the orders.
+    pub acks: AckTracker,
     /// Slices of which an order was not carried out and is not sent again, since [`CallQueue::take_out_of_step`] was
     /// last called.
     out_of_step: BTreeSet<SliceId>,
@@ -123,7 +101,7 @@
                     ordered_at = ordered_at.min(earlier.ordered_at);
                 }
                 self.queue.retain(|queued| !queued.order.is_mark());
-                self.track_ack(*ack_seq, ordered_at);
+                self.acks.track(*ack_seq, ordered_at);
             } else {
                 supersedes_marked |= self.remove_superseded(&order);
             }
@@ -159,21 +137,12 @@
 
     /// Requests the last ack from every proxy again, because answers may have been lost with the watch stream.
     pub fn request_last_ack_again(&mut self, now: Duration) {
-        if let Some(ack_seq) = self.last_ack_seq {
+        if let Some(ack_seq) = self.acks.last_requested() {
             self.push(now, [RelayOrder::Mark(ack_seq)]);
-            self.track_ack(ack_seq, now.saturating_sub(MAX_TRANSIT));
+            self.acks.track(ack_seq, now.saturating_sub(MAX_TRANSIT));
         }
     }
 
-    fn track_ack(&mut self, ack_seq: u16, ordered_at: Duration) {
-        self.ack_times.retain(|times| times.ack_seq != ack_seq);
-        self.ack_times.push_back(AckTimes { ack_seq, ordered_at, accepted_at: None });
-        if self.ack_times.len() > MAX_TRACKED_ACKS {
-            self.ack_times.pop_front();
-        }
-        self.last_ack_seq = Some(ack_seq);
-    }
-
     /// Starts the next call if one is due, and returns its text.
     pub fn next_call(&mut self, now: Duration, names: &Names) -> Option<String> {
         if !self.is_call_due(now) {
@@ -195,7 +164,7 @@
         text.push_str("\r\n");
         for queued in &orders {
             if let RelayOrder::Mark(ack_seq) = queued.order {
-                self.set_accepted(ack_seq, None);
+                self.acks.set_accepted(ack_seq, None);
             }
         }
         self.in_flight = Some(InFlightCall { orders, released: BTreeSet::new() });
@@ -269,8 +238,8 @@
                     self.confirmed.push(ConfirmedLine { slice: *slice, server: server.clone(), on: *on });
                 }
                 RelayOrder::Mark(ack_seq) => {
-                    self.set_accepted(*ack_seq, Some(now));
-                    self.note_answered(*ack_seq, now);
+                    self.acks.set_accepted(*ack_seq, Some(now));
+                    self.acks.note_answered(*ack_seq, now);
                 }
                 _ => {}
             }
@@ -306,51 +275,13 @@
         for queued in &mut call.orders {
             queued.maybe_applied = true;
             if let RelayOrder::Mark(ack_seq) = queued.order {
-                self.set_accepted(ack_seq, Some(now));
+                self.acks.set_accepted(ack_seq, Some(now));
             }
         }
         self.requeue(call);
         CallOutcome::Unknown
     }
 
-    fn set_accepted(&mut self, ack_seq: u16, accepted_at: Option<Duration>) {
-        self.ack_times
-            .iter_mut()
-            .filter(|times| times.ack_seq == ack_seq)
-            .for_each(|times| times.accepted_at = accepted_at);
-    }
-
-    fn note_answered(&mut self, ack_seq: u16, now: Duration) {
-        self.last_answered_ack = Some(ack_seq);
-        self.answered_acks.push_back((ack_seq, now));
-        if self.answered_acks.len() > MAX_TRACKED_ACKS {
-            self.answered_acks.pop_front();
-        }
-    }
-
-    /// Takes the newest ack request in a call that the relay has answered since the last call. All orders before it were
-    /// carried out.
-    pub fn take_answered(&mut self) -> Option<u16> {
-        self.last_answered_ack.take()
-    }
-
-    /// Notes an ack that the relay watch reported in sequence with joins and breaks of proxies: the store had the
-    /// orders up to its request before whatever is reported after it.
-    pub fn note_acked_in_sequence(&mut self, ack_seq: u16) {
-        self.stored_acks.insert(ack_seq);
-    }
-
-    /// Takes the ack requests whose orders the store had before any proxy joined that has yet to be reported: a proxy
-    /// has acknowledged them, or the relay answered the call at `answered_by` or earlier. An answer comes on another
-    /// connection than joins do, so `answered_by` must be so long ago that joins before it have been reported.
-    pub fn take_stored(&mut self, answered_by: Duration) -> BTreeSet<u16> {
-        let is_old = |(_, at): &(u16, Duration)| *at <= answered_by;
-        while let Some((ack_seq, _)) = self.answered_acks.pop_front_if(|answered| is_old(answered)) {
-            self.stored_acks.insert(ack_seq);
-        }
-        std::mem::take(&mut self.stored_acks)
-    }
-
     /// Puts the orders of a call at the front of the queue, without those of released slices. Later orders are queued
     /// again behind them and remove those that they supersede.
     fn requeue(&mut self, call: InFlightCall) {
@@ -396,18 +327,6 @@
     pub fn take_confirmed(&mut self) -> Vec<ConfirmedLine> {
         std::mem::take(&mut self.confirmed)
     }
-
-    /// The transit time from the assigner's order until its effect at a proxy. A proxy reports `transit`, the time from
-    /// the call on. The time before the call, in the queue or in calls that had to be sent again, is added
-    /// here; otherwise writes would be assumed to have ended before they have.
-    pub fn transit_since_order(&self, now: Duration, ack_seq: u16, transit: Duration) -> Duration {
-        let times = self.ack_times.iter().find(|times| times.ack_seq == ack_seq);
-        // A proxy may report any time. The bound keeps sums of it from overflowing.
-        let transit = transit.min(MAX_TRANSIT);
-        times.map_or(MAX_TRANSIT, |times| {
-            times.accepted_at.unwrap_or(now).saturating_sub(times.ordered_at) + transit
-        })
-    }
 }
 
 /// Delay after a number of calls in a row whose outcomes are unknown. The digits of the current time below a
--- a/crates/whinhill-platform/src/relay/calls/tests.rs
+++ b/crates/whinhill-platform/src/relay/calls/tests.rs
@@ -140,10 +140,10 @@
     assert_eq!(calls.on_connection_lost(MS * 430, true), CallOutcome::Unknown);
     next_call(&mut calls, MS * 430);
     calls.on_answer(MS * 440, b"OK 1");
-    assert_eq!(calls.transit_since_order(MS * 600, 1, MS * 90), MS * 430);
-    assert!(calls.transit_since_order(MS * 600, 1, Duration::MAX) < MAX_TRANSIT * 2);
+    assert_eq!(calls.acks.transit_since_order(MS * 600, 1, MS * 90), MS * 430);
+    assert!(calls.acks.transit_since_order(MS * 600, 1, Duration::MAX) < MAX_TRANSIT * 2);
     calls.request_last_ack_again(MS * 700);
-    assert!(calls.transit_since_order(MS * 800, 1, MS * 90) >= MS * 800);
+    assert!(calls.acks.transit_since_order(MS * 800, 1, MS * 90) >= MS * 800);
 }
 
 /// Where slices are not exclusive, a grant adds a line: the removal of the former owner's line must not get lost.
@@ -180,16 +180,16 @@
     let mut calls = CallQueue::default();
     calls.push(MS, [line(1, "a", false), RelayOrder::Mark(1)]);
     next_call(&mut calls, MS);
-    assert!(calls.take_stored(MS * 9).is_empty(), "sent, but not answered");
+    assert!(calls.acks.take_stored(MS * 9).is_empty(), "sent, but not answered");
     assert_eq!(calls.on_connection_lost(MS * 2, true), CallOutcome::Unknown);
-    assert!(calls.take_stored(MS * 9).is_empty(), "the outcome is unknown");
+    assert!(calls.acks.take_stored(MS * 9).is_empty(), "the outcome is unknown");
     next_call(&mut calls, MS * 3);
     calls.on_answer(MS * 4, b"OK 2");
-    assert!(calls.take_stored(MS * 3).is_empty(), "joins before the call may not have been reported");
-    assert_eq!(calls.take_stored(MS * 4), [1].into());
-    assert!(calls.take_stored(MS * 9).is_empty(), "it was taken");
-    calls.note_acked_in_sequence(1);
-    assert_eq!(calls.take_stored(Duration::ZERO), [1].into());
+    assert!(calls.acks.take_stored(MS * 3).is_empty(), "joins before the call may not have been reported");
+    assert_eq!(calls.acks.take_stored(MS * 4), [1].into());
+    assert!(calls.acks.take_stored(MS * 9).is_empty(), "it was taken");
+    calls.acks.note_acked_in_sequence(1);
+    assert_eq!(calls.acks.take_stored(Duration::ZERO), [1].into());
 }
 
 /// Guards against writes that are taken to have ended too early: a call with an unknown outcome was sent again, and an
@@ -201,14 +201,14 @@
     next_call(&mut calls, MS * 100);
     assert_eq!(calls.on_connection_lost(MS * 300, true), CallOutcome::Unknown);
     assert_eq!(
-        calls.transit_since_order(MS * 400, 1, MS * 90),
+        calls.acks.transit_since_order(MS * 400, 1, MS * 90),
         MS * 290,
         "only the first can have been accepted"
     );
     next_call(&mut calls, MS * 800);
-    assert_eq!(calls.transit_since_order(MS * 900, 1, MS * 90), MS * 890);
+    assert_eq!(calls.acks.transit_since_order(MS * 900, 1, MS * 90), MS * 890);
     calls.on_answer(MS * 910, b"OK 1");
-    assert_eq!(calls.transit_since_order(MS * 900, 1, MS * 90), MS * 900);
+    assert_eq!(calls.acks.transit_since_order(MS * 900, 1, MS * 90), MS * 900);
 }
 
 /// Guards against a slice of which it is not known what the store holds: after errors the orders of a call were dropped
