--- a/review/standins-2.rs
+++ b/review/standins-2.rs
@@ -29,6 +29,10 @@
 const END_STREAM: u8 = 1;
 const ACK: u8 = 1;
 const END_HEADERS: u8 = 4;
+/// Entries of the static table of header compression (RFC 7541, appendix A), each by its number with the high bit set.
+const METHOD_POST: u8 = 128 + 3;
+const SCHEME_HTTP: u8 = 128 + 6;
+const STATUS_200: u8 = 128 + 8;
 
 fn unix_ms() -> u128 {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis())
@@ -136,7 +140,7 @@
                 thread::sleep(Duration::from_millis(if is_rpc { 20 } else { 1 }));
                 // Anything else is a health check, whose answer says that the server serves.
                 let answer = if is_rpc { message } else { vec![8, 1] };
-                let (mut head, mut trailers) = (vec![0x88], Vec::new());
+                let (mut head, mut trailers) = (vec![STATUS_200], Vec::new());
                 literal(&mut head, "content-type", "application/grpc");
                 literal(&mut trailers, "grpc-status", "0");
                 let mut out = frame(HEADERS, END_HEADERS, id, &head);
@@ -210,7 +214,7 @@
     let mut next = Instant::now();
     for id in (1..).step_by(2) {
         *number += 1;
-        let mut head = vec![0x83, 0x86];
+        let mut head = vec![METHOD_POST, SCHEME_HTTP];
         literal(&mut head, ":path", path);
         literal(&mut head, ":authority", "proxy");
         literal(&mut head, "content-type", "application/grpc");
