Ask a silent discovery again in time for the grace of drains

Cause: one call at a time, each waited for in full (2.5 s), and delays that doubled after calls that had reached nobody (Assigner::apply_list, DISCOVERY_TIMEOUT).

Change: the module bounds the time between calls by the grace less the longest transit and draws it at random; only failures that discovery itself reported double the delay, for 3 s. The node leaves an unanswered call open for a late answer and opens another beside it.

--- a/crates/whinhill-cli/tests/support/mod.rs
+++ b/crates/whinhill-cli/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 
 pub mod config;
+pub mod cut_discovery;
 pub mod discovery;
 pub mod failing_relay;
 pub mod paced_relay;
--- a/crates/whinhill-node/src/discovery.rs
+++ b/crates/whinhill-node/src/discovery.rs
@@ -39,7 +39,7 @@
             addr,
             ConnectionKind::Discovery(DiscoveryRequest::watch()),
             &request,
-            DISCOVERY_TIMEOUT,
+            self.assigner.list_answer_timeout(),
         );
         if self.discovery_watch_connection.is_some() {
             self.counters.discovery_watches += 1;
@@ -72,17 +72,53 @@
 
     /// Discovery has a new address.
     pub fn switch_discovery_address(&mut self) {
+        self.overdue_discovery_watch.take().into_iter().for_each(|id| drop(self.close(id)));
         self.discovery_watch_connection.take().into_iter().for_each(|id| drop(self.close(id)));
         self.open_discovery_watch();
     }
 
+    /// A call for a watch or a list, or an answered watch, has been silent for too long.
+    pub fn handle_discovery_timeout(&mut self, id: Id) {
+        if self.overdue_discovery_watch == Some(id) {
+            // Its lack of an answer was reported when it became overdue.
+            self.close(id);
+        } else if self.discovery_watch_connection == Some(id) && !self.is_discovery_watch_answered(id) {
+            self.keep_overdue_watch(id);
+            self.report_discovery_failure(ListKind::Unreachable, "no answer");
+        } else {
+            self.close(id);
+            self.report_discovery_failure(ListKind::Unreachable, "silent");
+        }
+    }
+
+    /// Keeps a call open that was not answered in time, in place of the one before it: an overrun discovery may still
+    /// answer, while one that was cut off never will, and is asked again on another connection.
+    fn keep_overdue_watch(&mut self, id: Id) {
+        self.overdue_discovery_watch.take().into_iter().for_each(|former| drop(self.close(former)));
+        self.discovery_watch_connection = None;
+        self.overdue_discovery_watch = Some(id);
+        let opened_at = self.connections.get(id).map_or(self.clock.now(), |connection| connection.opened_at);
+        self.deadlines.set(DeadlineKind::ConnectionTimeout(id), opened_at + DISCOVERY_TIMEOUT);
+    }
+
+    /// Of two calls for a watch, the one that was answered first becomes the watch, and the other is closed.
+    fn settle_discovery_watch(&mut self, answered: Id) {
+        if self.overdue_discovery_watch == Some(answered) {
+            self.overdue_discovery_watch = None;
+            let newer = self.discovery_watch_connection.replace(answered);
+            newer.into_iter().for_each(|id| drop(self.close(id)));
+        } else if self.discovery_watch_connection == Some(answered) {
+            self.overdue_discovery_watch.take().into_iter().for_each(|id| drop(self.close(id)));
+        }
+    }
+
     /// Counts a failure, logs it if the previous result was a success, and reports it to the module.
-    fn report_discovery_failure(&mut self, why: &str) {
+    fn report_discovery_failure(&mut self, kind: ListKind, why: &str) {
         self.counters.discovery_failures += 1;
         if !std::mem::replace(&mut self.discovery_failing, true) {
             warn!(held = self.list_version.held(), "discovery fails: {why}");
         }
-        self.pending_events.push(Event::List { kind: ListKind::Failed, entries: Vec::new() });
+        self.pending_events.push(Event::List { kind, entries: Vec::new() });
     }
 
     /// Bytes of an answer from discovery arrived.
@@ -93,7 +129,8 @@
         };
         let is_watch = request.is_watch();
         let ReceivedLists { lists, is_alive, is_current, error } = request.receive(bytes);
-        if is_watch && is_alive {
+        if is_watch && is_alive && error.is_none() {
+            self.settle_discovery_watch(id);
             self.deadlines
                 .set(DeadlineKind::ConnectionTimeout(id), self.clock.now() + DISCOVERY_WATCH_SILENCE_TIMEOUT);
         }
@@ -139,16 +176,21 @@
             Ok(lists) => {
                 self.close(id);
                 if !lists.iter().all(|list| self.accept_list(list)) {
-                    self.report_discovery_failure("the version of its list decreased");
+                    self.report_discovery_failure(ListKind::Failed, "the version of its list decreased");
                 }
             }
             Err(error) => self.fail_discovery_request(id, &error.to_string()),
         }
     }
 
-    /// Closes a request that failed and reports the failure.
-    pub fn fail_discovery_request(&mut self, id: Id, why: &str) {
-        self.close(id);
-        self.report_discovery_failure(why);
+    /// Closes a request that failed and reports the failure. Where the connection never came up, nobody was reached. The
+    /// failure of an overdue call is not reported: a newer call tells, or is about to be made.
+    fn fail_discovery_request(&mut self, id: Id, why: &str) {
+        let was_overdue = self.overdue_discovery_watch == Some(id);
+        let was_reached = self.close(id).is_some_and(|connection| connection.was_established());
+        if !was_overdue {
+            let kind = if was_reached { ListKind::Failed } else { ListKind::Unreachable };
+            self.report_discovery_failure(kind, why);
+        }
     }
 }
--- a/crates/whinhill-node/src/limits.rs
+++ b/crates/whinhill-node/src/limits.rs
@@ -26,7 +26,9 @@
 /// Longest delay before the relay watch is reopened.
 pub const MAX_RELAY_WATCH_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Time limit of a request to discovery, which answers requests one after another, each within its own limit of a
-/// second.
+/// second. The module asks for another call beside one that is not answered within [`list_answer_timeout`].
+///
+/// [`list_answer_timeout`]: whinhill::Assigner::list_answer_timeout
 pub const DISCOVERY_TIMEOUT: Duration = Duration::from_millis(2500);
 /// A discovery watch that has been silent for this long has failed. It sends a sign of life every 2 s, and silence
 /// must be detected well within the 6 s that the platform's rules allow.
--- a/crates/whinhill-node/src/node.rs
+++ b/crates/whinhill-node/src/node.rs
@@ -116,8 +116,10 @@
     pub server_starts: StartTimes,
     /// The relay watch is not opened before discovery has sent a list.
     pub relay_watch_awaits_list: bool,
-    /// The connection of the discovery watch.
+    /// The connection of the discovery watch, or of the newest call for one.
     pub discovery_watch_connection: Option<Id>,
+    /// The call before the newest, if it was not answered in time. It stays open, since a late answer counts.
+    pub overdue_discovery_watch: Option<Id>,
     /// Whether the latest result of discovery was a failure; a failure is logged only when this changes.
     pub discovery_failing: bool,
     /// The same for the relay watch.
@@ -235,6 +237,7 @@
             relay_watch_retry_delay: MIN_RELAY_WATCH_RETRY_DELAY,
             relay_watch_awaits_list: false,
             discovery_watch_connection: None,
+            overdue_discovery_watch: None,
             discovery_failing: false,
             relay_watch_failing: false,
             probe_queue: ProbeQueue::new(max_probes),
--- a/crates/whinhill-node/src/sockets.rs
+++ b/crates/whinhill-node/src/sockets.rs
@@ -73,6 +73,7 @@
             &mut self.relay_watch_connection,
             &mut self.next_relay_watch_connection,
             &mut self.discovery_watch_connection,
+            &mut self.overdue_discovery_watch,
         ] {
             *holder = holder.filter(|held| *held != id);
         }
@@ -308,7 +309,7 @@
             ConnectionKind::Closing { .. } => self.close_client(id),
             ConnectionKind::RelayWatch => self.handle_relay_watch_end(id, "never came up"),
             ConnectionKind::RelayCalls(_) => self.handle_lost_call("silent"),
-            ConnectionKind::Discovery(_) => self.fail_discovery_request(id, "silent"),
+            ConnectionKind::Discovery(_) => self.handle_discovery_timeout(id),
             ConnectionKind::Probe { .. } => self.handle_probe_timeout(id),
         }
     }
--- a/crates/whinhill/src/assigner/list.rs
+++ b/crates/whinhill/src/assigner/list.rs
@@ -28,22 +28,55 @@
         self.servers.iter().filter(|s| s.listed_status == ListedStatus::Ready && s.seen_serving)
     }
 
+    /// The longest time between two calls to a discovery that does not answer. A drain that it could not tell of counts
+    /// as told all the same; once it is back, the order must reach the proxies within the grace.
+    fn max_list_request_gap(&self) -> Duration {
+        self.cfg.drain_grace.saturating_sub(self.cfg.max_transit).max(MIN_LIST_REQUEST_GAP)
+    }
+
+    /// How long the answer to a call for the list is waited for before the call is reported as
+    /// [`ListKind::Unreachable`]. The call may be left open for longer.
+    pub fn list_answer_timeout(&self) -> Duration {
+        self.max_list_request_gap().mul_f64(LIST_ANSWER_FRACTION)
+    }
+
+    /// Sets when the list is requested again after a failure that discovery reported: delays double, to spare it, until
+    /// it has failed for so long that what it could not tell may count as told.
+    fn retry_failed_list(&mut self) {
+        let now = self.now;
+        let delay = LIST_RETRY_DELAY * 2u32.pow(self.subscription.failures.min(3));
+        let delay = delay.mul_f64(self.rng.random_range(0.7..1.3));
+        self.subscription.failures += 1;
+        let failing_since = *self.subscription.failing_since.get_or_insert(now);
+        let gap = self.max_list_request_gap().mul_f64(self.rng.random_range(LIST_GAP_FRACTIONS));
+        let latest = now.max(failing_since + LIST_BACKOFF_DURATION) + gap;
+        let retry_at = (now + delay.min(self.cfg.max_list_request_interval / 2)).min(latest);
+        self.subscription.request_at = Some(retry_at);
+    }
+
+    /// Sets when the list is requested again after a call that was not answered. Such a call was no load, so the delay
+    /// does not grow with the number of them.
+    fn retry_unanswered_list(&mut self) {
+        self.subscription.failing_since.get_or_insert(self.now);
+        let gap = self.max_list_request_gap().mul_f64(self.rng.random_range(LIST_GAP_FRACTIONS));
+        let delay = gap.saturating_sub(self.list_answer_timeout());
+        self.subscription.request_at = Some(self.now + delay);
+    }
+
     /// Applies a list of servers, or the changes of one, and sets when the list is requested again.
     pub(super) fn apply_list(&mut self, kind: ListKind, entries: &[ServerEntry]) {
         let now = self.now;
         let max_interval = self.cfg.max_list_request_interval;
-        if kind == ListKind::Failed {
-            let delay = LIST_RETRY_DELAY * 2u32.pow(self.subscription.failures.min(3));
-            let delay = delay.mul_f64(self.rng.random_range(0.7..1.3)).min(max_interval / 2);
-            self.subscription.failures += 1;
-            self.subscription.request_at = Some(now + delay);
-            return;
+        match kind {
+            ListKind::Failed => return self.retry_failed_list(),
+            ListKind::Unreachable => return self.retry_unanswered_list(),
+            ListKind::Stored | ListKind::Full | ListKind::Changes => {}
         }
         let is_stored = kind == ListKind::Stored;
         self.output.extend((is_stored && self.cfg.watch_list).then_some(Order::WatchList));
         let next_request = now + if is_stored { max_interval / 2 } else { max_interval * 2 };
-        self.subscription.failures = 0;
-        self.subscription.request_at = Some(next_request);
+        self.subscription =
+            ListSubscription { request_at: Some(next_request), ..ListSubscription::default() };
 
         let named: BTreeSet<usize> = entries.iter().map(|e| e.endpoint.index).collect();
         let is_absent = |s: &&Server| kind != ListKind::Changes && !named.contains(&s.endpoint.index);
--- a/crates/whinhill/src/assigner/tuning.rs
+++ b/crates/whinhill/src/assigner/tuning.rs
@@ -6,6 +6,9 @@
 
 use std::time::Duration;
 
+#[cfg(doc)]
+use super::Assigner;
+
 /// Load, as a fraction of capacity, above which a server is hot.
 pub(super) const HOT_LOAD: f64 = 0.8;
 /// Deviation from the average load, as a fraction of it, above which a server counts as skewed.
@@ -25,6 +28,16 @@
 /// Delay before the list is requested again after a first failure. It doubles with each further failure, to eight times
 /// this delay at most, and is varied at random by up to 30%.
 pub(super) const LIST_RETRY_DELAY: Duration = Duration::from_millis(500);
+/// For how long after a first failure the delays may grow beyond [`Assigner::max_list_request_gap`]. What discovery
+/// has to tell counts as told after 6 s, and it may have been silent for 3 s before the first failure was noticed.
+pub(super) const LIST_BACKOFF_DURATION: Duration = Duration::from_secs(3);
+/// Lower bound of [`Assigner::max_list_request_gap`], so that discovery is not flooded where the grace is short.
+pub(super) const MIN_LIST_REQUEST_GAP: Duration = Duration::from_millis(500);
+/// Fraction of [`Assigner::max_list_request_gap`] for which a call may be unanswered before another is made.
+pub(super) const LIST_ANSWER_FRACTION: f64 = 0.6;
+/// The range, as fractions of [`Assigner::max_list_request_gap`], from which the time between two calls is drawn while
+/// discovery does not answer: at random, so that the assigners do not ask at once.
+pub(super) const LIST_GAP_FRACTIONS: std::ops::Range<f64> = 0.7..1.0;
 /// Demand that an idle slice counts for on a cold server, as a fraction of an average slice's.
 pub(super) const IDLE_SLICE_FRACTION: f64 = 0.6;
 /// Multiple of the longest transit time that is reserved for the end of a drained line to reach every proxy.
--- a/crates/whinhill/src/interface.rs
+++ b/crates/whinhill/src/interface.rs
@@ -72,6 +72,8 @@
     Stored,
     /// No entries: a call failed, or the subscription broke.
     Failed,
+    /// No entries: a call never reached discovery or was not answered in time. A late answer may still come.
+    Unreachable,
 }
 
 /// What a server reports of its own load. Each figure is late, a little noisy, and may be missing.
--- a/crates/whinhill/src/state.rs
+++ b/crates/whinhill/src/state.rs
@@ -450,8 +450,10 @@
 pub struct ListSubscription {
     /// When to request the list again.
     pub request_at: Option<Duration>,
-    /// Consecutive failures.
+    /// Consecutive failures that discovery reported itself; calls that it did not answer are not counted.
     pub failures: u32,
+    /// Since when no call has been answered with a list.
+    pub failing_since: Option<Duration>,
 }
 
 /// A plan in progress, and the conditions for the next one.
