Count the pause before the next relay watch from the start of the attempt

A silent relay was asked for its watch up to 1.0 s apart: each attempt waited 0.5 s in full, and the pause after it had doubled to 0.5 s although nobody had been reached. With the 1.8 s in which silence is noticed and the second until the state is complete, orders could leave after the 4 s for which the platform's limits wait.

The pause now counts from the start of the attempt and is varied by a quarter, as that of unknown calls (one function for both); the pause of a call ends with the first complete state after a break.

--- a/crates/whinhill-cli/tests/discovery_retries.rs
+++ b/crates/whinhill-cli/tests/retries_after_silence.rs
@@ -1,8 +1,10 @@
-//! How soon discovery is asked again while it is silent, and how it is spared while it refuses calls.
+//! How soon discovery and the relay are asked again while they are silent, and how discovery is spared while it refuses
+//! calls.
 
 mod support;
 
-use std::sync::mpsc::channel;
+use std::net::TcpListener;
+use std::sync::mpsc::{channel, RecvTimeoutError};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -13,6 +15,12 @@
 use support::running::AssignerProcess;
 use support::wait_until;
 
+/// The longest time between two attempts to open the relay watch. The platform's time limits wait 4 s while the relay
+/// breaks off its news: silence is noticed after 1.8 s, the state is complete with the relay's first sign of life, up to
+/// 1 s later, and a call takes up to 0.25 s.
+const MAX_WATCH_GAP: Duration = Duration::from_millis(4000 - 1800 - 1000 - 250);
+/// For how long the relay is silent.
+const RELAY_SILENCE: Duration = Duration::from_secs(5);
 /// The longest time between two calls: the grace of drains less the longest transit of an order, in the settings of
 /// these tests.
 const MAX_CALL_GAP: Duration = Duration::from_millis(1000);
@@ -86,3 +94,35 @@
     let spread = late_gaps.iter().max().unwrap().abs_diff(*late_gaps.iter().min().unwrap());
     assert!(spread > MIN_SPREAD, "{late_gaps:?}");
 }
+
+/// Guards against a relay whose watch is asked for again ever later, although the attempts before reached nobody and each
+/// was waited for in full.
+#[test]
+fn silent_relay_is_asked_again_without_growing_delays() {
+    let list = list_json(1, true, &[server_json("s-1", "SERVING", 0)]);
+    let discovery = CutDiscovery::start(list, Behaviour::Answer);
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let relay = listener.local_addr().unwrap();
+    let (attempt_sender, attempts) = channel();
+    thread::spawn(move || {
+        let mut silent = Vec::new();
+        for stream in listener.incoming().flatten() {
+            silent.push(stream);
+            let _ = attempt_sender.send(Instant::now());
+        }
+    });
+    let (_folder, path) = write_config(&config(relay, discovery.addr));
+    let (_assigner, _) = AssignerProcess::start(&path);
+    let started_at = attempts.recv_timeout(WATCH_SILENCE).unwrap();
+    let mut times = vec![Duration::ZERO];
+    while started_at.elapsed() < RELAY_SILENCE {
+        match attempts.recv_timeout(RELAY_SILENCE.saturating_sub(started_at.elapsed())) {
+            Ok(at) => times.push(at.duration_since(started_at)),
+            Err(RecvTimeoutError::Timeout) => break,
+            Err(RecvTimeoutError::Disconnected) => panic!("the relay ended"),
+        }
+    }
+    println!("attempts: {times:?}");
+    assert!(gaps(&times).iter().all(|gap| *gap <= MAX_WATCH_GAP), "{times:?}");
+    assert!(*times.last().unwrap() + MAX_WATCH_GAP >= RELAY_SILENCE, "{times:?}");
+}
--- a/crates/whinhill-node/src/limits.rs
+++ b/crates/whinhill-node/src/limits.rs
@@ -23,7 +23,7 @@
 /// First delay before the relay watch is reopened; it doubles with each failure. With shorter delays a relay that is
 /// down is overloaded with connects; with longer ones acknowledgements and departures of proxies are missed.
 pub const MIN_RELAY_WATCH_RETRY_DELAY: Duration = Duration::from_millis(20);
-/// Longest delay before the relay watch is reopened.
+/// Longest delay from one attempt to open the relay watch to the next, before it is varied.
 pub const MAX_RELAY_WATCH_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Time limit of a request to discovery, which answers requests one after another, each within its own limit of a
 /// second. The module asks for another call beside one that is not answered within [`list_answer_timeout`].
--- a/crates/whinhill-node/src/relay.rs
+++ b/crates/whinhill-node/src/relay.rs
@@ -11,6 +11,7 @@
 use whinhill_platform::relay::line_orders::PendingWork;
 use whinhill_platform::relay::orders::RelayOrder;
 use whinhill_platform::relay::watch::{self, WatchError, WatchSlot, WatchUpdate};
+use whinhill_platform::retry_delay::varied;
 
 use crate::connection::{Connection, ConnectionKind};
 use crate::connections::Id;
@@ -85,7 +86,8 @@
             WatchSlot::Current => self.relay_watch_connection.take(),
             WatchSlot::Next => self.next_relay_watch_connection.take(),
         };
-        id.into_iter().for_each(|id| drop(self.close(id)));
+        let now = self.clock.now();
+        let opened_at = id.and_then(|id| self.close(id)).map_or(now, |connection| connection.opened_at);
         self.relay_watch.on_disconnected(slot);
         if !self.relay_watch.is_live() && !std::mem::replace(&mut self.relay_watch_failing, true) {
             warn!(
@@ -95,7 +97,10 @@
             );
         }
         self.deadlines.clear(DeadlineKind::RelayWatch(slot));
-        self.deadlines.set(DeadlineKind::ReopenRelayWatch, self.clock.now() + self.relay_watch_retry_delay);
+        // Counted from the start of the attempt: one that waited in vain for a silent relay has delayed the next by itself.
+        let retry_at = opened_at + varied(self.relay_watch_retry_delay, now);
+        let retry_at = retry_at.max(now + MIN_RELAY_WATCH_RETRY_DELAY);
+        self.deadlines.set(DeadlineKind::ReopenRelayWatch, retry_at);
         self.relay_watch_retry_delay = (self.relay_watch_retry_delay * 2).min(MAX_RELAY_WATCH_RETRY_DELAY);
     }
 
@@ -196,6 +201,7 @@
                         "relay watch synchronized"
                     );
                     if after_break {
+                        self.relay_calls.end_delay(now);
                         self.pending_events.push(Event::ProxyUpdatesLost);
                         self.pending_events.extend((!reports_custody).then_some(Event::LevelsLost));
                         self.relay_calls.request_last_ack_again(now);
--- a/crates/whinhill-platform/src/lib.rs
+++ b/crates/whinhill-platform/src/lib.rs
@@ -19,4 +19,5 @@
 pub mod probe;
 pub mod relay;
 pub mod reports;
+pub mod retry_delay;
 pub mod roster;
--- a/crates/whinhill-platform/src/relay/calls.rs
+++ b/crates/whinhill-platform/src/relay/calls.rs
@@ -14,6 +14,7 @@
 use super::acks::{AckTracker, MAX_TRANSIT};
 use super::line_orders::{ConfirmedLine, PendingWork};
 use super::orders::RelayOrder;
+use crate::retry_delay::varied;
 
 /// Maximum size of the orders in one call, as the protocol defines it.
 const MAX_CALL_BYTES: usize = 60_000;
@@ -176,6 +177,11 @@
         self.retry_at = self.retry_at.max(now + UNREACHABLE_RETRY_DELAY);
     }
 
+    /// Ends the delay before the next call, because the relay answers again on its watch.
+    pub fn end_delay(&mut self, now: Duration) {
+        self.retry_at = self.retry_at.min(now);
+    }
+
     /// Whether a call may start now.
     pub fn is_call_due(&self, now: Duration) -> bool {
         self.in_flight.is_none() && !self.queue.is_empty() && now >= self.retry_at
@@ -329,13 +335,11 @@
     }
 }
 
-/// Delay after a number of calls in a row whose outcomes are unknown. The digits of the current time below a
-/// millisecond vary it.
+/// Delay after a number of calls in a row whose outcomes are unknown.
 fn unknown_retry_delay(consecutive_unknown: u32, now: Duration) -> Duration {
     let Some(doublings) = consecutive_unknown.checked_sub(2) else { return Duration::ZERO };
     let delay = MIN_UNKNOWN_RETRY_DELAY.saturating_mul(1u32.checked_shl(doublings).unwrap_or(u32::MAX));
-    let variation = f64::from(now.subsec_micros() % 1000) / 2000.0 - 0.25;
-    delay.min(MAX_UNKNOWN_RETRY_DELAY).mul_f64(1.0 + variation)
+    varied(delay.min(MAX_UNKNOWN_RETRY_DELAY), now)
 }
 
 #[cfg(test)]
