Ask silent assigners and control planes again without growing delays

A proxy noticed a silent assigner after 8 s, waited 5 s for each new attempt and paused up to 3 s; the xDS assigner did the same with the control plane that holds its list, without any variation. What counts as told after 6 s could be asked for after 16 s.

Cause: one time limit (handshake, 5 s) for a peer that answers late and one that sends nothing, and delays that doubled after attempts that had reached nobody. Both clients now share ReconnectDelay and stream_limits.

--- a/crates/whinhill-assigner/src/roster.rs
+++ b/crates/whinhill-assigner/src/roster.rs
@@ -15,7 +15,7 @@
 use serde::{Deserialize, Serialize};
 use tracing::{info, warn};
 use whinhill::interface::ListKind;
-use whinhill_transport::{CallError, Client, Drivers, Limits};
+use whinhill_transport::{stream_limits, CallError, Client, Drivers, Limits, Reached, ReconnectDelay};
 use whinhill_xds::mapping::{server_name, METADATA_KEY};
 use whinhill_xds::{proto, ClientStream, Kind, Response, Update, Variant};
 
@@ -80,9 +80,6 @@
 const FAILURE_DELAY: Duration = Duration::from_secs(3);
 /// How often an unchanged list is reported as current: often compared to the 15 s within which a new server is listed.
 const CURRENT_INTERVAL: Duration = Duration::from_secs(1);
-/// The first and the longest delay before an EDS stream is reopened.
-const MIN_BACKOFF: Duration = Duration::from_millis(100);
-const MAX_BACKOFF: Duration = Duration::from_secs(2);
 
 /// What the thread that reads the list works with.
 pub struct RosterFeed {
@@ -185,19 +182,17 @@
         let node = proto::Node { id: self.node.clone(), ..Default::default() };
         let mut client = ClientStream::new(Variant::Incremental, node);
         client.subscribe(Kind::Endpoints, false, [resource.to_string()].into());
-        let (mut backoff, mut healthy) = (MIN_BACKOFF, true);
+        let (mut delay, mut healthy) = (ReconnectDelay::default(), true);
         while !self.is_stopping() {
-            let mut received_list = false;
-            let Err(error) = self.eds_stream(&mut client, addr, resource, &mut received_list) else { return };
-            if received_list {
-                (backoff, healthy) = (MIN_BACKOFF, true);
-            }
+            let (started, mut reached, mut received_list) = (Instant::now(), Reached::Nobody, false);
+            let ended = self.eds_stream(&mut client, addr, resource, &mut reached, &mut received_list);
+            let Err(error) = ended else { return };
+            healthy |= received_list;
             if std::mem::replace(&mut healthy, false) {
                 warn!(%addr, %error, "the roster's stream is lost; the last list stands");
             }
             self.publish_failure();
-            let until = Instant::now() + backoff;
-            backoff = (backoff * 2).min(MAX_BACKOFF);
+            let until = Instant::now() + delay.after_failure(reached, started.elapsed(), rand::random());
             while !self.is_stopping() && Instant::now() < until {
                 std::thread::park_timeout(POLL_INTERVAL.min(until.saturating_duration_since(Instant::now())));
             }
@@ -210,10 +205,25 @@
         client: &mut ClientStream,
         addr: SocketAddr,
         resource: &str,
+        reached: &mut Reached,
         received_list: &mut bool,
     ) -> Result<(), CallError> {
-        let limits = Limits { handshake: Duration::from_secs(1), ..Limits::default() };
+        let limits = stream_limits(&Limits::default());
         let connection = Client::connect(addr, limits.clone(), &self.drivers)?;
+        let result = self.eds_stream_on(&connection, client, &limits, resource, received_list);
+        *reached = connection.reached();
+        result
+    }
+
+    fn eds_stream_on(
+        &self,
+        connection: &Client,
+        client: &mut ClientStream,
+        limits: &Limits,
+        resource: &str,
+        received_list: &mut bool,
+    ) -> Result<(), CallError> {
+        let addr = connection.addr();
         let (mut writer, pending) = connection.call(client.variant().path(), &[], limits.handshake)?;
         for request in client.open() {
             writer.send(&request.encode(), FAILURE_DELAY)?;
--- a/crates/whinhill-proxy/src/streams.rs
+++ b/crates/whinhill-proxy/src/streams.rs
@@ -9,7 +9,9 @@
 
 use prost::Message;
 use tracing::{info, warn};
-use whinhill_transport::{CallError, Client, Drivers, Limits, MessageWriter};
+use whinhill_transport::{
+    stream_limits, CallError, Client, Drivers, Limits, MessageWriter, Reached, ReconnectDelay,
+};
 use whinhill_xds::mapping::{read_assignment, Assignment};
 use whinhill_xds::proto::{self, from_proto_duration};
 use whinhill_xds::{ClientStream, Kind, Request, Response, Update, Variant, LRS_PATH};
@@ -18,10 +20,6 @@
 use crate::shared::{lock, Shared};
 use crate::table::{Applied, Source};
 
-/// The delay after a first failure.
-const INITIAL_BACKOFF: Duration = Duration::from_millis(50);
-/// The longest delay before randomisation, and how long a stream must have lasted for its failure to reset the delay.
-const MAX_BACKOFF: Duration = Duration::from_secs(2);
 /// How often a waiting thread checks whether the proxy is stopping.
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// Timeout for writing one message.
@@ -67,36 +65,6 @@
     Closed,
 }
 
-/// The delays before a stream is reopened: doubled after each failure, and randomised so that not all proxies reconnect
-/// at once.
-struct Backoff<'a> {
-    shared: &'a Shared,
-    next: Duration,
-}
-
-impl<'a> Backoff<'a> {
-    fn new(shared: &'a Shared) -> Self {
-        Backoff { shared, next: INITIAL_BACKOFF }
-    }
-
-    /// Resets the delay if the failed stream had lasted longer than [`MAX_BACKOFF`], counted from `started`. Returns
-    /// whether it had.
-    fn reset_after_long_stream(&mut self, started: Instant) -> bool {
-        let was_long = started.elapsed() > MAX_BACKOFF;
-        if was_long {
-            self.next = INITIAL_BACKOFF;
-        }
-        was_long
-    }
-
-    /// Waits for the next delay. False if the proxy is stopping.
-    fn sleep(&mut self) -> bool {
-        let wait = self.next.mul_f64(0.5 + self.shared.random());
-        self.next = (self.next * 2).min(MAX_BACKOFF);
-        self.shared.sleep(wait)
-    }
-}
-
 impl AssignerStreams {
     /// Receives and applies tables until the proxy stops.
     pub fn run_table_stream(self) {
@@ -107,27 +75,34 @@
         let listeners: BTreeSet<String> = [false, true].map(|writes| service.listener_name(writes)).into();
         client.subscribe(Kind::Listener, false, listeners.clone());
         client.subscribe(Kind::Route, false, listeners);
-        let mut backoff = Backoff::new(&self.shared);
+        let mut delay = ReconnectDelay::default();
         while !self.shared.stopping() {
-            let started = Instant::now();
-            let error = match self.follow_tables(&mut client) {
+            let (started, mut reached) = (Instant::now(), Reached::Nobody);
+            let error = match self.follow_tables(&mut client, &mut reached) {
                 Ok(()) => return,
                 Err(error) => error,
             };
             self.shared.change_table(|table| table.stream_lost(self.source));
             self.shared.counts.reconnects.fetch_add(1, Ordering::Relaxed);
-            if backoff.reset_after_long_stream(started) {
+            let lasted = started.elapsed();
+            if ReconnectDelay::was_long(lasted) {
                 info!(proxy = %self.node.id, assigner = %self.assigner, %error, "table stream lost");
             }
-            if !backoff.sleep() {
+            if !self.shared.sleep(delay.after_failure(reached, lasted, self.shared.random())) {
                 return;
             }
         }
     }
 
-    /// Runs one table stream until it fails or the proxy stops.
-    fn follow_tables(&self, client: &mut ClientStream) -> Result<(), StreamError> {
-        let connection = Client::connect(self.addr, self.limits.clone(), &self.drivers)?;
+    /// Runs one table stream until it fails or the proxy stops; `reached` is set to how far it came.
+    fn follow_tables(&self, client: &mut ClientStream, reached: &mut Reached) -> Result<(), StreamError> {
+        let connection = Client::connect(self.addr, stream_limits(&self.limits), &self.drivers)?;
+        let result = self.follow_tables_on(&connection, client);
+        *reached = connection.reached();
+        result
+    }
+
+    fn follow_tables_on(&self, connection: &Client, client: &mut ClientStream) -> Result<(), StreamError> {
         let (mut writer, pending) = connection.call(self.variant.path(), &[], self.limits.handshake)?;
         for request in client.open() {
             self.send(&mut writer, &request)?;
@@ -267,22 +242,28 @@
 
     /// Sends load reports until the proxy stops.
     pub fn run_report_stream(self) {
-        let mut backoff = Backoff::new(&self.shared);
+        let mut delay = ReconnectDelay::default();
         while !self.shared.stopping() {
-            let started = Instant::now();
-            if self.send_reports().is_ok() {
+            let (started, mut reached) = (Instant::now(), Reached::Nobody);
+            if self.send_reports(&mut reached).is_ok() {
                 return;
             }
-            backoff.reset_after_long_stream(started);
-            if !backoff.sleep() {
+            let lasted = started.elapsed();
+            if !self.shared.sleep(delay.after_failure(reached, lasted, self.shared.random())) {
                 return;
             }
         }
     }
 
-    /// Runs one load report stream until it fails or the proxy stops.
-    fn send_reports(&self) -> Result<(), StreamError> {
-        let connection = Client::connect(self.addr, self.limits.clone(), &self.drivers)?;
+    /// Runs one load report stream until it fails or the proxy stops; `reached` is set to how far it came.
+    fn send_reports(&self, reached: &mut Reached) -> Result<(), StreamError> {
+        let connection = Client::connect(self.addr, stream_limits(&self.limits), &self.drivers)?;
+        let result = self.send_reports_on(&connection);
+        *reached = connection.reached();
+        result
+    }
+
+    fn send_reports_on(&self, connection: &Client) -> Result<(), StreamError> {
         let (mut writer, pending) = connection.call(LRS_PATH, &[], self.limits.handshake)?;
         let first = proto::LoadStatsRequest { node: Some(self.node.clone()), cluster_stats: Vec::new() };
         writer.send(&first.encode_to_vec(), WRITE_TIMEOUT)?;
--- a/crates/whinhill-transport/src/call.rs
+++ b/crates/whinhill-transport/src/call.rs
@@ -24,6 +24,7 @@
 use crate::error::{CallError, Code, NeverRan};
 use crate::limits::Limits;
 use crate::polling::PollScope;
+use crate::reconnect::Reached;
 use crate::Drivers;
 
 /// The headers that end a call.
@@ -500,6 +501,14 @@
         self.shared_state.streams.load(Ordering::Relaxed)
     }
 
+    /// Whether anything was received from the peer.
+    pub fn reached(&self) -> Reached {
+        match self.shared_state.read_count.load(Ordering::Relaxed) {
+            0 => Reached::Nobody,
+            _ => Reached::Peer,
+        }
+    }
+
     /// How long nothing has arrived on the connection, for any of its calls.
     pub fn time_since_last_read(&self) -> Duration {
         let last = self.shared_state.last_read_at.load(Ordering::Relaxed);
--- a/crates/whinhill-transport/src/reconnect.rs
+++ b/crates/whinhill-transport/src/reconnect.rs
@@ -86,7 +86,9 @@
     #[test]
     fn attempts_that_reach_nobody_do_not_raise_the_delay_after_the_return() {
         let mut delay = ReconnectDelay::default();
-        (0..10).for_each(|_| drop(delay.after_failure(Reached::Nobody, Duration::ZERO, 0.5)));
+        for _ in 0..10 {
+            delay.after_failure(Reached::Nobody, Duration::ZERO, 0.5);
+        }
         assert_eq!(delay.after_failure(Reached::Peer, Duration::ZERO, 0.5), MAX_UNREACHED_DELAY);
         assert_eq!(delay.after_failure(Reached::Peer, 2 * MAX_DELAY, 0.5), MIN_DELAY);
     }
