Give each connection at the assigner's address a small share of a turn

Beside one connection that sent probes, `{}` lines or reports at full speed, other clients' probes were answered after 0.51 to 0.63 s (release build), beside 40 such connections after 2.9 s.

Cause: the share of a turn was counted in reads (8 of 64 KiB, so 170,000 messages of three bytes), and read_available ran for it again in each of up to 16 polls before a deadline (poll_before_deadlines). Ruled out: the accept queue (the waits were the same on open connections) and the log (no line is written for a dropped message at the default level).

Change: 64 messages and 64 KiB a turn; whole messages that were received wait, and nothing is read before they are parsed. Deadlines wait for one poll; a connection whose limit has passed is still read first.

The three tests of crowded_address failed before.

--- a/crates/whinhill-cli/tests/support/mod.rs
+++ b/crates/whinhill-cli/tests/support/mod.rs
@@ -6,6 +6,7 @@
 pub mod cut_discovery;
 pub mod discovery;
 pub mod failing_relay;
+pub mod flood;
 pub mod paced_relay;
 pub mod relay;
 pub mod running;
--- a/crates/whinhill-node/src/connection.rs
+++ b/crates/whinhill-node/src/connection.rs
@@ -218,6 +218,11 @@
         Ok(WriteOutcome::Complete)
     }
 
+    /// Whether messages were received and not parsed, because others had their turn first.
+    pub fn has_unparsed_messages(&self) -> bool {
+        matches!(&self.kind, ConnectionKind::Client { peer, .. } if peer.has_unparsed_messages())
+    }
+
     /// Whether all output was written.
     pub fn all_written(&self) -> bool {
         self.write_buffer.is_empty()
--- a/crates/whinhill-node/src/event_loop.rs
+++ b/crates/whinhill-node/src/event_loop.rs
@@ -58,7 +58,8 @@
                 break;
             }
             let handled = self.poll_events(Some(Duration::ZERO))?;
-            if handled < MAX_EVENTS_PER_POLL && self.unread_connections.is_empty() {
+            // A connection with more to read is read once more before its own time limit counts.
+            if handled < MAX_EVENTS_PER_POLL {
                 break;
             }
         }
--- a/crates/whinhill-node/src/limits.rs
+++ b/crates/whinhill-node/src/limits.rs
@@ -39,8 +39,8 @@
 pub const BATCH_GATHER_DELAY: Duration = Duration::from_millis(5);
 /// A batch of this many events is handed over without gathering more.
 pub const MAX_BATCH_EVENTS: usize = 8192;
-/// Largest number of reads of one connection in a turn, of 64 KiB each; then the other connections are read.
-pub const MAX_READS_PER_TURN: usize = 8;
+/// Largest number of bytes that one connection is read in a turn; then the other connections are read.
+pub const MAX_BYTES_PER_TURN: usize = 64 * 1024;
 /// The limit of concurrent probes is the number of allowed sockets divided by this, within the two bounds below. An
 /// unresponsive server occupies a probe until its deadline.
 pub const SOCKETS_PER_PROBE: usize = 5;
--- a/crates/whinhill-node/src/node.rs
+++ b/crates/whinhill-node/src/node.rs
@@ -70,7 +70,7 @@
     /// Failures of the poll since it last succeeded.
     pub consecutive_poll_failures: u32,
     /// Connections with more to read than one turn of the loop allows.
-    pub unread_connections: Vec<Id>,
+    pub unread_connections: BTreeSet<Id>,
     /// The configuration file.
     pub config_path: PathBuf,
     /// Until when a configuration file that cannot be read is retried.
@@ -215,7 +215,7 @@
             buffer: vec![0; READ_BUFFER_BYTES],
             events: Events::with_capacity(MAX_EVENTS_PER_POLL),
             consecutive_poll_failures: 0,
-            unread_connections: Vec::new(),
+            unread_connections: BTreeSet::new(),
             config_path: path.into(),
             config_retry_until: Duration::ZERO,
             config_error_logged: false,
--- a/crates/whinhill-node/src/sockets.rs
+++ b/crates/whinhill-node/src/sockets.rs
@@ -179,18 +179,28 @@
         }
     }
 
-    /// Reads what has arrived; returns whether there was anything, the end included.
+    /// Reads what has arrived, up to a connection's share of a turn; returns whether there was anything, the end
+    /// included.
     pub fn read_available(&mut self, id: Id) -> bool {
         let mut buffer = std::mem::take(&mut self.buffer);
-        let mut reads = 0;
+        let (mut reads, mut bytes) = (0, 0);
         while let Some(connection) = self.connections.get_mut(id) {
-            if reads == MAX_READS_PER_TURN {
-                // A peer that sends faster than this process reads must not delay the others.
-                self.unread_connections.push(id);
+            // A peer that sends faster than this process reads must not delay the others.
+            let has_unparsed = connection.has_unparsed_messages();
+            if bytes >= MAX_BYTES_PER_TURN || has_unparsed && reads > 0 {
+                self.unread_connections.insert(id);
                 break;
             }
+            if has_unparsed {
+                self.handle_bytes(id, &[]);
+                reads += 1;
+                continue;
+            }
             match connection.read(&mut buffer) {
-                Ok(ReadOutcome::Bytes(n)) => self.handle_bytes(id, &buffer[..n]),
+                Ok(ReadOutcome::Bytes(n)) => {
+                    bytes += n;
+                    self.handle_bytes(id, &buffer[..n]);
+                }
                 Ok(ReadOutcome::End) => {
                     reads += 1;
                     self.handle_eof(id);
--- a/crates/whinhill-platform/src/lines.rs
+++ b/crates/whinhill-platform/src/lines.rs
@@ -42,6 +42,11 @@
         self.bytes.extend_from_slice(bytes);
     }
 
+    /// Whether a whole line is buffered.
+    pub fn has_line(&self) -> bool {
+        self.bytes[self.searched..].contains(&b'\n')
+    }
+
     /// The next whole line without its end; `None` until more bytes arrive.
     pub fn next_line(&mut self) -> Result<Option<&[u8]>, TooLong> {
         let found = self.bytes[self.searched..].iter().position(|b| *b == b'\n');
--- a/crates/whinhill-platform/src/peer.rs
+++ b/crates/whinhill-platform/src/peer.rs
@@ -10,6 +10,8 @@
 
 /// Maximum size of a message, as the protocol defines it.
 const MAX_MESSAGE_BYTES: usize = 1 << 20;
+/// Messages that are parsed at a time; then it is another connection's turn.
+pub const MAX_MESSAGES_PER_TURN: usize = 64;
 /// Maximum size of a message from a peer that has not joined. Joining takes a few dozen bytes.
 const MAX_UNJOINED_MESSAGE_BYTES: usize = 4 * 1024;
 
@@ -78,12 +80,18 @@
         self.zone.is_some()
     }
 
-    /// Whether a part of a message was received and its end was not.
+    /// Whether whole messages were received and not parsed, because others had their turn first.
+    pub fn has_unparsed_messages(&self) -> bool {
+        self.lines.has_line()
+    }
+
+    /// Whether bytes were received that are not parsed: a part of a message, or messages that await their turn.
     pub fn has_partial_message(&self) -> bool {
         self.lines.partial_line().iter().any(|b| !b.is_ascii_whitespace())
     }
 
-    /// Handles received bytes. Messages before an error are still valid.
+    /// Handles received bytes, or none, to go on with messages that await their turn; parses up to
+    /// [`MAX_MESSAGES_PER_TURN`]. Messages before an error are still valid.
     pub fn receive(
         &mut self,
         bytes: &[u8],
@@ -91,7 +99,8 @@
         messages: &mut Vec<PeerMessage>,
     ) -> Result<(), PeerError> {
         self.lines.push(bytes);
-        while let Some(line) = self.lines.next_line()? {
+        for _ in 0..MAX_MESSAGES_PER_TURN {
+            let Some(line) = self.lines.next_line()? else { break };
             let message = parse_object(line).ok_or(PeerError::Malformed)?;
             let joined = self.zone.is_some();
             match parse_message(&message, joined, names) {
@@ -106,6 +115,9 @@
                 Err(_) => return Err(PeerError::NotJoined),
             }
         }
+        if self.has_unparsed_messages() {
+            return Ok(());
+        }
         // A message that cannot become valid is refused by its first byte, because its end may never come.
         let first = self.lines.partial_line().iter().find(|b| !b.is_ascii_whitespace());
         if first.is_some_and(|b| *b != b'{') {
