Bound by the memory limit what clients of the address may make it hold

Valid reports at full speed took the process to 197 MB in 4 s (release build; the limit is 192). 600 clients that read no answers or stopped half way took it to 109 MB, and another client's probe waited 3.4 s.

Cause: pending_events had no bound; each client could leave 128 KiB of answers unread while more of its requests were read and answered; buffers of lines and output kept their largest size; and a socket that took no output was tried 32 times each 100 ms for as long as its client liked.

Change: events for a batch take 1/64 of the memory limit, then their sources wait for the batch; partial messages of collectors a quarter; a client with 16 KiB of unread answers is read on once they are written, so requests stay in the network, unread, and none is lost; buffers shrink; a socket that takes no output is rechecked once.

--- a/crates/whinhill-cli/tests/crowded_address.rs
+++ b/crates/whinhill-cli/tests/crowded_address.rs
@@ -2,8 +2,10 @@
 
 mod support;
 
-use std::net::SocketAddr;
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
 use std::sync::mpsc::channel;
+use std::thread;
 use std::time::Duration;
 
 use support::config::{config_with_sockets, write_config};
@@ -58,6 +60,13 @@
     )
 }
 
+/// Guards against one collector whose valid reports at full speed delay all other clients' answers and fill the memory.
+#[test]
+fn reports_at_full_speed_delay_no_other_client_and_fill_no_memory() {
+    let started = start();
+    check_beside(&started, "reports", vec![Flood::start(started.addr, JOIN, report)]);
+}
+
 /// Guards against one client whose probes at full speed delay all other clients' answers.
 #[test]
 fn probes_at_full_speed_delay_no_other_client() {
@@ -82,3 +91,28 @@
     let floods = (0..40).map(|_| Flood::start(started.addr, "", |_| PROBE.to_string())).collect();
     check_beside(&started, "40 clients with probes", floods);
 }
+
+/// Guards against hundreds of clients that read no answers, or stop within a message, and together fill the memory.
+#[test]
+fn hundreds_of_clients_that_stop_half_way_fill_no_memory() {
+    let started = start();
+    let probes = PROBE.repeat(30_000);
+    let mut held = Vec::new();
+    for number in 0..600 {
+        let mut stream = TcpStream::connect(started.addr).unwrap();
+        stream.set_nonblocking(true).unwrap();
+        match number % 3 {
+            0 => drop(stream.write(probes.as_bytes())),
+            1 => drop(stream.write(&probes.as_bytes()[..64 * 1024 - 5])),
+            _ => drop(stream.write(&[b'{'; 4000])),
+        }
+        held.push(stream);
+    }
+    for _ in 0..10 {
+        for stream in &mut held {
+            let _ = stream.write(probes.as_bytes());
+        }
+        thread::sleep(Duration::from_millis(50));
+    }
+    check_beside(&started, "600 clients that stop half way", Vec::new());
+}
--- a/crates/whinhill-names/src/lib.rs
+++ b/crates/whinhill-names/src/lib.rs
@@ -110,6 +110,11 @@
         self.zones.iter().position(|zone| zone == name)
     }
 
+    /// The number of zones that are known.
+    pub fn zone_count(&self) -> usize {
+        self.zones.len()
+    }
+
     /// The index of a method of the settings.
     pub fn method_id(&self, name: &str) -> Option<MethodId> {
         self.methods.iter().position(|method| method == name)
--- a/crates/whinhill-node/src/accepting.rs
+++ b/crates/whinhill-node/src/accepting.rs
@@ -99,7 +99,7 @@
         let Some((stream, remote)) = self.waiting_client.take_if(|_| slot != SlotAvailability::Soon) else {
             return false;
         };
-        let connection = Connection::accepted(stream, remote, self.clock.now());
+        let connection = Connection::accepted(stream, remote, self.max_message_bytes, self.clock.now());
         if slot == SlotAvailability::Now {
             self.add_client(connection);
         } else {
@@ -232,7 +232,7 @@
         drop(listener);
         let now = self.clock.now();
         for (stream, remote) in accepted {
-            self.add_client(Connection::accepted(stream, remote, now));
+            self.add_client(Connection::accepted(stream, remote, self.max_message_bytes, now));
         }
     }
 
--- a/crates/whinhill-node/src/connection.rs
+++ b/crates/whinhill-node/src/connection.rs
@@ -98,6 +98,10 @@
     pub read_before_event: bool,
     /// The last read failed for want of resources.
     pub last_read_failed: bool,
+    /// The socket was rechecked after it accepted no more output, and has accepted none since.
+    pub rechecked_for_output: bool,
+    /// It is not read until its output is written.
+    pub paused_for_output: bool,
     /// How often its timeout was postponed for that reason.
     pub timeout_postponements: u32,
     /// Requests whose answers have not been written completely.
@@ -131,6 +135,8 @@
             rechecks_left: 0,
             read_before_event: false,
             last_read_failed: false,
+            rechecked_for_output: false,
+            paused_for_output: false,
             timeout_postponements: 0,
             pending_answers: PendingAnswers::default(),
             remote,
@@ -142,9 +148,9 @@
         }
     }
 
-    /// A connection that was accepted from a client.
-    pub fn accepted(stream: TcpStream, remote: SocketAddr, now: Duration) -> Self {
-        let kind = ConnectionKind::Client { peer: Peer::default(), stage: ClientStage::Open };
+    /// A connection that was accepted from a client. `max_message_bytes`: the largest message of a collector.
+    pub fn accepted(stream: TcpStream, remote: SocketAddr, max_message_bytes: usize, now: Duration) -> Self {
+        let kind = ConnectionKind::Client { peer: Peer::new(max_message_bytes), stage: ClientStage::Open };
         Connection { established: true, ..Self::new(stream, remote, kind, &[], now) }
     }
 
@@ -175,9 +181,11 @@
     /// Writes what the socket accepts now; the rest is written when the socket is writable. Fails if the peer
     /// leaves too much unread or the connection is broken.
     pub fn send(&mut self, bytes: &[u8]) -> io::Result<WriteOutcome> {
-        if self.write_buffer.len() - self.written_bytes + bytes.len() > MAX_UNWRITTEN_BYTES {
+        if self.unwritten_bytes() + bytes.len() > MAX_UNWRITTEN_BYTES {
             return Err(io::Error::other("the peer leaves too much output unread"));
         }
+        self.write_buffer.drain(..self.written_bytes);
+        self.written_bytes = 0;
         self.write_buffer.extend_from_slice(bytes);
         self.flush()
     }
@@ -203,6 +211,7 @@
                 Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
                 Ok(n) => {
                     self.established = true;
+                    self.rechecked_for_output = false;
                     self.written_bytes += n;
                     self.pending_answers.note_written(n);
                 }
@@ -213,16 +222,27 @@
                 Err(e) => return Err(e),
             }
         }
-        self.write_buffer.clear();
+        // Most connections write little and seldom.
+        self.write_buffer = Vec::new();
         self.written_bytes = 0;
         Ok(WriteOutcome::Complete)
     }
 
+    /// Number of bytes of output that wait for the peer to read.
+    pub fn unwritten_bytes(&self) -> usize {
+        self.write_buffer.len() - self.written_bytes
+    }
+
     /// Whether messages were received and not parsed, because others had their turn first.
     pub fn has_unparsed_messages(&self) -> bool {
         matches!(&self.kind, ConnectionKind::Client { peer, .. } if peer.has_unparsed_messages())
     }
 
+    /// Whether what it receives becomes events for the module without a bound of its own.
+    pub fn produces_events(&self) -> bool {
+        self.has_joined() || matches!(self.kind, ConnectionKind::RelayWatch)
+    }
+
     /// Whether all output was written.
     pub fn all_written(&self) -> bool {
         self.write_buffer.is_empty()
--- a/crates/whinhill-node/src/limits.rs
+++ b/crates/whinhill-node/src/limits.rs
@@ -41,6 +41,15 @@
 pub const MAX_BATCH_EVENTS: usize = 8192;
 /// Largest number of bytes that one connection is read in a turn; then the other connections are read.
 pub const MAX_BYTES_PER_TURN: usize = 64 * 1024;
+/// Output that may wait for a client to read before no more of its requests are read.
+pub const MAX_OUTPUT_BEFORE_PAUSE: usize = 16 * 1024;
+/// Fraction of the memory limit that events for the next batch may take. Once they do, collectors and the relay watch
+/// are read no further until the batch is handed over.
+pub const PENDING_EVENTS_FRACTION: f64 = 1.0 / 64.0;
+/// Smallest limit of a collector's message in bytes, however little memory there is: a report has a few hundred.
+pub const MIN_MESSAGE_BYTES: usize = 16 * 1024;
+/// Fraction of the memory limit that partial messages of all collectors may take together.
+pub const PARTIAL_MESSAGES_FRACTION: f64 = 0.25;
 /// The limit of concurrent probes is the number of allowed sockets divided by this, within the two bounds below. An
 /// unresponsive server occupies a probe until its deadline.
 pub const SOCKETS_PER_PROBE: usize = 5;
--- a/crates/whinhill-node/src/node.rs
+++ b/crates/whinhill-node/src/node.rs
@@ -18,6 +18,7 @@
 use whinhill_names::Names;
 use whinhill_platform::config::PlatformConfig;
 use whinhill_platform::discovery::VersionTracker;
+use whinhill_platform::peer::MAX_MESSAGE_BYTES;
 use whinhill_platform::relay::calls::CallQueue;
 use whinhill_platform::relay::orders::RelayOrder;
 use whinhill_platform::relay::watch::RelayWatch;
@@ -71,6 +72,12 @@
     pub consecutive_poll_failures: u32,
     /// Connections with more to read than one turn of the loop allows.
     pub unread_connections: BTreeSet<Id>,
+    /// Connections that are read on once the pending events are handed over.
+    pub awaiting_batch: BTreeSet<Id>,
+    /// Events for the next batch at which [`Node::awaiting_batch`] applies.
+    pub max_pending_events: usize,
+    /// The largest message of a collector, in bytes.
+    pub max_message_bytes: usize,
     /// The configuration file.
     pub config_path: PathBuf,
     /// Until when a configuration file that cannot be read is retried.
@@ -195,8 +202,10 @@
         );
         debug!(target: TRACE, "settings {:?}", config.settings.0);
         let max_probes = (config.limits.sockets / SOCKETS_PER_PROBE).clamp(MIN_PROBE_LIMIT, MAX_PROBE_LIMIT);
+        let names = Names::new(&config.settings);
+        let max_message_bytes = max_message_bytes(config.limits.memory_mb, names.zone_count());
         let mut node = Node {
-            names: Names::new(&config.settings),
+            names,
             list_version: VersionTracker::new(stored_list.version),
             server_starts: StartTimes::default(),
             max_clients: config
@@ -216,6 +225,9 @@
             events: Events::with_capacity(MAX_EVENTS_PER_POLL),
             consecutive_poll_failures: 0,
             unread_connections: BTreeSet::new(),
+            awaiting_batch: BTreeSet::new(),
+            max_pending_events: max_pending_events(config.limits.memory_mb),
+            max_message_bytes,
             config_path: path.into(),
             config_retry_until: Duration::ZERO,
             config_error_logged: false,
@@ -269,6 +281,7 @@
         let now = self.clock.now();
         self.last_batch_at = now;
         let events = std::mem::take(&mut self.pending_events);
+        self.unread_connections.append(&mut self.awaiting_batch);
         if events.is_empty() {
             return;
         }
@@ -305,6 +318,22 @@
     }
 }
 
+/// Bytes in a megabyte of the memory limit.
+const MEGABYTE: f64 = (1 << 20) as f64;
+
+fn max_pending_events(memory_mb: f64) -> usize {
+    let bytes = memory_mb * MEGABYTE * PENDING_EVENTS_FRACTION;
+    (bytes as usize / std::mem::size_of::<Event>()).max(MAX_BATCH_EVENTS)
+}
+
+/// The largest message of a collector, so that those of all zones' collectors together stay within their part of the
+/// memory.
+fn max_message_bytes(memory_mb: f64, zones: usize) -> usize {
+    let bytes = memory_mb * MEGABYTE * PARTIAL_MESSAGES_FRACTION;
+    let collectors = zones.max(1) * MAX_COLLECTORS_PER_ZONE;
+    (bytes as usize / collectors).clamp(MIN_MESSAGE_BYTES, MAX_MESSAGE_BYTES)
+}
+
 fn trace_event(event: &Event) {
     match event {
         Event::TryReport { .. }
--- a/crates/whinhill-node/src/relay.rs
+++ b/crates/whinhill-node/src/relay.rs
@@ -111,7 +111,7 @@
             WatchSlot::Next => self.next_relay_watch_connection,
         };
         // Data that has arrived counts before the timeout does.
-        if connection.is_some_and(|id| self.check_before_timeout(id)) {
+        if connection.is_some_and(|id| self.awaiting_batch.contains(&id) || self.check_before_timeout(id)) {
             return self.deadlines.set(DeadlineKind::RelayWatch(slot), self.clock.now() + RECHECK_DELAY);
         }
         match self.relay_watch.timeout_at(slot) {
--- a/crates/whinhill-node/src/sockets.rs
+++ b/crates/whinhill-node/src/sockets.rs
@@ -88,7 +88,8 @@
     }
 
     /// Handles the result of a write. After `WouldBlock` the socket is rechecked: if the call returned it wrongly,
-    /// the poll never reports the socket as writable.
+    /// the poll never reports the socket as writable. That is done once, since a peer that does not read would cost calls
+    /// for as long as it likes; later writes are made with the periodic check of all sockets.
     pub fn handle_write_outcome(&mut self, id: Id, result: io::Result<WriteOutcome>) {
         self.record_written_answers(id);
         let Some(connection) = self.connections.get_mut(id) else { return };
@@ -96,8 +97,12 @@
             Ok(WriteOutcome::Complete) if matches!(connection.kind, ConnectionKind::Closing { .. }) => {
                 connection.shut_down_writes()
             }
-            Ok(WriteOutcome::Complete | WriteOutcome::NotConnected) => {}
-            Ok(WriteOutcome::WouldBlock) => self.schedule_rechecks(id),
+            Ok(WriteOutcome::Complete | WriteOutcome::NotConnected) => self.resume_reading(id),
+            Ok(WriteOutcome::WouldBlock) => {
+                if !std::mem::replace(&mut connection.rechecked_for_output, true) {
+                    self.schedule_rechecks(id);
+                }
+            }
             Ok(WriteOutcome::Shortage(error)) => self.handle_shortage(id, "write", &error),
             Err(error) => self.handle_broken_connection(id, &error),
         }
@@ -179,12 +184,35 @@
         }
     }
 
+    /// Whether a connection may be read, as far as others and what it has caused already allow; if not, it is read on
+    /// once that has changed.
+    fn may_read(&mut self, id: Id) -> bool {
+        let Some(connection) = self.connections.get_mut(id) else { return false };
+        if self.pending_events.len() >= self.max_pending_events && connection.produces_events() {
+            self.awaiting_batch.insert(id);
+            return false;
+        }
+        // A client that does not read its answers gets no more of them. It is read on once they are written.
+        let is_client = matches!(connection.kind, ConnectionKind::Client { .. });
+        connection.paused_for_output = is_client && connection.unwritten_bytes() > MAX_OUTPUT_BEFORE_PAUSE;
+        !connection.paused_for_output
+    }
+
+    /// Reads on a connection whose output was written, if it was paused for that.
+    fn resume_reading(&mut self, id: Id) {
+        let Some(connection) = self.connections.get_mut(id) else { return };
+        if std::mem::take(&mut connection.paused_for_output) {
+            self.unread_connections.insert(id);
+        }
+    }
+
     /// Reads what has arrived, up to a connection's share of a turn; returns whether there was anything, the end
     /// included.
     pub fn read_available(&mut self, id: Id) -> bool {
         let mut buffer = std::mem::take(&mut self.buffer);
         let (mut reads, mut bytes) = (0, 0);
-        while let Some(connection) = self.connections.get_mut(id) {
+        while self.may_read(id) {
+            let Some(connection) = self.connections.get_mut(id) else { break };
             // A peer that sends faster than this process reads must not delay the others.
             let has_unparsed = connection.has_unparsed_messages();
             if bytes >= MAX_BYTES_PER_TURN || has_unparsed && reads > 0 {
--- a/crates/whinhill-platform/src/lines.rs
+++ b/crates/whinhill-platform/src/lines.rs
@@ -16,7 +16,7 @@
     max_bytes: usize,
 }
 
-/// Capacity above which an empty buffer is freed: it has grown for a long line.
+/// Capacity in bytes that a buffer keeps once the long line is read for which it has grown.
 const MAX_RETAINED_CAPACITY: usize = 16 * 1024;
 
 impl LineBuffer {
@@ -32,14 +32,22 @@
 
     /// Appends received bytes.
     pub fn push(&mut self, bytes: &[u8]) {
+        self.drop_read_lines();
+        // Only as much as is needed for a long line: many buffers may hold one.
+        if self.bytes.len() + bytes.len() > MAX_RETAINED_CAPACITY {
+            self.bytes.reserve_exact(bytes.len().max(MAX_RETAINED_CAPACITY));
+        }
+        self.bytes.extend_from_slice(bytes);
+    }
+
+    fn drop_read_lines(&mut self) {
         if self.start > 0 {
             self.bytes.drain(..self.start);
             (self.searched, self.start) = (self.searched - self.start, 0);
         }
-        if self.bytes.is_empty() && self.bytes.capacity() > MAX_RETAINED_CAPACITY {
-            self.bytes = Vec::new();
+        if self.bytes.len() <= MAX_RETAINED_CAPACITY && self.bytes.capacity() > MAX_RETAINED_CAPACITY {
+            self.bytes.shrink_to(MAX_RETAINED_CAPACITY);
         }
-        self.bytes.extend_from_slice(bytes);
     }
 
     /// Whether a whole line is buffered.
@@ -52,6 +60,7 @@
         let found = self.bytes[self.searched..].iter().position(|b| *b == b'\n');
         let Some(end) = found.map(|offset| self.searched + offset) else {
             self.searched = self.bytes.len();
+            self.drop_read_lines();
             return if self.searched - self.start > self.max_bytes {
                 Err(TooLong(self.max_bytes))
             } else {
--- a/crates/whinhill-platform/src/peer.rs
+++ b/crates/whinhill-platform/src/peer.rs
@@ -9,7 +9,7 @@
 use crate::reports::{self, ReportError};
 
 /// Maximum size of a message, as the protocol defines it.
-const MAX_MESSAGE_BYTES: usize = 1 << 20;
+pub const MAX_MESSAGE_BYTES: usize = 1 << 20;
 /// Messages that are parsed at a time; then it is another connection's turn.
 pub const MAX_MESSAGES_PER_TURN: usize = 64;
 /// Maximum size of a message from a peer that has not joined. Joining takes a few dozen bytes.
@@ -61,15 +61,22 @@
 pub struct Peer {
     lines: LineBuffer,
     zone: Option<ZoneId>,
+    /// Maximum size of a message once it has joined.
+    max_message_bytes: usize,
 }
 
 impl Default for Peer {
     fn default() -> Self {
-        Peer { lines: LineBuffer::new(MAX_UNJOINED_MESSAGE_BYTES), zone: None }
+        Peer::new(MAX_MESSAGE_BYTES)
     }
 }
 
 impl Peer {
+    /// A peer that has not joined. `max_message_bytes`: the maximum size of a message once it has.
+    pub fn new(max_message_bytes: usize) -> Self {
+        Peer { lines: LineBuffer::new(MAX_UNJOINED_MESSAGE_BYTES), zone: None, max_message_bytes }
+    }
+
     /// The zone whose collector the peer is.
     pub fn zone(&self) -> Option<ZoneId> {
         self.zone
@@ -107,7 +114,7 @@
                 Ok(PeerMessage::Joined(zone)) => {
                     self.zone = Some(zone);
                     messages.push(PeerMessage::Joined(zone));
-                    self.lines.set_max_bytes(MAX_MESSAGE_BYTES);
+                    self.lines.set_max_bytes(self.max_message_bytes);
                 }
                 Ok(other) => messages.push(other),
                 Err(error) if joined => messages.push(PeerMessage::InvalidReport(error)),
