Divide a turn among the clients of the address that have more to read

Beside 600 clients that read no answers, with a few busy processes on the machine, another client's probe waited 450 ms (debug build), close to the bound of the test: each of 400 busy clients had 64 messages of each turn, so that a turn grew with their number.

A turn now handles 1,024 messages, divided among the connections with more to read, 2 to 64 each. The tests take turns, and their bound is the half second by which an answer may be late.

--- a/crates/whinhill-node/src/clients.rs
+++ b/crates/whinhill-node/src/clients.rs
@@ -143,7 +143,7 @@
         connection.last_received_at = now;
         let ConnectionKind::Client { peer, .. } = &mut connection.kind else { return };
         let (mut messages, was_joined) = (Vec::new(), peer.has_joined());
-        let result = peer.receive(bytes, &self.names, &mut messages);
+        let result = peer.receive(bytes, self.messages_per_connection, &self.names, &mut messages);
         let (mut requests, mut zone) = (0, None);
         for message in messages {
             match message {
--- a/crates/whinhill-node/src/event_loop.rs
+++ b/crates/whinhill-node/src/event_loop.rs
@@ -81,6 +81,9 @@
     /// Waits for events and handles them; returns their number.
     fn poll_events(&mut self, wait: Option<Duration>) -> Result<usize, NodeError> {
         let mut events = std::mem::replace(&mut self.events, Events::with_capacity(0));
+        let unread = self.unread_connections.len().max(1);
+        self.messages_per_connection = (MESSAGES_PER_TURN / unread)
+            .clamp(*MESSAGES_PER_CONNECTION.start(), *MESSAGES_PER_CONNECTION.end());
         let polled = self.poll.poll(&mut events, wait);
         self.counters.clock_steps += u64::from(self.clock.detect_step());
         let mut handled = 0;
--- a/crates/whinhill-node/src/limits.rs
+++ b/crates/whinhill-node/src/limits.rs
@@ -39,6 +39,10 @@
 pub const BATCH_GATHER_DELAY: Duration = Duration::from_millis(5);
 /// A batch of this many events is handed over without gathering more.
 pub const MAX_BATCH_EVENTS: usize = 8192;
+/// Messages of clients that are handled in a turn, divided among the connections with more to read.
+pub const MESSAGES_PER_TURN: usize = 1024;
+/// Bounds of the number of messages of one client that are handled in a turn.
+pub const MESSAGES_PER_CONNECTION: std::ops::RangeInclusive<usize> = 2..=64;
 /// Largest number of bytes that one connection is read in a turn; then the other connections are read.
 pub const MAX_BYTES_PER_TURN: usize = 64 * 1024;
 /// Output that may wait for a client to read before no more of its requests are read.
--- a/crates/whinhill-node/src/node.rs
+++ b/crates/whinhill-node/src/node.rs
@@ -72,6 +72,8 @@
     pub consecutive_poll_failures: u32,
     /// Connections with more to read than one turn of the loop allows.
     pub unread_connections: BTreeSet<Id>,
+    /// Messages of each client that are handled in this turn.
+    pub messages_per_connection: usize,
     /// Connections that are read on once the pending events are handed over.
     pub awaiting_batch: BTreeSet<Id>,
     /// Events for the next batch at which [`Node::awaiting_batch`] applies.
@@ -225,6 +227,7 @@
             events: Events::with_capacity(MAX_EVENTS_PER_POLL),
             consecutive_poll_failures: 0,
             unread_connections: BTreeSet::new(),
+            messages_per_connection: *MESSAGES_PER_CONNECTION.end(),
             awaiting_batch: BTreeSet::new(),
             max_pending_events: max_pending_events(config.limits.memory_mb),
             max_message_bytes,
--- a/crates/whinhill-platform/src/peer.rs
+++ b/crates/whinhill-platform/src/peer.rs
@@ -10,8 +10,6 @@
 
 /// Maximum size of a message, as the protocol defines it.
 pub const MAX_MESSAGE_BYTES: usize = 1 << 20;
-/// Messages that are parsed at a time; then it is another connection's turn.
-pub const MAX_MESSAGES_PER_TURN: usize = 64;
 /// Maximum size of a message from a peer that has not joined. Joining takes a few dozen bytes.
 const MAX_UNJOINED_MESSAGE_BYTES: usize = 4 * 1024;
 
@@ -97,16 +95,17 @@
         self.lines.partial_line().iter().any(|b| !b.is_ascii_whitespace())
     }
 
-    /// Handles received bytes, or none, to go on with messages that await their turn; parses up to
-    /// [`MAX_MESSAGES_PER_TURN`]. Messages before an error are still valid.
+    /// Handles received bytes, or none, to go on with messages that await their turn; parses up to `max_messages`.
+    /// Messages before an error are still valid.
     pub fn receive(
         &mut self,
         bytes: &[u8],
+        max_messages: usize,
         names: &Names,
         messages: &mut Vec<PeerMessage>,
     ) -> Result<(), PeerError> {
         self.lines.push(bytes);
-        for _ in 0..MAX_MESSAGES_PER_TURN {
+        for _ in 0..max_messages {
             let Some(line) = self.lines.next_line()? else { break };
             let message = parse_object(line).ok_or(PeerError::Malformed)?;
             let joined = self.zone.is_some();
--- a/crates/whinhill-platform/src/peer/tests.rs
+++ b/crates/whinhill-platform/src/peer/tests.rs
@@ -9,7 +9,8 @@
 
 fn receive(input: &[u8], piece: usize) -> (Vec<PeerMessage>, Result<(), PeerError>) {
     let (mut peer, mut messages) = (Peer::default(), Vec::new());
-    let result = input.chunks(piece).try_for_each(|bytes| peer.receive(bytes, &names(), &mut messages));
+    let result =
+        input.chunks(piece).try_for_each(|bytes| peer.receive(bytes, usize::MAX, &names(), &mut messages));
     (messages, result)
 }
 
