Bound how much of a turn one HTTP/2 connection may take

Beside 40 clients that send pings at full speed another client's RPC waited 4.4 s at a proxy (release build), beside 40 that send requests under ever new names 2.0 s.

Cause: poll of a connection ended only when its socket had nothing more to read, so a client that sends as fast as it is read kept the driver. Ruled out: the workers (pings reach none) and the accept thread.

A driver now reads 256 KiB a turn, divided among the connections that are ready (1 to 8 KiB each); one with more to read is polled again after the others. The same holds for streams of assigners, which share the code.

--- a/crates/whinhill-cli/tests/support/mod.rs
+++ b/crates/whinhill-cli/tests/support/mod.rs
@@ -7,6 +7,7 @@
 pub mod discovery;
 pub mod failing_relay;
 pub mod flood;
+pub mod http2;
 pub mod paced_relay;
 pub mod relay;
 pub mod running;
--- a/crates/whinhill-transport/src/connection.rs
+++ b/crates/whinhill-transport/src/connection.rs
@@ -16,7 +16,7 @@
 
 use crate::call::ServerCall;
 use crate::limits::Limits;
-use crate::socket::Socket;
+use crate::socket::{ReadShare, Socket};
 
 /// A connection's flow-control window is this many times a stream's.
 const CONNECTION_WINDOW_FACTOR: u32 = 16;
@@ -134,9 +134,21 @@
     }
 }
 
+/// What follows a poll of a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AfterPoll {
+    /// It is polled again once something happens on it.
+    Wait,
+    /// It has more to read than its share of a turn, and is polled again after the others.
+    PollAgain,
+    /// It has ended.
+    Drop,
+}
+
 /// An HTTP/2 connection at either end, with its keep-alive and idle timers.
 pub struct Connection {
     role: Role,
+    read_share: Arc<ReadShare>,
     peer: SocketAddr,
     limits: Limits,
     shared_state: SharedState,
@@ -173,8 +185,9 @@
             .initial_connection_window_size(limits.window.saturating_mul(CONNECTION_WINDOW_FACTOR))
             .max_concurrent_reset_streams(limits.max_streams as usize)
             .max_send_buffer_size(limits.max_message + SEND_BUFFER_MARGIN);
+        let read_share = socket.read_share();
         let role = Role::Accepting(builder.handshake(socket), handler);
-        Connection::new(role, peer, limits, SharedState::new(read_count), Some(slot))
+        Connection::new(role, read_share, peer, limits, SharedState::new(read_count), Some(slot))
     }
 
     /// The client's end, on a connected socket. `result` gets the result of the handshake.
@@ -193,12 +206,15 @@
             .initial_connection_window_size(limits.window.saturating_mul(CONNECTION_WINDOW_FACTOR))
             .max_send_buffer_size(limits.max_message + SEND_BUFFER_MARGIN);
         shared_state.owned_by_driver.store(true, Ordering::Release);
+        let read_share = socket.read_share();
         let opening = async move { builder.handshake(socket).await };
-        Connection::new(Role::Opening(Box::pin(opening), result), peer, limits, shared_state, None)
+        let role = Role::Opening(Box::pin(opening), result);
+        Connection::new(role, read_share, peer, limits, shared_state, None)
     }
 
     fn new(
         role: Role,
+        read_share: Arc<ReadShare>,
         peer: SocketAddr,
         limits: Limits,
         shared_state: SharedState,
@@ -207,6 +223,7 @@
         let now = Instant::now();
         Connection {
             role,
+            read_share,
             peer,
             limits,
             shared_state,
@@ -222,8 +239,9 @@
         }
     }
 
-    /// Makes all progress that is possible without blocking. False once the connection has ended.
-    pub fn poll(&mut self, cx: &mut Context<'_>) -> bool {
+    /// Makes all progress that is possible without blocking and by reading up to `max_read` bytes.
+    pub fn poll(&mut self, max_read: usize, cx: &mut Context<'_>) -> AfterPoll {
+        self.read_share.renew(max_read);
         let read_count = self.shared_state.read_count.load(Ordering::Relaxed);
         loop {
             match &mut self.role {
@@ -278,18 +296,22 @@
             self.last_read = Instant::now();
             self.shared_state.last_read_at.store(micros_now(), Ordering::Relaxed);
         }
-        true
+        if self.read_share.is_exhausted() {
+            AfterPoll::PollAgain
+        } else {
+            AfterPoll::Wait
+        }
     }
 
     /// Logs why the connection ended; returns what `poll` returns then.
-    fn ended(&self, why: &str) -> bool {
+    fn ended(&self, why: &str) -> AfterPoll {
         // A graceful close is only a debug event; a protocol error, an exceeded limit or a reset is a warning.
         if why == "closed" || self.closing {
             debug!(peer = %self.peer, why, "connection ended");
         } else {
             warn!(peer = %self.peer, why, "connection closed on an error");
         }
-        false
+        AfterPoll::Drop
     }
 
     /// Checks the time limits. False if the connection must end.
--- a/crates/whinhill-transport/src/driver.rs
+++ b/crates/whinhill-transport/src/driver.rs
@@ -17,7 +17,7 @@
 use tracing::error;
 use whinhill_errors::{is_resource_shortage, retry_while_temporary};
 
-use crate::connection::{Connection, Handler, ListenerSlot, SharedState};
+use crate::connection::{AfterPoll, Connection, Handler, ListenerSlot, SharedState};
 use crate::limits::Limits;
 use crate::polling::{PollScope, Pollable};
 use crate::socket::Socket;
@@ -33,12 +33,19 @@
 /// Token of wake-up events; other tokens are keys of connections.
 const WAKE_TOKEN: Token = Token(usize::MAX);
 
+/// Bytes that a driver reads in a turn, divided among the connections that are ready. A byte may stand for a header field.
+const BYTES_PER_TURN: usize = 256 << 10;
+/// Bounds of the number of bytes that one connection is read in a turn; then it is another connection's turn.
+const BYTES_PER_CONNECTION: std::ops::RangeInclusive<usize> = (1 << 10)..=(8 << 10);
+
 /// Wakes a driver thread and records which connections are ready to be polled.
 struct DriverWaker {
     waker: mio::Waker,
     ready: Mutex<Vec<usize>>,
     /// A wake-up of the thread is pending: further ones need not wake it again.
     notified: AtomicBool,
+    /// Bytes that each connection may be read in this turn.
+    bytes_per_connection: AtomicUsize,
 }
 
 impl DriverWaker {
@@ -83,10 +90,16 @@
 }
 
 impl SharedConnection {
+    /// Polls the connection; false once it has ended.
     fn poll(self: &Arc<Self>, connection: &mut Connection) -> bool {
         self.queued.store(false, Ordering::Release);
         let waker = Waker::from(self.clone());
-        connection.poll(&mut Context::from_waker(&waker))
+        let max_read = self.driver.bytes_per_connection.load(Ordering::Relaxed);
+        let after = connection.poll(max_read, &mut Context::from_waker(&waker));
+        if after == AfterPoll::PollAgain && !self.queued.swap(true, Ordering::AcqRel) {
+            self.driver.notify(Some(self.key));
+        }
+        after != AfterPoll::Drop
     }
 }
 
@@ -204,8 +217,12 @@
         for number in 0..threads.max(1) {
             let (poll, waker) =
                 retry_while_temporary(START_RETRY_TIMEOUT, is_resource_shortage, poll_with_waker)?;
-            let driver =
-                Arc::new(DriverWaker { waker, ready: Mutex::default(), notified: AtomicBool::new(false) });
+            let driver = Arc::new(DriverWaker {
+                waker,
+                ready: Mutex::default(),
+                notified: AtomicBool::new(false),
+                bytes_per_connection: AtomicUsize::new(*BYTES_PER_CONNECTION.end()),
+            });
             let (inbox, commands) = bounded(INBOX_CAPACITY);
             drivers.push((inbox, driver.clone()));
             let thread = thread::Builder::new().name(format!("{name}-h2-{number}")).stack_size(DRIVER_STACK);
@@ -345,6 +362,9 @@
         }
         ready_keys.sort_unstable();
         ready_keys.dedup();
+        let bytes = BYTES_PER_TURN / ready_keys.len().max(1);
+        let bytes = bytes.clamp(*BYTES_PER_CONNECTION.start(), *BYTES_PER_CONNECTION.end());
+        driver.bytes_per_connection.store(bytes, Ordering::Relaxed);
         for key in ready_keys.drain(..) {
             let Some(one) = connections.get(key).and_then(Option::as_ref) else { continue };
             if !one.poll(ticked.then_some(now)) {
--- a/crates/whinhill-transport/src/socket.rs
+++ b/crates/whinhill-transport/src/socket.rs
@@ -7,7 +7,7 @@
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, TcpStream};
 use std::pin::Pin;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -29,9 +29,31 @@
     }
 }
 
+/// What one poll of a connection may still read.
+#[derive(Debug, Default)]
+pub struct ReadShare {
+    left: AtomicUsize,
+    /// A read found nothing left of the share.
+    exhausted: AtomicBool,
+}
+
+impl ReadShare {
+    /// Begins a poll that may read up to `bytes`.
+    pub fn renew(&self, bytes: usize) {
+        self.left.store(bytes, Ordering::Relaxed);
+        self.exhausted.store(false, Ordering::Relaxed);
+    }
+
+    /// Whether the poll would have read more.
+    pub fn is_exhausted(&self) -> bool {
+        self.exhausted.load(Ordering::Relaxed)
+    }
+}
+
 /// A non-blocking socket as `AsyncRead` and `AsyncWrite`.
 pub struct Socket {
     wire: Box<dyn Wire>,
+    read_share: Arc<ReadShare>,
     /// Number of reads that returned data; the connection derives from it how long the peer has been silent.
     read_count: Arc<AtomicU64>,
     /// The socket is to be closed abortively.
@@ -42,7 +64,12 @@
     /// `read_count` counts the reads that return data; with `aborted` set, dropping the socket closes it
     /// abortively.
     pub fn new(wire: Box<dyn Wire>, read_count: Arc<AtomicU64>, aborted: Arc<AtomicBool>) -> Self {
-        Socket { wire, read_count, aborted }
+        Socket { wire, read_share: Arc::default(), read_count, aborted }
+    }
+
+    /// What the current poll may still read; the connection renews it for each poll.
+    pub fn read_share(&self) -> Arc<ReadShare> {
+        self.read_share.clone()
     }
 }
 
@@ -85,8 +112,15 @@
     ) -> Poll<io::Result<()>> {
         // Readiness is edge-triggered and the driver polls the whole connection on each event, so no waker has
         // to be stored here.
-        let read = retry_interrupted(|| self.wire.read(buf.initialize_unfilled()));
-        if matches!(read, Ok(count) if count > 0) {
+        let left = self.read_share.left.load(Ordering::Relaxed);
+        if left == 0 {
+            self.read_share.exhausted.store(true, Ordering::Relaxed);
+            return Poll::Pending;
+        }
+        let size = buf.remaining().min(left);
+        let read = retry_interrupted(|| self.wire.read(buf.initialize_unfilled_to(size)));
+        if let Ok(count @ 1..) = read {
+            self.read_share.left.store(left - count, Ordering::Relaxed);
             self.read_count.fetch_add(1, Ordering::Relaxed);
         }
         pending_if_transient(read.map(|count| buf.advance(count)))
