Divide the memory for calls among a listener's connections

300 clients with 30 unended heads of 300 fields each took a proxy to 289 MB (release build; the limit is 192), and other clients' RPCs were pushed back ("the proxy is full") for as long as those lasted; one client with held requests at full speed did the same (155 MB).

Cause: a call took a thread and memory as its head arrived, whoever held how many; a head of many fields takes up to 200 bytes for each; the limits on streams and connections (256 and 4,096) do not bound their product. Parts of messages (4 MiB each) and unsent data (4 MiB a stream) had no bound in all either.

Change: a listener's calls take half of the memory limit, reckoned from heads and a fixed part, and parts of messages a quarter. A call past its share is refused with REFUSED_STREAM, which proves that it never ran. A stream keeps a window of unsent data. The proxy's setting memory_mb (192) says what there is.

--- a/crates/whinhill-assigner/src/assigner.rs
+++ b/crates/whinhill-assigner/src/assigner.rs
@@ -17,7 +17,9 @@
 use whinhill_history::HistoryDbError;
 use whinhill_store::{Custody, CustodyConfig, Identity, RespConfig, RespStore, Store};
 use whinhill_tables::PendingGrant;
-use whinhill_transport::{Code, Drivers, Limits, Listener, ServerCall, Trailers, Workers};
+use whinhill_transport::{
+    Code, Drivers, Limits, Listener, ServerCall, Trailers, Workers, CALLS_FRACTION, DEFAULT_MEMORY,
+};
 use whinhill_xds::{Entry, Kind};
 
 use crate::acked_versions::{AckedVersions, ACK_CHECK_INTERVAL};
@@ -56,6 +58,14 @@
 const DISK_RETRY_DURATION: Duration = Duration::from_secs(30);
 /// Connections that the listener accepts for each proxy that may be connected.
 const CONNECTIONS_PER_PROXY: usize = 2;
+/// Memory in bytes that a stream of a proxy is reckoned to take besides its head and its messages.
+const STREAM_MEMORY: usize = 24 << 10;
+
+/// Memory in bytes that leaves room for the streams of all proxies, and for as much again.
+fn streams_memory(max_proxies: usize) -> usize {
+    let streams = 2 * max_proxies * CONNECTIONS_PER_PROXY;
+    ((streams * STREAM_MEMORY) as f64 / CALLS_FRACTION) as usize
+}
 /// Connections that the listener accepts in addition to those for the proxies.
 const EXTRA_CONNECTIONS: usize = 16;
 /// Delay between the end of the streams and closing the listener, on a stop.
@@ -186,6 +196,8 @@
         let accepting_hub = hub.clone();
         let limits = Limits {
             max_connections: config.proxies_most * CONNECTIONS_PER_PROXY + EXTRA_CONNECTIONS,
+            memory: DEFAULT_MEMORY.max(streams_memory(config.proxies_most)),
+            call_memory: STREAM_MEMORY,
             idle: Duration::from_secs(30),
             keep_alive: Duration::from_secs(2),
             keep_alive_timeout: Duration::from_secs(2),
--- a/crates/whinhill-cli/src/proxy.rs
+++ b/crates/whinhill-cli/src/proxy.rs
@@ -10,7 +10,7 @@
 use whinhill_assigner::{ConfigError, ServiceConfig, StatusFile};
 use whinhill_proxy::{Dial, InjectedFaults, Pick, PoolLimits, Proxy, ProxyConfig};
 use whinhill_standins::running::ProxyFigures;
-use whinhill_transport::{Drivers, Limits, Workers};
+use whinhill_transport::{Drivers, Limits, Workers, DEFAULT_MEMORY};
 use whinhill_xds::Variant;
 
 use crate::{config, lifecycle, CommandError};
@@ -47,6 +47,10 @@
     /// Maximum bytes of an RPC's headers, as HTTP/2 counts them.
     #[serde(default = "default_max_headers")]
     pub headers_most: u32,
+    /// The memory of the process, in megabytes. RPCs in flight may take half of it, 64 KiB and three times
+    /// its head each, and their requests a quarter. A client connection that holds its share is refused further RPCs.
+    #[serde(default = "default_memory_mb")]
+    pub memory_mb: usize,
     /// Maximum RPCs in flight; RPCs above this are pushed back at once.
     #[serde(default = "default_max_in_flight")]
     pub in_hand_most: usize,
@@ -82,6 +86,16 @@
     16 << 10
 }
 
+fn default_memory_mb() -> usize {
+    DEFAULT_MEMORY >> 20
+}
+
+/// Memory in bytes that an RPC is reckoned to take besides its head and its request: a thread's stack and the data in
+/// windows.
+const RPC_MEMORY: usize = 64 << 10;
+/// Flow-control window of an RPC in bytes, each way.
+const RPC_WINDOW: u32 = 32 << 10;
+
 fn default_max_in_flight() -> usize {
     2048
 }
@@ -103,6 +117,7 @@
         require(!self.assigners.is_empty(), "assigners", "expected at least one");
         require((1..=65_534).contains(&self.service.slices), "service.slices", "expected 1 to 65534");
         require(!self.service.methods.is_empty(), "service.methods", "expected at least one");
+        require((16..=1 << 20).contains(&self.memory_mb), "memory_mb", "expected 16 to 1048576");
         require((1..=65_536).contains(&self.in_hand_most), "in_hand_most", "expected 1 to 65536");
         require((1..=1 << 30).contains(&self.message_most), "message_most", "expected 1 to 1073741824");
         require(
@@ -158,6 +173,9 @@
         limits: Limits {
             max_message: file.message_most,
             max_headers: file.headers_most,
+            memory: file.memory_mb << 20,
+            call_memory: RPC_MEMORY,
+            window: RPC_WINDOW,
             ..Limits::default()
         },
         seed: file.seed,
--- a/crates/whinhill-cli/tests/crowded_proxy.rs
+++ b/crates/whinhill-cli/tests/crowded_proxy.rs
@@ -98,6 +98,23 @@
     assert!(wait <= MAX_WAIT, "{what}: {wait:?}");
 }
 
+/// Guards against hundreds of clients whose unended requests with heads of very many short fields fill the memory and take
+/// all threads.
+#[test]
+fn unended_heads_of_many_fields_fill_no_memory_and_starve_nobody() {
+    let proxy = start_proxy();
+    let mut held = Vec::new();
+    for _ in 0..300 {
+        let mut stream = http2::connect(proxy.addr);
+        for number in 0..30 {
+            let head = http2::request_head(2 * number + 1, HELD_PATH, 300, Body::Unended);
+            let _ = stream.write_all(&head);
+        }
+        held.push(stream);
+    }
+    check_beside(&proxy, "300 clients with 30 unended heads of 300 fields");
+}
+
 /// Clients that send at full speed until they are dropped.
 struct Floods {
     stop: Arc<AtomicBool>,
@@ -161,3 +178,27 @@
         http2::request_head(stream, &format!("/s/m{stream}"), 20, Body::Empty)
     });
 }
+
+/// Guards against a client whose held requests at full speed take all threads, so that others are refused.
+#[test]
+fn held_requests_at_full_speed_starve_no_other_client() {
+    let proxy = start_proxy();
+    let held = |stream| http2::request_head(stream, HELD_PATH, 0, Body::Empty);
+    let _floods = Floods::start(proxy.addr, 1, held);
+    check_beside(&proxy, "held requests");
+}
+
+/// Guards against unended requests that take all threads: clients that each hold as many as they can.
+#[test]
+fn unended_requests_of_hundreds_of_clients_starve_nobody() {
+    let proxy = start_proxy();
+    let mut held = Vec::new();
+    for _ in 0..300 {
+        let mut stream = http2::connect(proxy.addr);
+        for number in 0..100 {
+            let _ = stream.write_all(&http2::request_head(2 * number + 1, HELD_PATH, 0, Body::Unended));
+        }
+        held.push(stream);
+    }
+    check_beside(&proxy, "300 clients with 100 unended requests");
+}
--- a/crates/whinhill-transport/src/call.rs
+++ b/crates/whinhill-transport/src/call.rs
@@ -20,9 +20,12 @@
 };
 
 use crate::blocking::{block_on, poll_until};
-use crate::connection::{micros_now, CountGuard, Handler, ListenerShutdown, ListenerSlot, SharedState};
+use crate::budget::{MemoryBudget, Reservation};
+use crate::connection::{
+    micros_now, CallGuard, CallSlot, CountGuard, Handler, ListenerShutdown, ListenerSlot, SharedState,
+};
 use crate::error::{CallError, Code, NeverRan};
-use crate::limits::Limits;
+use crate::limits::{Limits, CALLS_FRACTION, MESSAGES_FRACTION};
 use crate::polling::PollScope;
 use crate::reconnect::Reached;
 use crate::Drivers;
@@ -51,6 +54,20 @@
     body: RecvStream,
     buffer: BytesMut,
     max_message: usize,
+    /// Memory for the buffer, at the server's end.
+    reservation: Option<Reservation>,
+}
+
+/// A buffer grows by doubling.
+const BUFFER_GROWTH_FACTOR: usize = 2;
+
+/// Reserves memory for a buffer of parts of messages. Fails if the connection already holds its share.
+fn reserve_buffer(reservation: &mut Reservation, size: usize) -> Result<(), CallError> {
+    if reservation.resize(size * BUFFER_GROWTH_FACTOR) {
+        Ok(())
+    } else {
+        Err(CallError::NoMemory { size })
+    }
 }
 
 impl MessageReader {
@@ -59,6 +76,9 @@
         let deadline = Instant::now() + timeout;
         loop {
             if let Some(message) = self.next_buffered()? {
+                if let Some(reservation) = &mut self.reservation {
+                    reservation.resize(self.buffer.len() * BUFFER_GROWTH_FACTOR);
+                }
                 return Ok(Some(message));
             }
             let chunk =
@@ -68,6 +88,9 @@
                 None => return Err(CallError::Malformed("the stream ends within a message")),
                 Some(Err(error)) => return Err(CallError::from_h2(error, true)),
                 Some(Ok(chunk)) => {
+                    if let Some(reservation) = &mut self.reservation {
+                        reserve_buffer(reservation, self.buffer.len() + chunk.len())?;
+                    }
                     self.buffer.extend_from_slice(&chunk);
                     // The buffer is bounded by the limit on a message, so the window may be reopened at once.
                     let released = self.body.flow_control().release_capacity(chunk.len());
@@ -110,7 +133,15 @@
 /// Writes the messages of one direction of a call, waiting for the peer's flow-control window.
 pub struct MessageWriter {
     stream: SendStream<Bytes>,
-    _count_guard: CountGuard,
+    _guard: StreamGuard,
+}
+
+/// What a call's writer holds until it is dropped.
+enum StreamGuard {
+    /// At the server's end.
+    Incoming { _slot: CallSlot },
+    /// At the client's end.
+    Outgoing { _count_guard: CountGuard },
 }
 
 /// A message with its prefix.
@@ -187,7 +218,7 @@
     pub(crate) body: RecvStream,
     pub(crate) respond: SendResponse<Bytes>,
     max_message: usize,
-    count_guard: CountGuard,
+    guard: CallGuard,
 }
 
 impl ServerCall {
@@ -196,10 +227,10 @@
         respond: SendResponse<Bytes>,
         peer: SocketAddr,
         max_message: usize,
-        count_guard: CountGuard,
+        guard: CallGuard,
     ) -> Self {
         let (head, body) = request.into_parts();
-        ServerCall { head, peer, received_at: Instant::now(), body, respond, max_message, count_guard }
+        ServerCall { head, peer, received_at: Instant::now(), body, respond, max_message, guard }
     }
 
     /// The path of the method, `/package.Service/Method`.
@@ -227,13 +258,15 @@
 
     /// Sends the head of the answer; from now on messages may go both ways.
     pub fn open(self) -> Result<(MessageReader, MessageWriter), CallError> {
-        let ServerCall { mut respond, body, max_message, count_guard, .. } = self;
+        let ServerCall { mut respond, body, max_message, guard, .. } = self;
         let mut response = Response::new(());
         response.headers_mut().insert("content-type", HeaderValue::from_static("application/grpc"));
         let stream =
             respond.send_response(response, false).map_err(|error| CallError::from_h2(error, true))?;
-        let reader = MessageReader { body, buffer: BytesMut::new(), max_message };
-        Ok((reader, MessageWriter { stream, _count_guard: count_guard }))
+        let CallGuard { message_buffer, slot } = guard;
+        let reader =
+            MessageReader { body, buffer: BytesMut::new(), max_message, reservation: Some(message_buffer) };
+        Ok((reader, MessageWriter { stream, _guard: StreamGuard::Incoming { _slot: slot } }))
     }
 
     /// Reads the only message of a unary call. The call can still be refused afterwards.
@@ -250,6 +283,7 @@
             if buffer.len() + chunk.len() > PREFIX_LEN + self.max_message {
                 return Err(CallError::TooLarge { size: buffer.len() + chunk.len(), max: self.max_message });
             }
+            reserve_buffer(&mut self.guard.message_buffer, buffer.len() + chunk.len())?;
             buffer.extend_from_slice(&chunk);
             let released = self.body.flow_control().release_capacity(chunk.len());
             released.map_err(|error| CallError::from_h2(error, true))?;
@@ -272,6 +306,15 @@
         writer.close(Code::Ok, "", extra)
     }
 
+    /// Reserves memory for the parts of its messages that are held. Fails if the connection already holds its share.
+    pub(crate) fn reserve_message_buffer(&mut self, size: usize) -> Result<(), CallError> {
+        if self.guard.message_buffer.resize(size) {
+            Ok(())
+        } else {
+            Err(CallError::NoMemory { size })
+        }
+    }
+
     /// Whether the client has cancelled the call or disconnected.
     pub fn cancelled(&mut self) -> bool {
         poll_until(Instant::now(), |cx| self.respond.poll_reset(cx)).is_some()
@@ -302,6 +345,8 @@
         let (shutdown, count): (Arc<ListenerShutdown>, _) = (Arc::default(), Arc::new(AtomicUsize::new(0)));
         let (accept_shutdown, counter, drivers) = (shutdown.clone(), count.clone(), drivers.clone());
         let handler: Handler = Arc::new(handler);
+        let fraction = |fraction: f64| (limits.memory as f64 * fraction) as usize;
+        let budget = MemoryBudget::new(fraction(CALLS_FRACTION), fraction(MESSAGES_FRACTION));
         let builder = thread::Builder::new().name(format!("{name}-accept")).stack_size(ACCEPT_STACK);
         let thread = builder.spawn(move || {
             // Refused connections are logged at intervals, with their number, not each.
@@ -316,7 +361,7 @@
                         CountGuard::try_new(&counter, limits.max_connections).ok_or_else(|| {
                             io::Error::other(format!("over {} connections", limits.max_connections))
                         })?;
-                    let slot = ListenerSlot::new(count_guard, accept_shutdown.clone());
+                    let slot = ListenerSlot::new(count_guard, accept_shutdown.clone(), &budget);
                     drivers.add_accepted(stream, peer, limits.clone(), handler.clone(), slot)
                 });
                 let Err(error) = result else { continue };
@@ -423,7 +468,10 @@
             return Err(CallError::Malformed("the HTTP status is not 200"));
         }
         check_status(&head.headers)?;
-        Ok(StartedAnswer { head, reader: MessageReader { body, buffer: BytesMut::new(), max_message } })
+        Ok(StartedAnswer {
+            head,
+            reader: MessageReader { body, buffer: BytesMut::new(), max_message, reservation: None },
+        })
     }
 }
 
@@ -538,7 +586,7 @@
             map.insert(*name, value);
         }
         let (stream, future, count_guard) = self.begin(path, map, timeout)?;
-        let writer = MessageWriter { stream, _count_guard: count_guard };
+        let writer = MessageWriter { stream, _guard: StreamGuard::Outgoing { _count_guard: count_guard } };
         Ok((writer, PendingAnswer { future, max_message: self.max_message, dead: self.dead.clone() }))
     }
 
--- a/crates/whinhill-transport/src/connection.rs
+++ b/crates/whinhill-transport/src/connection.rs
@@ -11,33 +11,37 @@
 
 use bytes::Bytes;
 use crossbeam_channel::Sender;
-use h2::{client, server, Ping, PingPong};
+use h2::{client, server, Ping, PingPong, Reason, RecvStream};
+use http::{HeaderName, HeaderValue, Request};
 use tracing::{debug, warn};
 
+use crate::budget::{ConnectionShare, MemoryBudget, Reservation};
 use crate::call::ServerCall;
 use crate::limits::Limits;
 use crate::socket::{ReadShare, Socket};
 
 /// A connection's flow-control window is this many times a stream's.
 const CONNECTION_WINDOW_FACTOR: u32 = 16;
-/// Size of a stream's send buffer in addition to `Limits::max_message`, in bytes.
-const SEND_BUFFER_MARGIN: usize = 64 << 10;
+/// Bytes that a header field takes in memory besides its name and value.
+const HEADER_FIELD_BYTES: usize = 200;
+/// A head is held up to three times: as received, as forwarded, and as sent in a try.
+const HEAD_COPIES: usize = 3;
 
 /// Receives each incoming call. It runs on the thread that polls the connection and must not block.
 pub type Handler = Arc<dyn Fn(ServerCall) + Send + Sync>;
 
-type Request = client::SendRequest<Bytes>;
+type RequestSender = client::SendRequest<Bytes>;
 
 /// The stage of a connection, at the server's end (`Accepting`, `Serving`) or the client's (`Opening`,
 /// `Calling`).
 enum Role {
     Accepting(server::Handshake<Socket, Bytes>, Handler),
     Serving(server::Connection<Socket, Bytes>, Handler),
-    Opening(Pin<Box<dyn Future<Output = ClientHandshake> + Send>>, Sender<Result<Request, h2::Error>>),
+    Opening(Pin<Box<dyn Future<Output = ClientHandshake> + Send>>, Sender<Result<RequestSender, h2::Error>>),
     Calling(client::Connection<Socket, Bytes>),
 }
 
-type ClientHandshake = Result<(Request, client::Connection<Socket, Bytes>), h2::Error>;
+type ClientHandshake = Result<(RequestSender, client::Connection<Socket, Bytes>), h2::Error>;
 
 /// State that a client's handle shares with its connection.
 #[derive(Clone, Debug)]
@@ -125,12 +129,45 @@
 pub struct ListenerSlot {
     _count_guard: CountGuard,
     shutdown: Arc<ListenerShutdown>,
+    share: Arc<ConnectionShare>,
 }
 
 impl ListenerSlot {
     /// Takes a place, counted by `count_guard`.
-    pub fn new(count_guard: CountGuard, shutdown: Arc<ListenerShutdown>) -> Self {
-        ListenerSlot { _count_guard: count_guard, shutdown }
+    pub fn new(count_guard: CountGuard, shutdown: Arc<ListenerShutdown>, budget: &Arc<MemoryBudget>) -> Self {
+        ListenerSlot { _count_guard: count_guard, shutdown, share: budget.share() }
+    }
+}
+
+/// What an incoming call holds until it is dropped: it counts as in flight, and takes memory of its connection's share.
+pub struct CallSlot {
+    _count_guard: CountGuard,
+    /// Memory for the call and its head.
+    _reservation: Reservation,
+}
+
+/// An incoming call's slot, and the memory that parts of its messages take.
+pub struct CallGuard {
+    pub slot: CallSlot,
+    pub message_buffer: Reservation,
+}
+
+impl CallGuard {
+    /// `None` if the connection already holds its share of the memory.
+    fn try_new(
+        request: &Request<RecvStream>,
+        share: &Arc<ConnectionShare>,
+        limits: &Limits,
+        shared_state: &SharedState,
+    ) -> Option<Self> {
+        let field = |(name, value): (&HeaderName, &HeaderValue)| {
+            HEADER_FIELD_BYTES + name.as_str().len() + value.len()
+        };
+        let head: usize = request.headers().iter().map(field).sum();
+        let reservation = share.reserve_call(limits.call_memory + HEAD_COPIES * head)?;
+        let message_buffer = share.message_buffer();
+        let slot = CallSlot { _count_guard: shared_state.begin_call(), _reservation: reservation };
+        Some(CallGuard { slot, message_buffer })
     }
 }
 
@@ -184,7 +221,7 @@
             .initial_window_size(limits.window)
             .initial_connection_window_size(limits.window.saturating_mul(CONNECTION_WINDOW_FACTOR))
             .max_concurrent_reset_streams(limits.max_streams as usize)
-            .max_send_buffer_size(limits.max_message + SEND_BUFFER_MARGIN);
+            .max_send_buffer_size(limits.window as usize);
         let read_share = socket.read_share();
         let role = Role::Accepting(builder.handshake(socket), handler);
         Connection::new(role, read_share, peer, limits, SharedState::new(read_count), Some(slot))
@@ -196,7 +233,7 @@
         peer: SocketAddr,
         limits: Limits,
         shared_state: SharedState,
-        result: Sender<Result<Request, h2::Error>>,
+        result: Sender<Result<RequestSender, h2::Error>>,
     ) -> Self {
         let mut builder = client::Builder::new();
         builder
@@ -204,7 +241,7 @@
             .max_header_list_size(limits.max_headers)
             .initial_window_size(limits.window)
             .initial_connection_window_size(limits.window.saturating_mul(CONNECTION_WINDOW_FACTOR))
-            .max_send_buffer_size(limits.max_message + SEND_BUFFER_MARGIN);
+            .max_send_buffer_size(limits.window as usize);
         shared_state.owned_by_driver.store(true, Ordering::Release);
         let read_share = socket.read_share();
         let opening = async move { builder.handshake(socket).await };
@@ -255,9 +292,18 @@
                 },
                 Role::Serving(connection, handler) => match connection.poll_accept(cx) {
                     Poll::Pending => break,
-                    Poll::Ready(Some(Ok((request, respond)))) => {
-                        let (max, count_guard) = (self.limits.max_message, self.shared_state.begin_call());
-                        handler(ServerCall::new(request, respond, self.peer, max, count_guard));
+                    Poll::Ready(Some(Ok((request, mut respond)))) => {
+                        let share = self.slot.as_ref().map(|slot| &slot.share);
+                        let guard = share.and_then(|share| {
+                            CallGuard::try_new(&request, share, &self.limits, &self.shared_state)
+                        });
+                        match guard {
+                            Some(guard) => {
+                                let max = self.limits.max_message;
+                                handler(ServerCall::new(request, respond, self.peer, max, guard));
+                            }
+                            None => respond.send_reset(Reason::REFUSED_STREAM),
+                        }
                     }
                     Poll::Ready(Some(Err(error))) => return self.ended(&error.to_string()),
                     Poll::Ready(None) => return self.ended("closed"),
--- a/crates/whinhill-transport/src/error.rs
+++ b/crates/whinhill-transport/src/error.rs
@@ -83,6 +83,9 @@
     Status { code: Code, message: String },
     #[error("a message of {size} bytes; {max} are allowed")]
     TooLarge { size: usize, max: usize },
+    /// The connection already holds its share of the memory for calls.
+    #[error("no memory for a message of {size} bytes or more")]
+    NoMemory { size: usize },
     #[error("malformed: {0}")]
     Malformed(&'static str),
     #[error("{0}")]
--- a/crates/whinhill-transport/src/lib.rs
+++ b/crates/whinhill-transport/src/lib.rs
@@ -16,6 +16,7 @@
 //! `docs/transport.md` discusses the design alternatives and lists the limits.
 
 mod blocking;
+mod budget;
 mod call;
 mod connection;
 mod driver;
@@ -35,7 +36,7 @@
 pub use driver::Drivers;
 pub use error::{CallError, Code, NeverRan};
 pub use framing::BodyLimits;
-pub use limits::Limits;
+pub use limits::{Limits, CALLS_FRACTION, DEFAULT_MEMORY};
 pub use polling::{PollScope, CALL_STACK};
 pub use reconnect::{stream_limits, Reached, ReconnectDelay};
 pub use relay::{RelayError, RelayedAnswer, RelayedCall, Try};
--- a/crates/whinhill-transport/src/limits.rs
+++ b/crates/whinhill-transport/src/limits.rs
@@ -21,10 +21,23 @@
     pub keep_alive: Duration,
     /// Time limit for the answer to a ping.
     pub keep_alive_timeout: Duration,
-    /// Initial flow-control window of a stream; a connection's is sixteen times as large.
+    /// Initial flow-control window of a stream, and the most unsent data that is kept for one; a connection's window is
+    /// sixteen times as large.
     pub window: u32,
+    /// Memory of the process. The incoming calls of a listener may take [`CALLS_FRACTION`] of it; a call past the share
+    /// of its connection is refused with REFUSED_STREAM.
+    pub memory: usize,
+    /// Memory that an incoming call is reckoned to take besides its head and its messages.
+    pub call_memory: usize,
 }
 
+/// Memory that is assumed where nothing else is configured.
+pub const DEFAULT_MEMORY: usize = 192 << 20;
+/// The fraction of the memory that the incoming calls of a listener may take.
+pub const CALLS_FRACTION: f64 = 0.5;
+/// The fraction of the memory that parts of their messages may take.
+pub const MESSAGES_FRACTION: f64 = 0.25;
+
 impl Default for Limits {
     fn default() -> Self {
         Limits {
@@ -37,6 +50,8 @@
             keep_alive: Duration::from_secs(5),
             keep_alive_timeout: Duration::from_secs(3),
             window: 64 << 10,
+            memory: DEFAULT_MEMORY,
+            call_memory: 48 << 10,
         }
     }
 }
--- a/crates/whinhill-transport/src/relay.rs
+++ b/crates/whinhill-transport/src/relay.rs
@@ -179,6 +179,24 @@
         self.call.cancelled()
     }
 
+    /// Waits until a condition holds, at most until `until`; fails once the client has gone. The condition is evaluated
+    /// whenever the thread is woken: to end the wait, change what it reads and unpark the thread.
+    pub fn wait_until(&mut self, until: Instant, holds: impl Fn() -> bool) -> Result<(), RelayError> {
+        let client_gone = poll_until(until, |cx| {
+            if holds() {
+                return Poll::Ready(false);
+            }
+            if self.call.poll_client_gone(cx) {
+                return Poll::Ready(true);
+            }
+            Poll::Pending
+        });
+        match client_gone {
+            Some(true) => Err(RelayError::ClientGone),
+            Some(false) | None => Ok(()),
+        }
+    }
+
     /// Whether the request can be sent again from its first byte.
     pub fn can_resend(&self) -> bool {
         !self.buffer.discarded
@@ -348,6 +366,8 @@
                         // window capacity that nothing grants.
                         if !chunk.is_empty() {
                             self.buffer.push(chunk);
+                            let held = self.buffer.bytes;
+                            self.call.reserve_message_buffer(held).map_err(RelayError::Request)?;
                         }
                         self.buffer.ended = self.call.body_ended();
                         if self.buffer.ended && !self.buffer.framing.at_message_boundary() {
