Send no RPC to a server after its client has left

An RPC that waited for an owner while its client disconnected was sent to a server once a table came; a client that sent it again elsewhere had it run twice. Its thread and memory were held until the end of the hold.

Cause: the wait for a table and the wait for a connection did not look at the client, and the head was handed to the connection before send_until_head did. Ruled out: unread requests behind a close; the transport read all of them before it accepted any, and gave them up. With a bounded share of a turn that no longer holds, so the driver now takes the peer's end from the poll, ahead of unread data.

Change: the wait for a table ends when the client leaves, or with a change (threads are unparked by both), and the client is looked at right before the head is handed over.

rpc_whose_client_leaves_while_it_is_held_reaches_no_server failed before. requests_that_are_unread_when_their_client_leaves_are_not_run guards the share of a turn; it passed before the share, too. The test of waiting writes parks by the new means, with the same limits.

--- a/crates/whinhill-proxy/src/forward.rs
+++ b/crates/whinhill-proxy/src/forward.rs
@@ -214,8 +214,10 @@
                         return Err(RpcFailure::PushedBack(refusal));
                     }
                     drop(read_guard);
-                    PollScope::flush();
-                    shared.await_change(seen_changes, until);
+                    let _waiter = shared.unpark_on_change();
+                    if relayed.wait_until(until, || shared.change_count() != seen_changes).is_err() {
+                        return Err(client_gone());
+                    }
                 }
                 Route::Send { server, tries, version } => {
                     retry.begin_try(tries);
@@ -324,6 +326,11 @@
         if retry.may_retry_after_timeout() {
             timeout = timeout.min(rpc.soft_deadline.mul_f64(shared.service.try_factor));
         }
+        // Waiting for an owner or a connection may have taken a while. Nobody waits for the answer, and the client may send
+        // the request again elsewhere.
+        if relayed.cancelled() {
+            return Err(TryFailure::Aborted(client_gone()));
+        }
         // The last check before the first byte: if the lease has ended by now, the write is not sent.
         if method.writes
             && !shared.read_table(|t| t.may_still_write(shared.now(), rpc.slice, rpc.method, target.version))
@@ -337,12 +344,10 @@
         let answer = relayed.send_until_head(attempt, until, timeout, stop).map_err(|error| match error {
             RelayError::Server(error) => failed(error),
             RelayError::Stopped => TryFailure::Aborted(RpcFailure::PushedBack(Refusal::Level)),
-            RelayError::ClientGone => {
-                TryFailure::Aborted(RpcFailure::Failed(Code::Cancelled, "the client has gone".to_string()))
-            }
+            RelayError::ClientGone => TryFailure::Aborted(client_gone()),
             RelayError::Request(error) => {
                 let code = match error {
-                    CallError::TooLarge { .. } => Code::ResourceExhausted,
+                    CallError::TooLarge { .. } | CallError::NoMemory { .. } => Code::ResourceExhausted,
                     _ => Code::InvalidArgument,
                 };
                 TryFailure::Aborted(RpcFailure::Failed(code, format!("the request: {error}")))
@@ -444,6 +449,11 @@
     Failed(CallError, Duration),
 }
 
+/// The client has cancelled the RPC or disconnected.
+fn client_gone() -> RpcFailure {
+    RpcFailure::Failed(Code::Cancelled, "the client has gone".to_string())
+}
+
 /// The status for an RPC whose last try failed with this error.
 fn code_of(error: &CallError) -> Code {
     match error {
--- a/crates/whinhill-proxy/src/forward/tests.rs
+++ b/crates/whinhill-proxy/src/forward/tests.rs
@@ -272,7 +272,10 @@
     let (waiter_shared, seen) = (shared.clone(), shared.change_count());
     let waiting = thread::spawn(move || {
         let started = Instant::now();
-        waiter_shared.await_change(seen, started + TIMEOUT);
+        let _waiter = waiter_shared.unpark_on_change();
+        while waiter_shared.change_count() == seen && started.elapsed() < TIMEOUT {
+            thread::park_timeout(TIMEOUT.saturating_sub(started.elapsed()));
+        }
         (started.elapsed() < TIMEOUT, route(&waiter_shared))
     });
     apply_share(0.0);
@@ -486,3 +489,18 @@
     cut_off.store(false, Relaxed);
     assert_eq!(answered_by(&harness.call(READ, s(2.0))), listener.addr().to_string());
 }
+
+/// Guards against an RPC that is sent to a server after its client has left: the client may send it again, and it would
+/// run twice.
+#[test]
+fn rpc_whose_client_leaves_while_it_is_held_reaches_no_server() {
+    let harness = direct_harness();
+    let (server, executed) = server(&harness.drivers, None);
+    let result = harness.call_in_thread(READ, TIMEOUT);
+    thread::sleep(Duration::from_millis(50));
+    harness.client.abort();
+    assert!(result.recv_timeout(TIMEOUT).unwrap().is_err());
+    wait_until(|| harness._listener.connections() == 0);
+    harness.publish(1, server.addr());
+    assert!(executed.recv_timeout(Duration::from_millis(500)).is_err(), "it ran after its client had left");
+}
--- a/crates/whinhill-proxy/src/shared.rs
+++ b/crates/whinhill-proxy/src/shared.rs
@@ -1,7 +1,9 @@
 //! State that a proxy's threads share.
 
+use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError, RwLock};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use std::thread::{self, Thread, ThreadId};
 use std::time::{Duration, Instant};
 
 use rand::{Rng, SeedableRng};
@@ -42,7 +44,8 @@
     pub table: RwLock<RoutingTable>,
     /// Number of table changes so far; RPCs that wait for a usable table wait for the next change.
     change_count: Mutex<u64>,
-    changed: Condvar,
+    /// Threads that wait for the next change of a table.
+    change_waiters: Mutex<HashMap<ThreadId, Thread>>,
     pub load_stats: Mutex<LoadStats>,
     /// Number of tries in flight, by server.
     pub tries_in_flight: TriesInFlight,
@@ -69,7 +72,7 @@
             service,
             start: Instant::now(),
             change_count: Mutex::new(0),
-            changed: Condvar::new(),
+            change_waiters: Mutex::default(),
             counts: ProxyCounters::default(),
             stop: AtomicBool::new(false),
             rng: Mutex::new(ChaCha8Rng::seed_from_u64(seed)),
@@ -96,7 +99,7 @@
             result
         };
         *lock(&self.change_count) += 1;
-        self.changed.notify_all();
+        lock(&self.change_waiters).values().for_each(Thread::unpark);
         result
     }
 
@@ -105,17 +108,11 @@
         *lock(&self.change_count)
     }
 
-    /// Waits until the change count differs from `seen`, at most until `until`.
-    pub fn await_change(&self, seen: u64, until: Instant) {
-        let mut change_count = lock(&self.change_count);
-        while *change_count == seen {
-            let left = until.saturating_duration_since(Instant::now());
-            if left.is_zero() {
-                return;
-            }
-            let waited = self.changed.wait_timeout(change_count, left);
-            change_count = waited.unwrap_or_else(PoisonError::into_inner).0;
-        }
+    /// Has this thread unparked by each change of a table until the returned value is dropped.
+    pub fn unpark_on_change(&self) -> ChangeWaiter<'_> {
+        let thread = thread::current();
+        lock(&self.change_waiters).insert(thread.id(), thread);
+        ChangeWaiter { shared: self }
     }
 
     /// A random number, uniform from 0 to 1.
@@ -144,3 +141,14 @@
         }
     }
 }
+
+/// A thread that is unparked by each change of a table.
+pub struct ChangeWaiter<'a> {
+    shared: &'a Shared,
+}
+
+impl Drop for ChangeWaiter<'_> {
+    fn drop(&mut self) {
+        lock(&self.shared.change_waiters).remove(&thread::current().id());
+    }
+}
--- a/crates/whinhill-transport/src/connection.rs
+++ b/crates/whinhill-transport/src/connection.rs
@@ -201,6 +201,8 @@
     /// When the ping was sent that is not answered yet.
     ping_sent_at: Option<Instant>,
     closing: bool,
+    /// The peer has closed its side, perhaps behind data that is not read yet.
+    peer_left: bool,
     slot: Option<ListenerSlot>,
 }
 
@@ -272,12 +274,22 @@
             ping_pong: None,
             ping_sent_at: None,
             closing: false,
+            peer_left: false,
             slot,
         }
     }
 
+    /// The peer has closed its side. A server reads no further then: nobody waits for the answers to what was sent before,
+    /// and a client that comes back may send it again.
+    pub fn set_peer_left(&mut self) {
+        self.peer_left = true;
+    }
+
     /// Makes all progress that is possible without blocking and by reading up to `max_read` bytes.
     pub fn poll(&mut self, max_read: usize, cx: &mut Context<'_>) -> AfterPoll {
+        if self.peer_left && matches!(self.role, Role::Accepting(..) | Role::Serving(..)) {
+            return self.ended("closed");
+        }
         self.read_share.renew(max_read);
         let read_count = self.shared_state.read_count.load(Ordering::Relaxed);
         loop {
--- a/crates/whinhill-transport/src/driver.rs
+++ b/crates/whinhill-transport/src/driver.rs
@@ -182,6 +182,11 @@
         in_time && !connection.can_drop() && self.shared.poll(connection)
     }
 
+    fn set_peer_left(&self) {
+        let mut connection = self.shared.connection.lock().unwrap_or_else(PoisonError::into_inner);
+        connection.iter_mut().for_each(Connection::set_peer_left);
+    }
+
     /// Drops the connection, which closes its socket.
     fn close(self) {
         let ended = self.shared.connection.lock().unwrap_or_else(PoisonError::into_inner).take();
@@ -329,7 +334,13 @@
             other => other?,
         }
         ready_keys.clear();
-        ready_keys.extend(events.iter().map(|event| event.token()).filter(|t| *t != WAKE_TOKEN).map(|t| t.0));
+        for event in events.iter().filter(|event| event.token() != WAKE_TOKEN) {
+            let key = event.token().0;
+            ready_keys.push(key);
+            if event.is_read_closed() || event.is_error() {
+                connections.get(key).iter().copied().flatten().for_each(OwnedConnection::set_peer_left);
+            }
+        }
         driver.take_ready(&mut ready_keys);
         let now = Instant::now();
         pending.extend(inbox.try_iter().map(|command| PendingCommand { command, since: now }));
