--- a/crates/whinhill-cli/tests/support/http2.rs
+++ b/crates/whinhill-cli/tests/support/http2.rs
@@ -5,6 +5,7 @@
 use std::thread;
 
 /// Frame types.
+const DATA: u8 = 0;
 const HEADERS: u8 = 1;
 const SETTINGS: u8 = 4;
 const PING: u8 = 6;
@@ -73,3 +74,8 @@
     });
     stream
 }
+
+/// A DATA frame of up to 16,384 bytes that does not end its stream.
+pub fn data(stream: u32, bytes: &[u8]) -> Vec<u8> {
+    frame(DATA, 0, stream, bytes)
+}
