Read relay and discovery in small shares, and bound what they may name

Beside a relay that sends acknowledgements at full speed clients' probes waited 1.3 s and the process took 196 MB; beside a discovery that sends signs of life 1.7 s (debug build). With shares of a turn for clients alone, lists of ever new servers cost 6.2 s, and second lines with ever new names 12 s.

Cause: 512 KiB of a source were handled in a turn, and its lines cost more than a client's: the module compares each list with all servers it knows, and each second line became an order in a queue against which the next one was compared. Neither servers nor those orders had a bound.

Change: 8 KiB a turn; discovery is read on once its last list is handed to the module; 8,192 servers at a time and 1,024 queued orders, beyond which entries are left out and counted (left_out, extra_ignored).

--- a/crates/whinhill-names/src/lib.rs
+++ b/crates/whinhill-names/src/lib.rs
@@ -22,6 +22,9 @@
 /// name maps to the last zone.
 const MAX_ZONES: usize = 256;
 
+/// Limit on the number of servers that are known at a time, several times as many as the largest fleet has.
+pub const MAX_SERVERS: usize = 8192;
+
 /// The mapping between names and indices; names of servers and zones are added when they first occur.
 #[derive(Debug, Default)]
 pub struct Names {
@@ -72,6 +75,12 @@
         EndpointId { index, stable_id: fnv1a(name) }
     }
 
+    /// Whether a server may be given an index, or has one. Servers past [`MAX_SERVERS`] are left out by callers that read
+    /// names from outside.
+    pub fn has_room_for(&self, name: &str) -> bool {
+        self.index_by_name.len() < MAX_SERVERS || self.index_by_name.contains_key(name)
+    }
+
     /// The endpoint of a server that has an index.
     pub fn known_endpoint(&self, name: &str) -> Option<EndpointId> {
         self.index_by_name.get(name).map(|&index| EndpointId { index, stable_id: fnv1a(name) })
--- a/crates/whinhill-node/src/connection.rs
+++ b/crates/whinhill-node/src/connection.rs
@@ -297,6 +297,11 @@
         self.established
     }
 
+    /// Whether it is a client of the assigner's address.
+    pub fn is_client(&self) -> bool {
+        matches!(self.kind, ConnectionKind::Client { .. } | ConnectionKind::Closing { .. })
+    }
+
     /// Whether it is a client that has joined as a collector.
     pub fn has_joined(&self) -> bool {
         matches!(&self.kind, ConnectionKind::Client { peer, .. } if peer.has_joined())
--- a/crates/whinhill-node/src/limits.rs
+++ b/crates/whinhill-node/src/limits.rs
@@ -45,6 +45,12 @@
 pub const MESSAGES_PER_CONNECTION: std::ops::RangeInclusive<usize> = 2..=64;
 /// Largest number of bytes that one connection is read in a turn; then the other connections are read.
 pub const MAX_BYTES_PER_TURN: usize = 64 * 1024;
+/// Bytes that are read at a time from the relay, discovery and servers, whose lines cost more than a client's.
+pub const SOURCE_READ_BYTES: usize = 4 * 1024;
+/// Largest number of bytes that such a connection is read in a turn.
+pub const SOURCE_BYTES_PER_TURN: usize = 8 * 1024;
+/// Orders in the queue from which on no more removals of second lines are queued: the relay has named ever new ones.
+pub const MAX_QUEUED_ORDERS: usize = 1024;
 /// Output that may wait for a client to read before no more of its requests are read.
 pub const MAX_OUTPUT_BEFORE_PAUSE: usize = 16 * 1024;
 /// Fraction of the memory limit that events for the next batch may take. Once they do, collectors and the relay watch
--- a/crates/whinhill-node/src/node.rs
+++ b/crates/whinhill-node/src/node.rs
@@ -99,6 +99,8 @@
     pub assigner: Assigner,
     /// Events for the next batch.
     pub pending_events: Vec<Event>,
+    /// A list of servers is among them.
+    pub list_pending: bool,
     /// When the last batch was handed to the module.
     pub last_batch_at: Duration,
     /// Least time between two batches.
@@ -239,6 +241,7 @@
             listed_servers: BTreeSet::new(),
             assigner,
             pending_events: Vec::new(),
+            list_pending: false,
             last_batch_at: Duration::ZERO,
             round_duration,
             relay_calls: CallQueue::default(),
@@ -284,6 +287,7 @@
         let now = self.clock.now();
         self.last_batch_at = now;
         let events = std::mem::take(&mut self.pending_events);
+        self.list_pending = false;
         self.unread_connections.append(&mut self.awaiting_batch);
         if events.is_empty() {
             return;
--- a/crates/whinhill-node/src/relay.rs
+++ b/crates/whinhill-node/src/relay.rs
@@ -186,6 +186,9 @@
                     }
                     self.reacquire_slice(slice);
                 }
+                WatchUpdate::ExtraLine { .. } if self.relay_calls.queued_orders() >= MAX_QUEUED_ORDERS => {
+                    self.counters.extra_lines_ignored += 1;
+                }
                 WatchUpdate::ExtraLine { slice, server } => {
                     info!(slice, server, "a line other than the owner's is removed");
                     self.relay_calls.push(now, [RelayOrder::Line { slice, server, on: false }]);
--- a/crates/whinhill-node/src/server_lists.rs
+++ b/crates/whinhill-node/src/server_lists.rs
@@ -17,7 +17,12 @@
         if list.is_full {
             self.listed_servers.clear();
         }
+        self.list_pending = true;
         for server in &list.servers {
+            if !self.names.has_room_for(&server.name) {
+                self.counters.servers_left_out += 1;
+                continue;
+            }
             let endpoint = self.names.endpoint(&server.name);
             if self.server_addrs.get(endpoint.index).copied().flatten() != Some(server.addr) {
                 debug!(target: TRACE, "server {} is {} at {}", endpoint.index, server.name, server.addr);
--- a/crates/whinhill-node/src/sockets.rs
+++ b/crates/whinhill-node/src/sockets.rs
@@ -188,7 +188,10 @@
     /// once that has changed.
     fn may_read(&mut self, id: Id) -> bool {
         let Some(connection) = self.connections.get_mut(id) else { return false };
-        if self.pending_events.len() >= self.max_pending_events && connection.produces_events() {
+        // The module compares each list with all servers that it knows.
+        let awaits_list = self.list_pending && matches!(connection.kind, ConnectionKind::Discovery(_));
+        let is_full = self.pending_events.len() >= self.max_pending_events;
+        if awaits_list || is_full && connection.produces_events() {
             self.awaiting_batch.insert(id);
             return false;
         }
@@ -215,7 +218,8 @@
             let Some(connection) = self.connections.get_mut(id) else { break };
             // A peer that sends faster than this process reads must not delay the others.
             let has_unparsed = connection.has_unparsed_messages();
-            if bytes >= MAX_BYTES_PER_TURN || has_unparsed && reads > 0 {
+            let max_bytes = if connection.is_client() { MAX_BYTES_PER_TURN } else { SOURCE_BYTES_PER_TURN };
+            if bytes >= max_bytes || has_unparsed && reads > 0 {
                 self.unread_connections.insert(id);
                 break;
             }
@@ -224,7 +228,8 @@
                 reads += 1;
                 continue;
             }
-            match connection.read(&mut buffer) {
+            let size = if connection.is_client() { buffer.len() } else { SOURCE_READ_BYTES };
+            match connection.read(&mut buffer[..size]) {
                 Ok(ReadOutcome::Bytes(n)) => {
                     bytes += n;
                     self.handle_bytes(id, &buffer[..n]);
--- a/crates/whinhill-node/src/status_log.rs
+++ b/crates/whinhill-node/src/status_log.rs
@@ -22,6 +22,8 @@
     pub reports_dropped: u64,
     /// Servers that were forgotten after being unlisted for long.
     pub servers_forgotten: u64,
+    /// Entries of lists that were left out since too many servers are known.
+    pub servers_left_out: u64,
     /// Steps of the wall clock.
     pub clock_steps: u64,
 
@@ -94,6 +96,8 @@
     pub slices_reacquired: u64,
     /// Slices reacquired because an order of theirs was not carried out.
     pub slices_out_of_step: u64,
+    /// Second lines of slices that were not removed, since too many orders were queued.
+    pub extra_lines_ignored: u64,
 
     // Discovery and servers.
     /// Lists taken from discovery.
@@ -238,6 +242,7 @@
             differing = self.lines_differing,
             anew = self.slices_reacquired,
             out_of_step = self.slices_out_of_step,
+            extra_ignored = self.extra_lines_ignored,
             "relay"
         );
         info!(
@@ -249,6 +254,7 @@
             unanswered = self.probes_unanswered,
             again = self.probes_retried,
             let_go = self.servers_forgotten,
+            left_out = self.servers_left_out,
             "discovery and probes"
         );
     }
