--- a/crates/whinhill-proxy/src/forward/tests.rs
+++ b/crates/whinhill-proxy/src/forward/tests.rs
@@ -504,3 +504,55 @@
     harness.publish(1, server.addr());
     assert!(executed.recv_timeout(Duration::from_millis(500)).is_err(), "it ran after its client had left");
 }
+
+/// A server that accepts RPCs, answers none and sends pings at full speed; the counter is of its writes.
+fn flooding_server() -> (SocketAddr, Arc<AtomicUsize>) {
+    const SETTINGS: [u8; 9] = [0, 0, 0, 4, 0, 0, 0, 0, 0];
+    const PING: [u8; 17] = [0, 0, 8, 6, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0];
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (addr, writes) = (listener.local_addr().unwrap(), Arc::new(AtomicUsize::new(0)));
+    let counter = writes.clone();
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let (mut reader, counter) = (stream.try_clone().unwrap(), counter.clone());
+            thread::spawn(move || {
+                let mut buffer = [0; 65536];
+                while reader.read(&mut buffer).is_ok_and(|count| count > 0) {}
+            });
+            thread::spawn(move || {
+                let _ = stream.write_all(&SETTINGS);
+                let pings = PING.repeat(1000);
+                while stream.write_all(&pings).is_ok() {
+                    counter.fetch_add(1, Relaxed);
+                }
+            });
+        }
+    });
+    (addr, writes)
+}
+
+/// Guards against a server that sends frames at full speed and keeps the RPCs to all other servers waiting.
+#[test]
+fn server_at_full_speed_delays_no_rpc_to_another_server() {
+    const MAX_WAIT: Duration = Duration::from_millis(500);
+    let harness = direct_harness();
+    let ((flooding, writes), (other, _)) = (flooding_server(), server(&harness.drivers, None));
+    let service = harness.shared.service.clone();
+    let flooded_slice = service.slice_of(b"k");
+    let keys = (0..100).map(|number| format!("other-{number}"));
+    let key = keys.into_iter().find(|key| service.slice_of(key.as_bytes()) != flooded_slice).unwrap();
+    harness.shared.change_table(|table| {
+        table.apply(0, &assignment(flooded_slice, READ, 1, &[flooding], 1.0));
+        let other_slice = service.slice_of(key.as_bytes());
+        table.apply(0, &assignment(other_slice, READ, 1, &[other.addr()], 1.0));
+    });
+    let _held: Vec<_> = (0..20).map(|_| harness.call_in_thread(READ, TIMEOUT)).collect();
+    wait_until(|| writes.load(Relaxed) >= 100);
+    let headers = [(KEY_HEADER, key)];
+    for _ in 0..100 {
+        let started = Instant::now();
+        let path = &service.methods[READ].path;
+        harness.client.unary(path, &headers, Bytes::from_static(b"x"), TIMEOUT).unwrap();
+        assert!(started.elapsed() <= MAX_WAIT, "{:?}", started.elapsed());
+    }
+}
