Log that a connection's calls are refused for want of memory

A call past its connection's share was refused with REFUSED_STREAM and nothing showed it: neither a log line nor a count named the connection.

The first refusal on a connection is a warning with the peer's address; later ones on it add none, so that a client cannot fill the log by calls. A total is in the roadmap.

--- a/crates/whinhill-transport/src/connection.rs
+++ b/crates/whinhill-transport/src/connection.rs
@@ -203,6 +203,8 @@
     closing: bool,
     /// The peer has closed its side, perhaps behind data that is not read yet.
     peer_left: bool,
+    /// A call was refused for want of memory, and that was logged.
+    has_refused_calls: bool,
     slot: Option<ListenerSlot>,
 }
 
@@ -275,6 +277,7 @@
             ping_sent_at: None,
             closing: false,
             peer_left: false,
+            has_refused_calls: false,
             slot,
         }
     }
@@ -314,7 +317,12 @@
                                 let max = self.limits.max_message;
                                 handler(ServerCall::new(request, respond, self.peer, max, guard));
                             }
-                            None => respond.send_reset(Reason::REFUSED_STREAM),
+                            None => {
+                                if !std::mem::replace(&mut self.has_refused_calls, true) {
+                                    warn!(peer = %self.peer, "calls refused: the connection holds its share of the memory");
+                                }
+                                respond.send_reset(Reason::REFUSED_STREAM);
+                            }
                         }
                     }
                     Poll::Ready(Some(Err(error))) => return self.ended(&error.to_string()),
