--- a/crates/whinhill-standins/src/platform.rs
+++ b/crates/whinhill-standins/src/platform.rs
@@ -11,6 +11,7 @@
 mod data_plane;
 mod detection_times;
 mod discovery;
+mod drain_series;
 mod fleet;
 mod lost_rpcs;
 mod node;
@@ -28,6 +29,7 @@
 mod state;
 pub mod streams;
 mod successors;
+pub mod timing;
 mod traffic;
 mod writers;
 
--- a/crates/whinhill-standins/src/platform/audit.rs
+++ b/crates/whinhill-standins/src/platform/audit.rs
@@ -60,7 +60,8 @@
 /// Checks the proxies' tables over time.
 pub struct TableAudit {
     last_check: Duration,
-    /// By slice and proxy: the time without a line, counted while the limit was running.
+    /// By slice and proxy: the time without a line, counted while the proxy was joined and the limit was running. It
+    /// starts anew only when the proxy has a line: a break of its stream does not reset it.
     time_without_line: Vec<Vec<Duration>>,
     drain_timers: Vec<Vec<DrainTimer>>,
     pub violations: Vec<Violation>,
@@ -108,16 +109,17 @@
         elapsed: Duration,
     ) {
         for proxy in 0..platform.proxies {
-            let has_no_line =
-                platform.is_joined(proxy, slice) && platform.tables[proxy][slice].server.is_none();
+            let is_joined = platform.is_joined(proxy, slice);
+            let has_line = platform.tables[proxy][slice].server.is_some();
             let time = &mut self.time_without_line[slice][proxy];
-            if !has_no_line || !has_warm_server {
+            if is_joined && has_line || !has_warm_server {
                 *time = Duration::ZERO;
-            } else if is_limit_running {
+            } else if is_joined && is_limit_running {
                 *time += elapsed;
             }
         }
-        if self.time_without_line[slice].iter().any(|time| *time > MAX_TIME_WITHOUT_LINE + TIME_LIMIT_SLACK) {
+        let limit = platform.site.timing.timing().max_time_without_line + TIME_LIMIT_SLACK;
+        if self.time_without_line[slice].iter().any(|time| *time > limit) {
             let what = format!("slice {slice} of {:?}: a proxy has no line", platform.slices[slice].holder);
             self.record_violation(platform, Rule::NoLine, what);
             self.time_without_line[slice].fill(Duration::ZERO);
@@ -133,6 +135,7 @@
         elapsed: Duration,
     ) {
         let now = platform.now();
+        let limit = platform.site.timing.timing().max_stop_sending_time + TIME_LIMIT_SLACK;
         let mut late = None;
         for proxy in 0..platform.proxies {
             let server = platform.tables[proxy][slice].server.filter(|_| platform.is_joined(proxy, slice));
@@ -148,7 +151,7 @@
             } else if leaving.is_some() && now >= platform.slices[slice].acquired_at && is_limit_running {
                 timer.time += elapsed;
             }
-            late = late.or(leaving.filter(|_| timer.time > MAX_STOP_SENDING_TIME + TIME_LIMIT_SLACK));
+            late = late.or(leaving.filter(|_| timer.time > limit));
         }
         if let Some(server) = late {
             let name = &platform.servers[server].name;
--- a/crates/whinhill-standins/src/platform/cold_budget.rs
+++ b/crates/whinhill-standins/src/platform/cold_budget.rs
@@ -9,8 +9,7 @@
 use super::audit::{Rule, Violation};
 use super::data_plane::{Rpc, COLD_SLOWDOWN};
 use super::parameters::{
-    COLD_BUDGET_FACTOR, COLD_BUDGET_INTERVAL, GRACE_AFTER_FIRST_ANSWER, MAX_STOP_SENDING_TIME,
-    TIME_LIMIT_SLACK, WARM_UP_DURATION,
+    COLD_BUDGET_FACTOR, COLD_BUDGET_INTERVAL, GRACE_AFTER_FIRST_ANSWER, TIME_LIMIT_SLACK, WARM_UP_DURATION,
 };
 use super::state::{PlatformState, WORKERS};
 
@@ -80,7 +79,8 @@
         .zip(&platform.tables[rpc.proxy])
         .filter(|(slice, _)| slice.holder == Some(holder));
     let last_message = held.map(|(_, table)| table.as_of).max().unwrap_or_default();
-    let grace_is_over =
-        now >= informed_at + MAX_STOP_SENDING_TIME + TIME_LIMIT_SLACK && now >= node.limits_suspended_until;
+    let grace_is_over = now
+        >= informed_at + platform.site.timing.timing().max_stop_sending_time + TIME_LIMIT_SLACK
+        && now >= node.limits_suspended_until;
     last_message >= informed_at || grace_is_over
 }
--- a/crates/whinhill-standins/src/platform/fleet.rs
+++ b/crates/whinhill-standins/src/platform/fleet.rs
@@ -58,7 +58,8 @@
         self.replace_one(now, server)
     }
 
-    fn replace_one(&mut self, now: Duration, server: usize) -> io::Result<()> {
+    /// Drains a server and starts a new one.
+    pub fn replace_one(&mut self, now: Duration, server: usize) -> io::Result<()> {
         let zone = self.platform.lock().servers[server].zone;
         self.platform.lock().set_status(server, Status::Draining);
         self.changes.push((now + DRAIN_DURATION, server, PendingChange::Remove));
--- a/crates/whinhill-standins/src/platform/parameters.rs
+++ b/crates/whinhill-standins/src/platform/parameters.rs
@@ -48,17 +48,10 @@
 pub const MANY_PROXIES: usize = 150;
 /// Interval between the collectors' reports.
 pub const REPORT_PERIOD: Duration = Duration::from_millis(500);
-/// Limits for a proxy without a line and for a line at a draining server.
-pub const MAX_TIME_WITHOUT_LINE: Duration = Duration::from_secs(8);
-pub const MAX_STOP_SENDING_TIME: Duration = Duration::from_millis(3000);
 /// For this time after its start a server is cold.
 pub const WARM_UP_DURATION: Duration = Duration::from_secs(6);
-/// How long a proxy sends writes after its stream is lost.
-pub const WRITE_LEASE: Duration = Duration::from_millis(2000);
 /// A proxy reads the store within this time once it has a stream (wire page, `dialled_in`).
 pub const MAX_STORE_READ_DELAY: Duration = Duration::from_secs(1);
-/// A write that a proxy has accepted ends within this time.
-pub const MAX_IN_FLIGHT_TIME: Duration = Duration::from_millis(400);
 /// Interval between two decisions.
 pub const DECISION_INTERVAL: Duration = Duration::from_millis(50);
 /// The budget of cold servers: its interval, and the factor of the capacity.
@@ -104,6 +97,7 @@
 /// The settings of the configuration file for a site with this many proxies. Without a subscription there is no limit
 /// on the time without a request.
 pub fn settings(proxies: usize, site: &SiteSettings) -> serde_json::Value {
+    let timing = site.timing.timing();
     let must_ask_in_ms = (site.discovery == DiscoveryMode::Subscribe).then_some(10_000.0);
     let classes: Vec<_> = CLASSES
         .iter()
@@ -120,15 +114,15 @@
         "discovery": site.discovery, "round": DECISION_INTERVAL.as_millis() as f64, "zones": ZONES, "caps": {"mayProbe": site.probes}, "classes": classes,
         "report": {"fields": ["util", "inflight", "queue"], "source": site.report_source},
         "rules": {
-            "mustAskIn": must_ask_in_ms, "goneIsAdvice": site.gone_is_advice, "stopSendingWithin": MAX_STOP_SENDING_TIME.as_millis() as u64,
+            "mustAskIn": must_ask_in_ms, "goneIsAdvice": site.gone_is_advice, "stopSendingWithin": timing.max_stop_sending_time.as_millis() as u64,
             "warmAfter": WARM_UP_DURATION.as_millis() as u64, "coldFrom": 0.3, "fall": COLD_BUDGET_INTERVAL.as_millis() as f64,
             "fallMultiple": COLD_BUDGET_FACTOR,
         },
         "familyInfo": {
             "shards": SLICES, "dataPlaneSize": proxies, "mutating": CLASSES.map(|class| class.writes),
-            "retryDefault": 0, "period": REPORT_PERIOD.as_millis() as u64, "writeLease": WRITE_LEASE.as_millis() as f64, "inFlightMax": MAX_IN_FLIGHT_TIME.as_millis() as f64,
-            "transitMax": 200.0, "overhead": MESSAGE_OVERHEAD_LINES as f64, "linesPerS": CHANNEL_LINES_PER_S, "backlog": MAX_CHANNEL_BACKLOG, "messagesMost": 0,
-            "reloadSpan": 10_000.0, "emptyFor": MAX_TIME_WITHOUT_LINE.as_millis() as u64, "hold": MAX_HOLD_TIME.as_millis() as u64,
+            "retryDefault": 0, "period": REPORT_PERIOD.as_millis() as u64, "writeLease": timing.write_lease.as_millis() as f64, "inFlightMax": timing.max_in_flight_time.as_millis() as f64,
+            "transitMax": timing.stated_max_transit.as_secs_f64() * 1e3, "overhead": MESSAGE_OVERHEAD_LINES as f64, "linesPerS": CHANNEL_LINES_PER_S, "backlog": MAX_CHANNEL_BACKLOG, "messagesMost": 0,
+            "reloadSpan": 10_000.0, "emptyFor": timing.max_time_without_line.as_millis() as u64, "hold": MAX_HOLD_TIME.as_millis() as u64,
             "oneOwner": true, "admission": site.admission,
         },
     })
--- a/crates/whinhill-standins/src/platform/reference.rs
+++ b/crates/whinhill-standins/src/platform/reference.rs
@@ -15,8 +15,9 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::data_plane::{Plane, COLD_SLOWDOWN};
-use super::parameters::{CLASSES, DECISION_INTERVAL, MAX_IN_FLIGHT_TIME, SLICES, WARM_UP_DURATION};
-use super::state::{draw_transit, Condition, PlatformState, Server, Status, Table, INITIAL_TABLE, WORKERS};
+use super::parameters::{CLASSES, DECISION_INTERVAL, SLICES, WARM_UP_DURATION};
+use super::state::{Condition, PlatformState, Server, Status, Table, INITIAL_TABLE, WORKERS};
+use super::timing::Timing;
 use super::traffic::{expected_rate, MEAN_WORK};
 
 /// Delay with which the policy sees the state of servers.
@@ -68,6 +69,7 @@
     in_transit: Vec<InTransit>,
     /// By proxy: when the last order reaches it.
     last_due: Vec<Duration>,
+    timing: Timing,
     random: ChaCha8Rng,
     next_round: Duration,
     /// Servers that became unhealthy before this time have been handled by
@@ -77,8 +79,9 @@
 
 impl ReferencePolicy {
     /// Creates a policy that has ordered nothing yet.
-    pub fn new(proxies: usize, seed: u64) -> Self {
+    pub fn new(proxies: usize, seed: u64, timing: Timing) -> Self {
         ReferencePolicy {
+            timing,
             tables: vec![vec![INITIAL_TABLE; SLICES]; proxies],
             owners: vec![Owner { level: 1.0, ..Owner::default() }; SLICES],
             observations: VecDeque::new(),
@@ -205,7 +208,7 @@
         self.owners[slice].grant_at = (!is_first).then_some(Duration::MAX);
         let acked_at = self.order(now, slice);
         if !is_first {
-            self.owners[slice].grant_at = Some(acked_at + MAX_IN_FLIGHT_TIME);
+            self.owners[slice].grant_at = Some(acked_at + self.timing.max_in_flight_time);
         }
     }
 
@@ -235,7 +238,7 @@
         let levels = std::array::from_fn(|class| if stopped(class) { 0.0 } else { level });
         let table = Table { server, levels, as_of: now };
         for proxy in 0..self.tables.len() {
-            let due = (now + draw_transit(&mut self.random)).max(self.last_due[proxy]);
+            let due = (now + self.timing.draw_transit(&mut self.random)).max(self.last_due[proxy]);
             self.last_due[proxy] = due;
             self.in_transit.push(InTransit { due, proxy, slice, table });
         }
--- a/crates/whinhill-standins/src/platform/script.rs
+++ b/crates/whinhill-standins/src/platform/script.rs
@@ -9,7 +9,7 @@
 use rand_chacha::ChaCha8Rng;
 use serde::Serialize;
 
-use super::parameters::{MANY_PROXIES, PROXIES, ZONES};
+use super::parameters::{MANY_PROXIES, PROXIES, SLICES, ZONES};
 use super::state::Condition;
 use super::streams::{StreamTrouble, STREAM_TROUBLES};
 use crate::link::Direction;
@@ -62,6 +62,8 @@
     Pieces,
     /// Streams of proxies break, are silent, return, or lose acknowledgements.
     Streams,
+    /// Each server that gets a slice drains soon after, several times in a row.
+    Drains,
 }
 
 /// The number of kinds in [`TROUBLES`] that existed first. Scripts with only these kinds, asked for
@@ -76,7 +78,7 @@
 const EXTRA_KIND_CHANCE: f64 = 0.5;
 
 /// All kinds with their names on the command line.
-pub const TROUBLES: [(&str, Trouble); 21] = [
+pub const TROUBLES: [(&str, Trouble); 22] = [
     ("signals", Trouble::Signals),
     ("kills", Trouble::Kills),
     ("pauses", Trouble::Pauses),
@@ -98,6 +100,7 @@
     ("collectors", Trouble::Collectors),
     ("pieces", Trouble::Pieces),
     ("streams", Trouble::Streams),
+    ("drains", Trouble::Drains),
 ];
 
 /// A name that is not in a table of known names.
@@ -181,6 +184,19 @@
     Pieces { node: usize, bytes: usize, time: Duration },
     /// Something happens to the streams of proxies.
     Streams { node: usize, trouble: StreamTrouble, time: Duration },
+    /// Each server that gets a slice drains soon after.
+    Drains(DrainPlan),
+}
+
+/// A series of drains that follows one slice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DrainPlan {
+    pub slice: usize,
+    pub drains: usize,
+    /// From the grant to the drain of the server that it names.
+    pub time_to_drain: Duration,
+    /// How long a proxy is away that loses its stream at each grant.
+    pub time_away: Duration,
 }
 
 /// The script of a seed.
@@ -208,6 +224,10 @@
 const EXTRA_DURATION: Duration = Duration::from_secs(2);
 /// The range of milliseconds for which a stream is silent, flaps, or loses acknowledgements.
 const STREAM_TROUBLE_MS: std::ops::Range<u64> = 1000..20_000;
+/// The length of a series of drains, and its times in milliseconds.
+const DRAINS_IN_SERIES: std::ops::Range<usize> = 3..7;
+const TIME_TO_DRAIN_MS: std::ops::Range<u64> = 100..1500;
+const TIME_AWAY_MS: std::ops::Range<u64> = 600..3000;
 
 impl Script {
     /// Draws the script of a seed. If `only` is not empty, the script has exactly these kinds of
@@ -299,6 +319,12 @@
                 let time = Duration::from_millis(random.random_range(STREAM_TROUBLE_MS));
                 Action::Streams { node, trouble: *STREAM_TROUBLES.choose(random)?, time }
             }
+            Trouble::Drains => Action::Drains(DrainPlan {
+                slice: random.random_range(0..SLICES),
+                drains: random.random_range(DRAINS_IN_SERIES),
+                time_to_drain: Duration::from_millis(random.random_range(TIME_TO_DRAIN_MS)),
+                time_away: Duration::from_millis(random.random_range(TIME_AWAY_MS)),
+            }),
             // The fault library causes these for the whole life of a process.
             Trouble::Transfers | Trouble::Connects | Trouble::Waits | Trouble::Clock => return None,
         })
--- a/crates/whinhill-standins/src/platform/site.rs
+++ b/crates/whinhill-standins/src/platform/site.rs
@@ -9,6 +9,7 @@
 use serde::Serialize;
 
 use super::script::{parse_name, UnknownName};
+use super::timing::TimingMode;
 
 /// Seeds below this one have the default settings, so that figures of earlier releases stay comparable.
 const FIRST_DRAWN_SEED: u64 = 300;
@@ -64,6 +65,7 @@
     pub admission: AdmissionMode,
     /// A server that the list drops without listing it as draining may stay in tables.
     pub gone_is_advice: bool,
+    pub timing: TimingMode,
 }
 
 impl Default for SiteSettings {
@@ -74,6 +76,7 @@
             report_source: ReportSource::default(),
             admission: AdmissionMode::default(),
             gone_is_advice: false,
+            timing: TimingMode::default(),
         }
     }
 }
@@ -86,10 +89,11 @@
     ReportSource(ReportSource),
     Admission(AdmissionMode),
     GoneIsAdvice(bool),
+    Timing(TimingMode),
 }
 
 /// All values with their names on the command line.
-pub const SITE_SETTINGS: [(&str, SiteSetting); 12] = [
+pub const SITE_SETTINGS: [(&str, SiteSetting); 14] = [
     ("discovery=subscribe", SiteSetting::Discovery(DiscoveryMode::Subscribe)),
     ("discovery=automatic", SiteSetting::Discovery(DiscoveryMode::Automatic)),
     ("probes=on", SiteSetting::Probes(true)),
@@ -102,6 +106,8 @@
     ("admission=off", SiteSetting::Admission(AdmissionMode::Off)),
     ("gone-is-advice=on", SiteSetting::GoneIsAdvice(true)),
     ("gone-is-advice=off", SiteSetting::GoneIsAdvice(false)),
+    ("timing=short", SiteSetting::Timing(TimingMode::Short)),
+    ("timing=wire-page", SiteSetting::Timing(TimingMode::WirePage)),
 ];
 
 impl FromStr for SiteSetting {
@@ -138,6 +144,7 @@
             SiteSetting::ReportSource(source) => self.report_source = source,
             SiteSetting::Admission(mode) => self.admission = mode,
             SiteSetting::GoneIsAdvice(is_advice) => self.gone_is_advice = is_advice,
+            SiteSetting::Timing(timing) => self.timing = timing,
         }
     }
 
--- a/crates/whinhill-standins/src/platform/soak.rs
+++ b/crates/whinhill-standins/src/platform/soak.rs
@@ -16,6 +16,7 @@
 use super::custody;
 use super::data_plane::Outcomes;
 use super::detection_times::DetectionReport;
+use super::drain_series::DrainSeriesSet;
 use super::fleet::Fleet;
 use super::lost_rpcs::{Cause, Stage};
 use super::node::{Environment, Node};
@@ -107,6 +108,7 @@
     table_audit: TableAudit,
     successor_audit: SuccessorAudit,
     fleet: Fleet,
+    drain_series: DrainSeriesSet,
     report_delivery: ReportDelivery,
     violations: Vec<Violation>,
 }
@@ -115,19 +117,21 @@
     fn start(options: &'a Options) -> io::Result<Self> {
         fs::create_dir_all(&options.folder)?;
         let script = Script::draw(options.seed, options.duration, &options.troubles);
+        let site = SiteSettings::of_seed(options.seed, &options.site_settings);
         let platform = Arc::new(SharedState::new(PlatformState::new(
             script.nodes,
             script.proxies,
             options.seed,
             options.sabotage,
-            SiteSettings::of_seed(options.seed, &options.site_settings),
+            site,
         )));
         let mut soak = Soak {
             options,
-            traffic: Traffic::new(script.nodes, script.proxies, options.seed),
+            traffic: Traffic::new(script.nodes, script.proxies, options.seed, site.timing.timing()),
             table_audit: TableAudit::new(script.proxies),
             successor_audit: SuccessorAudit::default(),
             fleet: Fleet::new(platform.clone(), options.seed),
+            drain_series: DrainSeriesSet::default(),
             report_delivery: ReportDelivery::default(),
             script,
             platform,
@@ -170,6 +174,7 @@
                 node.poll(now, &self.script, &mut self.violations)?;
             }
             self.fleet.apply_due(now);
+            self.drain_series.advance(&self.platform, &mut self.fleet, now)?;
             if now >= next_replace {
                 next_replace = now + REPLACE_INTERVAL;
                 self.fleet.replace(now)?;
@@ -232,6 +237,10 @@
                 self.platform.lock().apply_stream_trouble(*node, *trouble, *time);
                 Ok(())
             }
+            Action::Drains(plan) => {
+                self.drain_series.start(&self.platform, now, *plan);
+                Ok(())
+            }
             Action::TroubledReports { node, by, time } => {
                 self.report_delivery.add_fault(*node, now + *time, *by);
                 Ok(())
--- a/crates/whinhill-standins/src/platform/state.rs
+++ b/crates/whinhill-standins/src/platform/state.rs
@@ -10,7 +10,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use rand::{Rng, SeedableRng};
+use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
 use super::channel::Channel;
@@ -99,8 +99,6 @@
 
 /// The number of RPCs that a server executes at the same time.
 pub const WORKERS: usize = 4;
-/// Upper bound of the transit of an order to a proxy.
-const MAX_TRANSIT: Duration = Duration::from_millis(40);
 
 /// A change of an entry in the server list.
 #[derive(Clone, Copy, Debug)]
@@ -123,11 +121,6 @@
 /// A table without a server that admits everything.
 pub const INITIAL_TABLE: Table = Table { server: None, levels: [1.0; CLASSES.len()], as_of: Duration::ZERO };
 
-/// Draws the transit of an order to a proxy.
-pub fn draw_transit(random: &mut ChaCha8Rng) -> Duration {
-    random.random_range(Duration::from_millis(1)..MAX_TRANSIT)
-}
-
 /// One slice as the store has it.
 #[derive(Clone, Debug)]
 pub struct Slice {
@@ -461,7 +454,7 @@
         let effects_with_epochs: Vec<(Effect, u64)> =
             effects.iter().map(|effect| (*effect, epoch(effect))).collect();
         for proxy in 0..self.proxies {
-            let transit = draw_transit(&mut self.random);
+            let transit = self.site.timing.timing().draw_transit(&mut self.random);
             // Orders of one assigner reach a proxy in the order in which they were sent.
             let before = self.in_transit.iter().rev().find(|t| t.proxy == proxy && t.node == node);
             let last = before.map_or(now, |t| t.due);
--- a/crates/whinhill-standins/src/platform/streams.rs
+++ b/crates/whinhill-standins/src/platform/streams.rs
@@ -9,7 +9,7 @@
 use rand::seq::IndexedRandom;
 use rand::Rng;
 
-use super::parameters::{MAX_STORE_READ_DELAY, SLICES, WRITE_LEASE, ZONES};
+use super::parameters::{MAX_STORE_READ_DELAY, SLICES, ZONES};
 use super::sabotage::Sabotage;
 use super::state::{Effect, PlatformState, Table};
 
@@ -179,6 +179,14 @@
         }
     }
 
+    /// Loses a stream, which is noticed at once and returns at a time.
+    pub(super) fn lose_stream_until(&mut self, proxy: usize, node: usize, back: Duration) {
+        let now = self.now();
+        self.plan(now, proxy, node, StreamStep::Lose);
+        self.plan(now, proxy, node, StreamStep::Notice);
+        self.plan(back, proxy, node, StreamStep::Return);
+    }
+
     /// Plans that a stream breaks, is noticed and returns.
     fn reset_stream(&mut self, proxy: usize, node: usize, at: Duration) {
         let noticed_at = at + self.random.random_range(Duration::ZERO..MAX_NOTICE_DELAY);
@@ -246,8 +254,8 @@
 
     /// Starts a write lease; one that already runs is not extended.
     pub(super) fn start_lease(&mut self, proxy: usize, slice: usize, from: Duration) {
-        let lease = &mut self.write_leases[proxy][slice];
-        lease.get_or_insert(from + WRITE_LEASE);
+        let lease_end = from + self.site.timing.timing().write_lease;
+        self.write_leases[proxy][slice].get_or_insert(lease_end);
     }
 
     /// The relay notices a lost stream and notifies the assigner.
@@ -330,7 +338,8 @@
         let is_up = self.streams[SABOTAGED_PROXY][node].state == StreamState::Up;
         if self.sabotage == Some(Sabotage::EarlyAnswers) && is_up && effects.iter().any(stops) {
             self.lose_stream(SABOTAGED_PROXY, node);
-            self.plan_for_loss(self.now() + WRITE_LEASE, SABOTAGED_PROXY, node, StreamStep::Resume);
+            let resumes_at = self.now() + self.site.timing.timing().write_lease;
+            self.plan_for_loss(resumes_at, SABOTAGED_PROXY, node, StreamStep::Resume);
         }
     }
 
--- a/crates/whinhill-standins/src/platform/successors.rs
+++ b/crates/whinhill-standins/src/platform/successors.rs
@@ -6,15 +6,9 @@
 use std::time::Duration;
 
 use super::audit::{Rule, Violation};
-use super::parameters::{
-    GRACE_AFTER_FIRST_ANSWER, MAX_TIME_WITHOUT_LINE, TIME_LIMIT_SLACK, WARM_UP_DURATION,
-};
+use super::parameters::{GRACE_AFTER_FIRST_ANSWER, TIME_LIMIT_SLACK, WARM_UP_DURATION};
 use super::state::{Condition, ListChange, PlatformState, Status};
 
-/// How long a server may be listed and healthy without a slice: until it is warm, and then as long as a slice may have
-/// no line while a warm server is listed.
-const MAX_UNUSED_TIME: Duration = WARM_UP_DURATION.saturating_add(MAX_TIME_WITHOUT_LINE);
-
 /// How long each listed server has not been used.
 #[derive(Debug, Default)]
 pub struct SuccessorAudit {
@@ -42,7 +36,9 @@
                 continue;
             }
             let unused = self.unused.entry(index).or_default();
-            let limit = MAX_UNUSED_TIME + TIME_LIMIT_SLACK;
+            // Until it is warm, and then as long as a slice may have no line while a warm server is listed.
+            let limit =
+                WARM_UP_DURATION + platform.site.timing.timing().max_time_without_line + TIME_LIMIT_SLACK;
             let was_late = *unused > limit;
             *unused += elapsed;
             if *unused > limit && !was_late {
--- a/crates/whinhill-standins/src/platform/traffic.rs
+++ b/crates/whinhill-standins/src/platform/traffic.rs
@@ -13,6 +13,7 @@
 use super::reference::ReferencePolicy;
 use super::state::PlatformState;
 use super::streams::StreamState;
+use super::timing::Timing;
 use super::writers::WriterAudit;
 
 /// RPCs per second, of all classes and slices.
@@ -86,13 +87,13 @@
 
 impl Traffic {
     /// Creates traffic without RPCs.
-    pub fn new(nodes: usize, proxies: usize, seed: u64) -> Self {
+    pub fn new(nodes: usize, proxies: usize, seed: u64, timing: Timing) -> Self {
         Traffic {
             random: ChaCha8Rng::seed_from_u64(seed ^ 0x7aff),
             last_advance: Duration::ZERO,
             rpc_credit: 0.0,
             answers: Vec::new(),
-            policy: ReferencePolicy::new(proxies, seed),
+            policy: ReferencePolicy::new(proxies, seed, timing),
             cold_budget: ColdBudgetAudit::default(),
             writers: WriterAudit::default(),
             tested: DataPlane::new(Plane::Tested),
--- a/crates/whinhill-standins/src/platform/writers.rs
+++ b/crates/whinhill-standins/src/platform/writers.rs
@@ -6,7 +6,7 @@
 
 use super::audit::{Rule, Violation};
 use super::data_plane::Rpc;
-use super::parameters::{CLASSES, MAX_IN_FLIGHT_TIME};
+use super::parameters::CLASSES;
 use super::state::PlatformState;
 
 /// The server that received a slice's last write, since when it receives writes, and until when one
@@ -32,7 +32,7 @@
             return;
         }
         let now = platform.now();
-        let in_flight_until = now + took.min(MAX_IN_FLIGHT_TIME);
+        let in_flight_until = now + took.min(platform.site.timing.timing().max_in_flight_time);
         let Some(writer) = self.writers.get_mut(&rpc.slice).filter(|writer| writer.server == server) else {
             if let Some(former) = self.writers.get(&rpc.slice).copied() {
                 self.check_new_writer(platform, rpc, server, former);
