Stop RPCs by levels in a handover and leave the line until the grant replaces it

Where proxies apply levels no line is taken away any more: all methods get level 0 (the rule: a level of 0 isn't a break), the line stays, and the grant replaces it. Nothing is sent to the old owner all the same, so drains and the exclusiveness of writes hold as before. Only where levels are not applied (admission off) is the line revoked. A slice that must be left late is stopped at once now, not a tick later.

The line that stays opened a gap on a neighbouring path: after a break of the news a slice in a handover is acquired afresh with all methods admitted, by a call of its own ahead of the one that stops it again. Both go as one call now.

Tests that asked for the line's end ask for level 0 of all methods and for the line, which is as strict about what is sent. The soak's rule on drains judges what a proxy can send: a line and a level above 0.

--- a/crates/whinhill-cli/tests/platform_soak.rs
+++ b/crates/whinhill-cli/tests/platform_soak.rs
@@ -65,6 +65,19 @@
     assert!(broken.is_empty(), "{broken:#?}");
 }
 
+/// Guards against handovers of one slice in series that each keep their bound, while a proxy that is away at each grant
+/// lacks a line for their sum (issue 77).
+#[test]
+fn series_of_drains_leaves_no_proxy_without_line() {
+    let folder = tempfile::tempdir().unwrap();
+    let plan = ["--seeds", "504-507", "--for", "36s", "--jobs", "4", "--setting", "timing=wire-page"];
+    let output = soak(folder.path(), &[&plan[..], &["--fault", "drains", "--fault", "streams"]].concat());
+    let reports = reports(&output);
+    assert_eq!(reports.len(), 4, "{output:?}");
+    let broken = broken_rules(&reports, |rule| !REFERENCE_RULES.contains(&rule));
+    assert!(broken.is_empty(), "{broken:#?}");
+}
+
 /// The auditor must report each injected defect on each seed, as a violation of the right rule.
 #[test]
 fn auditor_detects_each_injected_defect() {
--- a/crates/whinhill-node/src/node.rs
+++ b/crates/whinhill-node/src/node.rs
@@ -14,7 +14,7 @@
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook_mio::v1_0::Signals;
 use tracing::{debug, info, trace, warn};
-use whinhill::interface::{Event, ListKind, Order};
+use whinhill::interface::{Event, ListKind, Order, SliceId};
 use whinhill::Assigner;
 use whinhill_names::Names;
 use whinhill_platform::config::PlatformConfig;
@@ -109,6 +109,8 @@
     pub round_duration: Duration,
     /// Orders for the relay, queued or in flight.
     pub relay_calls: CallQueue,
+    /// Slices that count as acquired anew, and whose levels are not known until the next batch orders them.
+    pub reacquired_slices: BTreeSet<SliceId>,
     pub call_connection: Option<Id>,
     /// When the call connection last carried a call or an answer.
     pub call_connection_used_at: Duration,
@@ -236,6 +238,7 @@
             last_batch_at: Duration::ZERO,
             round_duration,
             relay_calls: CallQueue::default(),
+            reacquired_slices: BTreeSet::new(),
             call_connection: None,
             call_connection_used_at: Duration::ZERO,
             call_connection_outdated: false,
@@ -285,7 +288,7 @@
         }
         self.counters.batches += 1;
         events.iter().for_each(trace_event);
-        let mut relay_orders = Vec::new();
+        let mut relay_orders = self.take_admit_all_orders();
         for order in self.assigner.handle(now, &events) {
             match order {
                 Order::WatchList => self.start_discovery_watch(),
--- a/crates/whinhill-node/src/relay.rs
+++ b/crates/whinhill-node/src/relay.rs
@@ -214,8 +214,8 @@
         }
     }
 
-    /// Treats the slice as acquired now, with the line that the store holds, and orders that all its methods are
-    /// admitted.
+    /// Treats the slice as acquired now, with the line that the store holds and all methods admitted. That is ordered
+    /// with what the module orders for the slice then: a call of its own would admit RPCs that the next one rejects.
     fn reacquire_slice(&mut self, slice: SliceId) {
         self.relay_calls.drop_orders_of(slice);
         self.pending_events.push(Event::SliceAcquired { slice });
@@ -223,9 +223,14 @@
             let endpoint = self.names.endpoint(name);
             self.pending_events.push(Event::StoredOwner { slice, endpoint });
         }
+        self.reacquired_slices.insert(slice);
+    }
+
+    /// Takes the orders that admit all methods of the slices that were reacquired since the last batch.
+    pub fn take_admit_all_orders(&mut self) -> Vec<RelayOrder> {
         let tries = self.config.settings.get("familyInfo.retryDefault").unwrap_or(0);
-        let admit_all = RelayOrder::Level { slice, methods: 0, share: LEVEL_ADMIT_ALL, tries };
-        self.relay_calls.push(self.clock.now(), [admit_all]);
+        let admit_all = |slice| RelayOrder::Level { slice, methods: 0, share: LEVEL_ADMIT_ALL, tries };
+        std::mem::take(&mut self.reacquired_slices).into_iter().map(admit_all).collect()
     }
 
     // Calls.
--- a/crates/whinhill-node/src/status_log.rs
+++ b/crates/whinhill-node/src/status_log.rs
@@ -167,12 +167,15 @@
         let handovers = self.assigner.handover_summary();
         info!(
             under_way = handovers.in_progress,
+            all_stopped = handovers.all_stopped,
+            all_stopped_ms = handovers.longest_all_stopped.as_millis() as u64,
             without_line = handovers.without_line,
             without_line_ms = handovers.longest_without_line.as_millis() as u64,
             awaited = ?handovers.awaited_proxies,
             granted = handovers.totals.grants,
             longest_ms = handovers.totals.longest_duration.as_millis() as u64,
             longest_series = handovers.totals.longest_series,
+            most_all_stopped_ms = handovers.totals.most_time_all_stopped.as_millis() as u64,
             most_without_line_ms = handovers.totals.most_time_without_line.as_millis() as u64,
             "handovers"
         );
--- a/crates/whinhill-standins/src/platform/audit.rs
+++ b/crates/whinhill-standins/src/platform/audit.rs
@@ -19,7 +19,7 @@
     Late,
     /// A proxy had no line for a slice for too long.
     NoLine,
-    /// A proxy had a line at a draining or deleted server for too long.
+    /// A proxy could send to a draining or deleted server for too long: it had a line there, and a level above 0.
     Drain,
     /// Writes of one slice were admitted at two servers at the same time.
     TwoWriters,
@@ -49,8 +49,7 @@
     pub what: String,
 }
 
-/// How long a proxy's line has stayed at a draining or deleted server while the time limit was
-/// running.
+/// How long a proxy could send to a draining or deleted server while the time limit was running.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 struct DrainTimer {
     server: Option<usize>,
@@ -138,7 +137,9 @@
         let limit = platform.site.timing.timing().max_stop_sending_time + TIME_LIMIT_SLACK;
         let mut late = None;
         for proxy in 0..platform.proxies {
-            let server = platform.tables[proxy][slice].server.filter(|_| platform.is_joined(proxy, slice));
+            let table = &platform.tables[proxy][slice];
+            let sends = platform.is_joined(proxy, slice) && table.levels.iter().any(|level| *level > 0.0);
+            let server = table.server.filter(|_| sends);
             let leaves = |server: &usize| platform.must_leave(holder, *server);
             let change = |server: usize| platform.changes.iter().rev().find(|change| change.server == server);
             let is_informed = |server: &usize| {
--- a/crates/whinhill/src/assigner.rs
+++ b/crates/whinhill/src/assigner.rs
@@ -13,7 +13,7 @@
 use crate::settings::{Admission, Config, Method, NEVER};
 use crate::state::{
     median, AckState, Channel, DecayingSum, Handover, HandoverSeries, ListSubscription, LoadSnapshot, Move,
-    Plan, Proxy, ProxyAck, ReportBatch, Server, Slice, Symptoms, WaitEnd,
+    Plan, Proxy, ProxyAck, ReportBatch, Server, Slice, StopStage, Symptoms, WaitEnd,
 };
 
 mod admission;
@@ -222,9 +222,9 @@
             handover: Some(Handover {
                 acks,
                 acked_writes_end_at,
-                revoked: true,
+                stop: StopStage::NoLine,
                 started_at: self.now,
-                revoked_at: Some(self.now),
+                all_stopped_at: Some(self.now),
                 ..Handover::default()
             }),
             movable_from: self.now + self.cfg.write_lease + self.cfg.settle_time,
--- a/crates/whinhill/src/assigner/admission.rs
+++ b/crates/whinhill/src/assigner/admission.rs
@@ -104,10 +104,10 @@
     /// once, so this changes either way only while the channel has room.
     fn should_reject_all(&self, id: SliceId, owner: usize) -> bool {
         let slice = &self.slices[id];
-        let is_revoked = slice.handover.as_ref().is_some_and(|handover| handover.revoked);
+        let is_stopped = slice.handover.as_ref().is_some_and(|handover| handover.stops_all());
         let is_suspected = self.servers[owner].suspected && self.cfg.admission != Admission::Off;
         match slice.rejects_all {
-            _ if is_revoked => false,
+            _ if is_stopped => false,
             true => is_suspected || !self.channel_is_below(GRANT_STOP_FILL),
             false => is_suspected && self.channel_is_below(LEAVE_STOP_FILL),
         }
@@ -143,12 +143,15 @@
         may_tune: bool,
     ) -> Vec<f64> {
         let slice = &self.slices[id];
+        let stop = slice.handover.as_ref().map(|handover| handover.stop);
+        if stop == Some(StopStage::AllRpcs) {
+            return vec![0.0; self.cfg.methods.len()];
+        }
         if rejects_all {
             return self.levels_while_suspected(id, owner);
         }
-        let fenced_handover = slice.handover.as_ref().filter(|_| self.cfg.fence_writes);
-        let is_stopped = fenced_handover.is_some();
-        let is_revoked = fenced_handover.is_some_and(|handover| handover.revoked);
+        let stops_writes = self.cfg.fence_writes && stop == Some(StopStage::Writes);
+        let has_no_line = self.cfg.fence_writes && stop == Some(StopStage::NoLine);
         let cutoff = self.servers[owner].criticality_cutoff;
         let was_just_granted = slice.movable_from == self.now + MOVE_COOLDOWN;
         let tunes = was_just_granted
@@ -157,9 +160,9 @@
         let mut levels = slice.published_levels.clone();
         for (rank, method) in self.cfg.methods_by_criticality.iter().enumerate() {
             let level = &mut levels[*method];
-            if is_stopped && !is_revoked && self.cfg.methods[*method].writes {
+            if stops_writes && self.cfg.methods[*method].writes {
                 *level = 0.0;
-            } else if tunes && !is_revoked || *level == 0.0 {
+            } else if tunes && !has_no_line || *level == 0.0 {
                 // Levels have steps of 1/20.
                 *level = ((1.0 - (cutoff - rank as f64)).clamp(0.0, 1.0) * 20.0).round() / 20.0;
             }
--- a/crates/whinhill/src/assigner/evacuation.rs
+++ b/crates/whinhill/src/assigner/evacuation.rs
@@ -9,12 +9,12 @@
     pub(super) fn evacuate(&mut self) {
         let is_fenced = self.cfg.fence_writes;
         let is_not_ready = |owner: usize| self.servers[owner].listed_status != ListedStatus::Ready;
-        // Once a drain is listed, reads may go on as long as the end of their line still arrives within the grace,
-        // behind what is queued in the channel. Where that would fill the channel, or too little time is left, the
-        // lines are revoked at once.
+        // Once a drain is listed, reads may go on as long as the order that stops them still arrives within the grace,
+        // behind what is queued in the channel. Where that would fill the channel, or too little time is left, all RPCs
+        // are stopped at once.
         let leaving = self.slices.iter().filter(|slice| slice.owner.is_some_and(is_not_ready));
-        let lines_to_revoke = leaving.filter(|s| s.handover.as_ref().is_none_or(|h| !h.revoked)).count();
-        let orders = if is_fenced { 2 * lines_to_revoke } else { lines_to_revoke };
+        let slices_to_stop = leaving.filter(|s| s.handover.as_ref().is_none_or(|h| !h.stops_all())).count();
+        let orders = if is_fenced { 2 * slices_to_stop } else { slices_to_stop };
         let lines = self.channel.queued_lines + self.message_lines(orders);
         let send_time = Duration::from_secs_f64(lines / self.cfg.lines_per_s);
         let end_time = self.cfg.max_transit.mul_f64(DRAIN_TRANSIT_FACTOR) + send_time;
@@ -38,17 +38,14 @@
             let server = &self.servers[owner];
             let (is_usable, status) = (usable(server), server.listed_status);
             let is_late = self.now >= server.not_ready_since + read_time;
-            let revoke = if is_fenced {
-                status != ListedStatus::Draining
-                    || server.unhealthy_until.is_some()
-                    || server.suspected
-                    || is_short
-            } else {
-                status != ListedStatus::Ready && is_late
-            };
+            let may_read_on = status == ListedStatus::Draining
+                && server.unhealthy_until.is_none()
+                && !server.suspected
+                && !is_short;
+            let stops_all = is_fenced && !may_read_on || status != ListedStatus::Ready && is_late;
             match &self.slices[id].handover {
-                Some(handover) if is_usable || handover.revoked => {}
-                Some(_) if revoke || is_late => self.revoke_line(id),
+                Some(handover) if is_usable || handover.stops_all() => {}
+                Some(_) if stops_all || is_late => self.stop_all_rpcs(id),
                 None if drains_start
                     && status != ListedStatus::Ready
                     && self.channel_is_below(DRAIN_STOP_FILL)
@@ -71,7 +68,7 @@
                             snapshot.reserve(to, load);
                         }
                         departures.entry((owner, to)).or_insert_with(Vec::new).push(id);
-                        self.start_handover(id, to, revoke);
+                        self.start_handover(id, to, stops_all);
                     }
                 }
                 _ => {}
--- a/crates/whinhill/src/assigner/handover.rs
+++ b/crates/whinhill/src/assigner/handover.rs
@@ -4,10 +4,10 @@
 use super::*;
 
 impl Assigner {
-    /// Stops writes to a slice at its owner, or with `revoke` all RPCs, and waits for every proxy. Where writes are not
-    /// fenced and nothing is to be revoked, grants the slice at once.
-    pub(super) fn start_handover(&mut self, id: SliceId, to: Option<usize>, revoke: bool) {
-        if !self.cfg.fence_writes && !revoke {
+    /// Stops writes to a slice at its owner, or with `stop_all` all RPCs, and waits for every proxy. Where writes are not
+    /// fenced and not all RPCs are to be stopped, grants the slice at once.
+    pub(super) fn start_handover(&mut self, id: SliceId, to: Option<usize>, stop_all: bool) {
+        if !self.cfg.fence_writes && !stop_all {
             return to.into_iter().for_each(|to| self.grant(id, to));
         }
         let stop_ack_seq = self.channel.last_ack_seq + 1;
@@ -34,8 +34,8 @@
         self.slices[id].handover = Some(handover);
         self.record_handover_start(id);
         // Where proxies do not apply levels, writes end only with the line.
-        if revoke || self.cfg.admission == Admission::Off {
-            self.revoke_line(id);
+        if stop_all || self.cfg.admission == Admission::Off {
+            self.stop_all_rpcs(id);
         }
     }
 
@@ -52,11 +52,16 @@
         }
     }
 
-    /// Revokes the owner's line in a handover.
-    pub(super) fn revoke_line(&mut self, id: SliceId) {
+    /// Stops all RPCs to the owner in a handover: by levels, which are ordered later in this reply, or where proxies do
+    /// not apply levels, by revoking the owner's line.
+    pub(super) fn stop_all_rpcs(&mut self, id: SliceId) {
         let Slice { handover: Some(handover), owner: Some(owner), .. } = &mut self.slices[id] else { return };
-        handover.revoked = true;
-        handover.revoked_at = Some(self.now);
+        handover.all_stopped_at = Some(self.now);
+        if self.cfg.admission != Admission::Off {
+            handover.stop = StopStage::AllRpcs;
+            return;
+        }
+        handover.stop = StopStage::NoLine;
         self.output.push(Order::Revoke { slice: id, endpoint: self.servers[*owner].endpoint });
     }
 
@@ -91,7 +96,7 @@
         for handover in owned.filter_map(|slice| slice.handover.as_mut()) {
             let known = handover.acks.get(&proxy);
             let has_acked = known.is_some_and(|ack| ack.state == AckState::Acknowledged);
-            if !handover.revoked || !has_acked {
+            if !handover.stops_all() || !has_acked {
                 let reads_stop = handover.stop_ack_seq <= stored_ack_seq;
                 let lease_ends_at = known.and_then(|ack| ack.lease_ends_at).filter(|_| reads_stop);
                 let ack = ProxyAck { state: AckState::NotNotified, lease_ends_at };
@@ -191,7 +196,7 @@
             let slice = &self.slices[id];
             let Some(handover) = slice.handover.as_ref() else { continue };
             let urgent_after = self.cfg.max_time_without_line.mul_f64(URGENT_GRANT_FRACTION);
-            let is_urgent = handover.revoked_at.is_some_and(|at| self.now >= at + urgent_after);
+            let is_urgent = handover.all_stopped_at.is_some_and(|at| self.now >= at + urgent_after);
             let stop_fill = if is_urgent { DRAIN_STOP_FILL } else { GRANT_STOP_FILL };
             if !grants_start && !is_urgent {
                 continue;
@@ -208,7 +213,8 @@
                 continue;
             }
             let planned = handover.destination.filter(|to| accepts_slices(&self.servers[*to]));
-            let staying = slice.owner.filter(|owner| usable(&self.servers[*owner]) && !handover.revoked);
+            let has_line = handover.stop != StopStage::NoLine;
+            let staying = slice.owner.filter(|owner| usable(&self.servers[*owner]) && has_line);
             let last_resort =
                 slice.owner.filter(|owner| self.servers[*owner].listed_status == ListedStatus::Ready);
             let chosen_now = || self.destination(id, snapshot.get_or_insert_with(|| self.load_snapshot()));
@@ -227,9 +233,9 @@
     pub(super) fn grant(&mut self, id: SliceId, to: usize) {
         self.record_grant(id, to);
         let slice = &mut self.slices[id];
-        let was_revoked = slice.handover.take().is_some_and(|handover| handover.revoked);
-        let former_owner = slice.owner.filter(|owner| *owner != to && !was_revoked);
-        let needs_line = was_revoked || slice.owner != Some(to);
+        let has_no_line = slice.handover.take().is_some_and(|handover| handover.stop == StopStage::NoLine);
+        let former_owner = slice.owner.filter(|owner| *owner != to && !has_no_line);
+        let needs_line = has_no_line || slice.owner != Some(to);
         slice.owner = Some(to);
         slice.movable_from = self.now + MOVE_COOLDOWN;
         let server = &mut self.servers[to];
--- a/crates/whinhill/src/assigner/handover/property.rs
+++ b/crates/whinhill/src/assigner/handover/property.rs
@@ -17,6 +17,12 @@
 const SERVERS: usize = 6;
 const STEP: Duration = Duration::from_millis(50);
 const STEPS: u32 = 500;
+/// Added to each time limit on real sockets (protocol page, "The rules on sockets").
+const TIME_LIMIT_SLACK: Duration = Duration::from_millis(300);
+/// Length of the series of drains, and its times, in steps.
+const SERIES_STEPS: u32 = 1000;
+const STEPS_FROM_GRANT_TO_DRAIN: u32 = 20;
+const STEPS_AWAY_AT_GRANT: u32 = 40;
 /// Time in which a proxy whose stream is back reads the store, in steps.
 const MAX_STORE_READ_STEPS: u32 = 20;
 /// Longest transit of a message by the settings, in steps.
@@ -27,8 +33,11 @@
 const MAX_LATE_STEPS: u32 = 36;
 /// Messages to every proxy that no acknowledgement has shown to have left when the one of a stop arrives.
 const MAX_UNACKED_MESSAGES: f64 = 4.0;
-/// The method that writes.
+/// The method that reads, and the one that writes.
+const READ_METHOD: usize = 0;
 const WRITE_METHOD: usize = 1;
+/// How long a proxy may have no line, in steps: 11.7 s, the limit of the wire page's example.
+const MAX_STEPS_WITHOUT_LINE: u32 = 234;
 
 /// A fault of one proxy, or a drain of the owner.
 #[derive(Clone, Copy, Debug)]
@@ -51,6 +60,7 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct Table {
     line: Option<usize>,
+    reads: bool,
     writes: bool,
 }
 
@@ -79,7 +89,10 @@
     acks_lost_until: u32,
     last_due: u32,
     inbox: VecDeque<Message>,
+    /// Steps without a line while its stream was up, since it last had a line with its stream up.
     steps_without_line: u32,
+    /// Steps for which it could send to a server that is not ready, while its stream was up.
+    steps_at_leaving_server: u32,
     /// When the assigner notices that the stream broke, and when the stream is back.
     noticed_at: Option<u32>,
     back_at: Option<u32>,
@@ -117,8 +130,10 @@
     match order {
         Order::Grant { endpoint, .. } => table.line = Some(endpoint.index),
         Order::Revoke { endpoint, .. } if table.line == Some(endpoint.index) => table.line = None,
-        Order::Level { level, methods, .. } if methods & (1 << WRITE_METHOD) != 0 => {
-            table.writes = *level > 0.0
+        Order::Level { level, methods, .. } => {
+            let applies_to = |method: usize| methods & (1 << method) != 0;
+            table.reads = if applies_to(READ_METHOD) { *level > 0.0 } else { table.reads };
+            table.writes = if applies_to(WRITE_METHOD) { *level > 0.0 } else { table.writes };
         }
         _ => {}
     }
@@ -129,7 +144,7 @@
         let mut assigner = assigner_with(SERVERS, &[(0, 0.1)]);
         let joined = Proxy { zone: 0, joined: true, state_since: secs(0.0) };
         assigner.proxies = (0..PROXIES as u32).map(|id| (id, joined)).collect();
-        let table = Table { line: Some(0), writes: true };
+        let table = Table { line: Some(0), reads: true, writes: true };
         let proxy = ModelProxy {
             table,
             is_up: true,
@@ -140,6 +155,7 @@
             last_due: 0,
             inbox: VecDeque::new(),
             steps_without_line: 0,
+            steps_at_leaving_server: 0,
             noticed_at: None,
             back_at: None,
         };
@@ -285,20 +301,22 @@
     /// Checks the two properties after a step.
     fn check(&mut self, now: u32) -> Result<(), TestCaseError> {
         let cfg = &self.assigner.cfg;
-        let settle_steps = steps(cfg.settle_time);
-        // The longest time to the grant, the transit of the grant, and the store read of a proxy whose stream is back.
-        let max_steps_without_line =
-            steps(cfg.max_transit * 3 + cfg.write_lease + cfg.settle_time) + MAX_STORE_READ_STEPS + 4;
+        let (settle_steps, grace_steps) = (steps(cfg.settle_time), steps(cfg.drain_grace + TIME_LIMIT_SLACK));
         self.check_handover_time(now)?;
         for (id, proxy) in self.proxies.iter_mut().enumerate() {
-            let lacks_line = proxy.is_up && proxy.table.line.is_none();
-            proxy.steps_without_line = if lacks_line { proxy.steps_without_line + 1 } else { 0 };
-            // A grant that waits for a call may be followed by another handover, so only the handovers are bounded then.
+            prop_assert!(self.store.line.is_some(), "the store has no line");
+            proxy.count_step(&self.assigner.servers);
             prop_assert!(
-                self.steps_impaired > 0 || proxy.steps_without_line <= max_steps_without_line,
+                proxy.steps_without_line <= MAX_STEPS_WITHOUT_LINE,
                 "proxy {id} has no line for {} steps",
                 proxy.steps_without_line
             );
+            // Time limits wait while calls fail.
+            prop_assert!(
+                self.steps_impaired > 0 || proxy.steps_at_leaving_server <= grace_steps,
+                "proxy {id} sends to a server that is not ready for {} steps",
+                proxy.steps_at_leaving_server
+            );
             let writes = proxy.table.writes && proxy.lease_ends.is_none_or(|end| now < end);
             let Some(server) = proxy.table.line.filter(|_| writes) else { continue };
             self.last_write[server] = Some(now);
@@ -339,6 +357,19 @@
 }
 
 impl ModelProxy {
+    /// Counts a step without a line, or with one at a server that is not ready. Time in which the stream is down does
+    /// not count, and does not reset the time without a line either.
+    fn count_step(&mut self, servers: &[Server]) {
+        let is_leaving = |line: usize| servers[line].listed_status != ListedStatus::Ready;
+        let sends = self.is_up && (self.table.reads || self.table.writes);
+        let sends_to_leaving = sends && self.table.line.is_some_and(is_leaving);
+        self.steps_at_leaving_server = if sends_to_leaving { self.steps_at_leaving_server + 1 } else { 0 };
+        if self.is_up {
+            let lacks_line = self.table.line.is_none();
+            self.steps_without_line = if lacks_line { self.steps_without_line + 1 } else { 0 };
+        }
+    }
+
     /// Breaks the stream: messages on their way are lost, and the write lease starts to run out.
     fn break_stream(&mut self, now: u32, lease: u32) {
         (self.is_up, self.reads_at) = (false, None);
@@ -393,6 +424,30 @@
     check_script(&script, &[1, 8, 8, 8, 8, 8]).unwrap();
 }
 
+/// Guards against handovers of which each keeps its bound, while a proxy that is away at each grant lacks a line for
+/// their sum (issue 77).
+#[test]
+fn proxy_that_is_away_at_each_grant_lacks_no_line_in_series_of_drains() {
+    let silent_proxy = 1;
+    let absent_proxy = 2;
+    let mut model = Model::new();
+    model.start_fault(0, silent_proxy, Fault::Silence { steps: SERIES_STEPS });
+    let (mut owner, mut drain_at) = (model.assigner.owner(0), Some(0));
+    for now in 0..SERIES_STEPS {
+        if drain_at.take_if(|at| *at <= now).is_some() {
+            model.start_fault(now, absent_proxy, Fault::Drain);
+        }
+        model.step(now, &[1; PROXIES]);
+        if std::mem::replace(&mut owner, model.assigner.owner(0)) != owner {
+            model.start_fault(now, absent_proxy, Fault::Break { noticed: 0, back: STEPS_AWAY_AT_GRANT });
+            drain_at = Some(now + STEPS_FROM_GRANT_TO_DRAIN);
+        }
+        model.check(now).unwrap();
+    }
+    let drained = model.assigner.servers.iter().filter(|s| s.listed_status == ListedStatus::Draining);
+    assert_eq!(drained.count(), SERVERS - 1, "all drains must be played");
+}
+
 proptest! {
     #[test]
     fn time_without_line_is_bounded_and_writes_go_to_one_server_at_a_time(
--- a/crates/whinhill/src/assigner/handover/tests.rs
+++ b/crates/whinhill/src/assigner/handover/tests.rs
@@ -1,6 +1,6 @@
 //! Handovers while proxies leave, become unresponsive, rejoin, or lose their acks.
 
-use super::super::tests::{assigner_with, endpoint, secs};
+use super::super::tests::{assigner_with, endpoint, secs, stop_all_rpcs};
 use super::*;
 
 const PROXIES: u32 = 150;
@@ -86,12 +86,12 @@
     Event::List { kind: ListKind::Changes, entries: vec![entry] }
 }
 
-/// Drains server 0 and returns for how long slice 0 has no line.
-fn time_without_line(behavior: Behavior) -> Duration {
+/// Drains server 0 and returns for how long all RPCs of slice 0 are stopped. Its line must stay.
+fn time_all_stopped(behavior: Behavior) -> Duration {
     let mut assigner = assigner_with_many_proxies(1);
     let started_at = assigner.now;
     let mut events = vec![list_update(0, ListedStatus::Draining)];
-    let (mut pending_acks, mut revoked_at) = (PendingAcks::default(), None);
+    let (mut pending_acks, mut stopped_at) = (PendingAcks::default(), None);
     let (mut now, mut is_away) = (started_at, false);
     while now < started_at + MAX_RUN_TIME {
         let elapsed = now - started_at;
@@ -118,11 +118,12 @@
         if matches!(behavior, Behavior::UnresponsiveWithCallsAnswered) {
             ack_requests(&orders).for_each(|ack_seq| assigner.note_orders_answered(ack_seq));
         }
-        if orders.iter().any(|order| matches!(order, Order::Revoke { .. })) {
-            revoked_at = revoked_at.or(Some(now));
+        assert!(!orders.iter().any(|order| matches!(order, Order::Revoke { .. })), "{orders:?}");
+        if stop_all_rpcs(&orders, 0) {
+            stopped_at = stopped_at.or(Some(now));
         }
         if granted_server(&orders).is_some() {
-            return revoked_at.map_or(Duration::ZERO, |at| now - at);
+            return now - stopped_at.expect("all RPCs are stopped within the grace");
         }
         now += STEP;
     }
@@ -131,46 +132,46 @@
 
 #[test]
 fn grant_follows_soon_when_all_proxies_ack() {
-    let took = time_without_line(Behavior::Acks);
+    let took = time_all_stopped(Behavior::Acks);
     assert!(took <= secs(2.5), "{took:?}");
 }
 
 #[test]
 fn proxy_that_leaves_late_delays_grant_by_at_most_its_lease() {
-    let took = time_without_line(Behavior::LeavesAt(1.9));
+    let took = time_all_stopped(Behavior::LeavesAt(1.9));
     assert!(took <= max_handover_time(&assigner_with_many_proxies(1)), "{took:?}");
 }
 
 #[test]
 fn disconnect_detected_late_starts_no_second_lease() {
-    let took = time_without_line(Behavior::UnresponsiveUntil(5.0));
+    let took = time_all_stopped(Behavior::UnresponsiveUntil(5.0));
     assert!(took <= max_handover_time(&assigner_with_many_proxies(1)), "{took:?}");
 }
 
 #[test]
 fn unresponsive_proxy_delays_grant_for_bounded_time() {
-    let took = time_without_line(Behavior::Unresponsive);
+    let took = time_all_stopped(Behavior::Unresponsive);
     assert!(took <= max_handover_time(&assigner_with_many_proxies(1)), "{took:?}");
 }
 
 /// Where calls are answered the wait is reckoned from the answer, not from the first ack.
 #[test]
 fn unresponsive_proxy_delays_grant_by_less_where_calls_are_answered() {
-    let took = time_without_line(Behavior::UnresponsiveWithCallsAnswered);
-    let unanswered = time_without_line(Behavior::Unresponsive);
+    let took = time_all_stopped(Behavior::UnresponsiveWithCallsAnswered);
+    let unanswered = time_all_stopped(Behavior::Unresponsive);
     assert!(took + ACK_DELAY / 2 <= unanswered, "{took:?}, without answers {unanswered:?}");
 }
 
 #[test]
 fn flapping_proxy_delays_grant_for_bounded_time() {
-    let took = time_without_line(Behavior::Flaps);
+    let took = time_all_stopped(Behavior::Flaps);
     assert!(took <= max_handover_time(&assigner_with_many_proxies(1)), "{took:?}");
 }
 
 #[test]
 fn lost_ack_is_requested_again() {
     // The write stop carries the first ack request, which the tested proxy does not answer.
-    let took = time_without_line(Behavior::AcksEvery(2));
+    let took = time_all_stopped(Behavior::AcksEvery(2));
     assert!(took <= secs(4.0), "{took:?}");
 }
 
@@ -263,8 +264,11 @@
 fn destination_that_drains_during_wait_is_replaced_without_second_wait() {
     let mut assigner = assigner_with_many_proxies(1);
     let started_at = assigner.now;
-    assigner.start_handover(0, Some(1), true);
-    let (mut pending_acks, mut now) = (PendingAcks::default(), started_at);
+    // The owner is gone, so that the slice cannot stay there.
+    let orders = assigner.handle(started_at, &[list_update(0, ListedStatus::Gone)]);
+    assigner.slices[0].handover.as_mut().unwrap().destination = Some(1);
+    let (mut pending_acks, mut now) = (PendingAcks::default(), started_at + STEP);
+    pending_acks.send(started_at, &orders, |_| false);
     let to = loop {
         let mut events = pending_acks.due(now);
         events.push(Event::Timer);
--- a/crates/whinhill/src/assigner/handover_log.rs
+++ b/crates/whinhill/src/assigner/handover_log.rs
@@ -28,12 +28,20 @@
                 awaited_proxies.push(*proxy);
             }
         }
-        let revoked: Vec<Duration> = in_progress.iter().filter_map(|handover| handover.revoked_at).collect();
-        let first_revoked = revoked.iter().min();
+        let is_stopped = |handover: &&&Handover| handover.stops_all();
+        let has_no_line = |handover: &&&Handover| handover.stop == StopStage::NoLine;
+        let longest = |times: &mut dyn Iterator<Item = Duration>| times.max().unwrap_or(Duration::ZERO);
+        let now = self.now;
         HandoverSummary {
             in_progress: in_progress.len(),
-            without_line: revoked.len(),
-            longest_without_line: first_revoked.map_or(Duration::ZERO, |at| self.now.saturating_sub(*at)),
+            all_stopped: in_progress.iter().filter(is_stopped).count(),
+            longest_all_stopped: longest(
+                &mut in_progress.iter().map(|handover| handover.time_all_stopped(now)),
+            ),
+            without_line: in_progress.iter().filter(has_no_line).count(),
+            longest_without_line: longest(
+                &mut in_progress.iter().map(|handover| handover.time_without_line(now)),
+            ),
             awaited_proxies,
             totals: self.handover_totals,
         }
@@ -44,7 +52,7 @@
         let now = self.now;
         let Slice { handover: Some(handover), handover_series, .. } = &mut self.slices[id] else { return };
         let took = now.saturating_sub(handover.started_at);
-        handover_series.end_handover(now, handover.time_without_line(now));
+        handover_series.end_handover(now, handover);
         let series = *handover_series;
         self.handover_totals.record(took, &series);
         if took > MIN_LOGGED_HANDOVER_TIME || series.length > 1 {
@@ -69,11 +77,12 @@
         };
         let from = slice.owner.map_or("none".to_string(), |owner| format!("server {owner}"));
         let took = since_start(self.now);
+        let all_stopped = handover.time_all_stopped(self.now);
         let without_line = handover.time_without_line(self.now);
         let pending = self.describe_pending_acks(handover);
         let series = describe_series(&slice.handover_series, self.now);
         Some(format!(
-            "slice {id} handed over from {from} to server {to} in {took:.1?}, {without_line:.1?} of it without a line: {last_wait}; {pending}{series}"
+            "slice {id} handed over from {from} to server {to} in {took:.1?}, all RPCs stopped for {all_stopped:.1?} of it, {without_line:.1?} without a line: {last_wait}; {pending}{series}"
         ))
     }
 
@@ -97,10 +106,12 @@
 
 /// The series that a handover ends, where it is not the only one.
 fn describe_series(series: &HandoverSeries, now: Duration) -> String {
-    let HandoverSeries { length, began_at, without_line, .. } = series;
+    let HandoverSeries { length, began_at, all_stopped, without_line, .. } = series;
     if *length <= 1 {
         return String::new();
     }
     let duration = now.saturating_sub(*began_at);
-    format!("; handover {length} in series, {duration:.1?} since the first, {without_line:.1?} of it without a line")
+    format!(
+        "; handover {length} in series, {duration:.1?} since the first, all RPCs stopped for {all_stopped:.1?} of it, {without_line:.1?} without a line"
+    )
 }
--- a/crates/whinhill/src/interface.rs
+++ b/crates/whinhill/src/interface.rs
@@ -168,6 +168,9 @@
 pub struct HandoverSummary {
     /// Handovers in progress.
     pub in_progress: usize,
+    /// Those of them in which all RPCs are stopped now, and for how long in the first of them.
+    pub all_stopped: usize,
+    pub longest_all_stopped: Duration,
     /// Those of them whose slice has no line now.
     pub without_line: usize,
     /// For how long the first of these slices has had no line.
@@ -188,6 +191,8 @@
     /// The most handovers of one slice that followed one another so closely that a proxy may have missed the grants
     /// between them.
     pub longest_series: usize,
+    /// The longest time for which all RPCs of a slice were stopped in such a series, summed over its handovers.
+    pub most_time_all_stopped: Duration,
     /// The longest time for which a slice had no line in such a series, summed over its handovers.
     pub most_time_without_line: Duration,
 }
--- a/crates/whinhill/src/state.rs
+++ b/crates/whinhill/src/state.rs
@@ -8,7 +8,7 @@
 
 mod handover;
 
-pub use handover::{AckState, Handover, HandoverSeries, ProxyAck, WaitEnd};
+pub use handover::{AckState, Handover, HandoverSeries, ProxyAck, StopStage, WaitEnd};
 
 /// A sum that decays exponentially, brought up to date when it is read or added to.
 #[derive(Clone, Copy, Debug, Default)]
--- a/crates/whinhill/src/state/handover.rs
+++ b/crates/whinhill/src/state/handover.rs
@@ -21,18 +21,30 @@
     /// The same by the answer to the call with the message. It counts once an acknowledgement shows that the channel
     /// sends at all.
     pub answered_stop_sent_by: Option<Duration>,
-    /// The owner's line was revoked, so reads have stopped too.
-    pub revoked: bool,
+    /// Which RPCs are stopped at the old owner.
+    pub stop: StopStage,
     /// The server that is to own the slice; `None`: it is chosen with the grant.
     pub destination: Option<usize>,
     /// When writes were stopped.
     pub started_at: Duration,
-    /// When the line was revoked; for a slice that was acquired without a line, when it was acquired.
-    pub revoked_at: Option<Duration>,
+    /// When all RPCs were stopped; for a slice that was acquired without a line, when it was acquired.
+    pub all_stopped_at: Option<Duration>,
     /// The proxy whose wait ended last, and what ended it.
     pub last_wait_ended: Option<(ProxyId, WaitEnd)>,
 }
 
+/// Which RPCs of its slice a handover has stopped at the old owner, and how.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum StopStage {
+    /// Levels reject writes.
+    #[default]
+    Writes,
+    /// Levels reject all RPCs. The owner's line stays until the grant replaces it, so that no proxy lacks a line.
+    AllRpcs,
+    /// The slice has no line: the owner's was revoked, or the slice was acquired without one.
+    NoLine,
+}
+
 /// What a handover knows of one proxy.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ProxyAck {
@@ -73,9 +85,22 @@
         }
     }
 
+    /// Whether all RPCs are stopped, not only writes.
+    pub fn stops_all(&self) -> bool {
+        self.stop != StopStage::Writes
+    }
+
+    /// For how long all RPCs have been stopped.
+    pub fn time_all_stopped(&self, now: Duration) -> Duration {
+        self.all_stopped_at.map_or(Duration::ZERO, |at| now.saturating_sub(at))
+    }
+
     /// For how long the slice has had no line.
     pub fn time_without_line(&self, now: Duration) -> Duration {
-        self.revoked_at.map_or(Duration::ZERO, |at| now.saturating_sub(at))
+        match self.stop {
+            StopStage::NoLine => self.time_all_stopped(now),
+            StopStage::Writes | StopStage::AllRpcs => Duration::ZERO,
+        }
     }
 
     /// Whether a joined proxy has yet to acknowledge.
@@ -100,7 +125,9 @@
     pub length: usize,
     /// When the first of them started.
     pub began_at: Duration,
-    /// For how long the slice had no line in those of them that have ended.
+    /// For how long all RPCs were stopped in those of them that have ended.
+    pub all_stopped: Duration,
+    /// For how long the slice had no line in them.
     pub without_line: Duration,
     /// When the last of them ended with a grant.
     pub granted_at: Duration,
@@ -115,10 +142,11 @@
         self.length += 1;
     }
 
-    /// Counts the grant that ends the handover, in which the slice had no line for a time.
-    pub fn end_handover(&mut self, now: Duration, without_line: Duration) {
+    /// Counts the grant that ends a handover.
+    pub fn end_handover(&mut self, now: Duration, handover: &Handover) {
         self.granted_at = now;
-        self.without_line += without_line;
+        self.all_stopped += handover.time_all_stopped(now);
+        self.without_line += handover.time_without_line(now);
     }
 }
 
@@ -128,6 +156,7 @@
         self.grants += 1;
         self.longest_duration = self.longest_duration.max(took);
         self.longest_series = self.longest_series.max(series.length);
+        self.most_time_all_stopped = self.most_time_all_stopped.max(series.all_stopped);
         self.most_time_without_line = self.most_time_without_line.max(series.without_line);
     }
 }
