--- a/crates/whinhill/src/assigner/handover/property.rs
+++ b/crates/whinhill/src/assigner/handover/property.rs
@@ -303,8 +303,10 @@
         let cfg = &self.assigner.cfg;
         let (settle_steps, grace_steps) = (steps(cfg.settle_time), steps(cfg.drain_grace + TIME_LIMIT_SLACK));
         self.check_handover_time(now)?;
+        prop_assert!(self.store.line.is_some(), "the store has no line");
+        let is_settled = self.assigner.slices[0].handover.is_none() && self.waiting.is_empty();
+        prop_assert!(!is_settled || self.store.reads && self.store.writes, "RPCs stay stopped in step {now}");
         for (id, proxy) in self.proxies.iter_mut().enumerate() {
-            prop_assert!(self.store.line.is_some(), "the store has no line");
             proxy.count_step(&self.assigner.servers);
             prop_assert!(
                 proxy.steps_without_line <= MAX_STEPS_WITHOUT_LINE,
