--- a/crates/whinhill/src/assigner/evacuation.rs
+++ b/crates/whinhill/src/assigner/evacuation.rs
@@ -2,33 +2,23 @@
 
 use super::*;
 
+/// For how long reads go on at draining servers.
+struct DrainSchedule {
+    /// From the list update to the stop of all RPCs.
+    read_time: Duration,
+    /// Reads go on at all: there is enough time for it, and the channel has room for the further orders. Otherwise all
+    /// RPCs are stopped at once.
+    may_read: bool,
+}
+
 impl Assigner {
     /// Starts the handover of slices whose owner is gone, draining or unhealthy, and, where another server has
     /// headroom for them, of slices that bring a cold owner over its budget: their demand may rise sooner than levels
     /// can follow.
     pub(super) fn evacuate(&mut self) {
         let is_fenced = self.cfg.fence_writes;
-        let is_not_ready = |owner: usize| self.servers[owner].listed_status != ListedStatus::Ready;
-        // Once a drain is listed, reads may go on as long as the order that stops them still arrives within the grace,
-        // behind what is queued in the channel. Where that would fill the channel, or too little time is left, all RPCs
-        // are stopped at once.
-        let leaving = self.slices.iter().filter(|slice| slice.owner.is_some_and(is_not_ready));
-        let slices_to_stop = leaving.filter(|s| s.handover.as_ref().is_none_or(|h| !h.stops_all())).count();
-        let orders = if is_fenced { 2 * slices_to_stop } else { slices_to_stop };
-        let lines = self.channel.queued_lines + self.message_lines(orders);
-        let send_time = Duration::from_secs_f64(lines / self.cfg.lines_per_s);
-        let end_time = self.cfg.max_transit.mul_f64(DRAIN_TRANSIT_FACTOR) + send_time;
-        let read_time = self.cfg.drain_grace.saturating_sub(end_time);
-        let is_short =
-            lines > PLAN_START_FILL * self.cfg.max_backlog_lines || read_time < self.cfg.max_transit / 2;
-
-        // Several message overheads must fit between the fills at which drains start and stop: otherwise drains go out
-        // a few slices a message, and overheads take much of the channel. On a channel where they fit nowhere, drains
-        // must not wait for an empty queue either.
-        let overheads = MIN_DRAIN_MESSAGES * self.cfg.message_overhead_lines * self.joined_proxies() as f64
-            / self.cfg.max_backlog_lines;
-        let drain_start_fill = DRAIN_START_FILL.min(DRAIN_STOP_FILL - overheads).max(LEAVE_STOP_FILL);
-        let drains_start = self.channel_is_below(drain_start_fill);
+        let DrainSchedule { read_time, may_read } = self.drain_schedule();
+        let drains_start = self.channel_is_below(self.drain_start_fill());
         let leaves_start = self.channel_is_below(LEAVE_START_FILL);
 
         let mut snapshot = None;
@@ -41,7 +31,7 @@
             let may_read_on = status == ListedStatus::Draining
                 && server.unhealthy_until.is_none()
                 && !server.suspected
-                && !is_short;
+                && may_read;
             let stops_all = is_fenced && !may_read_on || status != ListedStatus::Ready && is_late;
             match &self.slices[id].handover {
                 Some(handover) if is_usable || handover.stops_all() => {}
@@ -77,6 +67,30 @@
         self.log_departures(&departures, snapshot.as_ref());
     }
 
+    /// For how long reads may go on at draining servers: the order that stops them must still arrive within the grace,
+    /// behind what is queued in the channel.
+    fn drain_schedule(&self) -> DrainSchedule {
+        let is_not_ready = |owner: usize| self.servers[owner].listed_status != ListedStatus::Ready;
+        let leaving = self.slices.iter().filter(|slice| slice.owner.is_some_and(is_not_ready));
+        let slices_to_stop = leaving.filter(|s| s.handover.as_ref().is_none_or(|h| !h.stops_all())).count();
+        let orders = if self.cfg.fence_writes { 2 * slices_to_stop } else { slices_to_stop };
+        let lines = self.channel.queued_lines + self.message_lines(orders);
+        let send_time = Duration::from_secs_f64(lines / self.cfg.lines_per_s);
+        let end_time = self.cfg.max_transit.mul_f64(DRAIN_TRANSIT_FACTOR) + send_time;
+        let read_time = self.cfg.drain_grace.saturating_sub(end_time);
+        let fits_channel = lines <= PLAN_START_FILL * self.cfg.max_backlog_lines;
+        DrainSchedule { read_time, may_read: fits_channel && read_time >= self.cfg.max_transit / 2 }
+    }
+
+    /// The fill below which drains start. Several message overheads must fit between it and the fill at which they
+    /// stop: otherwise drains go out a few slices a message, and overheads take much of the channel. On a channel where
+    /// they fit nowhere, drains must not wait for an empty queue either.
+    fn drain_start_fill(&self) -> f64 {
+        let overheads = MIN_DRAIN_MESSAGES * self.cfg.message_overhead_lines * self.joined_proxies() as f64
+            / self.cfg.max_backlog_lines;
+        DRAIN_START_FILL.min(DRAIN_STOP_FILL - overheads).max(LEAVE_STOP_FILL)
+    }
+
     /// The destination of a slice that must leave: of the first servers in its rendezvous order that take slices and
     /// have headroom for it, the least loaded one.
     pub(super) fn destination_with_headroom(&self, id: SliceId, snapshot: &LoadSnapshot) -> Option<usize> {
--- a/crates/whinhill/src/assigner/handover.rs
+++ b/crates/whinhill/src/assigner/handover.rs
@@ -213,8 +213,8 @@
                 continue;
             }
             let planned = handover.destination.filter(|to| accepts_slices(&self.servers[*to]));
-            let has_line = handover.stop != StopStage::NoLine;
-            let staying = slice.owner.filter(|owner| usable(&self.servers[*owner]) && has_line);
+            let staying =
+                slice.owner.filter(|owner| usable(&self.servers[*owner]) && !handover.has_no_line());
             let last_resort =
                 slice.owner.filter(|owner| self.servers[*owner].listed_status == ListedStatus::Ready);
             let chosen_now = || self.destination(id, snapshot.get_or_insert_with(|| self.load_snapshot()));
@@ -233,7 +233,7 @@
     pub(super) fn grant(&mut self, id: SliceId, to: usize) {
         self.record_grant(id, to);
         let slice = &mut self.slices[id];
-        let has_no_line = slice.handover.take().is_some_and(|handover| handover.stop == StopStage::NoLine);
+        let has_no_line = slice.handover.take().is_some_and(|handover| handover.has_no_line());
         let former_owner = slice.owner.filter(|owner| *owner != to && !has_no_line);
         let needs_line = has_no_line || slice.owner != Some(to);
         slice.owner = Some(to);
--- a/crates/whinhill/src/assigner/handover_log.rs
+++ b/crates/whinhill/src/assigner/handover_log.rs
@@ -28,20 +28,16 @@
                 awaited_proxies.push(*proxy);
             }
         }
-        let is_stopped = |handover: &&&Handover| handover.stops_all();
-        let has_no_line = |handover: &&&Handover| handover.stop == StopStage::NoLine;
-        let longest = |times: &mut dyn Iterator<Item = Duration>| times.max().unwrap_or(Duration::ZERO);
-        let now = self.now;
+        let count = |is_counted: fn(&Handover) -> bool| in_progress.iter().filter(|h| is_counted(h)).count();
+        let longest = |time: fn(&Handover, Duration) -> Duration| {
+            in_progress.iter().map(|handover| time(handover, self.now)).max().unwrap_or_default()
+        };
         HandoverSummary {
             in_progress: in_progress.len(),
-            all_stopped: in_progress.iter().filter(is_stopped).count(),
-            longest_all_stopped: longest(
-                &mut in_progress.iter().map(|handover| handover.time_all_stopped(now)),
-            ),
-            without_line: in_progress.iter().filter(has_no_line).count(),
-            longest_without_line: longest(
-                &mut in_progress.iter().map(|handover| handover.time_without_line(now)),
-            ),
+            all_stopped: count(Handover::stops_all),
+            longest_all_stopped: longest(Handover::time_all_stopped),
+            without_line: count(Handover::has_no_line),
+            longest_without_line: longest(Handover::time_without_line),
             awaited_proxies,
             totals: self.handover_totals,
         }
--- a/crates/whinhill/src/state/handover.rs
+++ b/crates/whinhill/src/state/handover.rs
@@ -90,6 +90,11 @@
         self.stop != StopStage::Writes
     }
 
+    /// Whether the slice has no line.
+    pub fn has_no_line(&self) -> bool {
+        self.stop == StopStage::NoLine
+    }
+
     /// For how long all RPCs have been stopped.
     pub fn time_all_stopped(&self, now: Duration) -> Duration {
         self.all_stopped_at.map_or(Duration::ZERO, |at| now.saturating_sub(at))
@@ -97,9 +102,10 @@
 
     /// For how long the slice has had no line.
     pub fn time_without_line(&self, now: Duration) -> Duration {
-        match self.stop {
-            StopStage::NoLine => self.time_all_stopped(now),
-            StopStage::Writes | StopStage::AllRpcs => Duration::ZERO,
+        if self.has_no_line() {
+            self.time_all_stopped(now)
+        } else {
+            Duration::ZERO
         }
     }
 
